--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,7 @@
+export default {
+  extensions: { ts: 'module' },
+  nodeArguments: ['--import=tsx'],
+  files: ['packages/*/tests/**/*.test.ts'],
+  timeout: '3m',
+  concurrency: 4,
+};
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,14 @@
+export { demoDeployment, demoLoad, keyOf } from './demo/demoDeployment.js';
+export type { RunCounts } from './demo/findBrokenPromises.js';
+export { findBrokenPromises } from './demo/findBrokenPromises.js';
+export { FLEET_TOKEN, LocalFleet } from './demo/LocalFleet.js';
+export type { DemoOptions, DemoResult } from './demo/runDemo.js';
+export { runDemo } from './demo/runDemo.js';
+export type { CallObserver, FinishedCall } from './load/LoadRunner.js';
+export { LoadRunner } from './load/LoadRunner.js';
+export { nextArrivalMs } from './load/nextArrivalMs.js';
+export type { ClassResult } from './report/ClassResult.js';
+export { ClassTally } from './report/ClassTally.js';
+export { classTable } from './report/classTable.js';
+export { tallyCalls } from './report/tallyCalls.js';
+export { summarizeCalls } from './report/summarizeCalls.js';
--- /dev/null
+++ b/packages/bench/src/load/nextArrivalMs.ts
@@ -0,0 +1,38 @@
+import type { LoadStream } from '@jujubecroft/settings';
+
+const MS_PER_SECOND = 1000;
+
+function rateAt(stream: LoadStream, atMs: number): number {
+  const { burst, requestsPerSecond } = stream;
+  const seconds = atMs / MS_PER_SECOND;
+  const inBurst =
+    burst !== undefined &&
+    seconds >= burst.startSeconds &&
+    seconds < burst.startSeconds + burst.seconds;
+  return inBurst ? requestsPerSecond * burst.factor : requestsPerSecond;
+}
+
+/**
+ * Draws the next arrival of a Poisson stream whose rate rises in a burst.
+ *
+ * Candidates are drawn at the highest rate and thinned out, so that a burst
+ * begins on time after a long gap as well.
+ *
+ * @param stream - rates
+ * @param afterMs - the arrival before
+ * @param random - seeded source
+ * @returns time of the next arrival
+ */
+export function nextArrivalMs(
+  stream: LoadStream,
+  afterMs: number,
+  random: () => number,
+): number {
+  const highest =
+    stream.requestsPerSecond * Math.max(1, stream.burst?.factor ?? 1);
+  let atMs = afterMs;
+  do {
+    atMs += (-Math.log(1 - random()) / highest) * MS_PER_SECOND;
+  } while (random() > rateAt(stream, atMs) / highest);
+  return atMs;
+}
--- /dev/null
+++ b/packages/cli/src/commands/DemoCommand.ts
@@ -0,0 +1,42 @@
+import { Command, Option } from 'clipanion';
+import { cascade, isInteger, isNumber, isPositive } from 'typanion';
+import { classTable, runDemo } from '@jujubecroft/bench';
+
+import { EXIT } from '../exitCodes.js';
+
+/** Shows the whole path at work in one process. */
+export class DemoCommand extends Command {
+  static override paths = [['demo']];
+  static override usage = Command.Usage({
+    description: 'watch a small fleet through a burst and an engine crash',
+    details:
+      'Starts everything in one process on loopback, ends by itself and prints a table by class. Exit code 4 when a promise was broken.',
+    examples: [['Run the demo', '$0 demo']],
+  });
+
+  readonly seconds = Option.String('--seconds', '12', {
+    description: 'length of the load',
+    validator: cascade(isNumber(), isPositive()),
+  });
+  readonly seed = Option.String('--seed', '1', {
+    description: 'seed of the load',
+    validator: cascade(isNumber(), isInteger()),
+  });
+
+  async execute(): Promise<number> {
+    const result = await runDemo({
+      seconds: this.seconds,
+      seed: this.seed,
+      say: line => {
+        this.context.stdout.write(`${line}\n`);
+      },
+    });
+    const wasted = (100 * result.wastedWork).toFixed(2);
+    this.context.stdout.write(`${classTable(result.classes)}\n`);
+    this.context.stdout.write(`wasted work: ${wasted}% of generated tokens\n`);
+    result.brokenPromises.forEach(line => {
+      this.context.stdout.write(`broken promise: ${line}\n`);
+    });
+    return result.brokenPromises.length === 0 ? EXIT.ok : EXIT.brokenPromise;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/LoadCommand.ts
@@ -0,0 +1,45 @@
+import { SingleBar } from 'cli-progress';
+import { Command, Option } from 'clipanion';
+import type { FinishedCall } from '@jujubecroft/bench';
+import { LoadRunner, summarizeCalls } from '@jujubecroft/bench';
+import { readSettings } from '@jujubecroft/settings';
+
+import { EXIT } from '../exitCodes.js';
+
+const TICK_MS = 500;
+const MS_PER_SECOND = 1000;
+
+/** Sends open-loop load to running instances. */
+export class LoadCommand extends Command {
+  static override paths = [['load']];
+  static override usage = Command.Usage({
+    description: 'send open-loop load to running instances',
+    details: 'Streams are Poisson with optional bursts; see examples/.',
+    examples: [['Run a load', '$0 load load.jsonc']],
+  });
+
+  readonly file = Option.String({ name: 'config' });
+
+  async execute(): Promise<number> {
+    const settings = readSettings(this.file, 'load');
+    const calls: FinishedCall[] = [];
+    const bar = new SingleBar({
+      format: '{bar} {value}/{total} s, {calls} calls ended',
+      stream: process.stderr,
+    });
+    const startMs = Date.now();
+    bar.start(settings.seconds, 0, { calls: 0 });
+    const timer = setInterval(() => {
+      const seconds = Math.floor((Date.now() - startMs) / MS_PER_SECOND);
+      bar.update(Math.min(seconds, settings.seconds), { calls: calls.length });
+    }, TICK_MS);
+    await new LoadRunner(settings, call => {
+      calls.push(call);
+    }).run();
+    clearInterval(timer);
+    bar.stop();
+    this.context.stdout.write(`${summarizeCalls(calls)}\n`);
+    const faulty = calls.some(({ answer }) => answer.fault !== null);
+    return faulty ? EXIT.brokenPromise : EXIT.ok;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/ctlChanges.ts
@@ -0,0 +1,81 @@
+import { randomUUID } from 'node:crypto';
+import { Command, Option } from 'clipanion';
+import type { OperatorConnection } from '@jujubecroft/operator';
+import { applyDeployment } from '@jujubecroft/operator';
+import { readSettings } from '@jujubecroft/settings';
+
+import { entityKind } from '../entityKinds.js';
+import { OperatorCommand } from './OperatorCommand.js';
+
+const changeIdOption = {
+  description: 'id of the change; repeating it is harmless',
+};
+
+/** Declares everything in a deployment file. */
+export class CtlApplyCommand extends OperatorCommand {
+  static override paths = [['ctl', 'apply']];
+  static override usage = Command.Usage({
+    description: 'declare or update every entity of a deployment file',
+    examples: [['Apply a file', '$0 ctl apply deployment.jsonc']],
+  });
+
+  readonly file = Option.String({ name: 'file' });
+
+  protected async run(connection: OperatorConnection): Promise<void> {
+    const deployment = readSettings(this.file, 'deployment');
+    const revision = await applyDeployment(connection, deployment);
+    this.print({ revision }, [`revision ${revision}`]);
+  }
+}
+
+/** Removes one entity. */
+export class CtlRemoveCommand extends OperatorCommand {
+  static override paths = [['ctl', 'remove']];
+  static override usage = Command.Usage({
+    description: 'remove an entity as seen at a revision',
+    examples: [['Remove', '$0 ctl remove organisation pekara-zora --seen 12']],
+  });
+
+  readonly kind = Option.String({ name: 'kind' });
+  readonly id = Option.String({ name: 'id' });
+  readonly seen = Option.String('--seen', {
+    required: true,
+    description: 'revision at which `ctl list` showed the entity',
+  });
+  readonly changeId = Option.String('--change-id', changeIdOption);
+
+  protected async run(connection: OperatorConnection): Promise<void> {
+    const reply = await connection.remove({
+      changeId: this.changeId ?? randomUUID(),
+      kind: entityKind(this.kind),
+      id: this.id,
+      ifRevision: Number(this.seen),
+    });
+    this.print(reply, [`revision ${reply.revision}`]);
+  }
+}
+
+/** Marks a backend server as leaving. */
+export class CtlDrainCommand extends OperatorCommand {
+  static override paths = [['ctl', 'drain']];
+  static override usage = Command.Usage({
+    description: 'give a backend server no new work',
+    examples: [
+      ['Drain', '$0 ctl drain engine-3'],
+      ['Take it back', '$0 ctl drain engine-3 --undo'],
+    ],
+  });
+
+  readonly id = Option.String({ name: 'backend-server' });
+  readonly undo = Option.Boolean('--undo', false);
+  readonly changeId = Option.String('--change-id', changeIdOption);
+
+  protected async run(connection: OperatorConnection): Promise<void> {
+    const reply = await connection.drain({
+      changeId: this.changeId ?? randomUUID(),
+      backendServer: this.id,
+      leaving: !this.undo,
+    });
+    this.print(reply, [`revision ${reply.revision}`]);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/entityKinds.ts
@@ -0,0 +1,27 @@
+import { ProtoEntityKind } from '@jujubecroft/operator';
+import { routerError } from '@jujubecroft/types';
+
+/** Names of entity kinds on the command line. */
+export const ENTITY_KINDS: Readonly<Record<string, ProtoEntityKind>> = {
+  all: ProtoEntityKind.ENTITY_KIND_UNSPECIFIED,
+  organisation: ProtoEntityKind.ENTITY_KIND_ORGANISATION,
+  'request-class': ProtoEntityKind.ENTITY_KIND_REQUEST_CLASS,
+  'model-version': ProtoEntityKind.ENTITY_KIND_MODEL_VERSION,
+  'backend-server': ProtoEntityKind.ENTITY_KIND_BACKEND_SERVER,
+};
+
+/**
+ * Reads the name of an entity kind.
+ *
+ * @param name - from the command line
+ * @returns the kind
+ * @throws RouterError `configInvalid` that lists the names
+ */
+export function entityKind(name: string): ProtoEntityKind {
+  const kind = ENTITY_KINDS[name];
+  if (kind === undefined) {
+    const names = Object.keys(ENTITY_KINDS).join(', ');
+    throw routerError('configInvalid', `"${name}" is none of ${names}`);
+  }
+  return kind;
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,46 @@
+import { Builtins, Cli } from 'clipanion';
+
+import { ConfigCheckCommand } from './commands/ConfigCheckCommand.js';
+import {
+  CtlApplyCommand,
+  CtlDrainCommand,
+  CtlRemoveCommand,
+} from './commands/ctlChanges.js';
+import {
+  CtlAuditCommand,
+  CtlListCommand,
+  CtlStatusCommand,
+  CtlWatchCommand,
+} from './commands/ctlViews.js';
+import { DemoCommand } from './commands/DemoCommand.js';
+import { LoadCommand } from './commands/LoadCommand.js';
+import { ServeCommand } from './commands/ServeCommand.js';
+import { StandInCommand } from './commands/StandInCommand.js';
+import { VERSION } from './version.js';
+
+const cli = new Cli({
+  binaryLabel: 'jujubecroft',
+  binaryName: 'jujubecroft',
+  binaryVersion: VERSION,
+});
+
+[
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  ConfigCheckCommand,
+  CtlApplyCommand,
+  CtlAuditCommand,
+  CtlDrainCommand,
+  CtlListCommand,
+  CtlRemoveCommand,
+  CtlStatusCommand,
+  CtlWatchCommand,
+  DemoCommand,
+  LoadCommand,
+  ServeCommand,
+  StandInCommand,
+].forEach(command => {
+  cli.register(command);
+});
+
+void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/decisions/src/Router.ts
@@ -0,0 +1,267 @@
+import type {
+  BackendServerId,
+  Configuration,
+  RequestId,
+} from '@jujubecroft/types';
+
+import type { LoadReport } from './blackboard/BackendView.js';
+import type {
+  Blackboard,
+  CancelReason,
+  Placement,
+} from './blackboard/Blackboard.js';
+import { queueOf } from './blackboard/Blackboard.js';
+import type {
+  RequestRecord,
+  RoutedRequest,
+} from './blackboard/RoutedRequest.js';
+import { AdmissionController } from './controllers/AdmissionController.js';
+import { BackendController } from './controllers/BackendController.js';
+import { ConfigurationController } from './controllers/ConfigurationController.js';
+import { DispatchController } from './controllers/DispatchController.js';
+import { ProgressController } from './controllers/ProgressController.js';
+import type { RecoveryOptions } from './controllers/RecoveryController.js';
+import { RecoveryController } from './controllers/RecoveryController.js';
+import type { AdmissionPolicy } from './policies/admission/AdmissionPolicy.js';
+import type { DispatchPolicies } from './controllers/DispatchController.js';
+import type {
+  AttemptFailure,
+  RecoveryPolicy,
+} from './policies/recovery/RecoveryPolicy.js';
+import { explain } from './util/explain.js';
+import { poolKey } from './util/poolKey.js';
+
+/** The policies of one router. */
+export interface RouterPolicies extends DispatchPolicies {
+  readonly admission: AdmissionPolicy;
+  readonly recovery: RecoveryPolicy;
+}
+
+/** Settings of one router that are no policy. */
+export interface RouterOptions extends RecoveryOptions {
+  readonly subsetSize: number;
+}
+
+const EXPIRED_RETRY_MS = 1000;
+
+/**
+ * The decision logic of one instance: a host feeds it events and carries out
+ * the effects. It does no I/O and sets no timers; the host calls `tick`.
+ */
+export class Router {
+  readonly #admission: AdmissionController;
+  readonly #backends: BackendController;
+  readonly #configuration: ConfigurationController;
+  readonly #dispatch: DispatchController;
+  readonly #progress: ProgressController;
+  readonly #recovery: RecoveryController;
+
+  constructor(
+    readonly board: Blackboard,
+    policies: RouterPolicies,
+    options: RouterOptions,
+  ) {
+    this.#admission = new AdmissionController(board, policies.admission);
+    this.#backends = new BackendController(board, policies.concurrency);
+    this.#configuration = new ConfigurationController(
+      board,
+      options.subsetSize,
+    );
+    this.#dispatch = new DispatchController(board, policies);
+    this.#progress = new ProgressController(board);
+    this.#recovery = new RecoveryController(
+      board,
+      policies.recovery,
+      this.#dispatch,
+      this.#backends,
+      options,
+    );
+  }
+
+  /** @returns whether the configuration is newer and now in force */
+  configure(cfg: Configuration): boolean {
+    const changed = this.#configuration.configure(cfg);
+    this.#pumpAll();
+    return changed;
+  }
+
+  place(placement: Placement): void {
+    this.#configuration.place(placement);
+    this.#pumpAll();
+  }
+
+  /** Takes in a validated request; the answer comes through the effects. */
+  submit(request: RoutedRequest): void {
+    if (this.#admission.submit(request)) {
+      this.#dispatch.pump(poolKey(request.target));
+    }
+  }
+
+  /**
+   * Tells of tokens from an attempt.
+   *
+   * @returns false when the attempt is no longer the current one, so that its
+   *   tokens must not reach the caller
+   */
+  onTokens(id: RequestId, attempt: number, tokens: number): boolean {
+    const record = this.#current(id, attempt);
+    if (!record) {
+      return false;
+    }
+    this.#progress.onTokens(record, tokens);
+    return true;
+  }
+
+  /** Tells that an attempt delivered its whole answer. */
+  onFinished(id: RequestId, attempt: number): boolean {
+    const record = this.#current(id, attempt);
+    if (!record) {
+      return false;
+    }
+    this.#progress.onFinished(record);
+    this.#vacate(record);
+    this.#end(record);
+    this.#dispatch.pump(poolKey(record.request.target));
+    return true;
+  }
+
+  /** Tells that an attempt failed; late news of older attempts is ignored. */
+  onFailed(id: RequestId, attempt: number, failure: AttemptFailure): void {
+    const record = this.#current(id, attempt);
+    if (!record) {
+      return;
+    }
+    this.#vacate(record);
+    if (!this.#recovery.onFailed(record, failure)) {
+      this.#end(record);
+    }
+    this.#dispatch.pump(poolKey(record.request.target));
+  }
+
+  /** Tells that the caller closed its connection. */
+  onCallerLeft(id: RequestId): void {
+    const record = this.board.requests.get(id);
+    if (!record || record.state === 'ended') {
+      return;
+    }
+    explain(this.board, record, {
+      kind: 'cancelled',
+      backendServer: record.attempt?.backendServer ?? null,
+      reason: 'callerLeft',
+      tokensDelivered: record.tokensDelivered,
+    });
+    if (record.state === 'running') {
+      this.#cancelAttempt(record, 'callerLeft');
+    } else {
+      this.#leaveQueue(record);
+    }
+    this.#end(record);
+    this.#dispatch.pump(poolKey(record.request.target));
+  }
+
+  onReport(id: BackendServerId, report: LoadReport): void {
+    this.#backends.onReport(id, report);
+  }
+
+  /** Periodic work; the host calls it about ten times a second. */
+  tick(): void {
+    this.#backends.tick();
+    this.#endSilent();
+    this.#migrate();
+    this.#expire();
+    this.#pumpAll();
+  }
+
+  #endSilent(): void {
+    this.#recovery.findSilent().forEach(record => {
+      const { attempt, request } = record;
+      if (!attempt) {
+        return;
+      }
+      this.board.effects.cancel(record, attempt, 'silent');
+      this.onFailed(request.id, attempt.number, {
+        ran: 'maybe',
+        reason: 'silent',
+      });
+    });
+  }
+
+  #migrate(): void {
+    this.#recovery.findMigratable().forEach(record => {
+      explain(this.board, record, {
+        kind: 'cancelled',
+        backendServer: record.attempt?.backendServer ?? null,
+        reason: 'migrated',
+        tokensDelivered: record.tokensDelivered,
+      });
+      this.#cancelAttempt(record, 'migrated');
+      this.#recovery.displaceMigrated(record);
+      this.#dispatch.pump(poolKey(record.request.target));
+    });
+  }
+
+  #expire(): void {
+    const nowMs = this.board.clock();
+    this.board.queues.forEach(queue => {
+      queue.takeExpired(nowMs).forEach(record => {
+        this.#leaveQueue(record);
+        this.#end(record);
+        this.#admission.refuse(record, {
+          code: record.tokensDelivered > 0 ? 'streamCut' : 'queueWaitExceeded',
+          retryAfterMs: EXPIRED_RETRY_MS,
+          predictedWaitMs: nowMs - record.arrivedAtMs,
+          budgetMs: record.rules.maxQueueMs,
+        });
+      });
+    });
+  }
+
+  #pumpAll(): void {
+    this.board.queues.forEach((queue, pool) => {
+      if (queue.length > 0) {
+        this.#dispatch.pump(pool);
+      }
+    });
+  }
+
+  #current(id: RequestId, attempt: number): RequestRecord | undefined {
+    const record = this.board.requests.get(id);
+    return record?.state === 'running' && record.attempt?.number === attempt
+      ? record
+      : undefined;
+  }
+
+  #cancelAttempt(record: RequestRecord, reason: CancelReason): void {
+    if (record.attempt) {
+      this.board.effects.cancel(record, record.attempt, reason);
+    }
+    this.#vacate(record);
+  }
+
+  #vacate(record: RequestRecord): void {
+    const { backends, cfg } = this.board;
+    const view = record.attempt && backends.get(record.attempt.backendServer);
+    if (!view) {
+      return;
+    }
+    view.inFlight -= 1;
+    const { id } = view.server;
+    if (view.inFlight === 0 && !cfg.backendServers.some(s => s.id === id)) {
+      backends.delete(id);
+    }
+  }
+
+  /** Requests that were displaced stand outside the class queues. */
+  #leaveQueue(record: RequestRecord): void {
+    if (record.attempts > 0) {
+      return;
+    }
+    const pool = poolKey(record.request.target);
+    queueOf(this.board, pool).classQueue(record).release(record);
+  }
+
+  #end(record: RequestRecord): void {
+    record.state = 'ended';
+    this.board.requests.delete(record.request.id);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/blackboard/Blackboard.ts
@@ -0,0 +1,113 @@
+import type {
+  BackendServerId,
+  ClassId,
+  Configuration,
+  DecisionEvent,
+  FailureDomainId,
+  InstanceId,
+  RequestId,
+  ResultCodeId,
+} from '@jujubecroft/types';
+import { EMPTY_CONFIGURATION } from '@jujubecroft/types';
+
+import { LengthEstimator } from '../estimators/LengthEstimator.js';
+import { OrganisationLimits } from '../limits/OrganisationLimits.js';
+import type { BackendView } from './BackendView.js';
+import { RequestQueue } from './RequestQueue.js';
+import type { Attempt, RequestRecord } from './RoutedRequest.js';
+
+/** Milliseconds on any monotone scale; virtual in experiments. */
+export type Clock = () => number;
+
+/** A request that is turned away for good. */
+export interface Refusal {
+  readonly code: ResultCodeId;
+  readonly retryAfterMs: number;
+  readonly predictedWaitMs: number;
+  readonly budgetMs: number;
+}
+
+/** Why an attempt is cancelled. */
+export type CancelReason = 'callerLeft' | 'migrated' | 'silent';
+
+/** What the decision logic asks its host to do. */
+export interface Effects {
+  readonly dispatch: (record: RequestRecord, attempt: Attempt) => void;
+  readonly cancel: (
+    record: RequestRecord,
+    attempt: Attempt,
+    reason: CancelReason,
+  ) => void;
+  readonly refuse: (record: RequestRecord, refusal: Refusal) => void;
+  readonly explain: (event: DecisionEvent) => void;
+}
+
+/** Who this instance is and what it knows of the fleet. */
+export interface Placement {
+  readonly instance: InstanceId;
+  readonly failureDomain: FailureDomainId;
+  /** Live entry instances, this one included. */
+  readonly instances: readonly InstanceId[];
+}
+
+/** The state that controllers read and write; one per instance. */
+export interface Blackboard {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly effects: Effects;
+  placement: Placement;
+  cfg: Configuration;
+  readonly backends: Map<BackendServerId, BackendView>;
+  /** Views by pool key, only of servers in the subset of this instance. */
+  readonly pools: Map<string, BackendView[]>;
+  readonly queues: Map<string, RequestQueue>;
+  readonly requests: Map<RequestId, RequestRecord>;
+  readonly lengths: LengthEstimator;
+  readonly limits: OrganisationLimits;
+  readonly retryCredits: Map<ClassId, number>;
+}
+
+/** What a blackboard is created from. */
+export interface BlackboardOptions {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly effects: Effects;
+  readonly placement: Placement;
+}
+
+/**
+ * Creates an empty blackboard.
+ *
+ * @param options - clock, seeded random source, effects and own placement
+ * @returns a blackboard without configuration
+ */
+export function createBlackboard(options: BlackboardOptions): Blackboard {
+  return {
+    ...options,
+    cfg: EMPTY_CONFIGURATION,
+    backends: new Map(),
+    pools: new Map(),
+    queues: new Map(),
+    requests: new Map(),
+    lengths: new LengthEstimator(),
+    limits: new OrganisationLimits(),
+    retryCredits: new Map(),
+  };
+}
+
+/**
+ * Finds the queue of a pool, and makes it at first use.
+ *
+ * @param board - the blackboard
+ * @param pool - key made by `poolKey`
+ * @returns the queue
+ */
+export function queueOf(board: Blackboard, pool: string): RequestQueue {
+  const known = board.queues.get(pool);
+  if (known) {
+    return known;
+  }
+  const queue = new RequestQueue();
+  board.queues.set(pool, queue);
+  return queue;
+}
--- /dev/null
+++ b/packages/decisions/src/blackboard/OrganisationQueue.ts
@@ -0,0 +1,42 @@
+import type { RequestRecord } from './RoutedRequest.js';
+
+const COMPACT_AFTER = 64;
+
+/** First-in first-out line of one organisation inside one class. */
+export class OrganisationQueue {
+  /** Work served so far divided by weight; the smallest is served next. */
+  virtualTime = 0;
+  queuedTokens = 0;
+  /** Whether the line stands in the heap of its class. */
+  waiting = false;
+  weight = 1;
+  #records: RequestRecord[] = [];
+  #first = 0;
+
+  push(record: RequestRecord): void {
+    this.#records.push(record);
+  }
+
+  /** @returns the first record that is still queued; ended ones are skipped */
+  peek(): RequestRecord | undefined {
+    let head = this.#records[this.#first];
+    while (head && head.state !== 'queued') {
+      this.#dropHead();
+      head = this.#records[this.#first];
+    }
+    return head;
+  }
+
+  /** Removes the record that `peek` returned. */
+  shift(): void {
+    this.#dropHead();
+  }
+
+  #dropHead(): void {
+    this.#first += 1;
+    if (this.#first > COMPACT_AFTER && this.#first * 2 > this.#records.length) {
+      this.#records = this.#records.slice(this.#first);
+      this.#first = 0;
+    }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/controllers/AdmissionController.ts
@@ -0,0 +1,148 @@
+import type { RequestClass } from '@jujubecroft/types';
+import { assertDefined } from '@jujubecroft/types';
+
+import type { Blackboard, Refusal } from '../blackboard/Blackboard.js';
+import { queueOf } from '../blackboard/Blackboard.js';
+import type {
+  RequestRecord,
+  RoutedRequest,
+} from '../blackboard/RoutedRequest.js';
+import type { AdmissionPolicy } from '../policies/admission/AdmissionPolicy.js';
+import { explain } from '../util/explain.js';
+import { poolKey } from '../util/poolKey.js';
+
+/** Retry credit that each admitted request earns for its class. */
+const RETRY_CREDIT_PER_REQUEST = 0.2;
+const MAX_RETRY_CREDIT = 60;
+const INITIAL_RETRY_CREDIT = 20;
+const NO_SERVER_RETRY_MS = 1000;
+
+/** Takes requests in: limits, prediction, then the queue. */
+export class AdmissionController {
+  constructor(
+    private readonly board: Blackboard,
+    private readonly admission: AdmissionPolicy,
+  ) {}
+
+  /**
+   * Admits a request to the queue of its pool or refuses it for good.
+   *
+   * @param request - validated; its class is declared
+   * @returns the queued record, or null when it was refused
+   */
+  submit(request: RoutedRequest): RequestRecord | null {
+    const record = this.#recordOf(request);
+    const refusal = this.#check(record);
+    if (refusal) {
+      record.state = 'ended';
+      this.refuse(record, refusal);
+      return null;
+    }
+    this.#earnRetryCredit(record.rules);
+    this.board.requests.set(request.id, record);
+    const queue = queueOf(this.board, poolKey(request.target));
+    queue.push(record);
+    explain(this.board, record, {
+      kind: 'queued',
+      queueLength: queue.length,
+    });
+    return record;
+  }
+
+  /** Tells host and watchers that a request is turned away. */
+  refuse(record: RequestRecord, refusal: Refusal): void {
+    explain(this.board, record, { kind: 'shed', ...refusal });
+    this.board.effects.refuse(record, refusal);
+  }
+
+  #recordOf(request: RoutedRequest): RequestRecord {
+    const { cfg, lengths, clock } = this.board;
+    const rules = assertDefined(
+      cfg.requestClasses.find(({ id }) => id === request.requestClass),
+      'the host checks the class before it submits a request',
+    );
+    const organisation = cfg.organisations.find(
+      ({ id }) => id === request.organisation,
+    );
+    const maxTokens = Math.min(request.maxOutputTokens, rules.maxOutputTokens);
+    const { mean } = lengths.estimate(
+      request.requestClass,
+      request.organisation,
+      maxTokens,
+    );
+    const nowMs = clock();
+    return {
+      request,
+      rules,
+      arrivedAtMs: nowMs,
+      expectedTokens: request.target.kind === 'engine' ? mean : 1,
+      weight: organisation?.weight ?? 1,
+      state: 'queued',
+      attempt: null,
+      attempts: 0,
+      tokensDelivered: 0,
+      firstTokenAtMs: null,
+      lastProgressAtMs: nowMs,
+      failedOn: new Set(),
+    };
+  }
+
+  #check(record: RequestRecord): Refusal | null {
+    return (
+      this.#checkServers(record) ??
+      this.#checkPrediction(record) ??
+      this.#checkLimits(record)
+    );
+  }
+
+  #checkServers(record: RequestRecord): Refusal | null {
+    const views = this.board.pools.get(poolKey(record.request.target)) ?? [];
+    if (views.some(view => !view.server.leaving)) {
+      return null;
+    }
+    return {
+      code: 'noBackendServer',
+      retryAfterMs: NO_SERVER_RETRY_MS,
+      predictedWaitMs: Infinity,
+      budgetMs: record.rules.maxQueueMs,
+    };
+  }
+
+  #checkLimits(record: RequestRecord): Refusal | null {
+    const { limits, clock } = this.board;
+    const { organisation } = record.request;
+    const waitMs = limits.charge(organisation, record.expectedTokens, clock());
+    if (waitMs === 0) {
+      return null;
+    }
+    return {
+      code: 'organisationLimit',
+      retryAfterMs: waitMs,
+      predictedWaitMs: waitMs,
+      budgetMs: 0,
+    };
+  }
+
+  #checkPrediction(record: RequestRecord): Refusal | null {
+    const { admit, ...numbers } = this.admission(record);
+    if (!admit) {
+      return { code: 'targetUnreachable', ...numbers };
+    }
+    explain(this.board, record, {
+      kind: 'admitted',
+      predictedWaitMs: numbers.predictedWaitMs,
+      budgetMs: numbers.budgetMs,
+      expectedTokens: record.expectedTokens,
+    });
+    return null;
+  }
+
+  #earnRetryCredit({ id }: RequestClass): void {
+    const { retryCredits } = this.board;
+    const credit = retryCredits.get(id) ?? INITIAL_RETRY_CREDIT;
+    retryCredits.set(
+      id,
+      Math.min(MAX_RETRY_CREDIT, credit + RETRY_CREDIT_PER_REQUEST),
+    );
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/controllers/ConfigurationController.ts
@@ -0,0 +1,119 @@
+import type { BackendServer, Configuration } from '@jujubecroft/types';
+
+import type { BackendView } from '../blackboard/BackendView.js';
+import { createBackendView } from '../blackboard/BackendView.js';
+import type { Blackboard, Placement } from '../blackboard/Blackboard.js';
+import type { Target } from '../blackboard/RoutedRequest.js';
+import { evenSubset } from '../subset/evenSubset.js';
+import { poolKey } from '../util/poolKey.js';
+
+const MIN_INITIAL_LIMIT = 2;
+
+function targetsOf(server: BackendServer): readonly Target[] {
+  return [
+    ...server.models.map(model => ({ kind: 'engine' as const, model })),
+    ...server.services.map(service => ({ kind: 'service' as const, service })),
+  ];
+}
+
+function serversByPool(
+  servers: readonly BackendServer[],
+): ReadonlyMap<string, readonly BackendServer[]> {
+  const pools = new Map<string, BackendServer[]>();
+  servers
+    .flatMap(server =>
+      targetsOf(server).map(target => ({ server, key: poolKey(target) })),
+    )
+    .forEach(({ server, key }) => {
+      const members = pools.get(key);
+      if (members) {
+        members.push(server);
+        return;
+      }
+      pools.set(key, [server]);
+    });
+  return pools;
+}
+
+/** Brings the blackboard in line with configuration and fleet. */
+export class ConfigurationController {
+  /**
+   * @param board - the blackboard
+   * @param subsetSize - servers that one instance uses per pool
+   */
+  constructor(
+    private readonly board: Blackboard,
+    private readonly subsetSize: number,
+  ) {}
+
+  /**
+   * Takes over a configuration unless a later one is already in force.
+   *
+   * Guards against a stale table reply, peer or snapshot that would revert an
+   * accepted change: revisions only grow, so an equal or lower one is dropped.
+   *
+   * @param cfg - the configuration
+   * @returns whether it is now in force
+   */
+  configure(cfg: Configuration): boolean {
+    if (cfg.revision <= this.board.cfg.revision) {
+      return false;
+    }
+    this.board.cfg = cfg;
+    this.board.limits.configure(cfg.organisations, this.board.clock());
+    this.#rebuild();
+    return true;
+  }
+
+  /** Takes over a changed fleet. */
+  place(placement: Placement): void {
+    this.board.placement = placement;
+    this.#rebuild();
+  }
+
+  #rebuild(): void {
+    const { board } = this;
+    this.#dropRemoved();
+    board.pools.clear();
+    serversByPool(board.cfg.backendServers).forEach((servers, key) => {
+      const subset = evenSubset(
+        servers,
+        board.placement.instances,
+        board.placement.instance,
+        this.subsetSize,
+      );
+      const users =
+        (board.placement.instances.length * subset.length) / servers.length;
+      board.pools.set(
+        key,
+        subset.map(server => this.#viewOf(server, users)),
+      );
+    });
+  }
+
+  #viewOf(server: BackendServer, users: number): BackendView {
+    const known = this.board.backends.get(server.id);
+    if (known) {
+      known.server = server;
+      return known;
+    }
+    const share = server.capacity / Math.max(1, users);
+    const view = createBackendView(server, Math.max(MIN_INITIAL_LIMIT, share));
+    this.board.backends.set(server.id, view);
+    return view;
+  }
+
+  /** A removed server keeps its view until the last request on it has ended. */
+  #dropRemoved(): void {
+    const { backends, cfg } = this.board;
+    const declared = new Set(cfg.backendServers.map(({ id }) => id));
+    [...backends.values()]
+      .filter(view => !declared.has(view.server.id))
+      .forEach(view => {
+        view.server = { ...view.server, leaving: true };
+        if (view.inFlight === 0) {
+          backends.delete(view.server.id);
+        }
+      });
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/controllers/DispatchController.ts
@@ -0,0 +1,163 @@
+import type { BackendView } from '../blackboard/BackendView.js';
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import { queueOf } from '../blackboard/Blackboard.js';
+import type { ClassQueue } from '../blackboard/ClassQueue.js';
+import type {
+  OrderingPolicy,
+  RequestQueue,
+} from '../blackboard/RequestQueue.js';
+import type { Attempt, RequestRecord } from '../blackboard/RoutedRequest.js';
+import type { ConcurrencyPolicy } from '../policies/concurrency/ConcurrencyPolicy.js';
+import type {
+  RoutingChoice,
+  RoutingPolicy,
+} from '../policies/routing/RoutingPolicy.js';
+import { explain } from '../util/explain.js';
+import { poolKey } from '../util/poolKey.js';
+
+const MAX_PREFIXES = 512;
+/** Requests' worth of credit that a class may save up. */
+const MAX_CREDIT_REQUESTS = 2;
+
+/** Policies that the dispatch of queued work is made of. */
+export interface DispatchPolicies {
+  readonly ordering: OrderingPolicy;
+  readonly routing: RoutingPolicy;
+  readonly concurrency: ConcurrencyPolicy;
+}
+
+function rememberPrefix(view: BackendView, record: RequestRecord): void {
+  const { prefixHash, promptTokens } = record.request;
+  view.prefixes.delete(prefixHash);
+  view.prefixes.set(prefixHash, promptTokens);
+  if (view.prefixes.size > MAX_PREFIXES) {
+    const [oldest] = view.prefixes.keys();
+    view.prefixes.delete(oldest ?? prefixHash);
+  }
+}
+
+/** Guaranteed shares accrue on all waiting classes and are paid by service. */
+function accrueCredit(queue: RequestQueue, served: ClassQueue, cost: number) {
+  queue.classes
+    .filter(other => other !== served && other.length > 0)
+    .forEach(other => {
+      const cap =
+        (MAX_CREDIT_REQUESTS * other.queuedTokens) / Math.max(1, other.length);
+      const owed = other.credit + other.rules.guaranteedShare * cost;
+      other.credit = Math.min(cap, owed);
+    });
+  served.credit = Math.max(0, served.credit - cost);
+}
+
+/** Sends queued work to backend servers as room appears. */
+export class DispatchController {
+  constructor(
+    private readonly board: Blackboard,
+    private readonly policies: DispatchPolicies,
+  ) {}
+
+  /** Dispatches from the queue of one pool until no server has room. */
+  pump(pool: string): void {
+    const queue = queueOf(this.board, pool);
+    const views = this.board.pools.get(pool) ?? [];
+    let sent = true;
+    while (sent) {
+      sent =
+        this.#dispatchDisplaced(queue, views) ||
+        this.#dispatchQueued(queue, views);
+    }
+  }
+
+  /** Chooses a server for a request without sending it. */
+  choose(record: RequestRecord): RoutingChoice {
+    const views = this.board.pools.get(poolKey(record.request.target)) ?? [];
+    return this.policies.routing(
+      record,
+      views,
+      this.policies.concurrency.slots,
+    );
+  }
+
+  #dispatchDisplaced(
+    queue: RequestQueue,
+    views: readonly BackendView[],
+  ): boolean {
+    const record = queue.peekDisplaced();
+    if (!record) {
+      return false;
+    }
+    const choice = this.policies.routing(
+      record,
+      views,
+      this.policies.concurrency.slots,
+    );
+    if (!choice.view) {
+      return false;
+    }
+    queue.shiftDisplaced();
+    this.#start(record, choice, choice.view);
+    return true;
+  }
+
+  #dispatchQueued(queue: RequestQueue, views: readonly BackendView[]): boolean {
+    const next = this.policies.ordering(queue.classes);
+    const record = next?.queue.peek();
+    if (!next || !record) {
+      return false;
+    }
+    const choice = this.policies.routing(
+      record,
+      views,
+      this.policies.concurrency.slots,
+    );
+    if (!choice.view) {
+      return false;
+    }
+    next.queue.shift();
+    accrueCredit(queue, next.queue, record.expectedTokens);
+    this.#start(record, choice, choice.view);
+    return true;
+  }
+
+  #start(
+    record: RequestRecord,
+    choice: RoutingChoice,
+    view: BackendView,
+  ): void {
+    const { board } = this;
+    const nowMs = board.clock();
+    const attempt: Attempt = {
+      number: record.attempts + 1,
+      backendServer: view.server.id,
+      dispatchedAtMs: nowMs,
+      resumeFrom: record.tokensDelivered,
+    };
+    const queuedMs = nowMs - record.lastProgressAtMs;
+    record.attempts = attempt.number;
+    record.attempt = attempt;
+    record.state = 'running';
+    record.lastProgressAtMs = nowMs;
+    this.#occupy(view, record);
+    explain(board, record, {
+      kind: 'routed',
+      backendServer: view.server.id,
+      candidates: choice.candidates,
+      queuedMs,
+    });
+    board.effects.dispatch(record, attempt);
+  }
+
+  #occupy(view: BackendView, record: RequestRecord): void {
+    const { rules } = record;
+    view.inFlight += 1;
+    view.tightestFirstTokenMs = Math.min(
+      view.tightestFirstTokenMs,
+      rules.firstTokenTargetMs,
+    );
+    view.tightestBetweenTokensMs = Math.min(
+      view.tightestBetweenTokensMs,
+      rules.betweenTokensTargetMs,
+    );
+    rememberPrefix(view, record);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/controllers/ProgressController.ts
@@ -0,0 +1,93 @@
+import type { BackendView } from '../blackboard/BackendView.js';
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { RequestRecord } from '../blackboard/RoutedRequest.js';
+import { explain } from '../util/explain.js';
+import { smooth } from '../util/smooth.js';
+
+const BETWEEN_TOKENS_SHARE = 0.05;
+const FIRST_TOKEN_SHARE = 0.1;
+
+/** Follows running requests and learns from their latency. */
+export class ProgressController {
+  constructor(private readonly board: Blackboard) {}
+
+  /**
+   * Takes note of tokens that reached the caller.
+   *
+   * @param record - the running request
+   * @param tokens - tokens since the last call, at least 1
+   */
+  onTokens(record: RequestRecord, tokens: number): void {
+    const nowMs = this.board.clock();
+    const view = this.#viewOf(record);
+    if (view && record.attempt) {
+      this.#learn(view, record, record.attempt.dispatchedAtMs, tokens, nowMs);
+    }
+    record.firstTokenAtMs ??= nowMs;
+    record.tokensDelivered += tokens;
+    record.lastProgressAtMs = nowMs;
+  }
+
+  /** Takes note of the end of a whole answer. */
+  onFinished(record: RequestRecord): void {
+    const { board } = this;
+    const { request, rules } = record;
+    const view = this.#viewOf(record);
+    if (view) {
+      view.consecutiveFailures = 0;
+    }
+    if (request.target.kind === 'engine') {
+      board.lengths.record(
+        rules.id,
+        request.organisation,
+        record.tokensDelivered,
+      );
+      board.limits.settle(
+        request.organisation,
+        record.tokensDelivered - record.expectedTokens,
+      );
+    }
+    if (record.attempt) {
+      explain(board, record, {
+        kind: 'finished',
+        backendServer: record.attempt.backendServer,
+        tokens: record.tokensDelivered,
+        firstTokenMs:
+          (record.firstTokenAtMs ?? board.clock()) - record.arrivedAtMs,
+        totalMs: board.clock() - record.arrivedAtMs,
+      });
+    }
+  }
+
+  #learn(
+    view: BackendView,
+    record: RequestRecord,
+    dispatchedAtMs: number,
+    tokens: number,
+    nowMs: number,
+  ): void {
+    const isFirst = record.lastProgressAtMs === dispatchedAtMs;
+    view.samples += 1;
+    if (isFirst) {
+      const waitedMs = nowMs - dispatchedAtMs;
+      view.firstTokenMs = smooth(
+        view.firstTokenMs,
+        waitedMs,
+        FIRST_TOKEN_SHARE,
+      );
+      return;
+    }
+    const gapMs = (nowMs - record.lastProgressAtMs) / tokens;
+    view.betweenTokensMs = smooth(
+      view.betweenTokensMs,
+      gapMs,
+      BETWEEN_TOKENS_SHARE,
+    );
+  }
+
+  #viewOf(record: RequestRecord): BackendView | undefined {
+    return record.attempt !== null
+      ? this.board.backends.get(record.attempt.backendServer)
+      : undefined;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/estimators/LengthEstimator.ts
@@ -0,0 +1,119 @@
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+import type { ClassId, OrganisationId } from '@jujubecroft/types';
+
+const WINDOW_SAMPLES = 512;
+const REFRESH_SAMPLES = 16;
+const MIN_SAMPLES = 8;
+const MAX_TOKENS = 1_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const PRIOR_TOKENS = 200;
+
+/** Answer-length estimate in tokens. */
+export interface LengthEstimate {
+  readonly mean: number;
+  readonly p90: number;
+}
+
+interface Window {
+  current: Histogram;
+  previous: Histogram | null;
+  seen: number;
+  estimate: LengthEstimate | null;
+}
+
+function newHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_TOKENS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    bitBucketSize: 32,
+  });
+}
+
+function estimateOf(window: Window): LengthEstimate {
+  const merged = newHistogram();
+  merged.add(window.current);
+  if (window.previous) {
+    merged.add(window.previous);
+  }
+  return { mean: merged.mean, p90: merged.getValueAtPercentile(90) };
+}
+
+/**
+ * Learns answer lengths online, per class and per organisation within a class.
+ *
+ * Two alternating windows forget old traffic, so the estimate follows a change
+ * of behaviour within one window of samples.
+ */
+export class LengthEstimator {
+  readonly #windows = new Map<string, Window>();
+
+  /**
+   * Records the length of a whole answer.
+   *
+   * @param requestClass - class of the request
+   * @param organisation - organisation of the request
+   * @param tokens - length of the answer in tokens
+   */
+  record(
+    requestClass: ClassId,
+    organisation: OrganisationId,
+    tokens: number,
+  ): void {
+    const value = Math.min(MAX_TOKENS, Math.max(1, Math.round(tokens)));
+    this.#recordOne(requestClass, value);
+    this.#recordOne(`${requestClass}/${organisation}`, value);
+  }
+
+  /**
+   * Estimates the length of an answer that has not begun.
+   *
+   * @param requestClass - class of the request
+   * @param organisation - organisation of the request
+   * @param maxTokens - hard bound that the caller set
+   * @returns the narrowest estimate with enough samples, cut at the bound
+   */
+  estimate(
+    requestClass: ClassId,
+    organisation: OrganisationId,
+    maxTokens: number,
+  ): LengthEstimate {
+    const learnt =
+      this.#windows.get(`${requestClass}/${organisation}`)?.estimate ??
+      this.#windows.get(requestClass)?.estimate;
+    const { mean, p90 } = learnt ?? {
+      mean: PRIOR_TOKENS,
+      p90: 2 * PRIOR_TOKENS,
+    };
+    return { mean: Math.min(mean, maxTokens), p90: Math.min(p90, maxTokens) };
+  }
+
+  #recordOne(key: string, value: number): void {
+    const window = this.#windowOf(key);
+    window.current.recordValue(value);
+    window.seen += 1;
+    if (window.seen >= MIN_SAMPLES && window.seen % REFRESH_SAMPLES === 0) {
+      window.estimate = estimateOf(window);
+    }
+    if (window.seen % WINDOW_SAMPLES === 0) {
+      window.previous = window.current;
+      window.current = newHistogram();
+    }
+  }
+
+  #windowOf(key: string): Window {
+    const known = this.#windows.get(key);
+    if (known) {
+      return known;
+    }
+    const window: Window = {
+      current: newHistogram(),
+      previous: null,
+      seen: 0,
+      estimate: null,
+    };
+    this.#windows.set(key, window);
+    return window;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/policies/catalogue.ts
@@ -0,0 +1,30 @@
+import type { PolicyMeta } from './PolicyUnit.js';
+import { admitAll } from './admission/admit-all.js';
+import { predictive } from './admission/predictive.js';
+import { adaptiveLimit } from './concurrency/adaptive-limit.js';
+import { unlimited } from './concurrency/unlimited.js';
+import { firstCome } from './ordering/first-come.js';
+import { tieredFair } from './ordering/tiered-fair.js';
+import { budgetedResume } from './recovery/budgeted-resume.js';
+import { giveUp } from './recovery/give-up.js';
+import { leastCost } from './routing/least-cost.js';
+import { leastOutstanding } from './routing/least-outstanding.js';
+import { roundRobin } from './routing/round-robin.js';
+
+/** What the catalogue tells of a policy, whatever its kind. */
+export type CatalogueEntry = Omit<PolicyMeta<object>, 'schema'>;
+
+/** Every policy; docs/policies/ has a page for each. */
+export const POLICY_CATALOGUE: readonly CatalogueEntry[] = [
+  adaptiveLimit.meta,
+  admitAll.meta,
+  budgetedResume.meta,
+  firstCome.meta,
+  giveUp.meta,
+  leastCost.meta,
+  leastOutstanding.meta,
+  predictive.meta,
+  roundRobin.meta,
+  tieredFair.meta,
+  unlimited.meta,
+];
--- /dev/null
+++ b/packages/decisions/src/policies/createPolicyUnit.ts
@@ -0,0 +1,28 @@
+import type { z } from 'zod';
+
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { PolicyUnit } from './PolicyUnit.js';
+
+/** The parts from which a policy unit is made. */
+export interface PolicyParts<Options, Policy> {
+  readonly name: string;
+  readonly description: string;
+  readonly schema: z.ZodType<Options>;
+  readonly create: (board: Blackboard, options: Options) => Policy;
+}
+
+/**
+ * Makes a policy unit whose factory checks its options first.
+ *
+ * @param parts - name, description, option schema and factory
+ * @returns the unit for the catalogue
+ */
+export function createPolicyUnit<Options, Policy>(
+  parts: PolicyParts<Options, Policy>,
+): PolicyUnit<Options, Policy> {
+  const { name, description, schema, create } = parts;
+  return {
+    meta: { name, description, schema, defaults: schema.parse({}) },
+    create: (board, options = {}) => create(board, schema.parse(options)),
+  };
+}
--- /dev/null
+++ b/packages/decisions/src/policies/routing/RoutingPolicy.ts
@@ -0,0 +1,20 @@
+import type { CandidateView } from '@jujubecroft/types';
+
+import type { BackendView } from '../../blackboard/BackendView.js';
+import type { RequestRecord } from '../../blackboard/RoutedRequest.js';
+
+/** The chosen server, if any, and how every candidate was judged. */
+export interface RoutingChoice {
+  readonly view: BackendView | undefined;
+  readonly candidates: readonly CandidateView[];
+}
+
+/** Says how many own requests may be on a server for a given request. */
+export type SlotLimit = (view: BackendView, record: RequestRecord) => number;
+
+/** Chooses a backend server for one request. */
+export type RoutingPolicy = (
+  record: RequestRecord,
+  views: readonly BackendView[],
+  slots: SlotLimit,
+) => RoutingChoice;
--- /dev/null
+++ b/packages/decisions/src/subset/evenSubset.ts
@@ -0,0 +1,73 @@
+import murmurhash from 'murmurhash';
+import type { BackendServer, InstanceId } from '@jujubecroft/types';
+
+interface Placed {
+  readonly server: BackendServer;
+  /** Position on the ring, in [0, 1). */
+  readonly position: number;
+}
+
+const byHash = (a: string, b: string): number =>
+  murmurhash.v3(a) - murmurhash.v3(b) || (a < b ? -1 : 1);
+
+/** Spreads each failure domain evenly over the ring, so that any arc spans domains. */
+function placeOnRing(servers: readonly BackendServer[]): readonly Placed[] {
+  return [...groupByDomain(servers).values()]
+    .flatMap(members =>
+      [...members]
+        .sort((a, b) => byHash(a.id, b.id))
+        .map((server, rank) => ({ server, position: rank / members.length })),
+    )
+    .sort(
+      (a, b) => a.position - b.position || byHash(a.server.id, b.server.id),
+    );
+}
+
+function groupByDomain(
+  servers: readonly BackendServer[],
+): ReadonlyMap<string, readonly BackendServer[]> {
+  const groups = new Map<string, BackendServer[]>();
+  servers.forEach(server => {
+    const group = groups.get(server.failureDomain);
+    if (group) {
+      group.push(server);
+      return;
+    }
+    groups.set(server.failureDomain, [server]);
+  });
+  return groups;
+}
+
+/**
+ * Chooses the servers that one instance uses.
+ *
+ * Each instance takes evenly spaced places on a ring of servers and is shifted
+ * against the next instance by an equal step. Every server is then used by the
+ * same number of instances, plus or minus one, and a join or leave moves each
+ * place by at most one step. See docs/design/subsets.md.
+ *
+ * @param servers - all servers of a pool
+ * @param instances - all live instances
+ * @param self - the instance that chooses
+ * @param size - servers wanted per instance
+ * @returns the subset; all servers when there are no more than `size`
+ */
+export function evenSubset(
+  servers: readonly BackendServer[],
+  instances: readonly InstanceId[],
+  self: InstanceId,
+  size: number,
+): readonly BackendServer[] {
+  if (servers.length <= size) {
+    return servers;
+  }
+  const ring = placeOnRing(servers);
+  const ordered = [...instances].sort(byHash);
+  const rank = Math.max(0, ordered.indexOf(self));
+  const step = ring.length / size;
+  const offset = (rank / Math.max(1, ordered.length)) * step;
+  return Array.from({ length: size }, (_, place) => {
+    const index = Math.floor(offset + place * step) % ring.length;
+    return ring[index]?.server;
+  }).filter(server => server !== undefined);
+}
--- /dev/null
+++ b/packages/instance/src/InstanceContext.ts
@@ -0,0 +1,28 @@
+import type { Membership } from '@jujubecroft/decisions';
+import type { ConfigurationStore } from '@jujubecroft/platform';
+import type { InstanceSettings } from '@jujubecroft/settings';
+
+import type { ClaimBook } from './claims/ClaimBook.js';
+import type { EventLog } from './events/EventLog.js';
+import type { DecisionFeed } from './host/DecisionFeed.js';
+import type { RouterHost } from './host/RouterHost.js';
+import type { InstanceMetrics } from './metrics/InstanceMetrics.js';
+import type { ConfigurationSync } from './state/ConfigurationSync.js';
+
+/** Everything that the controllers of one instance share. */
+export interface InstanceContext {
+  readonly settings: InstanceSettings;
+  readonly host: RouterHost;
+  readonly feed: DecisionFeed;
+  readonly metrics: InstanceMetrics;
+  readonly membership: Membership;
+  readonly store: ConfigurationStore;
+  readonly sync: ConfigurationSync;
+  readonly claims: ClaimBook;
+  readonly log: EventLog;
+  /** Whether a stop was asked for. */
+  leaving: boolean;
+}
+
+/** Injection token of the context. */
+export const CONTEXT = Symbol('InstanceContext');
--- /dev/null
+++ b/packages/instance/src/control/OperatorChanges.ts
@@ -0,0 +1,122 @@
+import type { proto } from '@jujubecroft/operator';
+import { fromProtoEntity, fromProtoKind } from '@jujubecroft/operator';
+import type { ChangeRequest } from '@jujubecroft/platform';
+import { parseEntity } from '@jujubecroft/settings';
+import type { Entity, EntityKind } from '@jujubecroft/types';
+import { routerError } from '@jujubecroft/types';
+
+import type { InstanceContext } from '../InstanceContext.js';
+
+const MAX_CHANGE_ID = 128;
+
+function checkedChangeId(changeId: string): string {
+  if (changeId === '' || changeId.length > MAX_CHANGE_ID) {
+    throw routerError(
+      'configInvalid',
+      `change_id must have 1 to ${MAX_CHANGE_ID} characters.`,
+    );
+  }
+  return changeId;
+}
+
+function checkedEntity(message: proto.Entity | undefined): Entity {
+  const raw = fromProtoEntity(message);
+  if (!raw) {
+    throw routerError('configInvalid', 'entity is missing.');
+  }
+  const result = parseEntity(raw.kind, raw.value);
+  if (!result.ok) {
+    throw routerError('configInvalid', result.faults.join('; '));
+  }
+  return result.entity;
+}
+
+function checkedKind(kind: proto.EntityKind): EntityKind {
+  const known = fromProtoKind(kind);
+  if (!known) {
+    throw routerError('configInvalid', 'kind is missing.');
+  }
+  return known;
+}
+
+/** Turns operator calls into committed changes. */
+export class OperatorChanges {
+  constructor(private readonly context: InstanceContext) {}
+
+  declare(
+    operator: string,
+    req: proto.DeclareRequest,
+  ): Promise<proto.ChangeReply> {
+    const entity = checkedEntity(req.entity);
+    return this.#commit({
+      changeId: checkedChangeId(req.changeId),
+      operator,
+      atMs: Date.now(),
+      action: 'declare',
+      kind: entity.kind,
+      id: entity.id,
+      ifRevision: req.ifRevision,
+      change: () => entity,
+    });
+  }
+
+  remove(
+    operator: string,
+    req: proto.RemoveRequest,
+  ): Promise<proto.ChangeReply> {
+    const kind = checkedKind(req.kind);
+    return this.#commit({
+      changeId: checkedChangeId(req.changeId),
+      operator,
+      atMs: Date.now(),
+      action: 'remove',
+      kind,
+      id: req.id,
+      ifRevision: req.ifRevision,
+      change: before => {
+        if (!before) {
+          throw routerError('entityNotFound', `No ${kind} "${req.id}".`);
+        }
+        return null;
+      },
+    });
+  }
+
+  /** Whoever drains means the server as it is, so no revision is asked for. */
+  drain(operator: string, req: proto.DrainRequest): Promise<proto.ChangeReply> {
+    return this.#commit({
+      changeId: checkedChangeId(req.changeId),
+      operator,
+      atMs: Date.now(),
+      action: 'drain',
+      kind: 'backendServer',
+      id: req.backendServer,
+      ifRevision: null,
+      change: before => {
+        if (before?.kind !== 'backendServer') {
+          throw routerError(
+            'entityNotFound',
+            `No backend server "${req.backendServer}".`,
+          );
+        }
+        return { ...before, leaving: req.leaving };
+      },
+    });
+  }
+
+  async #commit(req: ChangeRequest): Promise<proto.ChangeReply> {
+    const outcome = await this.context.store.commit(req);
+    const { changeId, operator, action, kind, id } = req;
+    this.context.log.write('changeAccepted', {
+      changeId,
+      operator,
+      action,
+      kind,
+      entity: id,
+      ...outcome,
+    });
+    await this.context.sync.refresh();
+    void this.context.sync.writeSnapshot();
+    return outcome;
+  }
+}
--- /dev/null
+++ b/packages/instance/src/control/OperatorViews.ts
@@ -0,0 +1,131 @@
+import type { proto } from '@jujubecroft/operator';
+import {
+  fromProtoKind,
+  toProtoEntity,
+  toProtoKind,
+} from '@jujubecroft/operator';
+import type {
+  AuditEntry,
+  Configuration,
+  DecisionEvent,
+  Entity,
+} from '@jujubecroft/types';
+
+import type { InstanceContext } from '../InstanceContext.js';
+
+const DEFAULT_AUDIT_LIMIT = 100;
+
+function entitiesOf(cfg: Configuration): readonly Entity[] {
+  return [
+    ...cfg.organisations,
+    ...cfg.requestClasses,
+    ...cfg.modelVersions,
+    ...cfg.backendServers,
+  ];
+}
+
+const json = (entity: Entity | null): string =>
+  entity ? JSON.stringify(entity) : '';
+
+function toAuditMessage(entry: AuditEntry): proto.AuditEntry {
+  return {
+    revision: entry.revision,
+    changeId: entry.changeId,
+    operator: entry.operator,
+    atMs: entry.atMs,
+    action: entry.action,
+    kind: toProtoKind(entry.entityKind),
+    id: entry.entityId,
+    beforeJson: json(entry.before),
+    afterJson: json(entry.after),
+  };
+}
+
+/** The message of a decision, its numbers in JSON. */
+export function toDecisionMessage(event: DecisionEvent): proto.DecisionEvent {
+  const { atMs, instance, request, organisation, requestClass, kind, ...rest } =
+    event;
+  return {
+    atMs,
+    instance,
+    request,
+    organisation,
+    requestClass,
+    kind,
+    detailJson: JSON.stringify(rest),
+  };
+}
+
+/** What operators can read from one instance. */
+export class OperatorViews {
+  constructor(private readonly context: InstanceContext) {}
+
+  async list(req: proto.ListRequest): Promise<proto.ListReply> {
+    const cfg = this.context.host.configuration;
+    const kind = fromProtoKind(req.kind);
+    const wanted = entitiesOf(cfg).filter(
+      entity => kind === undefined || entity.kind === kind,
+    );
+    const entities = await Promise.all(
+      wanted.map(async entity => {
+        const stored = await this.context.store.readEntity(
+          entity.kind,
+          entity.id,
+        );
+        return {
+          entity: toProtoEntity(entity.kind, { ...entity }),
+          revision: stored.revision,
+        };
+      }),
+    );
+    return { revision: cfg.revision, entities };
+  }
+
+  status(): proto.StatusReply {
+    const { host, sync, settings, leaving } = this.context;
+    return {
+      instance: settings.instance,
+      revision: host.configuration.revision,
+      leaving,
+      tableReachable: sync.tableReachable,
+      backendServers: this.#backendServers(),
+      members: this.context.membership.members.map(member => ({
+        instance: member.id,
+        failureDomain: member.failureDomain,
+        state: member.state,
+        revision: member.revision,
+      })),
+      queues: this.#queues(),
+    };
+  }
+
+  async audit(req: proto.AuditRequest): Promise<proto.AuditReply> {
+    const limit = req.limit === 0 ? DEFAULT_AUDIT_LIMIT : req.limit;
+    const entries = await this.context.store.audit(req.afterRevision, limit);
+    return { entries: entries.map(toAuditMessage) };
+  }
+
+  #backendServers(): proto.BackendServerStatus[] {
+    const { backends, clock } = this.context.host.router.board;
+    return [...backends.values()].map(view => ({
+      id: view.server.id,
+      inFlight: view.inFlight,
+      limit: view.limit,
+      firstTokenMs: view.firstTokenMs,
+      betweenTokensMs: view.betweenTokensMs,
+      straggler: view.straggler,
+      leaving: view.server.leaving,
+      avoided: view.avoidUntilMs > clock(),
+    }));
+  }
+
+  #queues(): proto.QueueStatus[] {
+    return [...this.context.host.router.board.queues].flatMap(([pool, queue]) =>
+      queue.classes.map(({ rules, length }) => ({
+        pool,
+        requestClass: rules.id,
+        length,
+      })),
+    );
+  }
+}
--- /dev/null
+++ b/packages/instance/src/host/RouterHost.ts
@@ -0,0 +1,186 @@
+import { ConnectionPools, fetchLoadReport } from '@jujubecroft/backends';
+import type {
+  Attempt,
+  CancelReason,
+  Placement,
+  RequestRecord,
+  Router,
+} from '@jujubecroft/decisions';
+import { createRouter } from '@jujubecroft/decisions';
+import type {
+  Configuration,
+  RequestId,
+  RouterErrorInstance,
+} from '@jujubecroft/types';
+import { RESULT_CODES, routerError } from '@jujubecroft/types';
+import type { Refusal } from '@jujubecroft/decisions';
+
+import type { InstanceMetrics } from '../metrics/InstanceMetrics.js';
+import type { DecisionFeed } from './DecisionFeed.js';
+import type { AttemptReporter, Session } from './Session.js';
+import { startAttempt } from './startAttempt.js';
+
+const TICK_MS = 100;
+const REPORT_EVERY_MS = 250;
+
+function errorOf(refusal: Refusal): RouterErrorInstance {
+  const { code, retryAfterMs } = refusal;
+  return routerError(code, RESULT_CODES[code].summary, {
+    retryAfterMs: Math.round(retryAfterMs),
+  });
+}
+
+/** Runs the decision logic in real time and carries out its effects. */
+export class RouterHost {
+  readonly router: Router;
+  readonly #pools = new ConnectionPools();
+  readonly #sessions = new Map<RequestId, Session>();
+  readonly #timers: NodeJS.Timeout[] = [];
+  #idle: (() => void) | null = null;
+
+  constructor(
+    placement: Placement,
+    random: () => number,
+    private readonly feed: DecisionFeed,
+    private readonly metrics: InstanceMetrics,
+  ) {
+    this.router = createRouter({
+      clock: () => Date.now(),
+      random,
+      placement,
+      effects: {
+        dispatch: (record, attempt) => {
+          this.#dispatch(record, attempt);
+        },
+        cancel: (record, attempt, reason) => {
+          this.#cancel(record, attempt, reason);
+        },
+        refuse: (record, refusal) => {
+          this.#refuse(record, refusal);
+        },
+        explain: event => {
+          this.metrics.observe(event);
+          this.feed.publish(event);
+        },
+      },
+    });
+  }
+
+  /** Requests that were accepted and have not ended. */
+  get inFlight(): number {
+    return this.#sessions.size;
+  }
+
+  get configuration(): Configuration {
+    return this.router.board.cfg;
+  }
+
+  start(): void {
+    this.#timers.push(
+      setInterval(() => {
+        this.router.tick();
+        this.metrics.inFlight.set(this.inFlight);
+      }, TICK_MS),
+      setInterval(() => {
+        this.#fetchReports();
+      }, REPORT_EVERY_MS),
+    );
+  }
+
+  submit(session: Session): void {
+    this.#sessions.set(session.request.id, session);
+    this.router.submit(session.request);
+  }
+
+  callerLeft(id: RequestId): void {
+    if (this.#sessions.delete(id)) {
+      this.router.onCallerLeft(id);
+      this.#checkIdle();
+    }
+  }
+
+  /** Resolves when no accepted request is left. */
+  whenIdle(): Promise<void> {
+    return new Promise(resolve => {
+      this.#idle = resolve;
+      this.#checkIdle();
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.#timers.forEach(timer => {
+      clearInterval(timer);
+    });
+    await this.#pools.destroy();
+  }
+
+  #dispatch(record: RequestRecord, attempt: Attempt): void {
+    const session = this.#sessions.get(record.request.id);
+    const view = this.router.board.backends.get(attempt.backendServer);
+    if (!session || !view) {
+      return;
+    }
+    session.handle = startAttempt(
+      {
+        pools: this.#pools,
+        server: view.server,
+        attempt,
+        tier: record.rules.tier,
+        reporter: this.#reporter(record.request.id),
+      },
+      session,
+    );
+  }
+
+  #reporter(id: RequestId): AttemptReporter {
+    return {
+      onTokens: (attempt, tokens) =>
+        this.router.onTokens(id, attempt.number, tokens),
+      onFinished: attempt => {
+        const current = this.router.onFinished(id, attempt.number);
+        if (current) {
+          this.#end(id);
+        }
+        return current;
+      },
+      onFailed: (attempt, failure) => {
+        this.router.onFailed(id, attempt.number, failure);
+      },
+    };
+  }
+
+  #cancel(record: RequestRecord, attempt: Attempt, reason: CancelReason): void {
+    this.#sessions.get(record.request.id)?.handle?.cancel();
+    if (reason === 'silent') {
+      this.#pools.renew(attempt.backendServer);
+    }
+  }
+
+  #refuse(record: RequestRecord, refusal: Refusal): void {
+    const session = this.#sessions.get(record.request.id);
+    this.#end(record.request.id);
+    session?.sink.onRefused(errorOf(refusal));
+  }
+
+  #end(id: RequestId): void {
+    this.#sessions.delete(id);
+    this.#checkIdle();
+  }
+
+  #checkIdle(): void {
+    if (this.#sessions.size === 0) {
+      this.#idle?.();
+    }
+  }
+
+  #fetchReports(): void {
+    const pooled = new Set([...this.router.board.pools.values()].flat());
+    pooled.forEach(({ server }) => {
+      void fetchLoadReport(this.#pools.of(server)).then(report => {
+        if (report) {
+          this.router.onReport(server.id, report);
+        }
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/instance/src/http/createHttpApp.ts
@@ -0,0 +1,62 @@
+import 'reflect-metadata';
+
+import type { DynamicModule } from '@nestjs/common';
+import { Module } from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+
+import { CONTEXT, type InstanceContext } from '../InstanceContext.js';
+import { AddressController } from './AddressController.js';
+import { ChatController } from './ChatController.js';
+import { ErrorFilter } from './ErrorFilter.js';
+import { HealthController } from './HealthController.js';
+import { ServiceController } from './ServiceController.js';
+
+@Module({})
+class InstanceModule {
+  static with(context: InstanceContext): DynamicModule {
+    return {
+      module: InstanceModule,
+      controllers: [
+        AddressController,
+        ChatController,
+        HealthController,
+        ServiceController,
+      ],
+      providers: [{ provide: CONTEXT, useValue: context }],
+    };
+  }
+}
+
+/**
+ * Creates the web application for callers.
+ *
+ * @param context - of the instance
+ * @returns the application, not listening yet
+ */
+export async function createHttpApp(
+  context: InstanceContext,
+): Promise<NestFastifyApplication> {
+  const adapter = new FastifyAdapter({
+    bodyLimit: context.settings.maxBodyBytes,
+    forceCloseConnections: 'idle',
+  });
+  const fastify = adapter.getInstance();
+  fastify.removeAllContentTypeParsers();
+  // Bodies stay raw: plain services get them as they came.
+  fastify.addContentTypeParser(
+    '*',
+    { parseAs: 'buffer' },
+    (_req, body, done) => {
+      done(null, body);
+    },
+  );
+  const app = await NestFactory.create<NestFastifyApplication>(
+    InstanceModule.with(context),
+    adapter,
+    { bodyParser: false, logger: false, abortOnError: false },
+  );
+  app.useGlobalFilters(new ErrorFilter(context.log));
+  return app;
+}
--- /dev/null
+++ b/packages/instance/src/http/identifyCaller.ts
@@ -0,0 +1,105 @@
+import { createHash } from 'node:crypto';
+import type { FastifyRequest } from 'fastify';
+import type {
+  ClassId,
+  Configuration,
+  IdempotencyKey,
+  Organisation,
+  RequestClass,
+} from '@jujubecroft/types';
+import { brand, routerError } from '@jujubecroft/types';
+
+/** Who calls, with which class, and how repeats are to be treated. */
+export interface Caller {
+  readonly organisation: Organisation;
+  readonly requestClass: RequestClass;
+  readonly idempotencyKey: IdempotencyKey | null;
+  readonly idempotent: boolean;
+}
+
+const BEARER = /^Bearer (.+)$/i;
+const MAX_KEY_LENGTH = 128;
+const KEY_PATTERN = /^[\x21-\x7e]+$/;
+
+function header(req: FastifyRequest, name: string): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function organisationOf(req: FastifyRequest, cfg: Configuration): Organisation {
+  const key = BEARER.exec(header(req, 'authorization') ?? '')?.[1];
+  const hash = createHash('sha256')
+    .update(key ?? '')
+    .digest('hex');
+  const found = cfg.organisations.find(({ keySha256 }) => keySha256 === hash);
+  if (key === undefined || !found) {
+    throw routerError(
+      'unknownOrganisation',
+      'The organisation key is missing or not declared.',
+    );
+  }
+  return found;
+}
+
+function classOf(req: FastifyRequest, cfg: Configuration): RequestClass {
+  const name = brand<ClassId>(header(req, 'x-request-class') ?? '');
+  const found = cfg.requestClasses.find(({ id }) => id === name);
+  if (!found) {
+    throw routerError(
+      'unknownClass',
+      `No request class "${name}" is declared; set x-request-class.`,
+    );
+  }
+  return found;
+}
+
+function idempotencyKeyOf(req: FastifyRequest): IdempotencyKey | null {
+  const key = header(req, 'idempotency-key');
+  if (key === undefined) {
+    return null;
+  }
+  if (key.length > MAX_KEY_LENGTH || !KEY_PATTERN.test(key)) {
+    throw routerError(
+      'headerOutOfRange',
+      `idempotency-key must be 1 to ${MAX_KEY_LENGTH} visible characters.`,
+    );
+  }
+  return brand<IdempotencyKey>(key);
+}
+
+/** The header can only make a call stricter than its class. */
+function idempotentOf(req: FastifyRequest, rules: RequestClass): boolean {
+  const value = header(req, 'x-idempotent');
+  if (value === undefined) {
+    return rules.idempotent;
+  }
+  if (value !== 'true' && value !== 'false') {
+    throw routerError(
+      'headerOutOfRange',
+      'x-idempotent must be "true" or "false".',
+    );
+  }
+  return rules.idempotent && value === 'true';
+}
+
+/**
+ * Reads and checks the headers of a call.
+ *
+ * @param req - the call
+ * @param cfg - configuration in force
+ * @returns the caller
+ * @throws RouterError `unknownOrganisation`, `unknownClass` or `headerOutOfRange`
+ */
+export function identifyCaller(
+  req: FastifyRequest,
+  cfg: Configuration,
+): Caller {
+  const organisation = organisationOf(req, cfg);
+  const requestClass = classOf(req, cfg);
+  return {
+    organisation,
+    requestClass,
+    idempotencyKey: idempotencyKeyOf(req),
+    idempotent: idempotentOf(req, requestClass),
+  };
+}
--- /dev/null
+++ b/packages/instance/src/startInstance.ts
@@ -0,0 +1,183 @@
+import murmurhash from 'murmurhash';
+import type { Placement } from '@jujubecroft/decisions';
+import { Membership } from '@jujubecroft/decisions';
+import { ConfigurationStore, createPlatform } from '@jujubecroft/platform';
+import type { InstanceSettings } from '@jujubecroft/settings';
+import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
+import { brand, createRandom } from '@jujubecroft/types';
+
+import { ClaimBook } from './claims/ClaimBook.js';
+import { peerCredentials } from './control/peerCredentials.js';
+import { startControlServer } from './control/startControlServer.js';
+import type { EventLog } from './events/EventLog.js';
+import { DecisionFeed } from './host/DecisionFeed.js';
+import { RouterHost } from './host/RouterHost.js';
+import { createHttpApp } from './http/createHttpApp.js';
+import type { InstanceContext } from './InstanceContext.js';
+import { InstanceMetrics } from './metrics/InstanceMetrics.js';
+import { ConfigurationSync } from './state/ConfigurationSync.js';
+import { MembershipLoop } from './state/MembershipLoop.js';
+import { PeerConnections } from './state/PeerConnections.js';
+
+/** An instance that accepts callers. */
+export interface RunningInstance {
+  readonly callerUrl: string;
+  /** Host and port for operators and other instances. */
+  readonly controlAddress: string;
+  readonly context: InstanceContext;
+  /** Takes no new work, finishes every request in flight, then stops. */
+  readonly stop: () => Promise<void>;
+  /** Drops everything at once, as a crash does. */
+  readonly kill: () => Promise<void>;
+}
+
+/** Writes a second that claims of the whole fleet may cost the table. */
+const CLAIM_WRITES_PER_SECOND = 200;
+const MIN_CLAIM_PACE_MS = 10;
+const MS_PER_SECOND = 1000;
+/** Time for the news of a leave to reach callers and other instances. */
+const LEAVE_SPREAD_MS = 1500;
+
+/** Waits until callers and peers can know that the instance leaves. */
+async function announceLeave(
+  context: InstanceContext,
+  loop: MembershipLoop,
+): Promise<void> {
+  context.leaving = true;
+  context.membership.leave();
+  context.log.write('instanceStopping', { inFlight: context.host.inFlight });
+  await loop.spread();
+  await new Promise(resolve => setTimeout(resolve, LEAVE_SPREAD_MS));
+}
+
+interface InstanceParts {
+  readonly context: InstanceContext;
+  readonly loop: MembershipLoop;
+  readonly closePlatform: () => Promise<void>;
+}
+
+function createContext(
+  settings: InstanceSettings,
+  log: EventLog,
+): InstanceParts {
+  const platform = createPlatform(settings.platformUrl);
+  const instance = brand<InstanceId>(settings.instance);
+  const failureDomain = brand<FailureDomainId>(settings.failureDomain);
+  const random = createRandom(murmurhash.v3(settings.instance));
+  const feed = new DecisionFeed();
+  const metrics = new InstanceMetrics();
+  const placement: Placement = {
+    instance,
+    failureDomain,
+    instances: [instance],
+  };
+  const host = new RouterHost(placement, random, feed, metrics);
+  const membership = new Membership(
+    {
+      instance,
+      failureDomain,
+      callerAddress: '',
+      peerAddress: '',
+    },
+    () => Date.now(),
+    random,
+  );
+  const peers = new PeerConnections(peerCredentials(settings.controlTls));
+  const store = new ConfigurationStore(platform.table, platform.objects);
+  const sync = new ConfigurationSync(
+    store,
+    membership,
+    peers,
+    host,
+    metrics,
+    log,
+    random,
+  );
+  const claims = new ClaimBook(platform.table, () => {
+    const fleet = membership.serving.length + 1;
+    return Math.max(
+      MIN_CLAIM_PACE_MS,
+      (fleet / CLAIM_WRITES_PER_SECOND) * MS_PER_SECOND,
+    );
+  });
+  const loop = new MembershipLoop(
+    membership,
+    platform.instances,
+    peers,
+    host,
+    metrics,
+    log,
+    member => {
+      sync.onAhead(member);
+    },
+  );
+  const context: InstanceContext = {
+    settings,
+    host,
+    feed,
+    metrics,
+    membership,
+    store,
+    sync,
+    claims,
+    log,
+    leaving: false,
+  };
+  return { context, loop, closePlatform: platform.close };
+}
+
+/**
+ * Starts an instance and returns when it accepts callers.
+ *
+ * @param settings - checked settings; port 0 takes any free port
+ * @param log - where events go
+ * @returns the running instance
+ * @throws RouterError `noConfiguration` when there is nothing to start from
+ */
+export async function startInstance(
+  settings: InstanceSettings,
+  log: EventLog,
+): Promise<RunningInstance> {
+  const { context, loop, closePlatform } = createContext(settings, log);
+  const { host, sync, membership } = context;
+  const app = await createHttpApp(context);
+  const control = await startControlServer(context);
+  const controlAddress = `${settings.control.host}:${control.port}`;
+  await app.listen(settings.callers.port, settings.callers.host);
+  const callerUrl = await app.getUrl();
+  membership.announce(callerUrl, controlAddress);
+  const close = async (): Promise<void> => {
+    sync.stop();
+    loop.stop();
+    control.stop();
+    await host.stop();
+    await closePlatform();
+  };
+  try {
+    await loop.start();
+    await sync.start();
+  } catch (err) {
+    await app.close();
+    await close();
+    throw err;
+  }
+  host.start();
+  log.write('instanceStarted', { callerUrl, controlAddress });
+  return {
+    callerUrl,
+    controlAddress,
+    context,
+    stop: async () => {
+      await announceLeave(context, loop);
+      await host.whenIdle();
+      await app.close();
+      await close();
+      log.write('instanceStopped', {});
+    },
+    kill: async () => {
+      app.getHttpAdapter().getInstance().server.closeAllConnections();
+      await close();
+      await app.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/instance/src/state/MembershipLoop.ts
@@ -0,0 +1,153 @@
+import type { Member, Membership, MemberState } from '@jujubecroft/decisions';
+import type { InstanceList } from '@jujubecroft/platform';
+import type { InstanceId } from '@jujubecroft/types';
+
+import type { EventLog } from '../events/EventLog.js';
+import type { RouterHost } from '../host/RouterHost.js';
+import type { InstanceMetrics } from '../metrics/InstanceMetrics.js';
+import type { PeerConnections } from './PeerConnections.js';
+import { fromHeartbeatMessage, toHeartbeatMessage } from './peerMessages.js';
+
+const PERIOD_MS = 1000;
+const LIST_EVERY_PERIODS = 5;
+const INDIRECT_CHECKS = 2;
+const STATES: readonly MemberState[] = ['failed', 'leaving', 'live', 'suspect'];
+
+/** Called with a member whose configuration is ahead of ours. */
+type AheadListener = (member: Member) => void;
+
+/** Runs the membership of one instance: heartbeats, list, shares of limits. */
+export class MembershipLoop {
+  #timer: NodeJS.Timeout | null = null;
+  #period = 0;
+  #placed = '';
+  readonly #states = new Map<InstanceId, MemberState>();
+
+  constructor(
+    private readonly membership: Membership,
+    private readonly list: InstanceList,
+    private readonly peers: PeerConnections,
+    private readonly host: RouterHost,
+    private readonly metrics: InstanceMetrics,
+    private readonly log: EventLog,
+    private readonly onAhead: AheadListener,
+  ) {}
+
+  async start(): Promise<void> {
+    await this.#readList();
+    this.#place();
+    this.#timer = setInterval(() => {
+      this.#beat();
+    }, PERIOD_MS);
+  }
+
+  stop(): void {
+    if (this.#timer) {
+      clearInterval(this.#timer);
+    }
+    this.peers.close();
+  }
+
+  /** Sends one round of heartbeats at once, as before a stop. */
+  async spread(): Promise<void> {
+    await Promise.all(
+      this.membership.targets().map(member => this.#exchange(member)),
+    );
+  }
+
+  #beat(): void {
+    this.#period += 1;
+    this.membership.tick();
+    if (this.#period % LIST_EVERY_PERIODS === 0) {
+      void this.#readList();
+    }
+    void this.spread();
+    this.#place();
+    this.#observe();
+  }
+
+  async #readList(): Promise<void> {
+    try {
+      this.membership.onList(await this.list.list());
+    } catch {
+      // The platform is down; heartbeats alone keep the membership going.
+    }
+  }
+
+  async #exchange(member: Member): Promise<void> {
+    const { limits } = this.host.router.board;
+    const message = this.membership.message({
+      revision: this.host.configuration.revision,
+      inFlight: this.host.inFlight,
+      demands: limits.demands,
+    });
+    try {
+      const reply = await this.peers.heartbeat(
+        member.peerAddress,
+        toHeartbeatMessage(message),
+      );
+      this.membership.onMessage(fromHeartbeatMessage(reply));
+      this.#checkAhead(member);
+    } catch {
+      await this.#checkIndirectly(member);
+    }
+  }
+
+  #checkAhead(member: Member): void {
+    if (member.revision > this.host.configuration.revision) {
+      this.onAhead(member);
+    }
+  }
+
+  /** One broken link must not make a member suspect, so others try it too. */
+  async #checkIndirectly(member: Member): Promise<void> {
+    const helpers = this.membership.helpers(member.id, INDIRECT_CHECKS);
+    const answers = await Promise.all(
+      helpers.map(helper =>
+        this.peers
+          .probeFor(helper.peerAddress, member.peerAddress)
+          .catch(() => false),
+      ),
+    );
+    if (!answers.some(reachable => reachable)) {
+      this.membership.onUnreachable(member.id);
+    }
+  }
+
+  /** Tells the decision logic of the fleet when it has changed. */
+  #place(): void {
+    const { self, serving } = this.membership;
+    const instances = [self.instance, ...serving.map(({ id }) => id)].sort();
+    const key = instances.join(' ');
+    const { limits, clock } = this.host.router.board;
+    limits.takeDemand();
+    limits.rebalance(
+      serving.map(({ demands }) => demands),
+      clock(),
+    );
+    if (key === this.#placed) {
+      return;
+    }
+    this.#placed = key;
+    const { instance, failureDomain } = self;
+    this.host.router.place({ instance, failureDomain, instances });
+    this.peers.keepOnly(
+      new Set(this.membership.members.map(({ peerAddress }) => peerAddress)),
+    );
+  }
+
+  #observe(): void {
+    const { members } = this.membership;
+    STATES.forEach(state => {
+      const count = members.filter(member => member.state === state).length;
+      this.metrics.members.set({ state }, count);
+    });
+    members
+      .filter(({ id, state }) => this.#states.get(id) !== state)
+      .forEach(({ id, state }) => {
+        const before = this.#states.get(id) ?? 'unknown';
+        this.#states.set(id, state);
+        this.log.write('memberChanged', { member: id, before, state });
+      });
+  }
+}
--- /dev/null
+++ b/packages/instance/src/state/PeerConnections.ts
@@ -0,0 +1,76 @@
+import type { ChannelCredentials } from '@grpc/grpc-js';
+import { Metadata } from '@grpc/grpc-js';
+import type { proto } from '@jujubecroft/operator';
+import { PeerClient, unary } from '@jujubecroft/operator';
+
+const CALL_TIMEOUT_MS = 900;
+const CONFIGURATION_TIMEOUT_MS = 3000;
+
+/** Channels to other instances, opened at first use. */
+export class PeerConnections {
+  readonly #clients = new Map<string, PeerClient>();
+
+  constructor(private readonly credentials: ChannelCredentials) {}
+
+  heartbeat(
+    address: string,
+    message: proto.HeartbeatMessage,
+  ): Promise<proto.HeartbeatMessage> {
+    const client = this.#of(address);
+    return unary(
+      client.heartbeat.bind(client),
+      message,
+      new Metadata(),
+      CALL_TIMEOUT_MS,
+    );
+  }
+
+  /** Asks one instance to try another. */
+  async probeFor(helper: string, target: string): Promise<boolean> {
+    const client = this.#of(helper);
+    const reply = await unary(
+      client.probeFor.bind(client),
+      { peerAddress: target },
+      new Metadata(),
+      2 * CALL_TIMEOUT_MS,
+    );
+    return reply.reachable;
+  }
+
+  configuration(
+    address: string,
+    afterRevision: number,
+  ): Promise<proto.ConfigurationReply> {
+    const client = this.#of(address);
+    return unary(
+      client.configuration.bind(client),
+      { afterRevision },
+      new Metadata(),
+      CONFIGURATION_TIMEOUT_MS,
+    );
+  }
+
+  /** Closes channels to instances that are no longer members. */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    [...this.#clients]
+      .filter(([address]) => !addresses.has(address))
+      .forEach(([address, client]) => {
+        client.close();
+        this.#clients.delete(address);
+      });
+  }
+
+  close(): void {
+    this.keepOnly(new Set());
+  }
+
+  #of(address: string): PeerClient {
+    const known = this.#clients.get(address);
+    if (known) {
+      return known;
+    }
+    const client = new PeerClient(address, this.credentials);
+    this.#clients.set(address, client);
+    return client;
+  }
+}
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,20 @@
+export type { RawEntity } from './entityMessages.js';
+export {
+  fromProtoEntity,
+  fromProtoKind,
+  toProtoEntity,
+  toProtoKind,
+} from './entityMessages.js';
+export type * as proto from './generated/jujubecroft.js';
+export {
+  EntityKind as ProtoEntityKind,
+  OperatorClient,
+  OperatorService,
+  PeerClient,
+  PeerService,
+} from './generated/jujubecroft.js';
+export type { UnaryMethod } from './unary.js';
+export { unary } from './unary.js';
+export type { DeploymentEntities } from './applyDeployment.js';
+export { applyDeployment } from './applyDeployment.js';
+export { OperatorConnection } from './OperatorConnection.js';
--- /dev/null
+++ b/packages/operator/src/unary.ts
@@ -0,0 +1,37 @@
+import type { Metadata, ServiceError, ClientUnaryCall } from '@grpc/grpc-js';
+
+/** A unary method of a generated client, with metadata and options. */
+export type UnaryMethod<Req, Res> = (
+  req: Req,
+  metadata: Metadata,
+  options: { readonly deadline: number },
+  callback: (err: ServiceError | null, res: Res) => void,
+) => ClientUnaryCall;
+
+/**
+ * Calls a unary method as a promise.
+ *
+ * @param method - bound method of a generated client
+ * @param req - request message
+ * @param metadata - call metadata
+ * @param timeoutMs - bound on the whole call
+ * @returns the reply
+ * @throws ServiceError as the library reports it
+ */
+export function unary<Req, Res>(
+  method: UnaryMethod<Req, Res>,
+  req: Req,
+  metadata: Metadata,
+  timeoutMs: number,
+): Promise<Res> {
+  return new Promise((resolve, reject) => {
+    const options = { deadline: Date.now() + timeoutMs };
+    method(req, metadata, options, (err, res) => {
+      if (err) {
+        reject(err);
+        return;
+      }
+      resolve(res);
+    });
+  });
+}
--- /dev/null
+++ b/packages/settings/src/readSettings.ts
@@ -0,0 +1,31 @@
+import { readFileSync } from 'node:fs';
+import { routerError } from '@jujubecroft/types';
+
+import { formatFaults } from './formatFaults.js';
+import { parseSettings } from './parseSettings.js';
+import type { SettingsKind, SettingsOf } from './settingsSchemas.js';
+
+/**
+ * Reads a settings file of one kind.
+ *
+ * @param file - path of the file
+ * @param kind - the kind that the caller can use
+ * @returns the checked settings
+ * @throws RouterError `configInvalid` that lists every fault
+ */
+export function readSettings<K extends SettingsKind>(
+  file: string,
+  kind: K,
+): SettingsOf<K> {
+  const result = parseSettings(readFileSync(file, 'utf8'));
+  if (!result.ok) {
+    throw routerError('configInvalid', formatFaults(file, result.faults));
+  }
+  if (result.settings.kind !== kind) {
+    throw routerError(
+      'configInvalid',
+      `${file}: expected kind "${kind}", found "${result.settings.kind}"`,
+    );
+  }
+  return result.settings as SettingsOf<K>;
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,15 @@
+export type { ChatMessage } from './engine/answer.js';
+export {
+  answerTokens,
+  countTokens,
+  expectedAnswer,
+  tokenAt,
+} from './engine/answer.js';
+export type { SequenceRequest, StepResult } from './engine/EngineModel.js';
+export { EngineModel } from './engine/EngineModel.js';
+export { startEngine } from './engine/startEngine.js';
+export { startPlatform } from './platform/startPlatform.js';
+export { Table } from './platform/Table.js';
+export { startService } from './service/startService.js';
+export { Lagging } from './util/Lagging.js';
+export type { RunningServer } from './util/RunningServer.js';
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,12 @@
+export type * from './brand.js';
+export { brand } from './brand.js';
+export type * from './configuration.js';
+export { EMPTY_CONFIGURATION } from './configuration.js';
+export type * from './decisionEvents.js';
+export type { Ran, ResultCode, ResultCodeId } from './resultCodes.js';
+export { RESULT_CODES } from './resultCodes.js';
+export type { RouterErrorDetail, RouterErrorInstance } from './RouterError.js';
+export { RouterError, routerError, toRouterError } from './RouterError.js';
+export { assertDefined } from './util/assertDefined.js';
+export { assertNever } from './util/assertNever.js';
+export { createRandom } from './util/createRandom.js';
--- /dev/null
+++ b/packages/types/src/resultCodes.ts
@@ -0,0 +1,208 @@
+/** Whether a request reached execution at a backend server. */
+export type Ran = 'maybe' | 'no' | 'yes';
+
+/** One row of the result-code catalogue; docs/ERRORS.md mirrors it. */
+export interface ResultCode {
+  readonly number: number;
+  readonly httpStatus: number;
+  readonly ran: Ran;
+  readonly summary: string;
+  /** What the receiver of this code should do. */
+  readonly action: string;
+}
+
+/** Every result code; numbers are never reused. See docs/ERRORS.md. */
+export const RESULT_CODES = {
+  malformedBody: {
+    number: 1001,
+    httpStatus: 400,
+    ran: 'no',
+    summary: 'The body does not have the expected shape.',
+    action: 'Correct the field that the message names.',
+  },
+  bodyTooLarge: {
+    number: 1002,
+    httpStatus: 413,
+    ran: 'no',
+    summary: 'The body exceeds the size limit of the instance.',
+    action: 'Send a smaller body.',
+  },
+  unknownModel: {
+    number: 1003,
+    httpStatus: 404,
+    ran: 'no',
+    summary: 'No declared model has this name.',
+    action: 'Choose a model from GET /v1/models.',
+  },
+  unknownClass: {
+    number: 1004,
+    httpStatus: 400,
+    ran: 'no',
+    summary: 'No declared request class has this name.',
+    action: 'Set x-request-class to a declared class.',
+  },
+  unknownOrganisation: {
+    number: 1005,
+    httpStatus: 401,
+    ran: 'no',
+    summary: 'The organisation key is missing or not declared.',
+    action: 'Send the key as a bearer token in the authorization header.',
+  },
+  headerOutOfRange: {
+    number: 1006,
+    httpStatus: 400,
+    ran: 'no',
+    summary: 'A header value is outside its permitted range.',
+    action: 'Correct the header that the message names.',
+  },
+  unknownService: {
+    number: 1007,
+    httpStatus: 404,
+    ran: 'no',
+    summary: 'No backend server offers this plain service.',
+    action: 'Check the service name in the path.',
+  },
+  unknownPath: {
+    number: 1008,
+    httpStatus: 404,
+    ran: 'no',
+    summary: 'The instance serves no such path.',
+    action: 'See docs/CALLERS.md for the paths.',
+  },
+  targetUnreachable: {
+    number: 2001,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'The class target can no longer be met under the present load.',
+    action: 'Retry after the time in the retry-after header.',
+  },
+  organisationLimit: {
+    number: 2002,
+    httpStatus: 429,
+    ran: 'no',
+    summary: 'The organisation has used its limit.',
+    action: 'Retry after the time in the retry-after header.',
+  },
+  queueWaitExceeded: {
+    number: 2003,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'The request waited in the queue up to the bound of its class.',
+    action: 'Retry after the time in the retry-after header.',
+  },
+  instanceLeaving: {
+    number: 2004,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'This instance is stopping and takes no new requests.',
+    action: 'Ask GET /v1/addresses and use another instance.',
+  },
+  noBackendServer: {
+    number: 2005,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'No backend server can take the request at present.',
+    action: 'Retry after the time in the retry-after header.',
+  },
+  callerLeft: {
+    number: 2006,
+    httpStatus: 499,
+    ran: 'maybe',
+    summary: 'The caller closed the connection before the answer ended.',
+    action: 'None; the work was cancelled at the backend server.',
+  },
+  backendNotRun: {
+    number: 3001,
+    httpStatus: 502,
+    ran: 'no',
+    summary: 'The backend server certainly did not start the request.',
+    action: 'Retry at once; the request did not run.',
+  },
+  backendMaybeRan: {
+    number: 3002,
+    httpStatus: 502,
+    ran: 'maybe',
+    summary: 'The backend server failed after the request was sent.',
+    action: 'Check the outcome before sending a non-idempotent request again.',
+  },
+  streamCut: {
+    number: 3003,
+    httpStatus: 502,
+    ran: 'yes',
+    summary: 'The answer broke off and could not be resumed.',
+    action: 'Send the request again.',
+  },
+  duplicateInProgress: {
+    number: 3004,
+    httpStatus: 409,
+    ran: 'maybe',
+    summary:
+      'A request with this idempotency key was claimed and has no result.',
+    action: 'Ask again later with the same key.',
+  },
+  duplicateAlreadyRan: {
+    number: 3005,
+    httpStatus: 409,
+    ran: 'yes',
+    summary: 'A request with this idempotency key already ran.',
+    action: 'Do not send it again; its stored result was too large to keep.',
+  },
+  claimUnavailable: {
+    number: 3006,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'The claim for a non-idempotent request could not be recorded.',
+    action: 'Retry with the same key after the time in retry-after.',
+  },
+  configInvalid: {
+    number: 4001,
+    httpStatus: 400,
+    ran: 'no',
+    summary: 'The settings or the declared entity have faults.',
+    action: 'Correct each listed fault.',
+  },
+  changeConflict: {
+    number: 4002,
+    httpStatus: 409,
+    ran: 'no',
+    summary: 'Another operator changed the entity first.',
+    action: 'Read the other change in the message, then decide again.',
+  },
+  entityNotFound: {
+    number: 4003,
+    httpStatus: 404,
+    ran: 'no',
+    summary: 'The named entity is not declared.',
+    action: 'List the declared entities.',
+  },
+  platformUnavailable: {
+    number: 4004,
+    httpStatus: 503,
+    ran: 'maybe',
+    summary: 'The table store did not answer.',
+    action: 'Repeat the call with the same change id.',
+  },
+  operatorUnknown: {
+    number: 4005,
+    httpStatus: 401,
+    ran: 'no',
+    summary: 'The operator token is missing or not in the settings.',
+    action: 'Pass --token or set the token in the operator settings.',
+  },
+  noConfiguration: {
+    number: 4006,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'The instance found no configuration in table, peers or snapshot.',
+    action: 'Wait for the platform or start another instance first.',
+  },
+  internal: {
+    number: 5001,
+    httpStatus: 500,
+    ran: 'maybe',
+    summary: 'An unexpected fault inside the instance.',
+    action: 'Report the request id to the maintainers.',
+  },
+} as const satisfies Readonly<Record<string, ResultCode>>;
+
+export type ResultCodeId = keyof typeof RESULT_CODES;
