--- /dev/null
+++ b/packages/bench/src/experiments/burst-one-class.ts
@@ -0,0 +1,22 @@
+import { mapStreams, tierOfStream } from '../simulation/scaleScenario.js';
+import type { Experiment } from './Experiment.js';
+
+const BURST = { startSeconds: 15, seconds: 20, factor: 8 };
+const BURSTING_TIER = 2;
+
+/** One class bursts while the others stay quiet. */
+export const burstOneClass: Experiment = {
+  meta: {
+    name: 'burst-one-class',
+    description:
+      'The engine class of tier 2 sends eight times its load for 20 seconds.',
+    ablations: ['without-admission', 'without-tiers', 'without-limit'],
+  },
+  create: deployment =>
+    mapStreams(deployment, stream =>
+      stream.target === 'engine' &&
+      tierOfStream(deployment, stream) === BURSTING_TIER
+        ? { ...stream, burst: BURST }
+        : stream,
+    ),
+};
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -12,3 +12,12 @@
 export { classTable } from './report/classTable.js';
 export { tallyCalls } from './report/tallyCalls.js';
 export { summarizeCalls } from './report/summarizeCalls.js';
+export { EXPERIMENTS } from './experiments/catalogue.js';
+export type { Experiment } from './experiments/Experiment.js';
+export type {
+  ArmResult,
+  ExperimentResult,
+} from './experiments/ExperimentResult.js';
+export type { ExperimentOptions } from './experiments/runExperiment.js';
+export { runExperiment } from './experiments/runExperiment.js';
+export { experimentTable } from './report/experimentTable.js';
--- a/packages/bench/src/load/nextArrivalMs.ts
+++ b/packages/bench/src/load/nextArrivalMs.ts
@@ -1,8 +1,18 @@
-import type { LoadStream } from '@jujubecroft/settings';
+/** Rates of a stream; both real and simulated streams have them. */
+export interface StreamRates {
+  readonly requestsPerSecond: number;
+  readonly burst?:
+    | {
+        readonly startSeconds: number;
+        readonly seconds: number;
+        readonly factor: number;
+      }
+    | undefined;
+}
 
 const MS_PER_SECOND = 1000;
 
-function rateAt(stream: LoadStream, atMs: number): number {
+function rateAt(stream: StreamRates, atMs: number): number {
   const { burst, requestsPerSecond } = stream;
   const seconds = atMs / MS_PER_SECOND;
   const inBurst =
@@ -24,7 +34,7 @@
  * @returns time of the next arrival
  */
 export function nextArrivalMs(
-  stream: LoadStream,
+  stream: StreamRates,
   afterMs: number,
   random: () => number,
 ): number {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -13,6 +13,10 @@
   CtlWatchCommand,
 } from './commands/ctlViews.js';
 import { DemoCommand } from './commands/DemoCommand.js';
+import {
+  ExperimentListCommand,
+  ExperimentRunCommand,
+} from './commands/experimentCommands.js';
 import { LoadCommand } from './commands/LoadCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
 import { StandInCommand } from './commands/StandInCommand.js';
@@ -36,6 +40,8 @@
   CtlStatusCommand,
   CtlWatchCommand,
   DemoCommand,
+  ExperimentListCommand,
+  ExperimentRunCommand,
   LoadCommand,
   ServeCommand,
   StandInCommand,
--- a/packages/decisions/src/controllers/DispatchController.ts
+++ b/packages/decisions/src/controllers/DispatchController.ts
@@ -95,7 +95,7 @@
       return false;
     }
     queue.shiftDisplaced();
-    this.#start(record, choice, choice.view);
+    this.#start(record, choice, choice.view, false);
     return true;
   }
 
@@ -115,7 +115,7 @@
     }
     next.queue.shift();
     accrueCredit(queue, next.queue, record.expectedTokens);
-    this.#start(record, choice, choice.view);
+    this.#start(record, choice, choice.view, next.guaranteed);
     return true;
   }
 
@@ -123,6 +123,7 @@
     record: RequestRecord,
     choice: RoutingChoice,
     view: BackendView,
+    guaranteed: boolean,
   ): void {
     const { board } = this;
     const nowMs = board.clock();
@@ -143,6 +144,7 @@
       backendServer: view.server.id,
       candidates: choice.candidates,
       queuedMs,
+      guaranteed,
     });
     board.effects.dispatch(record, attempt);
   }
--- a/packages/types/src/decisionEvents.ts
+++ b/packages/types/src/decisionEvents.ts
@@ -71,6 +71,8 @@
       readonly backendServer: BackendServerId;
       readonly candidates: readonly CandidateView[];
       readonly queuedMs: number;
+      /** Sent because of the guaranteed share of its class, not its tier. */
+      readonly guaranteed: boolean;
     }
   | {
       readonly kind: 'shed';
