feat(decisions): keep room for higher tiers by their demand

Cause: long answers of tier 4 held slots that tier 1 and 2 asked for, lower tiers were dispatched after their target had passed, and reports followed alone sent all instances to the same server at once. Change: room for a tier is what higher tiers' demand leaves by Little's law plus two deviations; a queued request is refused when its budget from admission has passed; routing weighs reports a quarter against own requests scaled to the fleet. Demand starts from nothing. Callers that leave of their own accord count as withdrawn, for every arm.

--- a/packages/bench/src/experiments/arms.ts
+++ b/packages/bench/src/experiments/arms.ts
@@ -88,7 +88,7 @@
     name: 'without-reports',
     policies: board => ({
       ...defaultPolicies(board),
-      routing: leastCost.create(board, { useReports: false }),
+      routing: leastCost.create(board, { reportWeight: 0 }),
     }),
   },
   {
--- a/packages/bench/src/simulation/runArm.ts
+++ b/packages/bench/src/simulation/runArm.ts
@@ -40,7 +40,7 @@
 const TICK_MS = 100;
 const REPORT_EVERY_MS = 250;
 const MS_PER_SECOND = 1000;
-const DRAIN_SECONDS = 30;
+const DRAIN_SECONDS = 120;
 const SAME_PRIORITY = 1;
 
 /** One run: a fleet of routers, engines and services on virtual time. */
@@ -231,16 +231,23 @@
 
   #watchPatience(router: Router, call: CallRecord): void {
     const { stream, leavesAfterMs } = call.arrival;
-    const leave = (): void => {
+    const leave = (kind: 'left' | 'withdrawn'): void => {
       if (call.state === 'open') {
-        this.#end(call, { kind: 'left', tokens: call.tokens });
+        this.#end(call, { kind, tokens: call.tokens });
         router.onCallerLeft(brand<RequestId>(call.arrival.id));
       }
     };
-    this.#events.after(Math.min(leavesAfterMs, stream.patienceMs), leave);
+    if (leavesAfterMs < stream.patienceMs) {
+      this.#events.after(leavesAfterMs, () => {
+        leave('withdrawn');
+      });
+    }
+    this.#events.after(stream.patienceMs, () => {
+      leave('left');
+    });
     this.#events.after(stream.firstPatienceMs, () => {
       if (call.tokens === 0) {
-        leave();
+        leave('left');
       }
     });
   }
--- a/packages/decisions/src/Router.ts
+++ b/packages/decisions/src/Router.ts
@@ -10,7 +10,7 @@
   CancelReason,
   Placement,
 } from './blackboard/Blackboard.js';
-import { queueOf } from './blackboard/Blackboard.js';
+import { loadOf, queueOf } from './blackboard/Blackboard.js';
 import type {
   RequestRecord,
   RoutedRequest,
@@ -240,6 +240,8 @@
 
   #vacate(record: RequestRecord): void {
     const { backends, cfg } = this.board;
+    const pool = poolKey(record.request.target);
+    loadOf(this.board, pool).inFlight[record.rules.tier] -= 1;
     const view = record.attempt && backends.get(record.attempt.backendServer);
     if (!view) {
       return;
--- a/packages/decisions/src/blackboard/Blackboard.ts
+++ b/packages/decisions/src/blackboard/Blackboard.ts
@@ -13,6 +13,7 @@
 import { LengthEstimator } from '../estimators/LengthEstimator.js';
 import { OrganisationLimits } from '../limits/OrganisationLimits.js';
 import type { BackendView } from './BackendView.js';
+import { PoolLoad } from './PoolLoad.js';
 import { RequestQueue } from './RequestQueue.js';
 import type { Attempt, RequestRecord } from './RoutedRequest.js';
 
@@ -61,6 +62,7 @@
   /** Views by pool key, only of servers in the subset of this instance. */
   readonly pools: Map<string, BackendView[]>;
   readonly queues: Map<string, RequestQueue>;
+  readonly loads: Map<string, PoolLoad>;
   readonly requests: Map<RequestId, RequestRecord>;
   readonly lengths: LengthEstimator;
   readonly limits: OrganisationLimits;
@@ -88,6 +90,7 @@
     backends: new Map(),
     pools: new Map(),
     queues: new Map(),
+    loads: new Map(),
     requests: new Map(),
     lengths: new LengthEstimator(),
     limits: new OrganisationLimits(),
@@ -111,3 +114,20 @@
   board.queues.set(pool, queue);
   return queue;
 }
+
+/**
+ * Finds the load of a pool, and makes it at first use.
+ *
+ * @param board - the blackboard
+ * @param pool - key made by `poolKey`
+ * @returns the load
+ */
+export function loadOf(board: Blackboard, pool: string): PoolLoad {
+  const known = board.loads.get(pool);
+  if (known) {
+    return known;
+  }
+  const load = new PoolLoad(board.clock());
+  board.loads.set(pool, load);
+  return load;
+}
--- a/packages/decisions/src/blackboard/RequestQueue.ts
+++ b/packages/decisions/src/blackboard/RequestQueue.ts
@@ -59,6 +59,8 @@
   }
 
   pushDisplaced(record: RequestRecord, nowMs: number): void {
+    // A stream under way is worth more than its first-token target.
+    record.budgetMs = record.rules.maxQueueMs;
     this.#displaced.push(record);
     this.#expire(record, nowMs);
   }
@@ -97,7 +99,7 @@
   }
 
   #expire(record: RequestRecord, sinceMs: number): void {
-    const atMs = sinceMs + record.rules.maxQueueMs;
+    const atMs = sinceMs + record.budgetMs;
     this.#expiries.push({ atMs, record, attempts: record.attempts });
   }
 }
--- a/packages/decisions/src/blackboard/RoutedRequest.ts
+++ b/packages/decisions/src/blackboard/RoutedRequest.ts
@@ -47,6 +47,8 @@
   readonly expectedTokens: number;
   readonly weight: number;
   state: RequestState;
+  /** Longest useful wait in the queue, set at admission. */
+  budgetMs: number;
   attempt: Attempt | null;
   attempts: number;
   tokensDelivered: number;
--- a/packages/decisions/src/controllers/AdmissionController.ts
+++ b/packages/decisions/src/controllers/AdmissionController.ts
@@ -2,7 +2,7 @@
 import { assertDefined } from '@jujubecroft/types';
 
 import type { Blackboard, Refusal } from '../blackboard/Blackboard.js';
-import { queueOf } from '../blackboard/Blackboard.js';
+import { loadOf, queueOf } from '../blackboard/Blackboard.js';
 import type {
   RequestRecord,
   RoutedRequest,
@@ -32,6 +32,8 @@
    */
   submit(request: RoutedRequest): RequestRecord | null {
     const record = this.#recordOf(request);
+    const pool = poolKey(request.target);
+    loadOf(this.board, pool).note(record.rules.tier, record.expectedTokens);
     const refusal = this.#check(record);
     if (refusal) {
       record.state = 'ended';
@@ -40,7 +42,7 @@
     }
     this.#earnRetryCredit(record.rules);
     this.board.requests.set(request.id, record);
-    const queue = queueOf(this.board, poolKey(request.target));
+    const queue = queueOf(this.board, pool);
     queue.push(record);
     explain(this.board, record, {
       kind: 'queued',
@@ -78,6 +80,7 @@
       expectedTokens: request.target.kind === 'engine' ? mean : 1,
       weight: organisation?.weight ?? 1,
       state: 'queued',
+      budgetMs: rules.maxQueueMs,
       attempt: null,
       attempts: 0,
       tokensDelivered: 0,
@@ -128,6 +131,7 @@
     if (!admit) {
       return { code: 'targetUnreachable', ...numbers };
     }
+    record.budgetMs = numbers.budgetMs;
     explain(this.board, record, {
       kind: 'admitted',
       predictedWaitMs: numbers.predictedWaitMs,
--- a/packages/decisions/src/controllers/BackendController.ts
+++ b/packages/decisions/src/controllers/BackendController.ts
@@ -60,6 +60,9 @@
       this.concurrency.adapt(view);
       this.#sample(view, nowMs);
     });
+    this.board.loads.forEach(load => {
+      load.roll(nowMs);
+    });
     this.board.pools.forEach(views => {
       this.#findStragglers(views);
     });
--- a/packages/decisions/src/controllers/DispatchController.ts
+++ b/packages/decisions/src/controllers/DispatchController.ts
@@ -1,6 +1,6 @@
 import type { BackendView } from '../blackboard/BackendView.js';
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import { queueOf } from '../blackboard/Blackboard.js';
+import { loadOf, queueOf } from '../blackboard/Blackboard.js';
 import type { ClassQueue } from '../blackboard/ClassQueue.js';
 import type {
   OrderingPolicy,
@@ -105,6 +105,10 @@
     if (!next || !record) {
       return false;
     }
+    const { concurrency } = this.policies;
+    if (!next.guaranteed && !concurrency.mayStart(record, views)) {
+      return false;
+    }
     const choice = this.policies.routing(
       record,
       views,
@@ -152,6 +156,8 @@
   #occupy(view: BackendView, record: RequestRecord): void {
     const { rules } = record;
     view.inFlight += 1;
+    loadOf(this.board, poolKey(record.request.target)).inFlight[rules.tier] +=
+      1;
     view.tightestFirstTokenMs = Math.min(
       view.tightestFirstTokenMs,
       rules.firstTokenTargetMs,
--- a/packages/decisions/src/policies/admission/predictive.ts
+++ b/packages/decisions/src/policies/admission/predictive.ts
@@ -2,7 +2,7 @@
 
 import type { BackendView } from '../../blackboard/BackendView.js';
 import type { Blackboard } from '../../blackboard/Blackboard.js';
-import { queueOf } from '../../blackboard/Blackboard.js';
+import { loadOf, queueOf } from '../../blackboard/Blackboard.js';
 import type { RequestQueue } from '../../blackboard/RequestQueue.js';
 import type { RequestRecord } from '../../blackboard/RoutedRequest.js';
 import { poolKey } from '../../util/poolKey.js';
@@ -35,11 +35,11 @@
     );
 }
 
-/** Work that is served before a new request of this class and organisation. */
+/** Work of the same tier that is served before a new request. */
 function tokensAhead(queue: RequestQueue, record: RequestRecord): number {
   const { rules, request, weight, expectedTokens } = record;
   return queue.classes
-    .filter(other => other.rules.tier <= rules.tier)
+    .filter(other => other.rules.tier === rules.tier)
     .reduce(
       (sum, other) =>
         sum +
@@ -50,6 +50,12 @@
     );
 }
 
+/** What higher tiers leave of the rate, but never less than the guaranteed share. */
+function rateLeft(total: number, above: number, record: RequestRecord): number {
+  const guaranteed = total * record.rules.guaranteedShare;
+  return Math.max(guaranteed, total - above);
+}
+
 function expectedFirstTokenMs(views: readonly BackendView[]): number {
   const known = views.filter(view => view.firstTokenMs > 0 && !view.straggler);
   const sum = known.reduce((total, view) => total + view.firstTokenMs, 0);
@@ -81,8 +87,10 @@
     const pool = poolKey(record.request.target);
     const views = board.pools.get(pool) ?? [];
     const rate = tokenRate(views, board.clock(), options.priorBetweenTokensMs);
+    const above = loadOf(board, pool).offeredAbove(record.rules.tier);
+    const left = rateLeft(rate, above, record);
     const ahead = tokensAhead(queueOf(board, pool), record);
-    const predictedWaitMs = rate === 0 ? Infinity : ahead / rate;
+    const predictedWaitMs = left === 0 ? Infinity : ahead / left;
     const budget = budgetMs(
       record,
       expectedFirstTokenMs(views),
--- a/packages/decisions/src/policies/concurrency/adaptive-limit.ts
+++ b/packages/decisions/src/policies/concurrency/adaptive-limit.ts
@@ -1,8 +1,9 @@
 import { z } from 'zod';
-import type { Tier } from '@jujubecroft/types';
 
 import type { BackendView } from '../../blackboard/BackendView.js';
 import type { Blackboard } from '../../blackboard/Blackboard.js';
+import { loadOf } from '../../blackboard/Blackboard.js';
+import { poolKey } from '../../util/poolKey.js';
 import { createPolicyUnit } from '../createPolicyUnit.js';
 import type { ConcurrencyPolicy } from './ConcurrencyPolicy.js';
 
@@ -16,19 +17,40 @@
   readonly decrease: number;
   readonly increase: number;
   readonly minLimit: number;
+  /** How far the highest tier may go over a limit. */
+  readonly highestTierShare: number;
+  /** Standard deviations of higher tiers' demand that are kept free. */
+  readonly reserveDeviations: number;
 }
 
-/** Share of the limit that each tier may fill, so that higher tiers find room. */
-const TIER_SHARE: Readonly<Record<Tier, number>> = {
-  1: 1.2,
-  2: 1,
-  3: 0.95,
-  4: 0.9,
-};
+const HIGHEST_TIER = 1;
 
 /** Share of the first-token target that the backend server itself may use. */
 const FIRST_TOKEN_SHARE = 0.6;
 
+/** Share of the limit in use from which the limit counts as binding. */
+const BINDING_SHARE = 0.85;
+/** Requests that a tier may always have in flight in a pool. */
+const MIN_ROOM = 1;
+
+/**
+ * Slots that a stream of tokens keeps busy, by Little's law, plus a margin for
+ * its fluctuation.
+ */
+function slotsFor(
+  tokensPerMs: number,
+  views: readonly BackendView[],
+  deviations: number,
+): number {
+  const paces = views
+    .filter(view => view.betweenTokensMs > 0 && !view.straggler)
+    .map(view => view.betweenTokensMs);
+  const paceMs =
+    paces.reduce((sum, pace) => sum + pace, 0) / Math.max(1, paces.length);
+  const busy = tokensPerMs * paceMs;
+  return busy + deviations * Math.sqrt(busy);
+}
+
 /** The worse of both latencies over their targets. */
 function pressureOf(view: BackendView): number {
   const between = view.betweenTokensMs / view.tightestBetweenTokensMs;
@@ -50,7 +72,21 @@
       if (view.straggler) {
         return 1;
       }
-      return Math.max(1, view.limit * TIER_SHARE[record.rules.tier]);
+      const share =
+        record.rules.tier === HIGHEST_TIER ? options.highestTierShare : 1;
+      return Math.max(1, view.limit * share);
+    },
+    mayStart: (record, views) => {
+      const { tier } = record.rules;
+      const load = loadOf(board, poolKey(record.request.target));
+      const offered = load.offeredAbove(tier);
+      if (offered === 0) {
+        return true;
+      }
+      const reserved = slotsFor(offered, views, options.reserveDeviations);
+      const total = views.reduce((sum, view) => sum + view.limit, 0);
+      const room = Math.max(MIN_ROOM, total - reserved);
+      return load.inFlightFrom(tier) < room;
     },
     adapt: view => {
       if (!isDue(view)) {
@@ -64,7 +100,7 @@
         return;
       }
       // Growth needs evidence that the limit, not the demand, was binding.
-      const binding = view.inFlight >= view.limit * TIER_SHARE[4] - 1;
+      const binding = view.inFlight >= view.limit * BINDING_SHARE - 1;
       if (pressure < options.lowPressure && binding) {
         view.limit += options.increase;
       }
@@ -88,6 +124,8 @@
     decrease: z.number().positive().default(0.93),
     increase: z.number().positive().default(0.5),
     minLimit: z.number().positive().default(1),
+    highestTierShare: z.number().positive().default(1.3),
+    reserveDeviations: z.number().nonnegative().default(2),
   }),
   create: createAdaptiveLimit,
 });
--- a/packages/decisions/src/policies/concurrency/unlimited.ts
+++ b/packages/decisions/src/policies/concurrency/unlimited.ts
@@ -10,6 +10,7 @@
   schema: z.object({}),
   create: () => ({
     slots: () => Infinity,
+    mayStart: () => true,
     adapt: () => undefined,
   }),
 });
--- a/packages/decisions/src/policies/routing/least-cost.ts
+++ b/packages/decisions/src/policies/routing/least-cost.ts
@@ -17,7 +17,8 @@
   readonly domainCost: number;
   /** Time between probes of a straggler, in milliseconds. */
   readonly probeEveryMs: number;
-  readonly useReports: boolean;
+  /** Weight of the load report against own requests scaled to the fleet. */
+  readonly reportWeight: number;
   readonly avoidStragglers: boolean;
 }
 
@@ -26,19 +27,24 @@
 const TOKENS_PER_UNIT = 1000;
 
 /**
- * Requests on the server as of now: the report counts everybody's requests but
- * lags, so own requests are taken out as of then and put back as of now.
+ * Requests on the server as of now, from two views that each miss something.
+ *
+ * The report counts everybody's requests but lags, so own requests are taken
+ * out as of then and put back as of now. Followed alone it sends all instances
+ * to the same server at once; own requests scaled to the fleet do not.
  */
 function estimatedLoad(
   view: BackendView,
   instances: number,
-  useReports: boolean,
+  reportWeight: number,
 ): number {
-  if (!useReports || !view.report) {
-    return view.inFlight * instances;
+  const scaled = view.inFlight * instances;
+  if (!view.report) {
+    return scaled;
   }
   const reported = view.report.running + view.report.waiting;
-  return Math.max(0, reported - view.ownAtReport) + view.inFlight;
+  const corrected = Math.max(0, reported - view.ownAtReport) + view.inFlight;
+  return scaled + reportWeight * (corrected - scaled);
 }
 
 function mayProbe(
@@ -79,7 +85,7 @@
 
   const scoreOf = (view: BackendView, record: RequestRecord): number => {
     const instances = board.placement.instances.length;
-    const load = estimatedLoad(view, instances, options.useReports);
+    const load = estimatedLoad(view, instances, options.reportWeight);
     const worth = Math.min(
       options.maxPrefixWorth,
       (options.prefixWorth * record.request.promptTokens) / TOKENS_PER_UNIT,
@@ -134,7 +140,7 @@
     maxPrefixWorth: z.number().nonnegative().default(0.3),
     domainCost: z.number().nonnegative().default(0.02),
     probeEveryMs: z.number().positive().default(3000),
-    useReports: z.boolean().default(true),
+    reportWeight: z.number().min(0).max(1).default(0.25),
     avoidStragglers: z.boolean().default(true),
   }),
   create: createLeastCost,
