--- a/packages/decisions/src/blackboard/RoutedRequest.ts
+++ b/packages/decisions/src/blackboard/RoutedRequest.ts
@@ -52,6 +52,8 @@
   attempt: Attempt | null;
   attempts: number;
   tokensDelivered: number;
+  /** Whether the present attempt has brought a token. */
+  flowing: boolean;
   firstTokenAtMs: number | null;
   lastProgressAtMs: number;
   /** Backend servers on which an attempt of this request failed. */
--- a/packages/decisions/src/controllers/AdmissionController.ts
+++ b/packages/decisions/src/controllers/AdmissionController.ts
@@ -84,6 +84,7 @@
       attempt: null,
       attempts: 0,
       tokensDelivered: 0,
+      flowing: false,
       firstTokenAtMs: null,
       lastProgressAtMs: nowMs,
       failedOn: new Set(),
--- a/packages/decisions/src/controllers/DispatchController.ts
+++ b/packages/decisions/src/controllers/DispatchController.ts
@@ -141,6 +141,7 @@
     record.attempts = attempt.number;
     record.attempt = attempt;
     record.state = 'running';
+    record.flowing = false;
     record.lastProgressAtMs = nowMs;
     this.#occupy(view, record);
     explain(board, record, {
--- a/packages/decisions/src/controllers/ProgressController.ts
+++ b/packages/decisions/src/controllers/ProgressController.ts
@@ -24,6 +24,7 @@
       this.#learn(view, record, record.attempt.dispatchedAtMs, tokens, nowMs);
     }
     record.firstTokenAtMs ??= nowMs;
+    record.flowing = true;
     record.tokensDelivered += tokens;
     record.lastProgressAtMs = nowMs;
   }
@@ -66,9 +67,8 @@
     tokens: number,
     nowMs: number,
   ): void {
-    const isFirst = record.lastProgressAtMs === dispatchedAtMs;
     view.samples += 1;
-    if (isFirst) {
+    if (!record.flowing) {
       const waitedMs = nowMs - dispatchedAtMs;
       view.firstTokenMs = smooth(
         view.firstTokenMs,
--- a/packages/decisions/src/controllers/RecoveryController.ts
+++ b/packages/decisions/src/controllers/RecoveryController.ts
@@ -168,8 +168,7 @@
       );
     }
     const view = attempt && this.board.backends.get(attempt.backendServer);
-    const started = record.lastProgressAtMs !== attempt?.dispatchedAtMs;
-    if (started) {
+    if (record.flowing) {
       const paceMs = view?.betweenTokensMs ?? 0;
       return Math.max(MIN_SILENCE_MS, paceMs * SILENCE_GAPS);
     }
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,2 @@
+export type { Suite } from './describe.js';
+export { describe } from './describe.js';
