--- /dev/null
+++ b/packages/decisions/tests/blackboard/ClassQueue.test.ts
@@ -0,0 +1,83 @@
+import { describe } from '@jujubecroft/testing';
+import type { OrganisationId, RequestId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import { ClassQueue } from '../../src/blackboard/ClassQueue.js';
+import type { RequestRecord } from '../../src/blackboard/RoutedRequest.js';
+import { requestClass, RouterFixture } from '../helpers/RouterFixture.js';
+
+/** Takes a real record, so that the test needs no copy of its shape. */
+function recordOf(
+  organisation: string,
+  tokens: number,
+  weight = 1,
+): RequestRecord {
+  const fixture = new RouterFixture();
+  const id = fixture.submit('gold', {
+    organisation: brand<OrganisationId>(organisation),
+  });
+  const record = fixture.router.board.requests.get(id);
+  if (!record) {
+    throw new Error('the request was not accepted');
+  }
+  return {
+    ...record,
+    request: { ...record.request, id: brand<RequestId>(organisation) },
+    state: 'queued',
+    attempts: 0,
+    expectedTokens: tokens,
+    weight,
+  };
+}
+
+const served = (queue: ClassQueue, count: number): string[] =>
+  Array.from({ length: count }, () => String(queue.shift()?.request.id));
+
+describe('ClassQueue', ({ it }) => {
+  it('lets a burst of one organisation cost its own requests first', t => {
+    // A small bakery waits minutes for one answer. A hotel chain sent forty
+    // requests just before, and first come first served put all of them ahead.
+    const queue = new ClassQueue(requestClass('gold', 1));
+    Array.from({ length: 40 }, () => recordOf('hotel', 100)).forEach(record => {
+      queue.push(record);
+    });
+    queue.push(recordOf('bakery', 100));
+    t.true(served(queue, 2).includes('bakery'));
+  });
+
+  it('serves organisations in proportion to their weights', t => {
+    const queue = new ClassQueue(requestClass('gold', 1));
+    Array.from({ length: 30 }, () => recordOf('heavy', 10, 2)).forEach(r => {
+      queue.push(r);
+    });
+    Array.from({ length: 30 }, () => recordOf('light', 10, 1)).forEach(r => {
+      queue.push(r);
+    });
+    const heavy = served(queue, 30).filter(name => name === 'heavy').length;
+    t.is(heavy, 20);
+  });
+
+  it('skips requests that ended while they waited', t => {
+    const queue = new ClassQueue(requestClass('gold', 1));
+    const gone = recordOf('a', 10);
+    queue.push(gone);
+    queue.push(recordOf('b', 10));
+    gone.state = 'ended';
+    queue.release(gone);
+    t.is(queue.length, 1);
+    t.deepEqual(served(queue, 1), ['b']);
+    t.is(queue.queuedTokens, 0);
+    t.is(queue.shift(), undefined);
+  });
+
+  it('predicts for a quiet organisation only its fair part of the queue', t => {
+    const queue = new ClassQueue(requestClass('gold', 1));
+    Array.from({ length: 50 }, () => recordOf('hotel', 100)).forEach(r => {
+      queue.push(r);
+    });
+    const hotel = queue.tokensAhead(brand<OrganisationId>('hotel'), 1, 100);
+    const bakery = queue.tokensAhead(brand<OrganisationId>('bakery'), 1, 100);
+    t.is(hotel, 5000);
+    t.is(bakery, 200);
+  });
+});
