--- a/packages/instance/src/http/ChatSink.ts
+++ b/packages/instance/src/http/ChatSink.ts
@@ -92,13 +92,17 @@
   onWhole(): void {
     const { id, model } = this.identity;
     const message = { role: 'assistant', content: this.#text };
-    void this.reply.header('x-request-id', id).send({
-      id,
-      object: 'chat.completion',
-      created: createdNow(),
-      model,
-      choices: [{ index: 0, message, finish_reason: 'stop' }],
-    });
+    // The framework would answer a POST with 201.
+    void this.reply
+      .code(OK)
+      .header('x-request-id', id)
+      .send({
+        id,
+        object: 'chat.completion',
+        created: createdNow(),
+        model,
+        choices: [{ index: 0, message, finish_reason: 'stop' }],
+      });
     this.onEnded();
   }
 
--- a/packages/stand-ins/src/platform/startPlatform.ts
+++ b/packages/stand-ins/src/platform/startPlatform.ts
@@ -30,6 +30,8 @@
 });
 const faultsSchema = z.object({
   down: z.boolean().optional(),
+  /** Only the table is down; list and objects answer. */
+  failTable: z.boolean().optional(),
   slowMs: z.number().nonnegative().optional(),
   /** Share of transactions that take effect without a reply. */
   loseReplies: z.number().min(0).max(1).optional(),
@@ -51,6 +53,7 @@
   readonly weights: WeightGate;
   readonly instances: Lagging<readonly ListedInstance[]>;
   down = false;
+  failTable = false;
   slowMs = 0;
   loseReplies = 0;
   reads = 0;
@@ -135,6 +138,7 @@
   app.post('/control/faults', req => {
     const faults = faultsSchema.parse(req.body);
     state.down = faults.down ?? state.down;
+    state.failTable = faults.failTable ?? state.failTable;
     state.slowMs = faults.slowMs ?? state.slowMs;
     state.loseReplies = faults.loseReplies ?? state.loseReplies;
     return {};
@@ -149,7 +153,8 @@
     if (state.slowMs > 0) {
       await new Promise(resolve => setTimeout(resolve, state.slowMs));
     }
-    if (state.down) {
+    const tableDown = state.failTable && req.url.startsWith('/table/');
+    if (state.down || tableDown) {
       await reply.code(UNAVAILABLE).send({ error: 'down' });
     }
   });
