--- a/packages/bench/src/demo/demoDeployment.ts
+++ b/packages/bench/src/demo/demoDeployment.ts
@@ -9,7 +9,7 @@
 
 const MODEL = 'chef-small';
 const SERVICE = 'stock';
-const ENGINE_CAPACITY = 40;
+const ENGINE_CAPACITY = 24;
 const SERVICE_CAPACITY = 16;
 const DOMAINS = ['split-a', 'split-b', 'solin'] as const;
 
--- a/packages/bench/src/demo/runDemo.ts
+++ b/packages/bench/src/demo/runDemo.ts
@@ -24,7 +24,13 @@
   readonly wastedWork: number;
 }
 
-const SIZE = { instances: 3, engines: 4, services: 2 };
+/** Small engines, so that the burst asks for more than they can do. */
+const SIZE = {
+  instances: 3,
+  engines: 4,
+  services: 2,
+  engineModel: { maxBatch: 48, stepBaseMs: 15, stepPerSequenceMs: 2.5 },
+};
 const CRASH_AT = 0.6;
 const BACK_AT = 0.8;
 const MS_PER_SECOND = 1000;
--- a/packages/cli/src/commands/ctlChanges.ts
+++ b/packages/cli/src/commands/ctlChanges.ts
@@ -1,8 +1,13 @@
 import { randomUUID } from 'node:crypto';
 import { Command, Option } from 'clipanion';
 import type { OperatorConnection } from '@jujubecroft/operator';
-import { applyDeployment } from '@jujubecroft/operator';
-import { readSettings } from '@jujubecroft/settings';
+import {
+  applyDeployment,
+  fromProtoKind,
+  toProtoEntity,
+} from '@jujubecroft/operator';
+import { parseEntity, readSettings } from '@jujubecroft/settings';
+import { routerError } from '@jujubecroft/types';
 
 import { entityKind } from '../entityKinds.js';
 import { OperatorCommand } from './OperatorCommand.js';
@@ -28,6 +33,44 @@
   }
 }
 
+/** Declares one entity. */
+export class CtlDeclareCommand extends OperatorCommand {
+  static override paths = [['ctl', 'declare']];
+  static override usage = Command.Usage({
+    description: 'create an entity, or update it as seen at a revision',
+    examples: [
+      [
+        'Create a model version',
+        `$0 ctl declare model-version '{"id":"chef-small","version":"1"}'`,
+      ],
+    ],
+  });
+
+  readonly kind = Option.String({ name: 'kind' });
+  readonly entity = Option.String({ name: 'json' });
+  readonly seen = Option.String('--seen', '0', {
+    description: 'revision at which `ctl list` showed it; 0 creates it',
+  });
+  readonly changeId = Option.String('--change-id', changeIdOption);
+
+  protected async run(connection: OperatorConnection): Promise<void> {
+    const kind = fromProtoKind(entityKind(this.kind));
+    if (!kind) {
+      throw routerError('configInvalid', 'the kind must be a single one');
+    }
+    const result = parseEntity(kind, JSON.parse(this.entity));
+    if (!result.ok) {
+      throw routerError('configInvalid', result.faults.join('; '));
+    }
+    const reply = await connection.declare({
+      changeId: this.changeId ?? randomUUID(),
+      entity: toProtoEntity(kind, { ...result.entity }),
+      ifRevision: Number(this.seen),
+    });
+    this.print(reply, [`revision ${reply.revision}`]);
+  }
+}
+
 /** Removes one entity. */
 export class CtlRemoveCommand extends OperatorCommand {
   static override paths = [['ctl', 'remove']];
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { ConfigCheckCommand } from './commands/ConfigCheckCommand.js';
 import {
   CtlApplyCommand,
+  CtlDeclareCommand,
   CtlDrainCommand,
   CtlRemoveCommand,
 } from './commands/ctlChanges.js';
@@ -34,6 +35,7 @@
   ConfigCheckCommand,
   CtlApplyCommand,
   CtlAuditCommand,
+  CtlDeclareCommand,
   CtlDrainCommand,
   CtlListCommand,
   CtlRemoveCommand,
--- a/packages/decisions/src/blackboard/RoutedRequest.ts
+++ b/packages/decisions/src/blackboard/RoutedRequest.ts
@@ -51,6 +51,8 @@
   budgetMs: number;
   attempt: Attempt | null;
   attempts: number;
+  /** Failed attempts that may have run. */
+  costlyAttempts: number;
   tokensDelivered: number;
   /** Whether the present attempt has brought a token. */
   flowing: boolean;
--- a/packages/decisions/src/controllers/AdmissionController.ts
+++ b/packages/decisions/src/controllers/AdmissionController.ts
@@ -83,6 +83,7 @@
       budgetMs: rules.maxQueueMs,
       attempt: null,
       attempts: 0,
+      costlyAttempts: 0,
       tokensDelivered: 0,
       flowing: false,
       firstTokenAtMs: null,
--- a/packages/decisions/tests/Router.test.ts
+++ b/packages/decisions/tests/Router.test.ts
@@ -69,6 +69,20 @@
       });
     });
 
+    it('finds the one healthy server among many that are down', t => {
+      // A costing is refused although an engine is free. A power cut took nine
+      // of ten engines, and the first four that were tried ended the request.
+      const names = Array.from({ length: 10 }, (_, index) => `e${index}`);
+      const backendServers = names.map(name => engine(name));
+      const fixture = new RouterFixture(configuration({ backendServers }));
+      const id = fixture.submit();
+      while (fixture.attemptOf(id).backendServer !== 'e7') {
+        fixture.router.onFailed(id, fixture.attemptOf(id).number, REFUSED);
+      }
+      fixture.finish(id);
+      t.deepEqual(fixture.refused, []);
+    });
+
     it('stops retrying when the budget of the class is spent', t => {
       // An outage of one engine becomes an outage of all: every failure causes
       // three more calls. The budget per class bounds what retries may add.
--- a/packages/settings/src/settingsSchemas.ts
+++ b/packages/settings/src/settingsSchemas.ts
@@ -99,8 +99,18 @@
   listen: listenSchema,
   instanceListLagMs: notNegative.default(2000),
   weightLoadsPerMinute: positive.default(6),
-  writesPerSecond: positive.default(300),
-  readsPerSecond: positive.default(2000),
+  /** Instances on the list from the start. */
+  instances: z
+    .array(
+      z.strictObject({
+        id: idSchema,
+        failureDomain: idSchema,
+        callerAddress: z.url(),
+        peerAddress: z.string().min(1),
+        state: z.enum(['leaving', 'live']).default('live'),
+      }),
+    )
+    .default([]),
   seed: z.number().int().default(1),
 });
 
--- a/packages/stand-ins/src/platform/startPlatform.ts
+++ b/packages/stand-ins/src/platform/startPlatform.ts
@@ -64,7 +64,7 @@
     this.weights = new WeightGate(settings.weightLoadsPerMinute);
     this.instances = new Lagging<readonly ListedInstance[]>(
       settings.instanceListLagMs,
-      [],
+      settings.instances as unknown as readonly ListedInstance[],
     );
     this.random = createRandom(settings.seed);
   }
