feat(bench): measure slopes of decisions, state, heartbeats and processes

Cause: docs/CAPACITY.md needs slopes, and the design must bear the size. Change: 'experiment run slopes' fits lines through four or more sizes.

--- a/packages/bench/src/demo/demoDeployment.ts
+++ b/packages/bench/src/demo/demoDeployment.ts
@@ -15,7 +15,8 @@
 
 export const keyOf = (organisation: string): string => `key-of-${organisation}`;
 
-const sha256 = (text: string): string =>
+/** SHA-256 in hexadecimal, as settings and declarations hold secrets. */
+export const sha256 = (text: string): string =>
   createHash('sha256').update(text).digest('hex');
 
 const domainOf = (index: number): string =>
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -21,3 +21,8 @@
 export type { ExperimentOptions } from './experiments/runExperiment.js';
 export { runExperiment } from './experiments/runExperiment.js';
 export { experimentTable } from './report/experimentTable.js';
+export type { SlopesResult } from './measure/Measurement.js';
+export type { SlopePart } from './measure/runSlopes.js';
+export { runSlopes, SLOPE_PARTS } from './measure/runSlopes.js';
+export { slopesTable } from './measure/slopesTable.js';
+export { callFigures } from './report/callFigures.js';
--- /dev/null
+++ b/packages/bench/src/measure/ProcessFleet.ts
@@ -0,0 +1,214 @@
+import type { ChildProcess } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { request } from 'undici';
+import { applyDeployment, OperatorConnection } from '@jujubecroft/operator';
+import type { Deployment } from '@jujubecroft/settings';
+
+import { sha256 } from '../demo/demoDeployment.js';
+
+/** How many processes of each kind. */
+export interface ProcessFleetSize {
+  readonly instances: number;
+  readonly engines: number;
+  readonly services: number;
+  readonly engineModel: Readonly<Record<string, number>>;
+}
+
+const HOST = '127.0.0.1';
+const TOKEN = 'process-fleet-token';
+const READY_TRIES = 200;
+const READY_PAUSE_MS = 50;
+const OK = 200;
+
+const wait = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+/** The program as it runs now, from the sources or as a binary. */
+function ownCommand(): readonly string[] {
+  const script = process.argv[1];
+  const isScript = script?.endsWith('.ts') ?? false;
+  return isScript && script !== undefined ? [...process.execArgv, script] : [];
+}
+
+/**
+ * Platform, engines, services and instances as processes of their own, for
+ * measurements. Only experiments start processes; the product never does.
+ */
+export class ProcessFleet {
+  readonly instancePids: number[] = [];
+  readonly #children: ChildProcess[] = [];
+  readonly #folder = mkdtempSync(path.join(tmpdir(), 'jujubecroft-'));
+
+  /** @param basePort - first of the ports that the fleet takes */
+  constructor(private readonly basePort: number) {}
+
+  get platformUrl(): string {
+    return this.#url(this.basePort);
+  }
+
+  engineUrl(index: number): string {
+    return this.#url(this.basePort + 1 + index);
+  }
+
+  serviceUrl(index: number): string {
+    return this.#url(this.basePort + 50 + index);
+  }
+
+  callerUrl(index: number): string {
+    return this.#url(this.basePort + 100 + index);
+  }
+
+  async start(size: ProcessFleetSize): Promise<void> {
+    this.#startPlatform(size.instances);
+    this.#times(size.engines, index => {
+      this.#startEngine(index, size.engineModel);
+    });
+    this.#times(size.services, index => {
+      this.#startService(index);
+    });
+    await this.#whenUp(`${this.platformUrl}/instances`);
+    await Promise.all(
+      Array.from({ length: size.engines }, (_, index) =>
+        this.#whenUp(`${this.engineUrl(index)}/load`),
+      ),
+    );
+    this.#times(size.instances, index => {
+      this.#startInstance(index);
+    });
+    await Promise.all(
+      Array.from({ length: size.instances }, (_, index) =>
+        this.#whenUp(`${this.callerUrl(index)}/health`),
+      ),
+    );
+  }
+
+  async apply(deployment: Deployment): Promise<void> {
+    const connection = new OperatorConnection(this.#control(0), TOKEN);
+    await applyDeployment(connection, deployment);
+    connection.close();
+  }
+
+  /** Runs a load from a process of its own and returns what it printed as JSON. */
+  async load(settings: object): Promise<unknown> {
+    const file = this.#write(`load-${this.#children.length}`, settings);
+    const child = this.#spawn(['load', file, '--json']);
+    const chunks: string[] = [];
+    child.stdout?.setEncoding('utf8');
+    child.stdout?.on('data', (chunk: string) => {
+      chunks.push(chunk);
+    });
+    await new Promise(resolve => child.once('close', resolve));
+    return JSON.parse(chunks.join(''));
+  }
+
+  stop(): void {
+    this.#children.forEach(child => {
+      child.kill('SIGKILL');
+    });
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  #startPlatform(instances: number): void {
+    this.#run('stand-in', 'platform', {
+      kind: 'platform',
+      listen: { host: HOST, port: this.basePort },
+      instances: Array.from({ length: instances }, (_, index) => ({
+        id: `entry-${index}`,
+        failureDomain: this.#domain(index),
+        callerAddress: this.callerUrl(index),
+        peerAddress: this.#control(index),
+      })),
+    });
+  }
+
+  #startEngine(index: number, model: Readonly<Record<string, number>>): void {
+    this.#run('stand-in', 'engine', {
+      kind: 'engine',
+      id: `engine-${index}`,
+      listen: { host: HOST, port: this.basePort + 1 + index },
+      models: ['chef-small'],
+      model,
+    });
+  }
+
+  #startService(index: number): void {
+    this.#run('stand-in', 'service', {
+      kind: 'service',
+      id: `stock-${index}`,
+      listen: { host: HOST, port: this.basePort + 50 + index },
+      services: ['stock'],
+    });
+  }
+
+  #startInstance(index: number): void {
+    const file = this.#write(`instance-${index}`, {
+      kind: 'instance',
+      instance: `entry-${index}`,
+      failureDomain: this.#domain(index),
+      callers: { host: HOST, port: this.basePort + 100 + index },
+      control: { host: HOST, port: this.basePort + 300 + index },
+      platformUrl: this.platformUrl,
+      operators: [{ name: 'bench', tokenSha256: sha256(TOKEN) }],
+      logLevel: 'error',
+    });
+    const { pid } = this.#spawn(['serve', file]);
+    if (pid !== undefined) {
+      this.instancePids.push(pid);
+    }
+  }
+
+  #run(command: string, what: string, settings: object): void {
+    const file = this.#write(`${what}-${this.#children.length}`, settings);
+    this.#spawn([command, what, file]);
+  }
+
+  #spawn(args: readonly string[]): ChildProcess {
+    const child = spawn(process.execPath, [...ownCommand(), ...args], {
+      stdio: ['ignore', 'pipe', 'ignore'],
+    });
+    this.#children.push(child);
+    return child;
+  }
+
+  #write(name: string, settings: object): string {
+    const file = path.join(this.#folder, `${name}.jsonc`);
+    writeFileSync(file, JSON.stringify(settings));
+    return file;
+  }
+
+  #times(count: number, start: (index: number) => void): void {
+    Array.from({ length: count }, (_, index) => index).forEach(start);
+  }
+
+  #url(port: number): string {
+    return `http://${HOST}:${port}`;
+  }
+
+  #control(index: number): string {
+    return `${HOST}:${this.basePort + 300 + index}`;
+  }
+
+  #domain(index: number): string {
+    return `domain-${index % 3}`;
+  }
+
+  async #whenUp(url: string): Promise<void> {
+    for (let tries = 0; tries < READY_TRIES; tries += 1) {
+      const up = await request(url).then(
+        async res => {
+          await res.body.dump();
+          return res.statusCode === OK;
+        },
+        () => false,
+      );
+      if (up) {
+        return;
+      }
+      await wait(READY_PAUSE_MS);
+    }
+    throw new Error(`${url} did not come up`);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/measure/measureProcesses.ts
@@ -0,0 +1,220 @@
+import { z } from 'zod';
+
+import { demoDeployment, keyOf } from '../demo/demoDeployment.js';
+import { fitSlope, lineThrough } from './fitSlope.js';
+import type { Point, Slope } from './Measurement.js';
+import { ProcessFleet } from './ProcessFleet.js';
+import { processUsage } from './processUsage.js';
+
+const FAST_ENGINE = {
+  maxBatch: 512,
+  stepBaseMs: 10,
+  stepPerSequenceMs: 0.02,
+  prefillPerTokenMs: 0.001,
+};
+const ENGINES = 3;
+const SECONDS = 8;
+const SETTLE_MS = 3000;
+const FLEETS = [2, 4, 8, 16];
+const MS_PER_SECOND = 1000;
+const MICROSECONDS = 1000;
+const SHORT_TOKENS = 8;
+const LONG_TOKENS = 200;
+const SHORT_RATES = [40, 80, 160, 320];
+const LONG_RATES = [10, 20, 40, 80];
+const DIRECT_RATE = 20;
+const MIB = 1_048_576;
+
+const loadSchema = z.object({
+  calls: z.number(),
+  whole: z.number(),
+  tokens: z.number(),
+  firstTokenP50Ms: z.number(),
+  firstTokenP95Ms: z.number(),
+});
+
+type LoadFigures = z.infer<typeof loadSchema>;
+
+const wait = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+function loadOf(url: string, rate: number, maxTokens: number): object {
+  return {
+    kind: 'load',
+    entryUrls: [url],
+    seconds: SECONDS,
+    streams: [
+      {
+        organisation: 'hotel-riva',
+        key: keyOf('hotel-riva'),
+        requestClass: 'recipe-costing',
+        target: { model: 'chef-small' },
+        requestsPerSecond: rate,
+        promptTokens: 100,
+        maxTokens,
+      },
+    ],
+  };
+}
+
+async function withFleet<T>(
+  basePort: number,
+  instances: number,
+  body: (fleet: ProcessFleet) => Promise<T>,
+): Promise<T> {
+  const fleet = new ProcessFleet(basePort);
+  try {
+    await fleet.start({
+      instances,
+      engines: ENGINES,
+      services: 1,
+      engineModel: FAST_ENGINE,
+    });
+    const deployment = demoDeployment({
+      engines: Array.from({ length: ENGINES }, (_, i) => fleet.engineUrl(i)),
+      services: [fleet.serviceUrl(0)],
+    });
+    const backendServers = deployment.backendServers.map(server => ({
+      ...server,
+      capacity: FAST_ENGINE.maxBatch,
+    }));
+    await fleet.apply({ ...deployment, backendServers });
+    await wait(SETTLE_MS);
+    return await body(fleet);
+  } finally {
+    fleet.stop();
+  }
+}
+
+interface IdleCost {
+  readonly coreShare: number;
+  readonly residentBytes: number;
+}
+
+/** What instances use while no caller calls: control only. */
+function idleCost(instances: number): Promise<IdleCost> {
+  return withFleet(21_000, instances, async fleet => {
+    const sum = (): { cpuMs: number; residentBytes: number } =>
+      fleet.instancePids.map(processUsage).reduce((total, usage) => ({
+        cpuMs: total.cpuMs + usage.cpuMs,
+        residentBytes: total.residentBytes + usage.residentBytes,
+      }));
+    const before = sum();
+    await wait(SECONDS * MS_PER_SECOND);
+    const after = sum();
+    return {
+      coreShare:
+        (after.cpuMs - before.cpuMs) / (SECONDS * MS_PER_SECOND * instances),
+      residentBytes: after.residentBytes / instances,
+    };
+  });
+}
+
+/** Control cost of idle instances, as processes. */
+export async function measureIdle(): Promise<readonly Slope[]> {
+  const memory: Point[] = [];
+  const cpu = await fitSlope(
+    {
+      name: 'idle instance',
+      sizeUnit: 'instances',
+      valueUnit: 'share of a core',
+    },
+    FLEETS,
+    1,
+    async size => {
+      const { coreShare, residentBytes } = await idleCost(size);
+      const value = residentBytes / MIB;
+      memory.push({ size, value, min: value, max: value });
+      return coreShare;
+    },
+  );
+  const title = {
+    name: 'idle instance',
+    sizeUnit: 'instances',
+    valueUnit: 'MiB resident',
+  };
+  return [cpu, lineThrough(title, memory)];
+}
+
+interface DataPathPoint {
+  readonly cpuMs: number;
+  readonly figures: LoadFigures;
+}
+
+async function underLoad(
+  fleet: ProcessFleet,
+  rate: number,
+  maxTokens: number,
+): Promise<DataPathPoint> {
+  const [pid = 0] = fleet.instancePids;
+  const before = processUsage(pid);
+  const figures = loadSchema.parse(
+    await fleet.load(loadOf(fleet.callerUrl(0), rate, maxTokens)),
+  );
+  return { cpuMs: processUsage(pid).cpuMs - before.cpuMs, figures };
+}
+
+/** Result of the data-path measurement. */
+export interface DataPathResult {
+  readonly slopes: readonly Slope[];
+  readonly figures: Readonly<Record<string, number>>;
+}
+
+/** Processor time of one instance per request and per streamed token. */
+export function measureDataPath(): Promise<DataPathResult> {
+  return withFleet(22_000, 1, async fleet => {
+    await underLoad(fleet, DIRECT_RATE, LONG_TOKENS);
+    const short: Point[] = [];
+    for (const rate of SHORT_RATES) {
+      const { cpuMs, figures } = await underLoad(fleet, rate, SHORT_TOKENS);
+      short.push(point(figures.calls, cpuMs));
+    }
+    const long: Point[] = [];
+    for (const rate of LONG_RATES) {
+      const { cpuMs, figures } = await underLoad(fleet, rate, LONG_TOKENS);
+      long.push(point(figures.tokens, cpuMs));
+    }
+    const perRequest = lineThrough(
+      {
+        name: 'instance, answers of 4 to 8 tokens',
+        sizeUnit: 'requests',
+        valueUnit: 'µs of processor',
+      },
+      short,
+    );
+    const perToken = lineThrough(
+      {
+        name: 'instance, answers of about 90 tokens',
+        sizeUnit: 'tokens',
+        valueUnit: 'µs of processor',
+      },
+      long,
+    );
+    return {
+      slopes: [perRequest, perToken],
+      figures: await overhead(fleet),
+    };
+  });
+}
+
+const point = (size: number, cpuMs: number): Point => ({
+  size,
+  value: cpuMs * MICROSECONDS,
+  min: cpuMs * MICROSECONDS,
+  max: cpuMs * MICROSECONDS,
+});
+
+/** First token through an instance against a direct call, in one run. */
+async function overhead(
+  fleet: ProcessFleet,
+): Promise<Readonly<Record<string, number>>> {
+  const ask = async (url: string): Promise<LoadFigures> =>
+    loadSchema.parse(await fleet.load(loadOf(url, DIRECT_RATE, LONG_TOKENS)));
+  const direct = await ask(fleet.engineUrl(0));
+  const through = await ask(fleet.callerUrl(0));
+  return {
+    directFirstTokenP50Ms: direct.firstTokenP50Ms,
+    throughFirstTokenP50Ms: through.firstTokenP50Ms,
+    firstTokenRatio: through.firstTokenP50Ms / direct.firstTokenP50Ms,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/measure/measureState.ts
@@ -0,0 +1,143 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { Membership, OrganisationLimits } from '@jujubecroft/decisions';
+import type { ListedInstance } from '@jujubecroft/platform';
+import type {
+  BackendServerId,
+  FailureDomainId,
+  InstanceId,
+  ModelId,
+  Organisation,
+  OrganisationId,
+} from '@jujubecroft/types';
+import { brand, createRandom } from '@jujubecroft/types';
+
+import { fitSlope } from './fitSlope.js';
+import { LoadedRouter } from './LoadedRouter.js';
+import type { Slope } from './Measurement.js';
+
+const REPEATS = 3;
+const ORGANISATIONS = [128, 255, 510, 1020];
+const MEMBERS = [93, 185, 370, 740];
+const SERVERS = [75, 150, 300, 600];
+const FEW_REPLICAS = 4;
+const QUEUED = [1250, 2500, 5000, 10_000];
+
+/** Makes the collector callable without a flag on the command line. */
+function collector(): () => void {
+  setFlagsFromString('--expose-gc');
+  return runInNewContext('gc') as () => void;
+}
+
+/** Heap that a value keeps alive. */
+function heapOf(build: () => unknown): number {
+  const collect = collector();
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const kept = build();
+  collect();
+  const after = process.memoryUsage().heapUsed;
+  // Keeps the value alive up to the second reading.
+  return kept === undefined ? 0 : after - before;
+}
+
+const organisation = (index: number): Organisation => ({
+  kind: 'organisation',
+  id: brand<OrganisationId>(`organisation-${index}`),
+  keySha256: String(index).padStart(64, '0'),
+  weight: 1,
+  limits: { requestsPerSecond: 100, tokensPerSecond: 10_000 },
+});
+
+function buildLimits(count: number): unknown {
+  const limits = new OrganisationLimits();
+  limits.configure(
+    Array.from({ length: count }, (_, index) => organisation(index)),
+    0,
+  );
+  return limits;
+}
+
+const listed = (index: number): ListedInstance => ({
+  id: brand<InstanceId>(`entry-${index}`),
+  failureDomain: brand<FailureDomainId>(`domain-${index % 6}`),
+  callerAddress: `http://10.0.0.${index}:8080`,
+  peerAddress: `10.0.0.${index}:7400`,
+  state: 'live',
+});
+
+/** Each member with demands for a tenth of 510 organisations. */
+function buildMembers(count: number): unknown {
+  const membership = new Membership(
+    {
+      ...listed(0),
+      instance: brand<InstanceId>('self'),
+    },
+    () => 0,
+    createRandom(1),
+  );
+  const list = Array.from({ length: count }, (_, index) => listed(index));
+  membership.onList(list);
+  list.forEach((entry, index) => {
+    membership.onMessage({
+      ...entry,
+      instance: entry.id,
+      incarnation: 1,
+      leaving: false,
+      revision: 1,
+      inFlight: 1,
+      facts: [],
+      demands: new Map(
+        Array.from({ length: 51 }, (_, org) => [
+          brand<OrganisationId>(`organisation-${org * 10 + (index % 10)}`),
+          1.5,
+        ]),
+      ),
+    });
+  });
+  return membership;
+}
+
+const buildServers = (count: number): unknown =>
+  Array.from({ length: count }, (_, index) => ({
+    kind: 'backendServer',
+    id: brand<BackendServerId>(`engine-${index}`),
+    url: `http://10.1.0.${index}:8000`,
+    failureDomain: brand<FailureDomainId>(`domain-${index % 6}`),
+    models: [brand<ModelId>(`model-${index % 30}`)],
+    services: [],
+    capacity: 85,
+    checksFencing: true,
+    leaving: false,
+  }));
+
+/** Memory of each kind of state, per unit. */
+export async function measureState(): Promise<readonly Slope[]> {
+  const bytes = { valueUnit: 'bytes' };
+  return [
+    await fitSlope(
+      { ...bytes, name: 'limits state', sizeUnit: 'organisations' },
+      ORGANISATIONS,
+      REPEATS,
+      size => heapOf(() => buildLimits(size)),
+    ),
+    await fitSlope(
+      { ...bytes, name: 'membership state', sizeUnit: 'instances' },
+      MEMBERS,
+      REPEATS,
+      size => heapOf(() => buildMembers(size)),
+    ),
+    await fitSlope(
+      { ...bytes, name: 'declared servers', sizeUnit: 'replicas' },
+      SERVERS,
+      REPEATS,
+      size => heapOf(() => buildServers(size)),
+    ),
+    await fitSlope(
+      { ...bytes, name: 'queued requests', sizeUnit: 'requests' },
+      QUEUED,
+      REPEATS,
+      size => heapOf(() => new LoadedRouter(FEW_REPLICAS, size)),
+    ),
+  ];
+}
--- a/packages/bench/src/report/summarizeCalls.ts
+++ b/packages/bench/src/report/summarizeCalls.ts
@@ -1,15 +1,7 @@
 import Table from 'cli-table3';
 
 import type { FinishedCall } from '../load/LoadRunner.js';
-
-const MEDIAN = 0.5;
-const HIGH = 0.95;
-
-function quantile(values: readonly number[], share: number): string {
-  const sorted = [...values].sort((a, b) => a - b);
-  const value = sorted[Math.floor(share * (sorted.length - 1))];
-  return value === undefined ? '-' : value.toFixed(0);
-}
+import { callFigures } from './callFigures.js';
 
 /**
  * Draws what callers saw, without knowing the declared targets.
@@ -26,17 +18,16 @@
   classes.sort().forEach(name => {
     const own = calls.filter(call => call.stream.requestClass === name);
     const outcomes = own.map(({ answer }) => answer.outcome);
-    const whole = outcomes.filter(outcome => outcome.kind === 'whole');
     const refused = outcomes.filter(({ kind }) => kind === 'refused').length;
-    const waits = whole.map(({ firstTokenMs }) => firstTokenMs);
+    const { whole, firstTokenP50Ms, firstTokenP95Ms } = callFigures(own);
     table.push([
       name,
       own.length,
-      whole.length,
+      whole,
       refused,
-      own.length - whole.length - refused,
-      quantile(waits, MEDIAN),
-      quantile(waits, HIGH),
+      own.length - whole - refused,
+      firstTokenP50Ms.toFixed(0),
+      firstTokenP95Ms.toFixed(0),
     ]);
   });
   return table.toString();
--- a/packages/cli/src/commands/LoadCommand.ts
+++ b/packages/cli/src/commands/LoadCommand.ts
@@ -1,7 +1,7 @@
 import { SingleBar } from 'cli-progress';
 import { Command, Option } from 'clipanion';
 import type { FinishedCall } from '@jujubecroft/bench';
-import { LoadRunner, summarizeCalls } from '@jujubecroft/bench';
+import { callFigures, LoadRunner, summarizeCalls } from '@jujubecroft/bench';
 import { readSettings } from '@jujubecroft/settings';
 
 import { EXIT } from '../exitCodes.js';
@@ -19,6 +19,9 @@
   });
 
   readonly file = Option.String({ name: 'config' });
+  readonly json = Option.Boolean('--json', false, {
+    description: 'print figures in JSON',
+  });
 
   async execute(): Promise<number> {
     const settings = readSettings(this.file, 'load');
@@ -38,7 +41,10 @@
     }).run();
     clearInterval(timer);
     bar.stop();
-    this.context.stdout.write(`${summarizeCalls(calls)}\n`);
+    const text = this.json
+      ? JSON.stringify(callFigures(calls))
+      : summarizeCalls(calls);
+    this.context.stdout.write(`${text}\n`);
     const faulty = calls.some(({ answer }) => answer.fault !== null);
     return faulty ? EXIT.brokenPromise : EXIT.ok;
   }
--- a/packages/cli/src/commands/experimentCommands.ts
+++ b/packages/cli/src/commands/experimentCommands.ts
@@ -5,16 +5,23 @@
   EXPERIMENTS,
   experimentTable,
   runExperiment,
+  runSlopes,
+  SLOPE_PARTS,
+  slopesTable,
 } from '@jujubecroft/bench';
 
 import { EXIT } from '../exitCodes.js';
 
+/** The experiment that measures this machine, not the policy. */
+const SLOPES = 'slopes';
+
 /** Lists the experiments. */
 export class ExperimentListCommand extends Command {
   static override paths = [['experiment', 'list']];
   static override usage = Command.Usage({ description: 'list experiments' });
 
   execute(): Promise<number> {
+    this.context.stdout.write(`${SLOPES}\tslopes for docs/CAPACITY.md\n`);
     EXPERIMENTS.forEach(({ meta }) => {
       this.context.stdout.write(`${meta.name}\t${meta.description}\n`);
     });
@@ -45,7 +52,33 @@
     description: 'file for the result in JSON',
   });
 
+  readonly part = Option.String('--part', {
+    description: `of slopes: ${SLOPE_PARTS.join(', ')}`,
+  });
+
   execute(): Promise<number> {
+    return this.name === SLOPES ? this.#runSlopes() : this.#runVirtual();
+  }
+
+  async #runSlopes(): Promise<number> {
+    const parts = SLOPE_PARTS.filter(
+      part => this.part === undefined || part === this.part,
+    );
+    const result = await runSlopes(parts, line => {
+      this.context.stderr.write(`${line}\n`);
+    });
+    this.context.stdout.write(`${slopesTable(result)}\n`);
+    this.#keep(result);
+    return EXIT.ok;
+  }
+
+  #keep(result: object): void {
+    if (this.out !== undefined) {
+      writeFileSync(this.out, `${JSON.stringify(result, null, 2)}\n`);
+    }
+  }
+
+  #runVirtual(): Promise<number> {
     const experiment = EXPERIMENTS.find(({ meta }) => meta.name === this.name);
     if (!experiment) {
       this.context.stderr.write(`no experiment "${this.name}"\n`);
@@ -56,9 +89,7 @@
       seconds: this.seconds ?? null,
     });
     this.context.stdout.write(`${experimentTable(result)}\n`);
-    if (this.out !== undefined) {
-      writeFileSync(this.out, `${JSON.stringify(result, null, 2)}\n`);
-    }
+    this.#keep(result);
     const own = result.arms[0]?.brokenPromises ?? [];
     own.forEach(line => {
       this.context.stdout.write(`broken promise: ${line}\n`);
--- a/packages/decisions/tests/Router.test.ts
+++ b/packages/decisions/tests/Router.test.ts
@@ -76,10 +76,13 @@
       const backendServers = names.map(name => engine(name));
       const fixture = new RouterFixture(configuration({ backendServers }));
       const id = fixture.submit();
-      while (fixture.attemptOf(id).backendServer !== 'e7') {
-        fixture.router.onFailed(id, fixture.attemptOf(id).number, REFUSED);
-      }
-      fixture.finish(id);
+      names.forEach(() => {
+        const { backendServer, number } = fixture.attemptOf(id);
+        if (backendServer !== 'e7') {
+          fixture.router.onFailed(id, number, REFUSED);
+        }
+      });
+      t.is(String(fixture.attemptOf(id).backendServer), 'e7');
       t.deepEqual(fixture.refused, []);
     });
 
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -5,3 +5,7 @@
 export { ClaimBook } from './claims/ClaimBook.js';
 export type { RunningInstance } from './startInstance.js';
 export { startInstance } from './startInstance.js';
+export {
+  fromHeartbeatMessage,
+  toHeartbeatMessage,
+} from './state/peerMessages.js';
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -8,6 +8,7 @@
 export type * as proto from './generated/jujubecroft.js';
 export {
   EntityKind as ProtoEntityKind,
+  HeartbeatMessage,
   OperatorClient,
   OperatorService,
   PeerClient,
