feat(instance): shares of limits as leases from hash-chosen owners

Cause: demand tables in heartbeats cost 98 KB a second at 46 instances and 10 ms of processor a second at 370, and at 370 a pair of instances talks once a minute. Change: only organisations that use half their even share are reported, to the instance that a ring names, at most four reports a second; shares are leases of ten seconds; a new owner waits three seconds before it gives any.

--- a/packages/bench/src/measure/measureHeartbeats.ts
+++ b/packages/bench/src/measure/measureHeartbeats.ts
@@ -1,10 +1,19 @@
-import type { HeartbeatFacts, Member } from '@jujubecroft/decisions';
-import { Membership, OrganisationLimits } from '@jujubecroft/decisions';
+import type { Demand, HeartbeatFacts, Member } from '@jujubecroft/decisions';
+import {
+  DemandLedger,
+  Membership,
+  OrganisationLimits,
+  OwnerRing,
+} from '@jujubecroft/decisions';
 import {
   fromHeartbeatMessage,
   toHeartbeatMessage,
 } from '@jujubecroft/instance';
-import { HeartbeatMessage } from '@jujubecroft/operator';
+import {
+  DemandReport,
+  HeartbeatMessage,
+  ShareReply,
+} from '@jujubecroft/operator';
 import type {
   FailureDomainId,
   InstanceId,
@@ -19,6 +28,7 @@
 const FLEETS = [46, 93, 185, 370];
 const ORGANISATIONS = 510;
 const REQUESTS_PER_SECOND = 4100;
+const MAX_OWNERS = 4;
 const PERIODS = 5;
 const WARM_UP = 3;
 const PERIOD_MS = 1000;
@@ -34,13 +44,15 @@
   id,
   keySha256: '0'.repeat(64),
   weight: 1,
-  limits: { requestsPerSecond: 100, tokensPerSecond: 10_000 },
+  // Just what each organisation asks for, so that all of them are hot.
+  limits: { requestsPerSecond: 8, tokensPerSecond: 1e9 },
 }));
 
 /** Control state of one instance. */
 interface Node {
   readonly membership: Membership;
   readonly limits: OrganisationLimits;
+  readonly ledger: DemandLedger;
 }
 
 /** Control logic of a whole fleet in one process, with the real codec. */
@@ -49,6 +61,7 @@
   readonly #nodes = new Map<InstanceId, Node>();
   readonly #random = createRandom(1);
   #nowMs = 0;
+  readonly #ring: OwnerRing;
 
   constructor(private readonly size: number) {
     const facts = Array.from({ length: size }, (_, index) => ({
@@ -57,6 +70,7 @@
       callerAddress: `http://10.0.${index >> 8}.${index & 255}:8080`,
       peerAddress: `10.0.${index >> 8}.${index & 255}:7400`,
     }));
+    this.#ring = new OwnerRing(facts.map(({ instance }) => instance));
     const list = facts.map(fact => ({
       ...fact,
       id: fact.instance,
@@ -71,7 +85,11 @@
       membership.onList(list);
       const limits = new OrganisationLimits();
       limits.configure(ORGANISATION_LIST, 0);
-      this.#nodes.set(fact.instance, { membership, limits });
+      this.#nodes.set(fact.instance, {
+        membership,
+        limits,
+        ledger: new DemandLedger(),
+      });
     });
   }
 
@@ -84,11 +102,51 @@
       node.membership.targets().forEach(member => {
         this.#exchange(node, member);
       });
-      node.limits.takeDemand();
-      node.limits.rebalance(
-        node.membership.serving.map(({ demands }) => demands),
+      this.#reportHot(node);
+    });
+  }
+
+  /** Reports to as many owners as an instance reports to in a period. */
+  #reportHot({ membership, limits }: Node): void {
+    const demands = limits.closePeriod(this.size, this.#nowMs);
+    const owners = new Map<InstanceId, Demand[]>();
+    demands.forEach(demand => {
+      const owner = this.#ring.ownerOf(demand.organisation);
+      if (owner !== undefined) {
+        owners.set(owner, [...(owners.get(owner) ?? []), demand]);
+      }
+    });
+    [...owners].slice(0, MAX_OWNERS).forEach(([owner, reported]) => {
+      const reporter = membership.self.instance;
+      this.#report(reporter, owner, reported, limits);
+    });
+  }
+
+  #report(
+    reporter: InstanceId,
+    owner: InstanceId,
+    reported: readonly Demand[],
+    limits: OrganisationLimits,
+  ): void {
+    const ledger = assertDefined(this.#nodes.get(owner), 'an owner').ledger;
+    const message = { instance: reporter, demands: [...reported] };
+    const bytes = DemandReport.encode(message).finish();
+    const received = DemandReport.decode(bytes);
+    this.bytes += bytes.length;
+    const shares = received.demands.flatMap(({ organisation, requests }) => {
+      const share = ledger.report(
+        brand<OrganisationId>(organisation),
+        reporter,
+        requests,
+        this.size,
         this.#nowMs,
       );
+      return share === null ? [] : [{ organisation, share }];
+    });
+    const reply = ShareReply.encode({ shares }).finish();
+    this.bytes += reply.length;
+    ShareReply.decode(reply).shares.forEach(({ organisation, share }) => {
+      limits.grant(brand<OrganisationId>(organisation), share, this.#nowMs);
     });
   }
 
@@ -107,11 +165,10 @@
     sender.membership.onMessage(this.#transfer(receiver));
   }
 
-  #transfer({ membership, limits }: Node): HeartbeatFacts {
+  #transfer({ membership }: Node): HeartbeatFacts {
     const message = membership.message({
       revision: 1,
       inFlight: 10,
-      demands: limits.demands,
     });
     const bytes = HeartbeatMessage.encode(toHeartbeatMessage(message)).finish();
     this.bytes += bytes.length;
--- a/packages/bench/src/measure/measureState.ts
+++ b/packages/bench/src/measure/measureState.ts
@@ -66,7 +66,6 @@
   state: 'live',
 });
 
-/** Each member with demands for a tenth of 510 organisations. */
 function buildMembers(count: number): unknown {
   const membership = new Membership(
     {
@@ -78,7 +77,7 @@
   );
   const list = Array.from({ length: count }, (_, index) => listed(index));
   membership.onList(list);
-  list.forEach((entry, index) => {
+  list.forEach(entry => {
     membership.onMessage({
       ...entry,
       instance: entry.id,
@@ -87,12 +86,6 @@
       revision: 1,
       inFlight: 1,
       facts: [],
-      demands: new Map(
-        Array.from({ length: 51 }, (_, org) => [
-          brand<OrganisationId>(`organisation-${org * 10 + (index % 10)}`),
-          1.5,
-        ]),
-      ),
     });
   });
   return membership;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,8 +23,10 @@
 } from './createRouter.js';
 export { LengthEstimator } from './estimators/LengthEstimator.js';
 export { demandShare } from './limits/demandShare.js';
-export type { DemandTable } from './limits/OrganisationLimits.js';
+export { DemandLedger } from './limits/DemandLedger.js';
+export type { Demand } from './limits/OrganisationLimits.js';
 export { OrganisationLimits } from './limits/OrganisationLimits.js';
+export { OwnerRing } from './limits/OwnerRing.js';
 export { admitAll } from './policies/admission/admit-all.js';
 export { predictive } from './policies/admission/predictive.js';
 export { POLICY_CATALOGUE } from './policies/catalogue.js';
--- a/packages/decisions/src/limits/OrganisationLimits.ts
+++ b/packages/decisions/src/limits/OrganisationLimits.ts
@@ -1,31 +1,37 @@
 import type { Organisation, OrganisationId } from '@jujubecroft/types';
 
 import { smooth } from '../util/smooth.js';
-import { demandShare } from './demandShare.js';
 import { TokenBucket } from './TokenBucket.js';
 
 interface Entry {
   organisation: Organisation;
+  /** Share that the owner gave, and how long it holds. */
   share: number;
+  leaseEndsMs: number;
   demand: number;
   offered: number;
   readonly requests: TokenBucket;
   readonly tokens: TokenBucket;
 }
 
-/** Demand for each organisation, as instances tell each other. */
-export type DemandTable = ReadonlyMap<OrganisationId, number>;
+/** Demand of one organisation at this instance. */
+export interface Demand {
+  readonly organisation: OrganisationId;
+  readonly requests: number;
+}
 
 const DEMAND_SMOOTHING = 0.5;
-/** Requests per period below which a demand is not worth telling. */
-const MIN_DEMAND = 0.05;
+/** Part of the even share in use from which a demand is worth reporting. */
+const HOT_PART = 0.5;
+/** A share holds this long without a word from the owner. */
+const SHARE_LEASE_MS = 10_000;
 
 /**
  * Enforces the limits of organisations on this instance's share of them.
  *
- * Shares follow demand: each instance hears the demand of its peers and works
- * out its own share, without a write to the platform. See docs/design/limits.md
- * for the overshoot while figures differ.
+ * Without a lease the share is an even part of the limit. An organisation that
+ * uses a good part of it is reported to its owner, which answers with a share by
+ * demand. No write to the platform is needed. See docs/design/limits.md.
  */
 export class OrganisationLimits {
   readonly #entries = new Map<OrganisationId, Entry>();
@@ -78,36 +84,50 @@
     this.#entries.get(id)?.tokens.take(difference);
   }
 
-  /** Smoothed requests per period for the peers; idle organisations are left out. */
-  get demands(): DemandTable {
-    return new Map(
-      [...this.#entries]
-        .filter(([, { demand }]) => demand >= MIN_DEMAND)
-        .map(([id, { demand }]) => [id, demand]),
-    );
-  }
-
-  /** Closes a period of demand measurement. */
-  takeDemand(): void {
-    this.#entries.forEach(entry => {
+  /**
+   * Closes a second of demand measurement.
+   *
+   * @param instances - live instances, this one included
+   * @param nowMs - present time
+   * @returns organisations whose owner should hear of them, the hottest first
+   */
+  closePeriod(instances: number, nowMs: number): readonly Demand[] {
+    this.#instances = instances;
+    const hot: { readonly demand: Demand; readonly use: number }[] = [];
+    this.#entries.forEach((entry, organisation) => {
       entry.demand = smooth(entry.demand, entry.offered, DEMAND_SMOOTHING);
       entry.offered = 0;
+      this.#endLease(entry, nowMs);
+      const use = this.#useOf(entry);
+      if (use >= HOT_PART) {
+        hot.push({ demand: { organisation, requests: entry.demand }, use });
+      }
     });
+    return hot.sort((a, b) => b.use - a.use).map(({ demand }) => demand);
   }
 
-  /**
-   * Works out the shares of this instance anew.
-   *
-   * @param peers - demand tables of the live peers, empty ones where unheard
-   * @param nowMs - present time
-   */
-  rebalance(peers: readonly DemandTable[], nowMs: number): void {
-    this.#instances = peers.length + 1;
-    this.#entries.forEach((entry, id) => {
-      const demands = peers.map(table => table.get(id) ?? 0);
-      entry.share = demandShare(entry.demand, demands);
+  /** Takes over a share that the owner gave, as a lease. */
+  grant(id: OrganisationId, share: number, nowMs: number): void {
+    const entry = this.#entries.get(id);
+    if (entry) {
+      entry.share = share;
+      entry.leaseEndsMs = nowMs + SHARE_LEASE_MS;
       this.#applyShare(entry, nowMs);
-    });
+    }
+  }
+
+  /** Demand over the even share; above the even part of a lease it stays hot. */
+  #useOf({ demand, organisation }: Entry): number {
+    const even = organisation.limits.requestsPerSecond / this.#instances;
+    return demand / even;
+  }
+
+  #endLease(entry: Entry, nowMs: number): void {
+    const even = 1 / this.#instances;
+    if (entry.leaseEndsMs <= nowMs && entry.share !== even) {
+      entry.share = even;
+      this.#applyShare(entry, nowMs);
+    }
   }
 
   #newEntry(organisation: Organisation, nowMs: number): Entry {
@@ -116,6 +136,7 @@
     return {
       organisation,
       share,
+      leaseEndsMs: 0,
       demand: 0,
       offered: 0,
       requests: new TokenBucket(requestsPerSecond * share, nowMs),
--- a/packages/decisions/src/membership/Member.ts
+++ b/packages/decisions/src/membership/Member.ts
@@ -1,8 +1,4 @@
-import type {
-  FailureDomainId,
-  InstanceId,
-  OrganisationId,
-} from '@jujubecroft/types';
+import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 
 /** How an instance looks from here. */
 export type MemberState = 'failed' | 'leaving' | 'live' | 'suspect';
@@ -26,7 +22,6 @@
   readonly revision: number;
   readonly inFlight: number;
   readonly facts: readonly MemberFact[];
-  readonly demands: ReadonlyMap<OrganisationId, number>;
 }
 
 /** Another instance as known here. */
@@ -42,7 +37,6 @@
   lastHeardMs: number;
   revision: number;
   inFlight: number;
-  demands: ReadonlyMap<OrganisationId, number>;
   /** Whether the platform's list still names the instance. */
   listed: boolean;
 }
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -156,7 +156,7 @@
 
   /** The next heartbeat of this instance. */
   message(
-    state: Pick<HeartbeatFacts, 'demands' | 'inFlight' | 'revision'>,
+    state: Pick<HeartbeatFacts, 'inFlight' | 'revision'>,
   ): HeartbeatFacts {
     return {
       ...this.self,
@@ -182,7 +182,6 @@
     member.peerAddress = message.peerAddress;
     member.revision = message.revision;
     member.inFlight = message.inFlight;
-    member.demands = message.demands;
     const state = message.leaving ? 'leaving' : 'live';
     if (message.incarnation > member.incarnation || member.state !== 'failed') {
       this.#change(member, state, message.incarnation);
@@ -324,7 +323,6 @@
       lastHeardMs: nowMs,
       revision: 0,
       inFlight: 0,
-      demands: new Map(),
       listed: true,
     };
     this.#members.set(member.id, member);
--- a/packages/decisions/tests/limits/OrganisationLimits.test.ts
+++ b/packages/decisions/tests/limits/OrganisationLimits.test.ts
@@ -1,9 +1,13 @@
 import fc from 'fast-check';
 import { describe } from '@jujubecroft/testing';
-import type { OrganisationId } from '@jujubecroft/types';
+import type { InstanceId, OrganisationId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
-import { demandShare, OrganisationLimits } from '../../src/index.js';
+import {
+  DemandLedger,
+  demandShare,
+  OrganisationLimits,
+} from '../../src/index.js';
 import { organisation } from '../helpers/RouterFixture.js';
 
 const ID = brand<OrganisationId>('org');
@@ -18,12 +22,10 @@
 /** Offers more than the limit on every instance and counts what passes. */
 function admitted(offers: readonly number[], seconds: number, limit: number) {
   const nodes = offers.map(() => new OrganisationLimits());
+  const ledger = new DemandLedger();
   nodes.forEach(node => {
     // An instance knows the fleet before it has a configuration.
-    node.rebalance(
-      offers.slice(1).map(() => new Map()),
-      0,
-    );
+    node.closePeriod(offers.length, 0);
     node.configure([limited(limit)], 0);
   });
   let passed = 0;
@@ -35,15 +37,21 @@
         passed += node.charge(ID, 1, atMs) === 0 ? 1 : 0;
       });
     });
-    nodes.forEach(node => {
-      node.takeDemand();
-    });
+    const endMs = nowMs + PERIOD_MS;
     nodes.forEach((node, index) => {
-      const peers = nodes.filter((_, other) => other !== index);
-      node.rebalance(
-        peers.map(({ demands }) => demands),
-        nowMs + PERIOD_MS,
-      );
+      node.closePeriod(offers.length, endMs).forEach(({ requests }) => {
+        const reporter = brand<InstanceId>(`entry-${index}`);
+        const share = ledger.report(
+          ID,
+          reporter,
+          requests,
+          offers.length,
+          endMs,
+        );
+        if (share !== null) {
+          node.grant(ID, share, endMs);
+        }
+      });
     });
   }
   return passed;
@@ -89,6 +97,30 @@
     t.is(node.charge(ID, 1, waits[3] ?? 0), 0);
   });
 
+  it('returns to the even share when the owner falls silent', t => {
+    // An instance keeps nearly a whole limit for ever, because the owner that
+    // gave it died and the others were given their shares by the next one.
+    const node = new OrganisationLimits();
+    node.closePeriod(4, 0);
+    node.configure([limited(40)], 0);
+    node.grant(ID, 1, 0);
+    node.closePeriod(4, 20_000);
+    const passed = Array.from({ length: 200 }, () =>
+      node.charge(ID, 1, 30_000),
+    ).filter(waitMs => waitMs === 0).length;
+    // A quarter of forty a second, saved up for two seconds.
+    t.is(passed, 20);
+  });
+
+  it('gives no shares before a new owner has heard the reporters', t => {
+    const ledger = new DemandLedger();
+    const ask = (name: string, atMs: number) =>
+      ledger.report(ID, brand<InstanceId>(name), 10, 4, atMs);
+    t.is(ask('a', 0), null);
+    t.is(ask('b', 100), null);
+    t.is(ask('a', 3000), 0.2 / 4 + 0.8 / 2);
+  });
+
   it('drops organisations that were removed', t => {
     const node = new OrganisationLimits();
     node.configure([limited(1)], 0);
--- a/packages/decisions/tests/membership/Membership.test.ts
+++ b/packages/decisions/tests/membership/Membership.test.ts
@@ -4,7 +4,7 @@
 
 import { Membership } from '../../src/index.js';
 
-const STATE = { revision: 1, inFlight: 0, demands: new Map() };
+const STATE = { revision: 1, inFlight: 0 };
 
 const ownFacts = (name: string) => ({
   instance: brand<InstanceId>(name),
--- a/packages/instance/src/InstanceContext.ts
+++ b/packages/instance/src/InstanceContext.ts
@@ -8,6 +8,7 @@
 import type { RouterHost } from './host/RouterHost.js';
 import type { InstanceMetrics } from './metrics/InstanceMetrics.js';
 import type { ConfigurationSync } from './state/ConfigurationSync.js';
+import type { ShareLoop } from './state/ShareLoop.js';
 
 /** Everything that the controllers of one instance share. */
 export interface InstanceContext {
@@ -19,6 +20,7 @@
   readonly store: ConfigurationStore;
   readonly sync: ConfigurationSync;
   readonly claims: ClaimBook;
+  readonly shares: ShareLoop;
   readonly log: EventLog;
   /** Whether a stop was asked for. */
   leaving: boolean;
--- a/packages/instance/src/control/peerHandlers.ts
+++ b/packages/instance/src/control/peerHandlers.ts
@@ -51,7 +51,6 @@
     const reply = membership.message({
       revision: host.configuration.revision,
       inFlight: host.inFlight,
-      demands: host.router.board.limits.demands,
     });
     callback(null, toHeartbeatMessage(reply));
   };
@@ -82,5 +81,12 @@
     });
   };
 
-  return { heartbeat, probeFor, configuration };
+  const reportDemand: handleUnaryCall<proto.DemandReport, proto.ShareReply> = (
+    call,
+    callback,
+  ) => {
+    callback(null, { shares: context.shares.onReport(call.request) });
+  };
+
+  return { heartbeat, probeFor, reportDemand, configuration };
 }
--- a/packages/instance/src/startInstance.ts
+++ b/packages/instance/src/startInstance.ts
@@ -18,6 +18,7 @@
 import { ConfigurationSync } from './state/ConfigurationSync.js';
 import { MembershipLoop } from './state/MembershipLoop.js';
 import { PeerConnections } from './state/PeerConnections.js';
+import { ShareLoop } from './state/ShareLoop.js';
 
 /** An instance that accepts callers. */
 export interface RunningInstance {
@@ -120,6 +121,7 @@
     store,
     sync,
     claims,
+    shares: new ShareLoop(membership, peers, host),
     log,
     leaving: false,
   };
@@ -148,6 +150,7 @@
   membership.announce(callerUrl, controlAddress);
   const close = async (): Promise<void> => {
     sync.stop();
+    context.shares.stop();
     loop.stop();
     control.stop();
     await host.stop();
@@ -162,6 +165,7 @@
     throw err;
   }
   host.start();
+  context.shares.start();
   log.write('instanceStarted', { callerUrl, controlAddress });
   return {
     callerUrl,
--- a/packages/instance/src/state/MembershipLoop.ts
+++ b/packages/instance/src/state/MembershipLoop.ts
@@ -16,7 +16,7 @@
 /** Called with a member whose configuration is ahead of ours. */
 type AheadListener = (member: Member) => void;
 
-/** Runs the membership of one instance: heartbeats, list, shares of limits. */
+/** Runs the membership of one instance: heartbeats and list. */
 export class MembershipLoop {
   #timer: NodeJS.Timeout | null = null;
   #period = 0;
@@ -75,11 +75,9 @@
   }
 
   async #exchange(member: Member): Promise<void> {
-    const { limits } = this.host.router.board;
     const message = this.membership.message({
       revision: this.host.configuration.revision,
       inFlight: this.host.inFlight,
-      demands: limits.demands,
     });
     try {
       const reply = await this.peers.heartbeat(
@@ -119,12 +117,6 @@
     const { self, serving } = this.membership;
     const instances = [self.instance, ...serving.map(({ id }) => id)].sort();
     const key = instances.join(' ');
-    const { limits, clock } = this.host.router.board;
-    limits.takeDemand();
-    limits.rebalance(
-      serving.map(({ demands }) => demands),
-      clock(),
-    );
     if (key === this.#placed) {
       return;
     }
--- a/packages/instance/src/state/PeerConnections.ts
+++ b/packages/instance/src/state/PeerConnections.ts
@@ -37,6 +37,19 @@
     return reply.reachable;
   }
 
+  reportDemand(
+    address: string,
+    report: proto.DemandReport,
+  ): Promise<proto.ShareReply> {
+    const client = this.#of(address);
+    return unary(
+      client.reportDemand.bind(client),
+      report,
+      new Metadata(),
+      CALL_TIMEOUT_MS,
+    );
+  }
+
   configuration(
     address: string,
     afterRevision: number,
--- a/packages/instance/src/state/peerMessages.ts
+++ b/packages/instance/src/state/peerMessages.ts
@@ -1,10 +1,6 @@
 import type { HeartbeatFacts, MemberState } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator';
-import type {
-  FailureDomainId,
-  InstanceId,
-  OrganisationId,
-} from '@jujubecroft/types';
+import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
 const STATES: readonly MemberState[] = ['live', 'suspect', 'leaving', 'failed'];
@@ -20,10 +16,6 @@
       incarnation,
       state: STATES.indexOf(state),
     })),
-    demands: [...facts.demands].map(([organisation, requests]) => ({
-      organisation,
-      requests,
-    })),
   };
 }
 
@@ -40,11 +32,5 @@
       incarnation,
       state: STATES[state] ?? 'suspect',
     })),
-    demands: new Map(
-      message.demands.map(({ organisation, requests }) => [
-        brand<OrganisationId>(organisation),
-        requests,
-      ]),
-    ),
   };
 }
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -7,12 +7,14 @@
 } from './entityMessages.js';
 export type * as proto from './generated/jujubecroft.js';
 export {
+  DemandReport,
   EntityKind as ProtoEntityKind,
   HeartbeatMessage,
   OperatorClient,
   OperatorService,
   PeerClient,
   PeerService,
+  ShareReply,
 } from './generated/jujubecroft.js';
 export type { UnaryMethod } from './unary.js';
 export { unary } from './unary.js';
