feat(instance): claims through collectors; bounded reports, subsets and memory

Cause: at 370 instances a claim would wait 1.85 s for its turn to write; 30 models would have each instance poll and connect to all 600 replicas; an idle instance took 129 MiB; claims of unknown fate were never given back, since nothing called the release. Change: over 16 instances claims go to one of 16 collectors chosen by hash of the key; 8 load reports a second in turn; subsets share a budget of 96 servers; commands load their parts when run and the bundle is minified; the release runs every five seconds and waits a minute for writes that land late; per-request look ups by index; a full pool is seen before servers are compared.

--- a/packages/backends/src/startEngineAttempt.ts
+++ b/packages/backends/src/startEngineAttempt.ts
@@ -1,6 +1,5 @@
 import { createParser } from 'eventsource-parser';
 import type { Dispatcher, Pool } from 'undici';
-import { z } from 'zod';
 
 import { classifyFailure } from './classifyFailure.js';
 import type {
@@ -13,16 +12,29 @@
 const OK = 200;
 const DONE = '[DONE]';
 
-const chunkSchema = z.object({
-  choices: z
-    .array(
-      z.object({
-        delta: z.object({ content: z.string().nullish() }),
-        finish_reason: z.string().nullish(),
-      }),
-    )
-    .min(1),
-});
+/** A stream chunk, as far as it is read. Checked by hand: once per token. */
+interface Chunk {
+  readonly choices?: readonly {
+    readonly delta?: { readonly content?: unknown };
+  }[];
+}
+
+/**
+ * Takes the new text out of a stream chunk.
+ *
+ * @param data - JSON of the chunk
+ * @returns the text; empty for chunks that carry none
+ * @throws Error when it is no chunk, so that the attempt counts as broken
+ */
+function contentOf(data: string): string {
+  const chunk = JSON.parse(data) as Chunk;
+  const [choice] = chunk.choices ?? [];
+  if (!choice) {
+    throw new Error('The engine sent a chunk without choices.');
+  }
+  const content = choice.delta?.content;
+  return typeof content === 'string' ? content : '';
+}
 
 function bodyOf(call: EngineCall): string {
   const partial =
@@ -75,8 +87,7 @@
       this.#done = true;
       return;
     }
-    const chunk = chunkSchema.parse(JSON.parse(data));
-    const content = chunk.choices[0]?.delta.content ?? '';
+    const content = contentOf(data);
     this.#text += content;
     this.#tokens += content === '' ? 0 : 1;
   }
--- a/packages/bench/src/measure/measureDecisions.ts
+++ b/packages/bench/src/measure/measureDecisions.ts
@@ -22,8 +22,10 @@
   return ((performance.now() - startMs) * MICROSECONDS) / DECISIONS;
 }
 
-/** Cost of a decision over replicas and over queued requests. */
+/** Cost of admitting one request and routing another, over replicas and over queued requests. */
 export async function measureDecisions(): Promise<readonly Slope[]> {
+  // The first run in a process pays for compilation; it is thrown away.
+  microsPerDecision(FIXED_REPLICAS, FIXED_QUEUED);
   const byReplicas = await fitSlope(
     {
       name: 'decision over replicas, 10,000 queued',
--- a/packages/cli/src/commands/DemoCommand.ts
+++ b/packages/cli/src/commands/DemoCommand.ts
@@ -1,6 +1,5 @@
 import { Command, Option } from 'clipanion';
 import { cascade, isInteger, isNumber, isPositive } from 'typanion';
-import { classTable, runDemo } from '@jujubecroft/bench';
 
 import { EXIT } from '../exitCodes.js';
 
@@ -24,6 +23,7 @@
   });
 
   async execute(): Promise<number> {
+    const { classTable, runDemo } = await import('@jujubecroft/bench');
     const result = await runDemo({
       seconds: this.seconds,
       seed: this.seed,
--- a/packages/cli/src/commands/LoadCommand.ts
+++ b/packages/cli/src/commands/LoadCommand.ts
@@ -1,7 +1,6 @@
 import { SingleBar } from 'cli-progress';
 import { Command, Option } from 'clipanion';
 import type { FinishedCall } from '@jujubecroft/bench';
-import { callFigures, LoadRunner, summarizeCalls } from '@jujubecroft/bench';
 import { readSettings } from '@jujubecroft/settings';
 
 import { EXIT } from '../exitCodes.js';
@@ -24,6 +23,8 @@
   });
 
   async execute(): Promise<number> {
+    const { callFigures, LoadRunner, summarizeCalls } =
+      await import('@jujubecroft/bench');
     const settings = readSettings(this.file, 'load');
     const calls: FinishedCall[] = [];
     const bar = new SingleBar({
--- a/packages/cli/src/commands/ServeCommand.ts
+++ b/packages/cli/src/commands/ServeCommand.ts
@@ -1,5 +1,4 @@
 import { Command, Option } from 'clipanion';
-import { createEventLog, startInstance } from '@jujubecroft/instance';
 import { readSettings } from '@jujubecroft/settings';
 
 import { EXIT } from '../exitCodes.js';
@@ -18,6 +17,9 @@
   readonly file = Option.String({ name: 'config', required: true });
 
   async execute(): Promise<number> {
+    // Loaded here, so that other commands need no memory for it.
+    const { createEventLog, startInstance } =
+      await import('@jujubecroft/instance');
     const settings = readSettings(this.file, 'instance');
     const log = createEventLog(settings.instance, settings.logLevel);
     const running = await startInstance(settings, log);
--- a/packages/cli/src/commands/StandInCommand.ts
+++ b/packages/cli/src/commands/StandInCommand.ts
@@ -1,11 +1,6 @@
 import { Command, Option } from 'clipanion';
 import { readSettings } from '@jujubecroft/settings';
 import type { RunningServer } from '@jujubecroft/stand-ins';
-import {
-  startEngine,
-  startPlatform,
-  startService,
-} from '@jujubecroft/stand-ins';
 
 import { EXIT } from '../exitCodes.js';
 import { untilStopped } from '../untilStopped.js';
@@ -13,9 +8,18 @@
 const STARTERS: Readonly<
   Record<string, (file: string) => Promise<RunningServer>>
 > = {
-  engine: file => startEngine(readSettings(file, 'engine')),
-  platform: file => startPlatform(readSettings(file, 'platform')),
-  service: file => startService(readSettings(file, 'service')),
+  engine: async file => {
+    const { startEngine } = await import('@jujubecroft/stand-ins');
+    return startEngine(readSettings(file, 'engine'));
+  },
+  platform: async file => {
+    const { startPlatform } = await import('@jujubecroft/stand-ins');
+    return startPlatform(readSettings(file, 'platform'));
+  },
+  service: async file => {
+    const { startService } = await import('@jujubecroft/stand-ins');
+    return startService(readSettings(file, 'service'));
+  },
 };
 
 /** Runs a stand-in for a system that jujubecroft meets. */
--- a/packages/decisions/src/Router.ts
+++ b/packages/decisions/src/Router.ts
@@ -39,7 +39,10 @@
 
 /** Settings of one router that are no policy. */
 export interface RouterOptions extends RecoveryOptions {
+  /** Servers that one instance uses per pool, at most. */
   readonly subsetSize: number;
+  /** Servers that one instance uses over all pools. */
+  readonly serverBudget: number;
 }
 
 const EXPIRED_RETRY_MS = 1000;
@@ -66,6 +69,7 @@
     this.#configuration = new ConfigurationController(
       board,
       options.subsetSize,
+      options.serverBudget,
     );
     this.#dispatch = new DispatchController(board, policies);
     this.#progress = new ProgressController(board);
--- a/packages/decisions/src/blackboard/Blackboard.ts
+++ b/packages/decisions/src/blackboard/Blackboard.ts
@@ -5,6 +5,9 @@
   DecisionEvent,
   FailureDomainId,
   InstanceId,
+  Organisation,
+  OrganisationId,
+  RequestClass,
   RequestId,
   ResultCodeId,
 } from '@jujubecroft/types';
@@ -58,6 +61,8 @@
   readonly effects: Effects;
   placement: Placement;
   cfg: Configuration;
+  /** Declared entities by id, made anew with each configuration. */
+  declared: DeclaredEntities;
   readonly backends: Map<BackendServerId, BackendView>;
   /** Views by pool key, only of servers in the subset of this instance. */
   readonly pools: Map<string, BackendView[]>;
@@ -69,6 +74,30 @@
   readonly retryCredits: Map<ClassId, number>;
 }
 
+/** Entities that every request looks up. */
+export interface DeclaredEntities {
+  readonly organisations: ReadonlyMap<OrganisationId, Organisation>;
+  /** By the SHA-256 of the organisation key. */
+  readonly organisationsByKey: ReadonlyMap<string, Organisation>;
+  readonly requestClasses: ReadonlyMap<ClassId, RequestClass>;
+}
+
+/**
+ * Makes the index of a configuration.
+ *
+ * @param cfg - the configuration
+ * @returns organisations and request classes by id
+ */
+export function indexEntities(cfg: Configuration): DeclaredEntities {
+  return {
+    organisations: new Map(cfg.organisations.map(entry => [entry.id, entry])),
+    organisationsByKey: new Map(
+      cfg.organisations.map(entry => [entry.keySha256, entry]),
+    ),
+    requestClasses: new Map(cfg.requestClasses.map(entry => [entry.id, entry])),
+  };
+}
+
 /** What a blackboard is created from. */
 export interface BlackboardOptions {
   readonly clock: Clock;
@@ -87,6 +116,7 @@
   return {
     ...options,
     cfg: EMPTY_CONFIGURATION,
+    declared: indexEntities(EMPTY_CONFIGURATION),
     backends: new Map(),
     pools: new Map(),
     queues: new Map(),
--- a/packages/decisions/src/controllers/AdmissionController.ts
+++ b/packages/decisions/src/controllers/AdmissionController.ts
@@ -58,14 +58,12 @@
   }
 
   #recordOf(request: RoutedRequest): RequestRecord {
-    const { cfg, lengths, clock } = this.board;
+    const { declared, lengths, clock } = this.board;
     const rules = assertDefined(
-      cfg.requestClasses.find(({ id }) => id === request.requestClass),
+      declared.requestClasses.get(request.requestClass),
       'the host checks the class before it submits a request',
     );
-    const organisation = cfg.organisations.find(
-      ({ id }) => id === request.organisation,
-    );
+    const organisation = declared.organisations.get(request.organisation);
     const maxTokens = Math.min(request.maxOutputTokens, rules.maxOutputTokens);
     const { mean } = lengths.estimate(
       request.requestClass,
--- a/packages/decisions/src/controllers/ConfigurationController.ts
+++ b/packages/decisions/src/controllers/ConfigurationController.ts
@@ -3,11 +3,14 @@
 import type { BackendView } from '../blackboard/BackendView.js';
 import { createBackendView } from '../blackboard/BackendView.js';
 import type { Blackboard, Placement } from '../blackboard/Blackboard.js';
+import { indexEntities } from '../blackboard/Blackboard.js';
 import type { Target } from '../blackboard/RoutedRequest.js';
 import { evenSubset } from '../subset/evenSubset.js';
 import { poolKey } from '../util/poolKey.js';
 
 const MIN_INITIAL_LIMIT = 2;
+/** Enough for the loss of a failure domain, a straggler and a choice. */
+const MIN_SUBSET = 4;
 
 function targetsOf(server: BackendServer): readonly Target[] {
   return [
@@ -39,11 +42,14 @@
 export class ConfigurationController {
   /**
    * @param board - the blackboard
-   * @param subsetSize - servers that one instance uses per pool
+   * @param subsetSize - servers that one instance uses per pool, at most
+   * @param serverBudget - servers that one instance uses over all pools, unless
+   *   that would leave a pool with fewer than it needs
    */
   constructor(
     private readonly board: Blackboard,
     private readonly subsetSize: number,
+    private readonly serverBudget: number,
   ) {}
 
   /**
@@ -60,6 +66,7 @@
       return false;
     }
     this.board.cfg = cfg;
+    this.board.declared = indexEntities(cfg);
     this.board.limits.configure(cfg.organisations, this.board.clock());
     this.#rebuild();
     return true;
@@ -75,12 +82,15 @@
     const { board } = this;
     this.#dropRemoved();
     board.pools.clear();
-    serversByPool(board.cfg.backendServers).forEach((servers, key) => {
+    const pools = serversByPool(board.cfg.backendServers);
+    const share = Math.floor(this.serverBudget / Math.max(1, pools.size));
+    const size = Math.min(this.subsetSize, Math.max(MIN_SUBSET, share));
+    pools.forEach((servers, key) => {
       const subset = evenSubset(
         servers,
         board.placement.instances,
         board.placement.instance,
-        this.subsetSize,
+        size,
       );
       const users =
         (board.placement.instances.length * subset.length) / servers.length;
--- a/packages/decisions/src/controllers/DispatchController.ts
+++ b/packages/decisions/src/controllers/DispatchController.ts
@@ -83,7 +83,7 @@
     views: readonly BackendView[],
   ): boolean {
     const record = queue.peekDisplaced();
-    if (!record) {
+    if (!record || !this.#hasRoom(record, views)) {
       return false;
     }
     const choice = this.policies.routing(
@@ -106,6 +106,9 @@
       return false;
     }
     const { concurrency } = this.policies;
+    if (!this.#hasRoom(record, views)) {
+      return false;
+    }
     if (!next.guaranteed && !concurrency.mayStart(record, views)) {
       return false;
     }
@@ -123,6 +126,12 @@
     return true;
   }
 
+  /** Cheap check that spares the full comparison when every server is full. */
+  #hasRoom(record: RequestRecord, views: readonly BackendView[]): boolean {
+    const { slots } = this.policies.concurrency;
+    return views.some(view => view.inFlight < slots(view, record));
+  }
+
   #start(
     record: RequestRecord,
     choice: RoutingChoice,
--- a/packages/decisions/src/createRouter.ts
+++ b/packages/decisions/src/createRouter.ts
@@ -14,6 +14,7 @@
 
 export const DEFAULT_ROUTER_OPTIONS: RouterOptions = {
   subsetSize: 24,
+  serverBudget: 96,
   detectSilence: true,
   migrateFromStragglers: true,
 };
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
   Blackboard,
   BlackboardOptions,
   CancelReason,
+  DeclaredEntities,
   Clock,
   Effects,
   Placement,
--- a/packages/decisions/src/policies/routing/least-cost.ts
+++ b/packages/decisions/src/policies/routing/least-cost.ts
@@ -15,6 +15,8 @@
   readonly maxPrefixWorth: number;
   /** Load that another failure domain costs, as a share of capacity. */
   readonly domainCost: number;
+  /** Older reports are not used. */
+  readonly maxReportAgeMs: number;
   /** Time between probes of a straggler, in milliseconds. */
   readonly probeEveryMs: number;
   /** Weight of the load report against own requests scaled to the fleet. */
@@ -37,9 +39,10 @@
   view: BackendView,
   instances: number,
   reportWeight: number,
+  oldestMs: number,
 ): number {
   const scaled = view.inFlight * instances;
-  if (!view.report) {
+  if (!view.report || view.report.takenAtMs < oldestMs) {
     return scaled;
   }
   const reported = view.report.running + view.report.waiting;
@@ -85,7 +88,12 @@
 
   const scoreOf = (view: BackendView, record: RequestRecord): number => {
     const instances = board.placement.instances.length;
-    const load = estimatedLoad(view, instances, options.reportWeight);
+    const load = estimatedLoad(
+      view,
+      instances,
+      options.reportWeight,
+      board.clock() - options.maxReportAgeMs,
+    );
     const worth = Math.min(
       options.maxPrefixWorth,
       (options.prefixWorth * record.request.promptTokens) / TOKENS_PER_UNIT,
@@ -139,6 +147,7 @@
     prefixWorth: z.number().nonnegative().default(0.1),
     maxPrefixWorth: z.number().nonnegative().default(0.3),
     domainCost: z.number().nonnegative().default(0.02),
+    maxReportAgeMs: z.number().positive().default(5000),
     probeEveryMs: z.number().positive().default(3000),
     reportWeight: z.number().min(0).max(1).default(0.25),
     avoidStragglers: z.boolean().default(true),
--- a/packages/instance/src/InstanceContext.ts
+++ b/packages/instance/src/InstanceContext.ts
@@ -3,6 +3,7 @@
 import type { InstanceSettings } from '@jujubecroft/settings';
 
 import type { ClaimBook } from './claims/ClaimBook.js';
+import type { WriteBatcher } from './claims/WriteBatcher.js';
 import type { EventLog } from './events/EventLog.js';
 import type { DecisionFeed } from './host/DecisionFeed.js';
 import type { RouterHost } from './host/RouterHost.js';
@@ -20,6 +21,8 @@
   readonly store: ConfigurationStore;
   readonly sync: ConfigurationSync;
   readonly claims: ClaimBook;
+  /** Writes claims of this instance and, as a collector, of others. */
+  readonly batcher: WriteBatcher;
   readonly shares: ShareLoop;
   readonly log: EventLog;
   /** Whether a stop was asked for. */
--- a/packages/instance/src/claims/ClaimBook.ts
+++ b/packages/instance/src/claims/ClaimBook.ts
@@ -1,7 +1,9 @@
-import type { Row, TableStore, TableWrite } from '@jujubecroft/platform';
+import type { TableStore, TableWrite } from '@jujubecroft/platform';
 import type { IdempotencyKey, OrganisationId } from '@jujubecroft/types';
 import { routerError } from '@jujubecroft/types';
 
+import type { WriteOutcome } from './WriteBatcher.js';
+
 /** A reply as it is kept for repeats. */
 export interface StoredReply {
   readonly status: number;
@@ -23,13 +25,18 @@
   | { readonly kind: 'done'; readonly reply: StoredReply | null }
   | { readonly kind: 'inProgress' };
 
-interface Pending {
-  readonly write: TableWrite;
-  readonly resolve: (conflict: Row | null | undefined) => void;
-  readonly reject: (err: unknown) => void;
+/** Writes a claim row if its condition holds. */
+export type ClaimWriter = (write: TableWrite) => Promise<WriteOutcome>;
+
+interface Abandoned {
+  readonly row: string;
+  readonly owner: string;
+  readonly sinceMs: number;
 }
 
-const MAX_BATCH = 64;
+const RELEASE_EVERY_MS = 5000;
+/** A write that is still under way somewhere has landed or failed by then. */
+const ABANDONED_MS = 60_000;
 const MAX_KEPT_BYTES = 8192;
 const RETRY_AFTER_MS = 1000;
 
@@ -41,20 +48,37 @@
  * anything is sent to a backend server.
  *
  * The table's compare-and-set decides who may run a key, whichever instances
- * the repeats reach; claims that arrive while a transaction is under way share
- * the next one. See docs/design/at-most-once.md.
+ * the repeats reach. See docs/design/at-most-once.md.
  */
 export class ClaimBook {
-  readonly #pending: Pending[] = [];
-  #busy = false;
-  /** Claims that were recorded but not used, to be given back. */
-  readonly #abandoned = new Set<string>();
+  /** Claims of unknown fate whose requests were refused, to be given back. */
+  readonly #abandoned = new Set<Abandoned>();
+  #timer: NodeJS.Timeout | null = null;
 
+  /**
+   * @param table - where claims are read
+   * @param write - writes one row, here or at a collector
+   * @param clock - present time in milliseconds
+   */
   constructor(
-    private readonly table: TableStore,
-    private readonly paceMs: () => number,
+    private readonly table: Pick<TableStore, 'get' | 'transact'>,
+    private readonly write: ClaimWriter,
+    private readonly clock: () => number,
   ) {}
 
+  /** Gives abandoned claims back from time to time. */
+  start(): void {
+    this.#timer = setInterval(() => {
+      this.releaseAbandoned().catch(() => undefined);
+    }, RELEASE_EVERY_MS);
+  }
+
+  stop(): void {
+    if (this.#timer) {
+      clearInterval(this.#timer);
+    }
+  }
+
   /**
    * Claims a key for this request.
    *
@@ -73,7 +97,7 @@
     const row = keyOf(organisation, key);
     const claim: Claim = { owner, state: 'claimed', reply: null };
     try {
-      const conflict = await this.#enqueue({
+      const conflict = await this.write({
         key: row,
         value: claim,
         ifVersion: 0,
@@ -93,7 +117,7 @@
   ): Promise<void> {
     const kept = reply.bodyBase64.length <= MAX_KEPT_BYTES ? reply : null;
     const claim: Claim = { owner, state: 'done', reply: kept };
-    await this.#enqueue({ key: keyOf(organisation, key), value: claim });
+    await this.write({ key: keyOf(organisation, key), value: claim });
   }
 
   /** Gives a claim back, because its request certainly did not run. */
@@ -101,30 +125,31 @@
     organisation: OrganisationId,
     key: IdempotencyKey,
   ): Promise<void> {
-    await this.#enqueue({ key: keyOf(organisation, key), value: null });
+    await this.write({ key: keyOf(organisation, key), value: null });
   }
 
   /** Gives back claims whose fate was unknown when their requests were refused. */
   async releaseAbandoned(): Promise<void> {
-    const rows = [...this.#abandoned];
-    await Promise.all(
-      rows.map(async entry => {
-        const { row, owner } = JSON.parse(entry) as {
-          row: string;
-          owner: string;
-        };
-        const found = await this.table.get(row);
-        if (found && (found.value as Claim).owner === owner) {
-          await this.table.transact([
-            { key: row, value: null, ifVersion: found.version },
-          ]);
-        }
-        this.#abandoned.delete(entry);
-      }),
-    );
+    const entries = [...this.#abandoned];
+    await Promise.all(entries.map(entry => this.#giveBack(entry)));
+  }
+
+  async #giveBack(entry: Abandoned): Promise<void> {
+    const { row, owner, sinceMs } = entry;
+    const found = await this.table.get(row);
+    const isOwn = (found?.value as Claim | undefined)?.owner === owner;
+    if (found && isOwn) {
+      await this.table.transact([
+        { key: row, value: null, ifVersion: found.version },
+      ]);
+    }
+    // A row that is not there yet may still come: its write can be late.
+    if (isOwn || this.clock() - sinceMs > ABANDONED_MS) {
+      this.#abandoned.delete(entry);
+    }
   }
 
-  #judge(conflict: Row | null | undefined, owner: string): ClaimResult {
+  #judge(conflict: WriteOutcome, owner: string): ClaimResult {
     if (conflict === undefined) {
       return { kind: 'claimed' };
     }
@@ -151,76 +176,11 @@
     } catch {
       // Falls through to the refusal below: the fate stays unknown.
     }
-    this.#abandoned.add(JSON.stringify({ row, owner }));
+    this.#abandoned.add({ row, owner, sinceMs: this.clock() });
     throw routerError(
       'claimUnavailable',
       'The table store did not confirm the claim for the idempotency key.',
       { retryAfterMs: RETRY_AFTER_MS },
     );
   }
-
-  /** @returns undefined when written, else the row that stood in the way */
-  #enqueue(write: TableWrite): Promise<Row | null | undefined> {
-    return new Promise((resolve, reject) => {
-      this.#pending.push({ write, resolve, reject });
-      void this.#drain();
-    });
-  }
-
-  async #drain(): Promise<void> {
-    if (this.#busy) {
-      return;
-    }
-    this.#busy = true;
-    while (this.#pending.length > 0) {
-      await this.#commit(this.#takeBatch());
-      await new Promise(resolve => setTimeout(resolve, this.paceMs()));
-    }
-    this.#busy = false;
-  }
-
-  /** Each key once, so that the writes of a batch do not meet each other. */
-  #takeBatch(): readonly Pending[] {
-    const keys = new Set<string>();
-    const batch = this.#pending
-      .filter(({ write }) => {
-        const fresh = !keys.has(write.key);
-        keys.add(write.key);
-        return fresh;
-      })
-      .slice(0, MAX_BATCH);
-    const taken = new Set(batch);
-    const rest = this.#pending.filter(pending => !taken.has(pending));
-    this.#pending.splice(0, this.#pending.length, ...rest);
-    return batch;
-  }
-
-  /** Commits a batch; one that meets a conflict goes on without the loser. */
-  async #commit(batch: readonly Pending[]): Promise<void> {
-    if (batch.length === 0) {
-      return;
-    }
-    try {
-      const result = await this.table.transact(batch.map(({ write }) => write));
-      if (result.ok) {
-        batch.forEach(({ resolve }) => {
-          resolve(undefined);
-        });
-        return;
-      }
-      const { conflictKey, conflict } = result;
-      batch
-        .filter(({ write }) => write.key === conflictKey)
-        .forEach(({ resolve }) => {
-          resolve(conflict);
-        });
-      await this.#commit(
-        batch.filter(({ write }) => write.key !== conflictKey),
-      );
-    } catch (err) {
-      batch.forEach(({ reject }) => {
-        reject(err);
-      });
-    }
-  }
 }
--- a/packages/instance/src/control/peerHandlers.ts
+++ b/packages/instance/src/control/peerHandlers.ts
@@ -88,5 +88,28 @@
     callback(null, { shares: context.shares.onReport(call.request) });
   };
 
-  return { heartbeat, probeFor, reportDemand, configuration };
+  const recordClaim: handleUnaryCall<proto.ClaimWrite, proto.ClaimReply> = (
+    call,
+    callback,
+  ) => {
+    const { key, valueJson, ifAbsent } = call.request;
+    context.batcher
+      .write({
+        key,
+        value: JSON.parse(valueJson) as unknown,
+        ...(ifAbsent ? { ifVersion: 0 } : {}),
+      })
+      .then(
+        outcome => {
+          const written = outcome === undefined;
+          const conflictJson = written ? '' : JSON.stringify(outcome);
+          callback(null, { written, conflictJson });
+        },
+        (err: unknown) => {
+          callback(grpcError(err));
+        },
+      );
+  };
+
+  return { heartbeat, probeFor, reportDemand, recordClaim, configuration };
 }
--- a/packages/instance/src/host/RouterHost.ts
+++ b/packages/instance/src/host/RouterHost.ts
@@ -21,7 +21,9 @@
 import { startAttempt } from './startAttempt.js';
 
 const TICK_MS = 100;
-const REPORT_EVERY_MS = 250;
+/** Load reports that this instance reads in a second, however many servers. */
+const REPORTS_PER_SECOND = 8;
+const MS_PER_SECOND = 1000;
 
 function errorOf(refusal: Refusal): RouterErrorInstance {
   const { code, retryAfterMs } = refusal;
@@ -37,6 +39,7 @@
   readonly #sessions = new Map<RequestId, Session>();
   readonly #timers: NodeJS.Timeout[] = [];
   #idle: (() => void) | null = null;
+  #reportTurn = 0;
 
   constructor(
     placement: Placement,
@@ -82,8 +85,8 @@
         this.metrics.inFlight.set(this.inFlight);
       }, TICK_MS),
       setInterval(() => {
-        this.#fetchReports();
-      }, REPORT_EVERY_MS),
+        this.#fetchReport();
+      }, MS_PER_SECOND / REPORTS_PER_SECOND),
     );
   }
 
@@ -173,14 +176,20 @@
     }
   }
 
-  #fetchReports(): void {
-    const pooled = new Set([...this.router.board.pools.values()].flat());
-    pooled.forEach(({ server }) => {
-      void fetchLoadReport(this.#pools.of(server)).then(report => {
-        if (report) {
-          this.router.onReport(server.id, report);
-        }
-      });
+  /** Servers take turns, so that the cost does not grow with their number. */
+  #fetchReport(): void {
+    const servers = [
+      ...new Set([...this.router.board.pools.values()].flat()),
+    ].map(view => view.server);
+    this.#reportTurn += 1;
+    const server = servers[this.#reportTurn % servers.length];
+    if (!server) {
+      return;
+    }
+    void fetchLoadReport(this.#pools.of(server)).then(report => {
+      if (report) {
+        this.router.onReport(server.id, report);
+      }
     });
   }
 }
--- a/packages/instance/src/http/ChatController.ts
+++ b/packages/instance/src/http/ChatController.ts
@@ -50,7 +50,7 @@
     @Res() reply: FastifyReply,
   ): Promise<void> {
     checkServing(this.context);
-    const caller = identifyCaller(req, this.context.host.configuration);
+    const caller = identifyCaller(req, this.context.host.router.board.declared);
     const chat = parseChat(req.body);
     this.#checkModel(chat.model);
     const id = brand<RequestId>(randomUUID());
--- a/packages/instance/src/http/ServiceController.ts
+++ b/packages/instance/src/http/ServiceController.ts
@@ -113,7 +113,7 @@
     @Res() reply: FastifyReply,
   ): Promise<void> {
     checkServing(this.context);
-    const caller = identifyCaller(req, this.context.host.configuration);
+    const caller = identifyCaller(req, this.context.host.router.board.declared);
     this.#checkService(service);
     const id = brand<RequestId>(randomUUID());
     if (await runOnce(this.context, caller, id, reply)) {
--- a/packages/instance/src/http/identifyCaller.ts
+++ b/packages/instance/src/http/identifyCaller.ts
@@ -1,8 +1,8 @@
 import { createHash } from 'node:crypto';
 import type { FastifyRequest } from 'fastify';
+import type { DeclaredEntities } from '@jujubecroft/decisions';
 import type {
   ClassId,
-  Configuration,
   IdempotencyKey,
   Organisation,
   RequestClass,
@@ -26,12 +26,15 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
-function organisationOf(req: FastifyRequest, cfg: Configuration): Organisation {
+function organisationOf(
+  req: FastifyRequest,
+  declared: DeclaredEntities,
+): Organisation {
   const key = BEARER.exec(header(req, 'authorization') ?? '')?.[1];
   const hash = createHash('sha256')
     .update(key ?? '')
     .digest('hex');
-  const found = cfg.organisations.find(({ keySha256 }) => keySha256 === hash);
+  const found = declared.organisationsByKey.get(hash);
   if (key === undefined || !found) {
     throw routerError(
       'unknownOrganisation',
@@ -41,9 +44,12 @@
   return found;
 }
 
-function classOf(req: FastifyRequest, cfg: Configuration): RequestClass {
+function classOf(
+  req: FastifyRequest,
+  declared: DeclaredEntities,
+): RequestClass {
   const name = brand<ClassId>(header(req, 'x-request-class') ?? '');
-  const found = cfg.requestClasses.find(({ id }) => id === name);
+  const found = declared.requestClasses.get(name);
   if (!found) {
     throw routerError(
       'unknownClass',
@@ -86,16 +92,16 @@
  * Reads and checks the headers of a call.
  *
  * @param req - the call
- * @param cfg - configuration in force
+ * @param declared - entities in force
  * @returns the caller
  * @throws RouterError `unknownOrganisation`, `unknownClass` or `headerOutOfRange`
  */
 export function identifyCaller(
   req: FastifyRequest,
-  cfg: Configuration,
+  declared: DeclaredEntities,
 ): Caller {
-  const organisation = organisationOf(req, cfg);
-  const requestClass = classOf(req, cfg);
+  const organisation = organisationOf(req, declared);
+  const requestClass = classOf(req, declared);
   return {
     organisation,
     requestClass,
--- a/packages/instance/src/startInstance.ts
+++ b/packages/instance/src/startInstance.ts
@@ -7,6 +7,8 @@
 import { brand, createRandom } from '@jujubecroft/types';
 
 import { ClaimBook } from './claims/ClaimBook.js';
+import { ClaimCollectors } from './claims/ClaimCollectors.js';
+import { WriteBatcher } from './claims/WriteBatcher.js';
 import { peerCredentials } from './control/peerCredentials.js';
 import { startControlServer } from './control/startControlServer.js';
 import type { EventLog } from './events/EventLog.js';
@@ -32,10 +34,6 @@
   readonly kill: () => Promise<void>;
 }
 
-/** Writes a second that claims of the whole fleet may cost the table. */
-const CLAIM_WRITES_PER_SECOND = 200;
-const MIN_CLAIM_PACE_MS = 10;
-const MS_PER_SECOND = 1000;
 /** Time for the news of a leave to reach callers and other instances. */
 const LEAVE_SPREAD_MS = 1500;
 
@@ -94,13 +92,17 @@
     log,
     random,
   );
-  const claims = new ClaimBook(platform.table, () => {
-    const fleet = membership.serving.length + 1;
-    return Math.max(
-      MIN_CLAIM_PACE_MS,
-      (fleet / CLAIM_WRITES_PER_SECOND) * MS_PER_SECOND,
-    );
-  });
+  const collectors: ClaimCollectors = new ClaimCollectors(
+    membership,
+    peers,
+    () => batcher,
+  );
+  const batcher = new WriteBatcher(platform.table, () => collectors.paceMs());
+  const claims = new ClaimBook(
+    platform.table,
+    write => collectors.write(write),
+    () => Date.now(),
+  );
   const loop = new MembershipLoop(
     membership,
     platform.instances,
@@ -121,6 +123,7 @@
     store,
     sync,
     claims,
+    batcher,
     shares: new ShareLoop(membership, peers, host),
     log,
     leaving: false,
@@ -151,6 +154,7 @@
   const close = async (): Promise<void> => {
     sync.stop();
     context.shares.stop();
+    context.claims.stop();
     loop.stop();
     control.stop();
     await host.stop();
@@ -166,6 +170,7 @@
   }
   host.start();
   context.shares.start();
+  context.claims.start();
   log.write('instanceStarted', { callerUrl, controlAddress });
   return {
     callerUrl,
--- a/packages/instance/src/state/PeerConnections.ts
+++ b/packages/instance/src/state/PeerConnections.ts
@@ -2,8 +2,12 @@
 import { Metadata } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
 import { PeerClient, unary } from '@jujubecroft/operator';
+import type { Row, TableWrite } from '@jujubecroft/platform';
+
+import type { WriteOutcome } from '../claims/WriteBatcher.js';
 
 const CALL_TIMEOUT_MS = 900;
+const CLAIM_TIMEOUT_MS = 3000;
 const CONFIGURATION_TIMEOUT_MS = 3000;
 
 /** Channels to other instances, opened at first use. */
@@ -50,6 +54,24 @@
     );
   }
 
+  /** Has a collector write a claim; it may have been written if this fails. */
+  async recordClaim(address: string, write: TableWrite): Promise<WriteOutcome> {
+    const client = this.#of(address);
+    const reply = await unary(
+      client.recordClaim.bind(client),
+      {
+        key: write.key,
+        valueJson: JSON.stringify(write.value),
+        ifAbsent: write.ifVersion === 0,
+      },
+      new Metadata(),
+      CLAIM_TIMEOUT_MS,
+    );
+    return reply.written
+      ? undefined
+      : (JSON.parse(reply.conflictJson) as Row | null);
+  }
+
   configuration(
     address: string,
     afterRevision: number,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -48,6 +48,8 @@
   banner: {
     js: "const __bundleUrl = require('node:url').pathToFileURL(process.execPath).href;",
   },
+  minify: true,
+  keepNames: true,
   logLevel: 'error',
 });
 
