feat(bench): experiments over real sockets; candidates only for watchers

Cause: changes of the fleet were shown only by tests, and each routing decision built a list of 24 candidates that nobody read.

--- /dev/null
+++ b/packages/backends/tests/classifyFailure.test.ts
@@ -0,0 +1,28 @@
+import { describe } from '@jujubecroft/testing';
+
+import { classifyFailure } from '../src/index.js';
+
+const withCode = (code: string): Error =>
+  Object.assign(new Error(code), { code });
+
+const CASES = [
+  { err: withCode('ECONNREFUSED'), ran: 'no' },
+  { err: withCode('EHOSTUNREACH'), ran: 'no' },
+  { err: withCode('UND_ERR_CONNECT_TIMEOUT'), ran: 'no' },
+  { err: withCode('ECONNRESET'), ran: 'maybe' },
+  { err: withCode('EPIPE'), ran: 'maybe' },
+  { err: withCode('UND_ERR_SOCKET'), ran: 'maybe' },
+  { err: new Error('anything'), ran: 'maybe' },
+  { err: 'a string', ran: 'maybe' },
+  { err: null, ran: 'maybe' },
+] as const;
+
+describe('classifyFailure', ({ it }) => {
+  CASES.forEach(({ err, ran }, index) => {
+    it(`says "${ran}" for case ${index}: ${String(err)}`, t => {
+      // A price is changed twice, because a reset connection was taken for one
+      // that never existed. Only a refused connection proves that nothing ran.
+      t.is(classifyFailure(err).ran, ran);
+    });
+  });
+});
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -26,3 +26,5 @@
 export { runSlopes, SLOPE_PARTS } from './measure/runSlopes.js';
 export { slopesTable } from './measure/slopesTable.js';
 export { callFigures } from './report/callFigures.js';
+export { FLEET_EXPERIMENTS } from './fleet/catalogue.js';
+export type { FleetExperiment, FleetResult } from './fleet/FleetExperiment.js';
--- a/packages/bench/src/measure/LoadedRouter.ts
+++ b/packages/bench/src/measure/LoadedRouter.ts
@@ -56,6 +56,7 @@
         cancel: () => undefined,
         refuse: () => undefined,
         explain: () => undefined,
+        isWatched: () => false,
       },
     });
     this.#configure(replicas);
--- a/packages/bench/src/measure/measureProcesses.ts
+++ b/packages/bench/src/measure/measureProcesses.ts
@@ -15,6 +15,8 @@
 const ENGINES = 3;
 const SECONDS = 8;
 const SETTLE_MS = 3000;
+/** Until the code of an idle instance has been compiled. */
+const IDLE_SETTLE_MS = 12_000;
 const FLEETS = [2, 4, 8, 16];
 const MS_PER_SECOND = 1000;
 const MICROSECONDS = 1000;
@@ -23,6 +25,7 @@
 const SHORT_RATES = [40, 80, 160, 320];
 const LONG_RATES = [10, 20, 40, 80];
 const DIRECT_RATE = 20;
+const WARM_UP_RATE = 320;
 const MIB = 1_048_576;
 
 const loadSchema = z.object({
@@ -99,6 +102,7 @@
         cpuMs: total.cpuMs + usage.cpuMs,
         residentBytes: total.residentBytes + usage.residentBytes,
       }));
+    await wait(IDLE_SETTLE_MS);
     const before = sum();
     await wait(SECONDS * MS_PER_SECOND);
     const after = sum();
@@ -163,7 +167,8 @@
 /** Processor time of one instance per request and per streamed token. */
 export function measureDataPath(): Promise<DataPathResult> {
   return withFleet(22_000, 1, async fleet => {
-    await underLoad(fleet, DIRECT_RATE, LONG_TOKENS);
+    // Compiles the code of the data path before anything is counted.
+    await underLoad(fleet, WARM_UP_RATE, SHORT_TOKENS);
     const short: Point[] = [];
     for (const rate of SHORT_RATES) {
       const { cpuMs, figures } = await underLoad(fleet, rate, SHORT_TOKENS);
--- a/packages/bench/src/simulation/runArm.ts
+++ b/packages/bench/src/simulation/runArm.ts
@@ -185,6 +185,7 @@
                 this.#end(call, { kind: 'refused', tokens: call.tokens });
               }
             },
+            isWatched: () => false,
             explain: event => {
               this.#promises.onDecision(event, this.#calls.get(event.request));
             },
--- a/packages/cli/src/commands/experimentCommands.ts
+++ b/packages/cli/src/commands/experimentCommands.ts
@@ -2,6 +2,8 @@
 import { Command, Option } from 'clipanion';
 import { cascade, isInteger, isNumber, isPositive } from 'typanion';
 
+import type { FleetExperiment } from '@jujubecroft/bench';
+
 import { EXIT } from '../exitCodes.js';
 
 /** The experiment that measures this machine, not the policy. */
@@ -13,9 +15,10 @@
   static override usage = Command.Usage({ description: 'list experiments' });
 
   async execute(): Promise<number> {
-    const { EXPERIMENTS } = await import('@jujubecroft/bench');
+    const { EXPERIMENTS, FLEET_EXPERIMENTS } =
+      await import('@jujubecroft/bench');
     this.context.stdout.write(`${SLOPES}\tslopes for docs/CAPACITY.md\n`);
-    EXPERIMENTS.forEach(({ meta }) => {
+    [...EXPERIMENTS, ...FLEET_EXPERIMENTS].forEach(({ meta }) => {
       this.context.stdout.write(`${meta.name}\t${meta.description}\n`);
     });
     return EXIT.ok;
@@ -49,8 +52,36 @@
     description: 'of slopes: decisions, state, heartbeats, idle or data-path',
   });
 
-  execute(): Promise<number> {
-    return this.name === SLOPES ? this.#runSlopes() : this.#runVirtual();
+  async execute(): Promise<number> {
+    if (this.name === SLOPES) {
+      return this.#runSlopes();
+    }
+    const { FLEET_EXPERIMENTS } = await import('@jujubecroft/bench');
+    const fleet = FLEET_EXPERIMENTS.find(({ meta }) => meta.name === this.name);
+    return fleet ? this.#runFleet(fleet) : this.#runVirtual();
+  }
+
+  async #runFleet(experiment: FleetExperiment): Promise<number> {
+    const { classTable } = await import('@jujubecroft/bench');
+    const result = await experiment.run({
+      seed: this.seed,
+      seconds: this.seconds ?? null,
+    });
+    Object.entries(result.figures).forEach(([name, value]) => {
+      this.context.stdout.write(`${name}: ${Number(value.toFixed(1))}\n`);
+    });
+    if (result.classes.length > 0) {
+      this.context.stdout.write(`${classTable(result.classes)}\n`);
+    }
+    this.#keep(result);
+    return this.#judge(result.brokenPromises);
+  }
+
+  #judge(brokenPromises: readonly string[]): number {
+    brokenPromises.forEach(line => {
+      this.context.stdout.write(`broken promise: ${line}\n`);
+    });
+    return brokenPromises.length === 0 ? EXIT.ok : EXIT.brokenPromise;
   }
 
   async #runSlopes(): Promise<number> {
@@ -87,10 +118,6 @@
     });
     this.context.stdout.write(`${experimentTable(result)}\n`);
     this.#keep(result);
-    const own = result.arms[0]?.brokenPromises ?? [];
-    own.forEach(line => {
-      this.context.stdout.write(`broken promise: ${line}\n`);
-    });
-    return own.length === 0 ? EXIT.ok : EXIT.brokenPromise;
+    return this.#judge(result.arms[0]?.brokenPromises ?? []);
   }
 }
--- a/packages/decisions/src/blackboard/Blackboard.ts
+++ b/packages/decisions/src/blackboard/Blackboard.ts
@@ -44,6 +44,8 @@
   ) => void;
   readonly refuse: (record: RequestRecord, refusal: Refusal) => void;
   readonly explain: (event: DecisionEvent) => void;
+  /** Whether somebody reads the candidates of routing decisions now. */
+  readonly isWatched: () => boolean;
 }
 
 /** Who this instance is and what it knows of the fleet. */
--- a/packages/decisions/src/controllers/DispatchController.ts
+++ b/packages/decisions/src/controllers/DispatchController.ts
@@ -156,7 +156,7 @@
     explain(board, record, {
       kind: 'routed',
       backendServer: view.server.id,
-      candidates: choice.candidates,
+      candidates: board.effects.isWatched() ? choice.candidates() : [],
       queuedMs,
       guaranteed,
     });
--- a/packages/decisions/src/controllers/RecoveryController.ts
+++ b/packages/decisions/src/controllers/RecoveryController.ts
@@ -191,9 +191,7 @@
       record.attempts < MAX_ATTEMPTS_TO_MIGRATE &&
       record.tokensDelivered > 0 &&
       left >= MIN_TOKENS_LEFT_TO_MIGRATE &&
-      this.dispatch
-        .choose(record)
-        .candidates.some(({ verdict }) => verdict === 'chosen')
+      this.dispatch.choose(record).view !== undefined
     );
   }
 }
--- a/packages/decisions/src/policies/routing/RoutingPolicy.ts
+++ b/packages/decisions/src/policies/routing/RoutingPolicy.ts
@@ -3,10 +3,11 @@
 import type { BackendView } from '../../blackboard/BackendView.js';
 import type { RequestRecord } from '../../blackboard/RoutedRequest.js';
 
-/** The chosen server, if any, and how every candidate was judged. */
+/** The chosen server, if any, with the means to explain the choice. */
 export interface RoutingChoice {
   readonly view: BackendView | undefined;
-  readonly candidates: readonly CandidateView[];
+  /** How every candidate was judged; costs time, so only for watchers. */
+  readonly candidates: () => readonly CandidateView[];
 }
 
 /** Says how many own requests may be on a server for a given request. */
--- a/packages/decisions/src/policies/routing/least-cost.ts
+++ b/packages/decisions/src/policies/routing/least-cost.ts
@@ -24,6 +24,13 @@
   readonly avoidStragglers: boolean;
 }
 
+/** A server with its fitness; the score counts only where it is fit. */
+interface Judgement {
+  readonly view: BackendView;
+  readonly verdict: CandidateView['verdict'];
+  readonly score: number;
+}
+
 const HIGHEST_TIER = 1;
 const TIE_BREAK = 0.001;
 const TOKENS_PER_UNIT = 1000;
@@ -108,32 +115,40 @@
     );
   };
 
+  const judge = (
+    view: BackendView,
+    record: RequestRecord,
+    slots: SlotLimit,
+    nowMs: number,
+  ): Judgement => {
+    const verdict = verdictOf(view, record, slots, nowMs);
+    const score = verdict === 'worse' ? scoreOf(view, record) : Infinity;
+    return { view, verdict, score };
+  };
+
   return (record, views, slots) => {
     const nowMs = board.clock();
-    const judged = views.map(view => ({
-      view,
-      score: scoreOf(view, record),
-      verdict: verdictOf(view, record, slots, nowMs),
-    }));
-    const best = judged
-      .filter(({ verdict }) => verdict === 'worse')
-      .reduce<(typeof judged)[number] | undefined>(
-        (winner, next) =>
-          !winner || next.score < winner.score ? next : winner,
-        undefined,
-      );
+    const judged = views.map(view => judge(view, record, slots, nowMs));
+    const best = judged.reduce<Judgement | undefined>(
+      (winner, next) =>
+        next.verdict === 'worse' && next.score < (winner?.score ?? Infinity)
+          ? next
+          : winner,
+      undefined,
+    );
     if (best?.view.straggler) {
       best.view.lastProbeAtMs = nowMs;
     }
     return {
       view: best?.view,
-      candidates: judged.map(({ view, score, verdict }) => ({
-        backendServer: view.server.id,
-        score,
-        inFlight: view.inFlight,
-        limit: view.limit,
-        verdict: view === best?.view ? 'chosen' : verdict,
-      })),
+      candidates: () =>
+        judged.map(({ view, score, verdict }) => ({
+          backendServer: view.server.id,
+          score,
+          inFlight: view.inFlight,
+          limit: view.limit,
+          verdict: view === best?.view ? 'chosen' : verdict,
+        })),
     };
   };
 }
--- a/packages/decisions/src/policies/routing/least-outstanding.ts
+++ b/packages/decisions/src/policies/routing/least-outstanding.ts
@@ -25,6 +25,6 @@
         (best, next) => (!best || next.inFlight < best.inFlight ? next : best),
         undefined,
       );
-    return { view, candidates: [] };
+    return { view, candidates: () => [] };
   },
 });
--- a/packages/decisions/src/policies/routing/round-robin.ts
+++ b/packages/decisions/src/policies/routing/round-robin.ts
@@ -18,7 +18,7 @@
           isFit(view, record, nowMs) && view.inFlight < slots(view, record),
       );
       turn += 1;
-      return { view: open[turn % open.length], candidates: [] };
+      return { view: open[turn % open.length], candidates: () => [] };
     };
   },
 });
--- a/packages/instance/src/host/DecisionFeed.ts
+++ b/packages/instance/src/host/DecisionFeed.ts
@@ -20,6 +20,10 @@
 export class DecisionFeed {
   readonly #watchers = new Set<Watcher>();
 
+  get isWatched(): boolean {
+    return this.#watchers.size > 0;
+  }
+
   publish(event: DecisionEvent): void {
     this.#watchers.forEach(watcher => {
       watcher(event);
--- a/packages/instance/src/host/RouterHost.ts
+++ b/packages/instance/src/host/RouterHost.ts
@@ -61,6 +61,7 @@
         refuse: (record, refusal) => {
           this.#refuse(record, refusal);
         },
+        isWatched: () => this.feed.isWatched,
         explain: event => {
           this.metrics.observe(event);
           this.feed.publish(event);
