--- a/packages/bench/src/load/AddressBook.ts
+++ b/packages/bench/src/load/AddressBook.ts
@@ -15,7 +15,8 @@
   #expiresMs = 0;
   #turn = 0;
 
-  constructor(entryUrls: readonly string[]) {
+  /** @param entryUrls - known from the start, and the way back when all else is gone */
+  constructor(private readonly entryUrls: readonly string[]) {
     this.#urls = entryUrls;
   }
 
@@ -36,7 +37,7 @@
 
   async #refresh(): Promise<void> {
     this.#expiresMs = Date.now() + MS_PER_SECOND;
-    for (const url of this.#urls) {
+    for (const url of [...this.#urls, ...this.entryUrls]) {
       if (await this.#ask(url)) {
         return;
       }
--- a/packages/bench/src/simulation/PromiseWatch.ts
+++ b/packages/bench/src/simulation/PromiseWatch.ts
@@ -28,11 +28,15 @@
   }
 
   onDecision(event: DecisionEvent, call: CallRecord | undefined): void {
-    if (event.kind === 'routed' && call?.arrival.stream.target === 'engine') {
-      this.#onRouted(event);
+    const { decision } = event;
+    if (
+      decision.kind === 'routed' &&
+      call?.arrival.stream.target === 'engine'
+    ) {
+      this.#onRouted(event, decision.guaranteed);
     }
-    if (event.kind === 'shed' && call) {
-      this.#onShed(event, event.code, call);
+    if (decision.kind === 'shed' && call) {
+      this.#onShed(event, decision.code, call);
     }
   }
 
@@ -70,9 +74,9 @@
       });
   }
 
-  #onRouted(event: DecisionEvent): void {
+  #onRouted(event: DecisionEvent, guaranteed: boolean): void {
     const tier = this.#rules.get(event.requestClass)?.tier ?? 1;
-    if (tier > 1 && event.kind === 'routed' && !event.guaranteed) {
+    if (tier > 1 && !guaranteed) {
       this.#lastLower.set(event.instance, {
         atMs: event.atMs,
         requestClass: event.requestClass,
--- a/packages/bench/src/simulation/runArm.ts
+++ b/packages/bench/src/simulation/runArm.ts
@@ -39,7 +39,7 @@
 
 const TICK_MS = 100;
 /** As often as an instance with this many servers reads each of them. */
-const REPORT_EVERY_MS = 1400;
+const REPORT_EVERY_MS = 2800;
 const MS_PER_SECOND = 1000;
 const DRAIN_SECONDS = 120;
 const SAME_PRIORITY = 1;
--- a/packages/bench/tests/wholePath.test.ts
+++ b/packages/bench/tests/wholePath.test.ts
@@ -19,6 +19,7 @@
 const answerSchema = z.object({
   choices: z.array(z.object({ message: z.object({ content: z.string() }) })),
 });
+const keepSchema = z.object({ keep_seconds: z.number() });
 const addressesSchema = z.object({
   addresses: z.array(z.object({ instance: z.string() })),
 });
@@ -372,6 +373,16 @@
       });
     });
 
+    it('does not let callers keep the answer of a new instance for long', t => {
+      // All callers hang on one instance and fail when it is replaced. It had
+      // just started, knew no other yet, and its answer was kept.
+      return withFleet(async (_fleet, url) => {
+        const reply = await call(url, { path: '/v1/addresses', method: 'GET' });
+        const { keep_seconds: keep } = keepSchema.parse(JSON.parse(reply.text));
+        t.true(keep <= 1);
+      });
+    });
+
     it('starts from a peer while the platform is down', async t => {
       // An instance that is replaced during an outage never serves. Table and
       // list are down, yet its peers hold the configuration.
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -37,7 +37,7 @@
 }
 
 export const DEFAULT_MEMBERSHIP: MembershipOptions = {
-  fanout: 3,
+  fanout: 2,
   periodMs: 1000,
   suspectMs: 4000,
   maxFacts: 12,
--- a/packages/decisions/src/util/explain.ts
+++ b/packages/decisions/src/util/explain.ts
@@ -16,11 +16,11 @@
   decision: Decision,
 ): void {
   board.effects.explain({
-    ...decision,
     atMs: board.clock(),
     instance: board.placement.instance,
     request: record.request.id,
     organisation: record.request.organisation,
     requestClass: record.rules.id,
+    decision,
   });
 }
--- a/packages/decisions/tests/Router.test.ts
+++ b/packages/decisions/tests/Router.test.ts
@@ -229,11 +229,13 @@
       const id = fixture.submit();
       fixture.finish(id, 3);
       t.deepEqual(
-        fixture.decisions.map(({ kind }) => kind),
+        fixture.decisions.map(({ decision }) => decision.kind),
         ['admitted', 'queued', 'routed', 'finished'],
       );
-      const routed = fixture.decisions.find(({ kind }) => kind === 'routed');
-      t.is(routed?.kind === 'routed' ? routed.candidates.length : 0, 3);
+      const candidates = fixture.decisions.flatMap(({ decision }) =>
+        decision.kind === 'routed' ? decision.candidates : [],
+      );
+      t.is(candidates.length, 3);
     });
   });
 });
--- a/packages/decisions/tests/membership/Membership.test.ts
+++ b/packages/decisions/tests/membership/Membership.test.ts
@@ -185,7 +185,7 @@
         fleet.run(10);
         return fleet.messages / count / 10;
       });
-      t.deepEqual(perNode, [3, 3]);
+      t.deepEqual(perNode, [2, 2]);
     });
   });
 });
--- a/packages/instance/src/InstanceContext.ts
+++ b/packages/instance/src/InstanceContext.ts
@@ -25,6 +25,8 @@
   readonly batcher: WriteBatcher;
   readonly shares: ShareLoop;
   readonly log: EventLog;
+  /** Whether this instance may not know the whole fleet yet. */
+  readonly isYoung: () => boolean;
   /** Whether a stop was asked for. */
   leaving: boolean;
 }
--- a/packages/instance/src/control/OperatorViews.ts
+++ b/packages/instance/src/control/OperatorViews.ts
@@ -43,17 +43,9 @@
 
 /** The message of a decision, its numbers in JSON. */
 export function toDecisionMessage(event: DecisionEvent): proto.DecisionEvent {
-  const { atMs, instance, request, organisation, requestClass, kind, ...rest } =
-    event;
-  return {
-    atMs,
-    instance,
-    request,
-    organisation,
-    requestClass,
-    kind,
-    detailJson: JSON.stringify(rest),
-  };
+  const { decision, ...base } = event;
+  const { kind, ...detail } = decision;
+  return { ...base, kind, detailJson: JSON.stringify(detail) };
 }
 
 /** What operators can read from one instance. */
--- a/packages/instance/src/host/RouterHost.ts
+++ b/packages/instance/src/host/RouterHost.ts
@@ -22,7 +22,7 @@
 
 const TICK_MS = 100;
 /** Load reports that this instance reads in a second, however many servers. */
-const REPORTS_PER_SECOND = 8;
+const REPORTS_PER_SECOND = 4;
 const MS_PER_SECOND = 1000;
 
 function errorOf(refusal: Refusal): RouterErrorInstance {
--- a/packages/instance/src/http/AddressController.ts
+++ b/packages/instance/src/http/AddressController.ts
@@ -3,6 +3,8 @@
 import { CONTEXT, type InstanceContext } from '../InstanceContext.js';
 
 const KEEP_SECONDS = 15;
+/** An answer of a new instance may miss others, so it is not kept for long. */
+const YOUNG_KEEP_SECONDS = 1;
 
 /** One address that callers may use. */
 export interface AddressEntry {
@@ -23,7 +25,10 @@
 
   @Get()
   addresses(): object {
-    return { keep_seconds: KEEP_SECONDS, addresses: this.#inOrder() };
+    const keepSeconds = this.context.isYoung()
+      ? YOUNG_KEEP_SECONDS
+      : KEEP_SECONDS;
+    return { keep_seconds: keepSeconds, addresses: this.#inOrder() };
   }
 
   /**
--- a/packages/instance/src/metrics/InstanceMetrics.ts
+++ b/packages/instance/src/metrics/InstanceMetrics.ts
@@ -52,16 +52,16 @@
   });
 
   observe(event: DecisionEvent): void {
-    const requestClass = event.requestClass;
-    this.#decisions.inc({ kind: event.kind, class: requestClass });
-    if (event.kind === 'shed') {
-      this.#shed.inc({ code: event.code, class: requestClass });
+    const { decision, requestClass } = event;
+    this.#decisions.inc({ kind: decision.kind, class: requestClass });
+    if (decision.kind === 'shed') {
+      this.#shed.inc({ code: decision.code, class: requestClass });
     }
-    if (event.kind === 'finished') {
-      this.#tokens.inc({ class: requestClass }, event.tokens);
+    if (decision.kind === 'finished') {
+      this.#tokens.inc({ class: requestClass }, decision.tokens);
       this.#firstToken.observe(
         { class: requestClass },
-        event.firstTokenMs / MS_PER_SECOND,
+        decision.firstTokenMs / MS_PER_SECOND,
       );
     }
   }
--- a/packages/instance/src/startInstance.ts
+++ b/packages/instance/src/startInstance.ts
@@ -126,6 +126,7 @@
     batcher,
     shares: new ShareLoop(membership, peers, host),
     log,
+    isYoung: () => loop.isYoung,
     leaving: false,
   };
   return { context, loop, closePlatform: platform.close };
--- a/packages/instance/src/state/ConfigurationSync.ts
+++ b/packages/instance/src/state/ConfigurationSync.ts
@@ -172,7 +172,7 @@
   async #poll(): Promise<void> {
     const before = this.host.configuration.revision;
     await this.#fromTable();
-    if (this.host.configuration.revision > before) {
+    if (this.host.configuration.revision > before && this.#isWriter()) {
       await this.writeSnapshot();
     }
     if (!this.#stopped) {
@@ -180,6 +180,15 @@
     }
   }
 
+  /**
+   * Besides the instance that committed a change, one more writes the snapshot:
+   * the first by name. Should both be gone, the next change writes it again.
+   */
+  #isWriter(): boolean {
+    const { self, serving } = this.membership;
+    return serving.every(({ id }) => id > self.instance);
+  }
+
   /**
    * Writes the snapshot for starts during an outage.
    *
--- a/packages/instance/src/state/MembershipLoop.ts
+++ b/packages/instance/src/state/MembershipLoop.ts
@@ -10,6 +10,8 @@
 
 const PERIOD_MS = 1000;
 const LIST_EVERY_PERIODS = 5;
+/** A new instance reads the list each period, since it lags and has just changed. */
+const YOUNG_PERIODS = 15;
 const INDIRECT_CHECKS = 2;
 const STATES: readonly MemberState[] = ['failed', 'leaving', 'live', 'suspect'];
 
@@ -33,6 +35,11 @@
     private readonly onAhead: AheadListener,
   ) {}
 
+  /** Whether this instance may not know the whole fleet yet. */
+  get isYoung(): boolean {
+    return this.#period < YOUNG_PERIODS;
+  }
+
   async start(): Promise<void> {
     await this.#readList();
     this.#place();
@@ -58,7 +65,8 @@
   #beat(): void {
     this.#period += 1;
     this.membership.tick();
-    if (this.#period % LIST_EVERY_PERIODS === 0) {
+    const isYoung = this.#period < YOUNG_PERIODS;
+    if (isYoung || this.#period % LIST_EVERY_PERIODS === 0) {
       void this.#readList();
     }
     void this.spread();
--- a/packages/types/src/decisionEvents.ts
+++ b/packages/types/src/decisionEvents.ts
@@ -82,5 +82,8 @@
       readonly retryAfterMs: number;
     };
 
-export type DecisionEvent = Decision & DecisionBase;
+/** A decision and the request it concerns. */
+export interface DecisionEvent extends DecisionBase {
+  readonly decision: Decision;
+}
 export type DecisionKind = Decision['kind'];
