refactor(backends): one way to run a cancellable attempt

Cause: engine and service attempts repeated the same cancelling and classifying. Change: util/runAttempt serves both.

--- a/packages/backends/src/startEngineAttempt.ts
+++ b/packages/backends/src/startEngineAttempt.ts
@@ -1,13 +1,13 @@
 import { createParser } from 'eventsource-parser';
 import type { Dispatcher, Pool } from 'undici';
 
-import { classifyFailure } from './classifyFailure.js';
 import type {
   AttemptHandle,
   AttemptListener,
   EngineCall,
   EngineProgress,
 } from './EngineCall.js';
+import { runAttempt } from './util/runAttempt.js';
 
 const OK = 200;
 const DONE = '[DONE]';
@@ -144,15 +144,10 @@
   call: EngineCall,
   listener: AttemptListener<EngineProgress>,
 ): AttemptHandle {
-  const controller = new AbortController();
-  run(pool, call, listener, controller.signal).catch((err: unknown) => {
-    if (!controller.signal.aborted) {
-      listener.onFailed(classifyFailure(err));
-    }
-  });
-  return {
-    cancel: () => {
-      controller.abort();
+  return runAttempt(
+    signal => run(pool, call, listener, signal),
+    failure => {
+      listener.onFailed(failure);
     },
-  };
+  );
 }
--- a/packages/backends/src/startServiceAttempt.ts
+++ b/packages/backends/src/startServiceAttempt.ts
@@ -1,7 +1,7 @@
 import type { Dispatcher, Pool } from 'undici';
 
-import { classifyFailure } from './classifyFailure.js';
 import type { AttemptHandle, AttemptListener } from './EngineCall.js';
+import { runAttempt } from './util/runAttempt.js';
 
 /** One call of a plain service, passed on as it came. */
 export interface ServiceCall {
@@ -78,15 +78,10 @@
   call: ServiceCall,
   listener: AttemptListener<ServiceReply>,
 ): AttemptHandle {
-  const controller = new AbortController();
-  run(pool, call, listener, controller.signal).catch((err: unknown) => {
-    if (!controller.signal.aborted) {
-      listener.onFailed(classifyFailure(err));
-    }
-  });
-  return {
-    cancel: () => {
-      controller.abort();
+  return runAttempt(
+    signal => run(pool, call, listener, signal),
+    failure => {
+      listener.onFailed(failure);
     },
-  };
+  );
 }
