--- a/packages/decisions/src/controllers/DispatchController.ts
+++ b/packages/decisions/src/controllers/DispatchController.ts
@@ -71,11 +71,12 @@
   /** Chooses a server for a request without sending it. */
   choose(record: RequestRecord): RoutingChoice {
     const views = this.board.pools.get(poolKey(record.request.target)) ?? [];
-    return this.policies.routing(
-      record,
-      views,
-      this.policies.concurrency.slots,
-    );
+    return this.#route(record, views);
+  }
+
+  #route(record: RequestRecord, views: readonly BackendView[]): RoutingChoice {
+    const { routing, concurrency } = this.policies;
+    return routing(record, views, concurrency.slots);
   }
 
   #dispatchDisplaced(
@@ -86,11 +87,7 @@
     if (!record || !this.#hasRoom(record, views)) {
       return false;
     }
-    const choice = this.policies.routing(
-      record,
-      views,
-      this.policies.concurrency.slots,
-    );
+    const choice = this.#route(record, views);
     if (!choice.view) {
       return false;
     }
@@ -112,11 +109,7 @@
     if (!next.guaranteed && !concurrency.mayStart(record, views)) {
       return false;
     }
-    const choice = this.policies.routing(
-      record,
-      views,
-      this.policies.concurrency.slots,
-    );
+    const choice = this.#route(record, views);
     if (!choice.view) {
       return false;
     }
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -98,6 +98,11 @@
     this.self.peerAddress = peerAddress;
   }
 
+  /** Every serving instance, this one first. */
+  get instances(): readonly InstanceId[] {
+    return [this.self.instance, ...this.serving.map(({ id }) => id)];
+  }
+
   /** Tells the others with the next heartbeats that this instance stops. */
   leave(): void {
     this.#leaving = true;
--- a/packages/decisions/src/policies/admission/predictive.ts
+++ b/packages/decisions/src/policies/admission/predictive.ts
@@ -6,6 +6,7 @@
 import type { RequestQueue } from '../../blackboard/RequestQueue.js';
 import type { RequestRecord } from '../../blackboard/RoutedRequest.js';
 import { poolKey } from '../../util/poolKey.js';
+import { HIGHEST_TIER } from '../../util/highestTier.js';
 import { createPolicyUnit } from '../createPolicyUnit.js';
 import type { AdmissionPolicy } from './AdmissionPolicy.js';
 
@@ -19,8 +20,6 @@
   readonly maxRetryAfterMs: number;
 }
 
-const HIGHEST_TIER = 1;
-
 /** Tokens per millisecond that this instance may draw from the pool. */
 function tokenRate(
   views: readonly BackendView[],
--- a/packages/decisions/src/policies/concurrency/adaptive-limit.ts
+++ b/packages/decisions/src/policies/concurrency/adaptive-limit.ts
@@ -4,6 +4,7 @@
 import type { Blackboard } from '../../blackboard/Blackboard.js';
 import { loadOf } from '../../blackboard/Blackboard.js';
 import { poolKey } from '../../util/poolKey.js';
+import { HIGHEST_TIER } from '../../util/highestTier.js';
 import { createPolicyUnit } from '../createPolicyUnit.js';
 import type { ConcurrencyPolicy } from './ConcurrencyPolicy.js';
 
@@ -23,8 +24,6 @@
   readonly reserveDeviations: number;
 }
 
-const HIGHEST_TIER = 1;
-
 /** Share of the first-token target that the backend server itself may use. */
 const FIRST_TOKEN_SHARE = 0.6;
 
--- a/packages/decisions/src/policies/routing/least-cost.ts
+++ b/packages/decisions/src/policies/routing/least-cost.ts
@@ -4,6 +4,7 @@
 import type { BackendView } from '../../blackboard/BackendView.js';
 import type { Blackboard } from '../../blackboard/Blackboard.js';
 import type { RequestRecord } from '../../blackboard/RoutedRequest.js';
+import { HIGHEST_TIER } from '../../util/highestTier.js';
 import { createPolicyUnit } from '../createPolicyUnit.js';
 import { isFit } from './isFit.js';
 import type { RoutingPolicy, SlotLimit } from './RoutingPolicy.js';
@@ -31,7 +32,6 @@
   readonly score: number;
 }
 
-const HIGHEST_TIER = 1;
 const TIE_BREAK = 0.001;
 const TOKENS_PER_UNIT = 1000;
 
--- a/packages/instance/src/claims/ClaimCollectors.ts
+++ b/packages/instance/src/claims/ClaimCollectors.ts
@@ -28,7 +28,7 @@
 
   /** Pause between transactions of one collector, for the fleet as it is. */
   paceMs(): number {
-    const collectors = Math.min(COLLECTORS, this.#instances().length);
+    const collectors = Math.min(COLLECTORS, this.membership.instances.length);
     return Math.max(
       MIN_PACE_MS,
       (collectors / CLAIM_WRITES_PER_SECOND) * MS_PER_SECOND,
@@ -50,14 +50,9 @@
       : this.batcher().write(write);
   }
 
-  #instances(): readonly InstanceId[] {
-    const { self, serving } = this.membership;
-    return [self.instance, ...serving.map(({ id }) => id)];
-  }
-
   /** A small fleet writes for itself: one hop less, and still within budget. */
   #collectorOf(key: string): InstanceId {
-    const instances = this.#instances();
+    const instances = this.membership.instances;
     if (instances.length <= COLLECTORS) {
       return this.membership.self.instance;
     }
--- a/packages/instance/src/state/MembershipLoop.ts
+++ b/packages/instance/src/state/MembershipLoop.ts
@@ -122,8 +122,8 @@
 
   /** Tells the decision logic of the fleet when it has changed. */
   #place(): void {
-    const { self, serving } = this.membership;
-    const instances = [self.instance, ...serving.map(({ id }) => id)].sort();
+    const { self } = this.membership;
+    const instances = [...this.membership.instances].sort();
     const key = instances.join(' ');
     if (key === this.#placed) {
       return;
--- a/packages/instance/src/state/ShareLoop.ts
+++ b/packages/instance/src/state/ShareLoop.ts
@@ -44,7 +44,7 @@
 
   /** Owner's side: takes a report and answers with the reporter's shares. */
   onReport(report: proto.DemandReport): proto.Share[] {
-    const instances = this.#instances().length;
+    const instances = this.membership.instances.length;
     const nowMs = this.host.router.board.clock();
     const reporter = brand<InstanceId>(report.instance);
     return report.demands.flatMap(({ organisation, requests }) => {
@@ -62,7 +62,7 @@
 
   #report(): void {
     const { limits, clock } = this.host.router.board;
-    const instances = this.#instances();
+    const instances = this.membership.instances;
     const hot = limits.closePeriod(instances.length, clock());
     const byOwner = this.#byOwner(hot, this.#ringOf(instances));
     this.#ofThisPeriod([...byOwner.keys()]).forEach(owner => {
@@ -74,11 +74,6 @@
     }
   }
 
-  #instances(): readonly InstanceId[] {
-    const { self, serving } = this.membership;
-    return [self.instance, ...serving.map(({ id }) => id)];
-  }
-
   /** The ring is built anew only when the fleet has changed. */
   #ringOf(instances: readonly InstanceId[]): OwnerRing {
     const fleet = [...instances].sort().join(' ');
