--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,10 +2,15 @@
 
 export default tseslint.config(
   {
-    ignores: ['dist/', 'node_modules/', 'packages/operator/src/generated/'],
+    ignores: [
+      'dist/',
+      'target/',
+      'node_modules/',
+      'packages/operator/src/generated/',
+    ],
   },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [
       ...tseslint.configs.strictTypeChecked,
       ...tseslint.configs.stylisticTypeChecked,
--- a/packages/bench/src/demo/LocalFleet.ts
+++ b/packages/bench/src/demo/LocalFleet.ts
@@ -1,7 +1,9 @@
 import { createHash } from 'node:crypto';
 import { request } from 'undici';
-import type { EventLog, RunningInstance } from '@jujubecroft/instance';
-import { SILENT_LOG, startInstance } from '@jujubecroft/instance';
+import type { EventLog } from '@jujubecroft/events';
+import { SILENT_LOG } from '@jujubecroft/events';
+import type { RunningInstance } from '@jujubecroft/instance';
+import { startInstance } from '@jujubecroft/instance';
 import type {
   Deployment,
   InstanceSettings,
--- a/packages/bench/src/measure/measureHeartbeats.ts
+++ b/packages/bench/src/measure/measureHeartbeats.ts
@@ -5,14 +5,12 @@
   OrganisationLimits,
   OwnerRing,
 } from '@jujubecroft/decisions';
-import {
-  fromHeartbeatMessage,
-  toHeartbeatMessage,
-} from '@jujubecroft/instance';
 import {
   DemandReport,
+  fromHeartbeatMessage,
   HeartbeatMessage,
   ShareReply,
+  toHeartbeatMessage,
 } from '@jujubecroft/operator';
 import type {
   FailureDomainId,
--- a/packages/bench/src/measure/measureState.ts
+++ b/packages/bench/src/measure/measureState.ts
@@ -1,7 +1,7 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { Membership, OrganisationLimits } from '@jujubecroft/decisions';
-import type { ListedInstance } from '@jujubecroft/platform';
+import type { ListedInstance } from '@jujubecroft/stores';
 import type {
   BackendServerId,
   FailureDomainId,
--- /dev/null
+++ b/packages/cli/src/commands/GatewayCommand.ts
@@ -0,0 +1,40 @@
+import { Command, Option } from 'clipanion';
+
+import { EXIT } from '../exitCodes.js';
+import { untilStopped } from '../untilStopped.js';
+
+/** Runs one instance of the gateway on the platform. */
+export class GatewayCommand extends Command {
+  static override paths = [['gateway']];
+  static override usage = Command.Usage({
+    description: 'run one instance of the gateway on the platform',
+    details:
+      'Reads the settings file that the platform names in the environment, or the one given. SIGHUP reads it again. SIGTERM takes the instance out of service, finishes every request in flight and ends.',
+    examples: [
+      ['Run as the platform does', '$0 gateway'],
+      ['Run with another file', '$0 gateway --settings local.json'],
+    ],
+  });
+
+  readonly settings = Option.String('--settings', {
+    description: 'path of the settings file',
+  });
+
+  async execute(): Promise<number> {
+    // Loaded here, so that other commands need no memory for it.
+    const { runGateway, SETTINGS_VARIABLE } =
+      await import('@jujubecroft/platform');
+    const file = this.settings ?? process.env[SETTINGS_VARIABLE];
+    if (file === undefined) {
+      this.context.stderr.write(
+        `Name a settings file with --settings or in ${SETTINGS_VARIABLE}.\n`,
+      );
+      return EXIT.usage;
+    }
+    const gateway = await runGateway(file);
+    process.on('SIGHUP', gateway.reload);
+    await untilStopped();
+    await gateway.stop();
+    return EXIT.ok;
+  }
+}
--- a/packages/cli/src/commands/ServeCommand.ts
+++ b/packages/cli/src/commands/ServeCommand.ts
@@ -18,8 +18,8 @@
 
   async execute(): Promise<number> {
     // Loaded here, so that other commands need no memory for it.
-    const { createEventLog, startInstance } =
-      await import('@jujubecroft/instance');
+    const { createEventLog } = await import('@jujubecroft/events');
+    const { startInstance } = await import('@jujubecroft/instance');
     const settings = readSettings(this.file, 'instance');
     const log = createEventLog(settings.instance, settings.logLevel);
     const running = await startInstance(settings, log);
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -18,6 +18,7 @@
   ExperimentListCommand,
   ExperimentRunCommand,
 } from './commands/experimentCommands.js';
+import { GatewayCommand } from './commands/GatewayCommand.js';
 import { LoadCommand } from './commands/LoadCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
 import { StandInCommand } from './commands/StandInCommand.js';
@@ -44,6 +45,7 @@
   DemoCommand,
   ExperimentListCommand,
   ExperimentRunCommand,
+  GatewayCommand,
   LoadCommand,
   ServeCommand,
   StandInCommand,
--- /dev/null
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -0,0 +1,122 @@
+import type {
+  OrganisationId,
+  PromptFacts,
+  Replica,
+  RequestId,
+  Route,
+  RoutedService,
+} from '@jujubecroft/types';
+
+import type { Clock } from '../blackboard/Blackboard.js';
+import { PromptMemory } from './PromptMemory.js';
+import { ReplicaHealth } from './ReplicaHealth.js';
+
+/** What decisions need to know of one caller's request. */
+export interface GatewayRequest {
+  readonly id: RequestId;
+  readonly route: Route;
+  readonly service: RoutedService;
+  /** Null on public routes. */
+  readonly organisation: OrganisationId | null;
+  /** Rank after the organisation's own; 0 is served first. */
+  readonly priority: number;
+  /** Null where the request has no prompt. */
+  readonly prompt: PromptFacts | null;
+  readonly arrivedMs: number;
+  /** When the answer must have ended, on the local clock. */
+  readonly deadlineMs: number;
+  /** Whether the caller was turned away before, as far as its time left tells. */
+  readonly cameBack: boolean;
+}
+
+/** One request at one replica. */
+export interface GatewayAttempt {
+  readonly request: GatewayRequest;
+  readonly load: BackendLoad;
+  /** 1 for the first. */
+  readonly number: number;
+  readonly sentMs: number;
+  /** Prompt tokens that the replica has to read for this request. */
+  readonly unreadTokens: number;
+  /** Prompt tokens to be read there up to the end of this request. */
+  readonly tokensAhead: number;
+  readonly predictedMs: number;
+  firstByteMs: number | null;
+  lastByteMs: number | null;
+}
+
+/** What other instances run on a replica, summed over them. */
+export interface PeerUse {
+  readonly inFlight: number;
+  readonly unreadTokens: number;
+}
+
+export const NO_PEER_USE: PeerUse = { inFlight: 0, unreadTokens: 0 };
+
+/** Load that a replica told in an answer. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** Weight of the newest sample of a replica's slowness. */
+const SLOWNESS_WEIGHT = 0.1;
+const MIN_SLOWNESS = 0.5;
+const MAX_SLOWNESS = 8;
+/** Cache size assumed where the configuration doesn't tell one, in tokens. */
+const DEFAULT_CACHE_TOKENS = 200_000;
+
+/** Everything that this instance knows of the use of one replica. */
+export class BackendLoad {
+  readonly attempts = new Set<GatewayAttempt>();
+  readonly health: ReplicaHealth;
+  readonly memory: PromptMemory;
+  replica: Replica;
+  peers: PeerUse = NO_PEER_USE;
+  reported: ReportedLoad | null = null;
+  /** Took against predicted time, smoothed; 1 is usual for the service. */
+  slowness = 1;
+  lastByteMs = -Infinity;
+
+  constructor(
+    replica: Replica,
+    service: RoutedService | undefined,
+    clock: Clock,
+  ) {
+    this.replica = replica;
+    this.health = new ReplicaHealth(clock);
+    this.memory = new PromptMemory(
+      service?.engine?.kvCapacityTokens ?? DEFAULT_CACHE_TOKENS,
+    );
+  }
+
+  /** Attempts of this instance that have not ended. */
+  get inFlight(): number {
+    return this.attempts.size;
+  }
+
+  /** Attempts of all instances, as far as known. */
+  get totalInFlight(): number {
+    return this.inFlight + this.peers.inFlight;
+  }
+
+  /** Prompt tokens that this instance sent and that are not read yet. */
+  get ownUnreadTokens(): number {
+    return [...this.attempts]
+      .filter(({ firstByteMs }) => firstByteMs === null)
+      .reduce((sum, { unreadTokens }) => sum + unreadTokens, 0);
+  }
+
+  /** The same over all instances, as far as known. */
+  get unreadTokens(): number {
+    return this.ownUnreadTokens + this.peers.unreadTokens;
+  }
+
+  /** Takes in how long something took against what was predicted. */
+  onDuration(tookMs: number, predictedMs: number): void {
+    const ratio = tookMs / Math.max(1, predictedMs);
+    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
+    this.slowness += SLOWNESS_WEIGHT * (bounded - this.slowness);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -0,0 +1,111 @@
+import type {
+  BackendServerId,
+  FailureDomainId,
+  InstanceId,
+  ServiceId,
+} from '@jujubecroft/types';
+
+import type { Clock } from '../blackboard/Blackboard.js';
+import type { BackendLoad } from './BackendLoad.js';
+import { DemandRate } from './DemandRate.js';
+import { EngineEstimator } from './EngineEstimator.js';
+import { ReplicaRegistry } from './ReplicaRegistry.js';
+import type { RetryBudgetRules } from './RetryBudget.js';
+import { RetryBudget } from './RetryBudget.js';
+import type { RoutingTable } from './RoutingTable.js';
+
+/** What is fixed for one instance of the gateway. */
+export interface GatewayBoardOptions {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly instance: InstanceId;
+  readonly failureDomain: FailureDomainId;
+  readonly retryBudget: RetryBudgetRules;
+}
+
+/** Learnt figures of one service. */
+export interface ServiceLearning {
+  readonly engine: EngineEstimator;
+  /** Prompt tokens of short requests that this instance gets. */
+  readonly shortDemand: DemandRate;
+  /** Mean time of an answer of a plain service, in milliseconds. */
+  answerMs: number;
+}
+
+/** The state that the gateway's controllers read and write. */
+export interface GatewayBoard {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly instance: InstanceId;
+  readonly failureDomain: FailureDomainId;
+  readonly budget: RetryBudget;
+  readonly replicas: ReplicaRegistry;
+  /** Replicas that are used or still have attempts. */
+  readonly backends: Map<BackendServerId, BackendLoad>;
+  readonly learning: Map<ServiceId, ServiceLearning>;
+  /** Null until a configuration is known. */
+  table: RoutingTable | null;
+  /** When the configuration was last known to be the newest. */
+  configurationAsOfMs: number;
+  /** Live instances, this one included. */
+  instances: number;
+}
+
+/** Time over which the demand of short requests is smoothed. */
+const DEMAND_WINDOW_MS = 4000;
+/** Assumed before anything was seen. */
+const PRIOR_ANSWER_MS = 100;
+
+/**
+ * Creates an empty blackboard.
+ *
+ * @param options - clock, random source and identity
+ * @returns a board without configuration and replicas
+ */
+export function createGatewayBoard(options: GatewayBoardOptions): GatewayBoard {
+  const { clock, random, instance, failureDomain, retryBudget } = options;
+  return {
+    clock,
+    random,
+    instance,
+    failureDomain,
+    budget: new RetryBudget(retryBudget, clock),
+    replicas: new ReplicaRegistry(clock),
+    backends: new Map(),
+    learning: new Map(),
+    table: null,
+    configurationAsOfMs: -Infinity,
+    instances: 1,
+  };
+}
+
+/** @returns what was learnt of a service, started anew where nothing was */
+export function learningOf(
+  board: GatewayBoard,
+  service: ServiceId,
+): ServiceLearning {
+  const known = board.learning.get(service);
+  if (known) {
+    return known;
+  }
+  const learning: ServiceLearning = {
+    engine: new EngineEstimator(),
+    shortDemand: new DemandRate(board.clock, DEMAND_WINDOW_MS),
+    answerMs: PRIOR_ANSWER_MS,
+  };
+  board.learning.set(service, learning);
+  return learning;
+}
+
+/** @returns the loads of a service's replicas that exist and are not leaving */
+export function candidatesOf(
+  board: GatewayBoard,
+  service: ServiceId,
+): readonly BackendLoad[] {
+  return [...board.backends.values()].filter(
+    ({ replica }) =>
+      replica.service === service &&
+      !replica.leaving &&
+      board.replicas.find(replica.id) !== undefined,
+  );
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -0,0 +1,322 @@
+import type { BackendServerId, Replica } from '@jujubecroft/types';
+
+import type { Clock } from '../blackboard/Blackboard.js';
+
+/** What is known of one replica entry, with the store version that said so. */
+export interface ReplicaRecord {
+  readonly id: BackendServerId;
+  /** Null once the entry was removed. */
+  readonly replica: Replica | null;
+  /** Store version of the newest row seen. */
+  readonly rowVersion: number;
+  /** Store version at which the content last changed. */
+  readonly changedAt: number;
+  /**
+   * When a removed entry counts as gone, on the local clock; null while the
+   * entry stands. Until then the replica is still used.
+   */
+  readonly goneAtMs: number | null;
+}
+
+/** A row of the entries as the store or another instance tells it. */
+export interface ReplicaRow {
+  readonly id: BackendServerId;
+  readonly rowVersion: number;
+  /** Null for a removed entry. */
+  readonly replica: Replica | null;
+}
+
+/** Changes that one instance hands to another. */
+export interface ReplicaChanges {
+  readonly version: number;
+  /** How long ago the view was known to be current, in milliseconds. */
+  readonly ageMs: number;
+  /** Whether entries that are not listed don't exist. */
+  readonly complete: boolean;
+  readonly records: readonly ReplicaRecord[];
+}
+
+/** How a replica changed for those who place requests. */
+export interface ReplicaChange {
+  readonly kind: 'added' | 'gone' | 'leaving' | 'lapsed' | 'updated';
+  readonly id: BackendServerId;
+  readonly rowVersion: number;
+}
+
+/**
+ * Removed entries that are remembered, so that others can be told of them.
+ * Above this the oldest go and instances that are further behind get all
+ * entries; 500 removals are more than a day of the planned fleet brings.
+ */
+const MAX_REMOVED = 500;
+
+function sameContent(a: Replica | null, b: Replica | null): boolean {
+  if (!a || !b) {
+    return a === b;
+  }
+  // The time to warm up shrinks with each heartbeat; it is no news by itself.
+  return (
+    a.service === b.service &&
+    a.address === b.address &&
+    a.leaving === b.leaving &&
+    a.slots === b.slots &&
+    a.failureDomain === b.failureDomain
+  );
+}
+
+function kindOf(
+  before: ReplicaRecord | undefined,
+  after: Replica,
+): ReplicaChange['kind'] | null {
+  if (!before?.replica) {
+    return 'added';
+  }
+  if (sameContent(before.replica, after) && before.goneAtMs === null) {
+    return null;
+  }
+  return after.leaving && !before.replica.leaving ? 'leaving' : 'updated';
+}
+
+/**
+ * The replicas of all services by their entries in the store.
+ *
+ * Entries carry the store's version, so views of several instances merge in any
+ * order: the newest row of each entry wins and the view never goes back.
+ */
+export class ReplicaRegistry {
+  readonly #records = new Map<BackendServerId, ReplicaRecord>();
+  #version = 0;
+  #changedAt = 0;
+  #asOfMs = -Infinity;
+  #prunedVersion = 0;
+  #lapsesUntilMs = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Store version up to which the view is complete; 0 before the first read. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Store version of the newest change of any entry. */
+  get changedAt(): number {
+    return this.#changedAt;
+  }
+
+  /** How long ago the view was known to be current, in milliseconds. */
+  get ageMs(): number {
+    return this.clock() - this.#asOfMs;
+  }
+
+  /** Replicas that exist, leaving ones too. */
+  get replicas(): readonly Replica[] {
+    return [...this.#records.values()].flatMap(({ replica }) => replica ?? []);
+  }
+
+  /** @returns the replica while its entry counts */
+  find(id: BackendServerId): Replica | undefined {
+    return this.#records.get(id)?.replica ?? undefined;
+  }
+
+  /**
+   * Treats removals as lapses for a while.
+   *
+   * Guards against a store that was away: entries of live replicas ran out
+   * meanwhile and come back within seconds. It shows as a wave of removals just
+   * after the store's return; replicas that are really gone are dropped when
+   * the time is up.
+   *
+   * @param forMs - how long live replicas may take to come back
+   */
+  expectLapses(forMs: number): void {
+    this.#lapsesUntilMs = this.clock() + forMs;
+  }
+
+  /**
+   * Takes over rows that the store listed as changed.
+   *
+   * @param rows - changed entries
+   * @param version - store version that the rows lead up to
+   * @param ageMs - time since the store answered
+   * @returns what changed
+   */
+  applyRows(
+    rows: readonly ReplicaRow[],
+    version: number,
+    ageMs: number,
+  ): readonly ReplicaChange[] {
+    const changes = rows.flatMap(row => this.#applyRow(row) ?? []);
+    this.#advance(version, ageMs);
+    this.#prune();
+    return changes;
+  }
+
+  /** Takes over a full read; entries that it lacks were removed. */
+  applySnapshot(
+    rows: readonly ReplicaRow[],
+    version: number,
+    ageMs: number,
+  ): readonly ReplicaChange[] {
+    if (version < this.#version) {
+      return [];
+    }
+    const listed = new Set(rows.map(({ id }) => id));
+    const removed = [...this.#records.values()]
+      .filter(({ id, goneAtMs }) => !listed.has(id) && goneAtMs === null)
+      .map(({ id }) => ({ id, replica: null, rowVersion: version }));
+    return this.applyRows([...rows, ...removed], version, ageMs);
+  }
+
+  /**
+   * Collects what another instance lacks.
+   *
+   * @param version - store version that the other's view is complete for
+   * @returns the changes since then
+   */
+  changesSince(version: number): ReplicaChanges {
+    const complete = version < this.#prunedVersion || version === 0;
+    const records = [...this.#records.values()].filter(
+      record =>
+        (complete && record.replica !== null) || record.changedAt > version,
+    );
+    return { version: this.#version, ageMs: this.ageMs, complete, records };
+  }
+
+  /** Takes over the changes of another instance. */
+  merge(changes: ReplicaChanges): readonly ReplicaChange[] {
+    const merged = changes.records.flatMap(record => this.#mergeRecord(record));
+    const dropped = changes.complete ? this.#dropUnlisted(changes) : [];
+    this.#advance(changes.version, changes.ageMs);
+    return [...merged, ...dropped];
+  }
+
+  /**
+   * Takes note that nothing changed up to a later version.
+   *
+   * @param version - that another instance's view is complete for
+   * @param ageMs - how long ago that view was known to be current
+   */
+  confirm(version: number, ageMs: number): void {
+    this.#advance(version, ageMs);
+  }
+
+  /** Periodic work: entries whose time to come back is up are gone. */
+  tick(): readonly ReplicaChange[] {
+    const nowMs = this.clock();
+    return [...this.#records.values()]
+      .filter(
+        ({ replica, goneAtMs }) =>
+          replica !== null && goneAtMs !== null && goneAtMs <= nowMs,
+      )
+      .map(record => {
+        this.#records.set(record.id, { ...record, replica: null });
+        const { id, rowVersion } = record;
+        return { kind: 'gone' as const, id, rowVersion };
+      });
+  }
+
+  #applyRow(row: ReplicaRow): ReplicaChange | null {
+    const before = this.#records.get(row.id);
+    if (before && row.rowVersion <= before.rowVersion) {
+      return null;
+    }
+    return row.replica
+      ? this.#put(row, row.replica, before)
+      : this.#remove(row, before);
+  }
+
+  #put(
+    row: ReplicaRow,
+    replica: Replica,
+    before: ReplicaRecord | undefined,
+  ): ReplicaChange | null {
+    const { id, rowVersion } = row;
+    const kind = kindOf(before, replica);
+    const changedAt = kind ? rowVersion : (before?.changedAt ?? rowVersion);
+    this.#store({ id, replica, rowVersion, changedAt, goneAtMs: null });
+    return kind && { kind, id, rowVersion };
+  }
+
+  #remove(
+    { id, rowVersion }: ReplicaRow,
+    before: ReplicaRecord | undefined,
+  ): ReplicaChange | null {
+    const nowMs = this.clock();
+    const mayComeBack =
+      before?.replica?.leaving === false && nowMs < this.#lapsesUntilMs;
+    this.#store({
+      id,
+      rowVersion,
+      changedAt: rowVersion,
+      replica: mayComeBack ? before.replica : null,
+      goneAtMs: mayComeBack ? this.#lapsesUntilMs : nowMs,
+    });
+    if (!before?.replica) {
+      return null;
+    }
+    return { kind: mayComeBack ? 'lapsed' : 'gone', id, rowVersion };
+  }
+
+  #mergeRecord(record: ReplicaRecord): readonly ReplicaChange[] {
+    const before = this.#records.get(record.id);
+    if (before && record.rowVersion <= before.rowVersion) {
+      return [];
+    }
+    this.#store(record);
+    const { id, rowVersion, replica } = record;
+    if (!replica) {
+      return before?.replica ? [{ kind: 'gone', id, rowVersion }] : [];
+    }
+    const kind = record.goneAtMs === null ? kindOf(before, replica) : 'lapsed';
+    return kind ? [{ kind, id, rowVersion }] : [];
+  }
+
+  #dropUnlisted({
+    records,
+    version,
+  }: ReplicaChanges): readonly ReplicaChange[] {
+    const listed = new Set(records.map(({ id }) => id));
+    const unlisted = [...this.#records.values()].filter(
+      record =>
+        record.replica !== null &&
+        record.rowVersion <= version &&
+        !listed.has(record.id),
+    );
+    return unlisted.flatMap(
+      ({ id }) =>
+        this.#remove(
+          { id, replica: null, rowVersion: version },
+          this.#records.get(id),
+        ) ?? [],
+    );
+  }
+
+  #store(record: ReplicaRecord): void {
+    this.#records.set(record.id, record);
+    this.#changedAt = Math.max(this.#changedAt, record.changedAt);
+  }
+
+  #advance(version: number, ageMs: number): void {
+    if (version < this.#version) {
+      return;
+    }
+    this.#version = version;
+    this.#asOfMs = Math.max(this.#asOfMs, this.clock() - ageMs);
+  }
+
+  #prune(): void {
+    const removed = [...this.#records.values()].filter(
+      ({ replica }) => replica === null,
+    );
+    if (removed.length <= MAX_REMOVED) {
+      return;
+    }
+    removed
+      .sort((a, b) => a.changedAt - b.changedAt)
+      .slice(0, removed.length - MAX_REMOVED)
+      .forEach(({ id, changedAt }) => {
+        this.#records.delete(id);
+        this.#prunedVersion = Math.max(this.#prunedVersion, changedAt);
+      });
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/admission/admit-any.ts
@@ -0,0 +1,22 @@
+import { z } from 'zod';
+
+import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
+import type { GatewayBoard } from '../GatewayBoard.js';
+import type { GatewayAdmission } from './GatewayAdmission.js';
+
+/** Lets everything in; a baseline, and right for services that are seldom full. */
+export const admitAny = createPolicyUnit<
+  object,
+  GatewayAdmission,
+  GatewayBoard
+>({
+  name: 'admit-any',
+  description: 'Lets every request in; a baseline.',
+  schema: z.object({}),
+  create: () => (_request, best) => ({
+    admit: true,
+    predictedMs: best.predictedMs,
+    allowedMs: Infinity,
+    retryAfterMs: 0,
+  }),
+});
--- /dev/null
+++ b/packages/decisions/src/gateway/defaultGatewayPolicies.ts
@@ -0,0 +1,21 @@
+import { admitAny } from './admission/admit-any.js';
+import { firstEventTarget } from './admission/first-event-target.js';
+import type { GatewayBoard } from './GatewayBoard.js';
+import type { GatewayPolicies } from './GatewayRouter.js';
+import { leastBusy } from './placement/least-busy.js';
+import { sizeSplit } from './placement/size-split.js';
+
+/**
+ * The policies that ship as the default.
+ *
+ * @param board - the blackboard of the gateway
+ * @returns one policy of each kind
+ */
+export function defaultGatewayPolicies(board: GatewayBoard): GatewayPolicies {
+  return {
+    placePrompt: sizeSplit.create(board),
+    placeCall: leastBusy.create(board),
+    admitPrompt: firstEventTarget.create(board),
+    admitCall: admitAny.create(board),
+  };
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/index.ts
@@ -0,0 +1,35 @@
+export type {
+  BackendLoad,
+  GatewayAttempt,
+  GatewayRequest,
+  PeerUse,
+  ReportedLoad,
+} from './BackendLoad.js';
+export { defaultGatewayPolicies } from './defaultGatewayPolicies.js';
+export type { GatewayBoard, GatewayBoardOptions } from './GatewayBoard.js';
+export { createGatewayBoard } from './GatewayBoard.js';
+export type {
+  GatewayPolicies,
+  Match,
+  OwnUse,
+  PlacementDecision,
+} from './GatewayRouter.js';
+export { GatewayRouter } from './GatewayRouter.js';
+export { rankOf, shouldRead } from './readDuty.js';
+export type { PlacedCandidate } from './placement/PlacementPolicy.js';
+export type {
+  AttemptResult,
+  Recovery,
+  WithdrawReason,
+} from './recovery/AttemptResult.js';
+export { isIdempotent } from './recovery/decideRecovery.js';
+export type {
+  ReplicaChange,
+  ReplicaChanges,
+  ReplicaRecord,
+  ReplicaRow,
+} from './ReplicaRegistry.js';
+export { ReplicaRegistry } from './ReplicaRegistry.js';
+export type { RetryBudgetRules } from './RetryBudget.js';
+export { RoutingTable } from './RoutingTable.js';
+export { connectionShare } from './usableCandidates.js';
--- /dev/null
+++ b/packages/decisions/src/gateway/readDuty.ts
@@ -0,0 +1,48 @@
+import murmurhash from 'murmurhash';
+import type { InstanceId } from '@jujubecroft/types';
+
+/** Instances that read the store all the time; the second covers the first. */
+const READERS = 2;
+/**
+ * Age of the view from which others read the store too. With the time of a
+ * read it stays below the two seconds in which changes must be in force.
+ */
+const STALE_MS = 900;
+/** Each further instance waits this much longer, so that few of them read at once. */
+const STAGGER_MS = 60;
+const MAX_STAGGER_MS = 400;
+
+/**
+ * Places the instances in an order that all of them agree on without talking.
+ *
+ * @param self - this instance
+ * @param live - live instances, this one included or not
+ * @returns 0 for the first
+ */
+export function rankOf(self: InstanceId, live: readonly InstanceId[]): number {
+  const own = murmurhash.v3(self);
+  return live.filter(
+    id =>
+      id !== self &&
+      (murmurhash.v3(id) < own || (murmurhash.v3(id) === own && id < self)),
+  ).length;
+}
+
+/**
+ * Says whether this instance should read the store itself now.
+ *
+ * A few instances read and tell the others. Guards against readers that die,
+ * freeze or lose the store: it shows as an ageing view at the others, who then
+ * read for themselves, one after the other.
+ *
+ * @param rank - place of this instance, 0 first
+ * @param ageMs - how long ago its view was known to be current
+ * @returns whether to read
+ */
+export function shouldRead(rank: number, ageMs: number): boolean {
+  if (rank < READERS) {
+    return true;
+  }
+  const staggerMs = Math.min(MAX_STAGGER_MS, (rank - READERS) * STAGGER_MS);
+  return ageMs > STALE_MS + staggerMs;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,6 +22,7 @@
   DEFAULT_ROUTER_OPTIONS,
   defaultPolicies,
 } from './createRouter.js';
+export * from './gateway/index.js';
 export { LengthEstimator } from './estimators/LengthEstimator.js';
 export { demandShare } from './limits/demandShare.js';
 export { DemandLedger } from './limits/DemandLedger.js';
@@ -40,10 +41,14 @@
 export type {
   HeartbeatFacts,
   Member,
+  MemberFact,
   MemberState,
 } from './membership/Member.js';
-export type { MembershipOptions } from './membership/Membership.js';
-export { Membership } from './membership/Membership.js';
+export type {
+  ListedMember,
+  MembershipOptions,
+} from './membership/Membership.js';
+export { DEFAULT_MEMBERSHIP, Membership } from './membership/Membership.js';
 export type { AttemptFailure } from './policies/recovery/RecoveryPolicy.js';
 export { leastCost } from './policies/routing/least-cost.js';
 export { leastOutstanding } from './policies/routing/least-outstanding.js';
--- a/packages/decisions/src/membership/Member.ts
+++ b/packages/decisions/src/membership/Member.ts
@@ -8,6 +8,10 @@
   readonly instance: InstanceId;
   readonly incarnation: number;
   readonly state: MemberState;
+  readonly failureDomain: FailureDomainId;
+  /** Empty while the instance takes no callers. */
+  readonly callerAddress: string;
+  readonly peerAddress: string;
 }
 
 /** What an instance says of itself, with news of others. */
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -34,6 +34,11 @@
   readonly maxFacts: number;
   /** Failed instances that the list no longer names are forgotten after this. */
   readonly forgetMs: number;
+  /**
+   * Number of this run of the instance; a later run needs a higher one, or news
+   * of the earlier run's end would count against it.
+   */
+  readonly incarnation: number;
 }
 
 export const DEFAULT_MEMBERSHIP: MembershipOptions = {
@@ -42,6 +47,7 @@
   suspectMs: 4000,
   maxFacts: 12,
   forgetMs: 60_000,
+  incarnation: 1,
 };
 
 const MIN_REPEATS = 4;
@@ -57,6 +63,19 @@
   left: number;
 }
 
+function factOf(member: Member): MemberFact {
+  const { id, incarnation, state, failureDomain } = member;
+  const { callerAddress, peerAddress } = member;
+  return {
+    instance: id,
+    incarnation,
+    state,
+    failureDomain,
+    callerAddress,
+    peerAddress,
+  };
+}
+
 /**
  * Membership of the fleet by random probing with indirect checks.
  *
@@ -68,7 +87,7 @@
   readonly #members = new Map<InstanceId, Member>();
   readonly #news = new Map<InstanceId, News>();
   #order: InstanceId[] = [];
-  #incarnation = 1;
+  #incarnation: number;
   #leaving = false;
   #lastTickMs: number;
 
@@ -79,6 +98,7 @@
     private readonly options: MembershipOptions = DEFAULT_MEMBERSHIP,
   ) {
     this.#lastTickMs = clock();
+    this.#incarnation = options.incarnation;
   }
 
   get members(): readonly Member[] {
@@ -168,7 +188,7 @@
       ...state,
       incarnation: this.#incarnation,
       leaving: this.#leaving,
-      facts: this.#takeNews(),
+      facts: this.#fillUp(this.#takeNews()),
     };
   }
 
@@ -237,8 +257,12 @@
     }
     const member = this.#members.get(fact.instance);
     if (!member) {
+      this.#learn(fact);
       return;
     }
+    if (member.callerAddress === '' && fact.state === 'live') {
+      member.callerAddress = fact.callerAddress;
+    }
     const newer = fact.incarnation > member.incarnation;
     const worse =
       fact.incarnation === member.incarnation &&
@@ -248,9 +272,20 @@
     }
   }
 
+  /** Others may know instances that this one has never met. */
+  #learn(fact: MemberFact): void {
+    const { instance, incarnation, state, peerAddress } = fact;
+    if (state === 'live' && peerAddress !== '') {
+      this.#add({ ...fact, id: instance }, incarnation, 'live');
+    }
+  }
+
   /** A higher incarnation overrules every suspicion of an earlier one. */
   #refute(fact: MemberFact): void {
-    const accused = fact.state === 'suspect' || fact.state === 'failed';
+    const accused =
+      fact.state === 'suspect' ||
+      fact.state === 'failed' ||
+      (fact.state === 'leaving' && !this.#leaving);
     if (accused && fact.incarnation >= this.#incarnation) {
       this.#incarnation = fact.incarnation + 1;
     }
@@ -270,10 +305,10 @@
     this.#spread(member);
   }
 
-  #spread({ id, incarnation, state }: Member): void {
+  #spread(member: Member): void {
     const size = Math.max(2, this.#members.size + 1);
-    this.#news.set(id, {
-      fact: { instance: id, incarnation, state },
+    this.#news.set(member.id, {
+      fact: factOf(member),
       left: MIN_REPEATS + Math.ceil(2 * Math.log2(size)),
     });
   }
@@ -291,6 +326,17 @@
     return fresh.map(({ fact }) => fact);
   }
 
+  /** Uses the room that news leave to tell of members, so that new ones learn all. */
+  #fillUp(news: readonly MemberFact[]): readonly MemberFact[] {
+    const told = new Set(news.map(({ instance }) => instance));
+    const others = this.serving.filter(({ id }) => !told.has(id));
+    const start = Math.floor(this.random() * others.length);
+    const rest = [...others.slice(start), ...others.slice(0, start)]
+      .slice(0, this.options.maxFacts - news.length)
+      .map(factOf);
+    return [...news, ...rest];
+  }
+
   #probeable(): readonly Member[] {
     return this.members.filter(({ state }) => state !== 'failed');
   }
--- a/packages/decisions/src/policies/PolicyUnit.ts
+++ b/packages/decisions/src/policies/PolicyUnit.ts
@@ -13,7 +13,7 @@
 }
 
 /** A policy as data plus a factory. */
-export interface PolicyUnit<Options, Policy> {
+export interface PolicyUnit<Options, Policy, Board = Blackboard> {
   readonly meta: PolicyMeta<Options>;
-  readonly create: (board: Blackboard, options?: Partial<Options>) => Policy;
+  readonly create: (board: Board, options?: Partial<Options>) => Policy;
 }
--- a/packages/decisions/src/policies/createPolicyUnit.ts
+++ b/packages/decisions/src/policies/createPolicyUnit.ts
@@ -4,11 +4,11 @@
 import type { PolicyUnit } from './PolicyUnit.js';
 
 /** The parts from which a policy unit is made. */
-export interface PolicyParts<Options, Policy> {
+export interface PolicyParts<Options, Policy, Board> {
   readonly name: string;
   readonly description: string;
   readonly schema: z.ZodType<Options>;
-  readonly create: (board: Blackboard, options: Options) => Policy;
+  readonly create: (board: Board, options: Options) => Policy;
 }
 
 /**
@@ -17,9 +17,9 @@
  * @param parts - name, description, option schema and factory
  * @returns the unit for the catalogue
  */
-export function createPolicyUnit<Options, Policy>(
-  parts: PolicyParts<Options, Policy>,
-): PolicyUnit<Options, Policy> {
+export function createPolicyUnit<Options, Policy, Board = Blackboard>(
+  parts: PolicyParts<Options, Policy, Board>,
+): PolicyUnit<Options, Policy, Board> {
   const { name, description, schema, create } = parts;
   return {
     meta: { name, description, schema, defaults: schema.parse({}) },
--- a/packages/instance/src/events/EventLog.ts
+++ b/packages/events/src/EventLog.ts
@@ -11,7 +11,7 @@
   ) => void;
 }
 
-const MIN_LEVEL: Readonly<Record<LogLevel, number>> = {
+export const MIN_LEVEL: Readonly<Record<LogLevel, number>> = {
   debug: 2,
   info: 3,
   warn: 4,
--- /dev/null
+++ b/packages/events/src/createBoundedLog.ts
@@ -0,0 +1,96 @@
+import { Logger } from 'tslog';
+
+import type { EventLog } from './EventLog.js';
+import { MIN_LEVEL } from './EventLog.js';
+import { LineWriter } from './LineWriter.js';
+import type { LogEvent, LogEventId, LogLevel } from './logEvents.js';
+import { LOG_EVENTS } from './logEvents.js';
+
+/** How a bounded log is made. */
+export interface EventLogOptions {
+  readonly instance: string;
+  readonly level: LogLevel;
+  /** Steady clock in milliseconds. */
+  readonly clock: () => number;
+  readonly writer?: LineWriter;
+}
+
+/**
+ * Lines of one event per second; above it lines are counted. Ten times the
+ * lines of a busy instance of the fleets of today.
+ */
+const MAX_LINES_PER_S = 300;
+const SECOND_MS = 1000;
+
+interface EventCount {
+  sinceMs: number;
+  lines: number;
+  left: number;
+}
+
+/**
+ * Creates a log whose volume is bounded and which never waits for its reader.
+ *
+ * Each event has a bound of lines a second. What goes beyond it, or beyond what
+ * the reader takes, is told by one line with the counts.
+ *
+ * @param options - name, level and clock
+ * @returns the log
+ */
+export function createBoundedLog(options: EventLogOptions): EventLog {
+  const { instance, level, clock, writer = new LineWriter() } = options;
+  const logger = new Logger<object>({
+    type: 'hidden',
+    minLevel: MIN_LEVEL[level],
+    // Finding the calling line would take a stack trace for each log line.
+    stack: { capture: 'off' },
+  });
+  logger.attachTransport(({ _logMeta, ...fields }) => {
+    const name = _logMeta?.logLevelName ?? 'INFO';
+    writer.write(JSON.stringify({ level: name, ...fields }));
+  });
+  const counts = new Map<LogEventId, EventCount>();
+
+  const emit = (
+    id: LogEventId,
+    fields: Readonly<Record<string, unknown>>,
+  ): void => {
+    const event: LogEvent = LOG_EVENTS[id];
+    const atMs = Math.round(clock());
+    logger[event.level]({
+      event: event.number,
+      id,
+      instance,
+      time: new Date().toISOString(),
+      atMs,
+      ...fields,
+    });
+  };
+
+  const countOf = (id: LogEventId): EventCount => {
+    const nowMs = clock();
+    const known = counts.get(id);
+    if (known && nowMs - known.sinceMs < SECOND_MS) {
+      return known;
+    }
+    const dropped = writer.takeDropped();
+    if ((known?.left ?? 0) > 0 || dropped > 0) {
+      emit('linesLeftOut', { of: id, left: known?.left ?? 0, dropped });
+    }
+    const fresh = { sinceMs: nowMs, lines: 0, left: 0 };
+    counts.set(id, fresh);
+    return fresh;
+  };
+
+  return {
+    write: (id, fields) => {
+      const count = countOf(id);
+      if (count.lines >= MAX_LINES_PER_S) {
+        count.left += 1;
+        return;
+      }
+      count.lines += 1;
+      emit(id, fields);
+    },
+  };
+}
--- /dev/null
+++ b/packages/events/src/index.ts
@@ -0,0 +1,7 @@
+export type { EventLog } from './EventLog.js';
+export { createEventLog, SILENT_LOG } from './EventLog.js';
+export type { EventLogOptions } from './createBoundedLog.js';
+export { createBoundedLog } from './createBoundedLog.js';
+export { LineWriter } from './LineWriter.js';
+export type { LogEvent, LogEventId, LogLevel } from './logEvents.js';
+export { LOG_EVENTS } from './logEvents.js';
--- a/packages/instance/src/events/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -25,6 +25,27 @@
     level: 'info',
     summary: 'The last request ended and the instance is down.',
   },
+  gatewayReady: {
+    number: 104,
+    level: 'info',
+    summary: 'The gateway takes callers.',
+  },
+  settingsReloaded: {
+    number: 105,
+    level: 'info',
+    summary: 'The settings file was read again.',
+  },
+  settingsRefused: {
+    number: 106,
+    level: 'error',
+    summary:
+      'The settings file has faults; the earlier settings stay in force.',
+  },
+  wokeUp: {
+    number: 107,
+    level: 'warn',
+    summary: 'The process stood still for a while; its view is read anew.',
+  },
   configurationInForce: {
     number: 201,
     level: 'info',
@@ -60,6 +81,17 @@
     level: 'info',
     summary: 'The platform answers again.',
   },
+  replicaChanged: {
+    number: 303,
+    level: 'info',
+    summary: 'A backend server was added, changed, is leaving or is gone.',
+  },
+  backendAvoided: {
+    number: 304,
+    level: 'warn',
+    summary:
+      'A backend server fails or is silent towards this instance; it gets probes only.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
@@ -70,6 +102,43 @@
     level: 'warn',
     summary: 'An accepted request ended in a refusal.',
   },
+  requestPlaced: {
+    number: 502,
+    level: 'info',
+    summary: 'A request was sent to a backend server.',
+  },
+  attemptFailed: {
+    number: 503,
+    level: 'warn',
+    summary:
+      'An attempt gave no answer for the caller; the next step stands beside it.',
+  },
+  requestAnswered: {
+    number: 504,
+    level: 'info',
+    summary: 'A request got its whole answer.',
+  },
+  requestRefused: {
+    number: 505,
+    level: 'warn',
+    summary: 'A request was refused and did not run.',
+  },
+  requestCut: {
+    number: 506,
+    level: 'warn',
+    summary: 'A request ended without a whole answer after it was sent.',
+  },
+  callerLeft: {
+    number: 507,
+    level: 'info',
+    summary: 'The caller closed its connection before the answer ended.',
+  },
+  linesLeftOut: {
+    number: 902,
+    level: 'warn',
+    summary:
+      'Log lines beyond the bound of their event were counted instead of written.',
+  },
   unexpectedError: {
     number: 901,
     level: 'error',
--- /dev/null
+++ b/packages/gateway/src/GatewayContext.ts
@@ -0,0 +1,36 @@
+import type { GatewayRouter, Membership } from '@jujubecroft/decisions';
+import type { EventLog } from '@jujubecroft/events';
+
+import type { BackendConnections } from './backends/BackendConnections.js';
+import type { GatewaySettings } from './GatewaySettings.js';
+import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
+import type { CallerDialect } from './ports/CallerDialect.js';
+
+/** What the parts of one instance share. */
+export interface GatewayContext {
+  /** Replaced as a whole when the settings file changes. */
+  settings: GatewaySettings;
+  readonly router: GatewayRouter;
+  readonly membership: Membership;
+  readonly connections: BackendConnections;
+  readonly dialect: CallerDialect;
+  readonly metrics: GatewayMetrics;
+  readonly log: EventLog;
+  readonly clock: () => number;
+  /** Whether a stop was asked for. */
+  leaving: boolean;
+}
+
+/** Injection token of the context. */
+export const GATEWAY_CONTEXT = Symbol('GatewayContext');
+
+/**
+ * Whether an instance can serve callers.
+ *
+ * @param context - of the instance
+ * @returns true once configuration and backend servers are known, until it leaves
+ */
+export function isReady(context: GatewayContext): boolean {
+  const { board } = context.router;
+  return !context.leaving && board.table !== null && board.replicas.version > 0;
+}
--- /dev/null
+++ b/packages/gateway/src/front/RequestsUnderWay.ts
@@ -0,0 +1,51 @@
+import type { ForwardedRequest } from '../forward/ForwardedRequest.js';
+import type { GatewayContext } from '../GatewayContext.js';
+
+/** Time between looks for attempts that fell silent, in milliseconds. */
+const CHECK_EVERY_MS = 50;
+
+/** The requests of one instance that have not ended. */
+export class RequestsUnderWay {
+  readonly #requests = new Set<ForwardedRequest>();
+  #timer: NodeJS.Timeout | null = null;
+
+  constructor(private readonly context: GatewayContext) {}
+
+  get count(): number {
+    return this.#requests.size;
+  }
+
+  /** Runs a request and keeps it until it ends. */
+  async track(request: ForwardedRequest): Promise<void> {
+    this.#requests.add(request);
+    try {
+      await request.run();
+    } finally {
+      this.#requests.delete(request);
+    }
+  }
+
+  /** Starts to look for attempts that should go on elsewhere. */
+  start(): void {
+    this.#timer = setInterval(() => {
+      this.#moveSilent();
+    }, CHECK_EVERY_MS);
+  }
+
+  stop(): void {
+    if (this.#timer) {
+      clearInterval(this.#timer);
+    }
+  }
+
+  #moveSilent(): void {
+    const silent = this.context.router.findSilent();
+    silent.forEach(attempt => {
+      [...this.#requests]
+        .filter(request => request.runs(attempt))
+        .forEach(request => {
+          request.withdraw('silent');
+        });
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -0,0 +1,142 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { GatewayRequest, Match } from '@jujubecroft/decisions';
+import type { RequestId, ResultCodeId } from '@jujubecroft/types';
+
+import { CallerAnswer } from '../forward/CallerAnswer.js';
+import { ForwardedRequest } from '../forward/ForwardedRequest.js';
+import { ownAnswer } from '../forward/ownAnswer.js';
+import type { GatewayContext } from '../GatewayContext.js';
+import type { CallerHead } from '../ports/CallerDialect.js';
+import { readBody } from './readBody.js';
+import type { RequestsUnderWay } from './RequestsUnderWay.js';
+
+type Matched = Extract<Match, { kind: 'matched' }>;
+
+/** Told when an instance knows no configuration; it mostly does within a second. */
+const UNREADY_RETRY_MS = 500;
+/** Body bound while no configuration is known. */
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_MAX_HEAD_BYTES = 16 * 1024;
+
+/** Bytes of the header lines of a request. */
+function headBytes(req: IncomingMessage): number {
+  return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+function refuse(
+  context: GatewayContext,
+  res: ServerResponse,
+  code: ResultCodeId,
+  id: RequestId | null,
+  facts: Readonly<Record<string, unknown>> = {},
+): void {
+  const retryAfterMs = code === 'noRoutingKnown' ? UNREADY_RETRY_MS : 0;
+  const answer = new CallerAnswer(res, () => context.leaving);
+  if (!answer.isClosed) {
+    answer.send(ownAnswer(context.dialect, code, id, retryAfterMs));
+  }
+  const table = context.router.board.table;
+  context.metrics.refusals.inc({ code, priority: '' });
+  context.log.write('requestRefused', {
+    request: id,
+    code,
+    retryAfterMs,
+    configuration: table?.cfg.version ?? null,
+    ...facts,
+  });
+}
+
+function toGatewayRequest(
+  context: GatewayContext,
+  head: CallerHead,
+  id: RequestId,
+  { route, service, organisation }: Matched,
+  arrivedMs: number,
+): GatewayRequest {
+  const timeLeftMs = head.timeLeftMs ?? route.timeoutMs;
+  return {
+    id,
+    route,
+    service,
+    organisation: organisation?.id ?? null,
+    priority: organisation?.priority ?? route.priority,
+    prompt: head.prompt,
+    arrivedMs,
+    deadlineMs: arrivedMs + Math.min(route.timeoutMs, timeLeftMs),
+    cameBack: context.router.cameBack(route, timeLeftMs),
+  };
+}
+
+/**
+ * Handles one request of a caller.
+ *
+ * @param context - of the instance
+ * @param underWay - requests that have not ended
+ * @param req - the request
+ * @param res - its answer
+ */
+export async function handleRequest(
+  context: GatewayContext,
+  underWay: RequestsUnderWay,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const arrivedMs = context.clock();
+  const { router, dialect } = context;
+  const limits = router.board.table?.cfg.limits;
+  const head = dialect.readCaller(req.rawHeaders);
+  const target = req.url ?? '/';
+  if (headBytes(req) > (limits?.maxHeaderBytes ?? DEFAULT_MAX_HEAD_BYTES)) {
+    refuse(context, res, 'headTooLarge', head.id);
+    return;
+  }
+  const read = await readBody(
+    req,
+    limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+  );
+  if (read.kind === 'broken') {
+    context.log.write('callerLeft', { request: head.id, code: 'bodyBroken' });
+    return;
+  }
+  if (read.kind === 'tooLarge') {
+    // What is left of the body would be read as the next request.
+    res.shouldKeepAlive = false;
+    refuse(context, res, 'bodyTooLarge', head.id);
+    return;
+  }
+  if (head.id === null) {
+    refuse(context, res, 'requestIdMissing', null, { target });
+    return;
+  }
+  const path = target.split('?', 1)[0] ?? target;
+  const match = router.match(req.headers.host ?? '', path, head.key);
+  if (match.kind === 'refused') {
+    refuse(context, res, match.code, head.id, { path });
+    return;
+  }
+  const request = toGatewayRequest(context, head, head.id, match, arrivedMs);
+  router.onRequest(request);
+  const forwarded = new ForwardedRequest(
+    context,
+    request,
+    {
+      method: req.method ?? 'GET',
+      target,
+      headers: req.rawHeaders,
+      head,
+      body: read.body,
+    },
+    new CallerAnswer(res, () => context.leaving),
+  );
+  const onClose = (): void => {
+    if (!res.writableFinished) {
+      forwarded.withdraw('callerLeft');
+    }
+  };
+  res.once('close', onClose);
+  // The caller may have left while its body was read.
+  if (res.destroyed) {
+    onClose();
+  }
+  await underWay.track(forwarded);
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,19 @@
+export type { GatewayContext } from './GatewayContext.js';
+export { GATEWAY_CONTEXT, isReady } from './GatewayContext.js';
+export type { GatewaySettings, ListenAddress } from './GatewaySettings.js';
+export type {
+  AnswerHead,
+  BackendHead,
+  CallerDialect,
+  CallerHead,
+  RawHeaders,
+} from './ports/CallerDialect.js';
+export type {
+  ConfigurationRead,
+  DiscoveryStore,
+  ReplicaRead,
+} from './ports/DiscoveryStore.js';
+export { HISTORY_GONE } from './ports/DiscoveryStore.js';
+export { chooseAddresses } from './side/chooseAddresses.js';
+export type { GatewayPorts, RunningGateway } from './startGateway.js';
+export { startGateway } from './startGateway.js';
--- /dev/null
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -0,0 +1,100 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const SECONDS = [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8, 16];
+const PREDICTION_ERROR_MS = [-2000, -500, -200, -50, 0, 50, 200, 500, 2000];
+
+/**
+ * Metrics of one instance of the gateway.
+ *
+ * Labels take values from closed sets or from the declared services and
+ * priorities, never from callers.
+ */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+  readonly #registers = [this.registry];
+
+  readonly requests = new Counter({
+    name: 'jujubecroft_gateway_requests_total',
+    help: 'Requests by kind of route, priority and outcome.',
+    labelNames: ['kind', 'priority', 'outcome'] as const,
+    registers: this.#registers,
+  });
+  readonly refusals = new Counter({
+    name: 'jujubecroft_gateway_refusals_total',
+    help: 'Requests that this instance refused, by result code and priority.',
+    labelNames: ['code', 'priority'] as const,
+    registers: this.#registers,
+  });
+  readonly attempts = new Counter({
+    name: 'jujubecroft_gateway_attempts_total',
+    help: 'Attempts at backend servers by result.',
+    labelNames: ['service', 'result'] as const,
+    registers: this.#registers,
+  });
+  readonly retries = new Counter({
+    name: 'jujubecroft_gateway_retries_total',
+    help: 'Attempts beyond the first, by what the one before came to.',
+    labelNames: ['service', 'after'] as const,
+    registers: this.#registers,
+  });
+  readonly firstByte = new Histogram({
+    name: 'jujubecroft_gateway_first_byte_seconds',
+    help: 'Time from arrival to the first byte of the answer.',
+    labelNames: ['kind', 'priority'] as const,
+    buckets: SECONDS,
+    registers: this.#registers,
+  });
+  readonly whole = new Histogram({
+    name: 'jujubecroft_gateway_answer_seconds',
+    help: 'Time from arrival to the end of a whole answer.',
+    labelNames: ['kind', 'priority'] as const,
+    buckets: SECONDS,
+    registers: this.#registers,
+  });
+  readonly predictionError = new Histogram({
+    name: 'jujubecroft_gateway_prediction_error_ms',
+    help: 'Time to the first byte at the backend server less what was predicted.',
+    labelNames: ['service'] as const,
+    buckets: PREDICTION_ERROR_MS,
+    registers: this.#registers,
+  });
+  readonly storeCalls = new Counter({
+    name: 'jujubecroft_gateway_store_calls_total',
+    help: 'Calls of the store by call and result.',
+    labelNames: ['call', 'result'] as const,
+    registers: this.#registers,
+  });
+  readonly viewAge = new Gauge({
+    name: 'jujubecroft_gateway_view_age_seconds',
+    help: 'How long ago a view was known to be current.',
+    labelNames: ['view'] as const,
+    registers: this.#registers,
+  });
+  readonly version = new Gauge({
+    name: 'jujubecroft_gateway_configuration_version',
+    help: 'Version of the configuration in force.',
+    registers: this.#registers,
+  });
+  readonly members = new Gauge({
+    name: 'jujubecroft_gateway_instances',
+    help: 'Live instances, this one included.',
+    registers: this.#registers,
+  });
+  readonly backends = new Gauge({
+    name: 'jujubecroft_gateway_backend_servers',
+    help: 'Backend servers by service and how they are used.',
+    labelNames: ['service', 'verdict'] as const,
+    registers: this.#registers,
+  });
+  readonly inFlight = new Gauge({
+    name: 'jujubecroft_gateway_requests_in_flight',
+    help: 'Requests that have not ended.',
+    registers: this.#registers,
+  });
+  readonly budgetLeft = new Gauge({
+    name: 'jujubecroft_gateway_retry_budget_left',
+    help: 'Repeats left in this instance part of the retry budget.',
+    labelNames: ['service'] as const,
+    registers: this.#registers,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/startGateway.ts
@@ -0,0 +1,238 @@
+import type { Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Type } from '@nestjs/common';
+import murmurhash from 'murmurhash';
+import {
+  createGatewayBoard,
+  DEFAULT_MEMBERSHIP,
+  defaultGatewayPolicies,
+  GatewayRouter,
+  Membership,
+} from '@jujubecroft/decisions';
+import type { EventLog } from '@jujubecroft/events';
+import { createRandom } from '@jujubecroft/types';
+
+import { BackendConnections } from './backends/BackendConnections.js';
+import { createFront } from './front/createFront.js';
+import { RequestsUnderWay } from './front/RequestsUnderWay.js';
+import type { GatewayContext } from './GatewayContext.js';
+import { isReady } from './GatewayContext.js';
+import type { GatewaySettings } from './GatewaySettings.js';
+import { GatewayMetrics } from './metrics/GatewayMetrics.js';
+import type { CallerDialect } from './ports/CallerDialect.js';
+import type { DiscoveryStore } from './ports/DiscoveryStore.js';
+import { createSideApp } from './side/createSideApp.js';
+import { listenRaw } from './side/listenRaw.js';
+import { FleetView } from './state/FleetView.js';
+import { PEER_PERIOD_MS, PeerLoop } from './state/PeerLoop.js';
+import { StoreReader } from './state/StoreReader.js';
+import { createWakeUpWatch } from './wakeUpWatch.js';
+
+/** How a deployment's surroundings are spoken to. */
+export interface GatewayPorts {
+  readonly dialect: CallerDialect;
+  readonly store: DiscoveryStore;
+  /** Controllers for readiness and addresses, as callers expect them. */
+  readonly controllers: readonly Type[];
+}
+
+/** An instance of the gateway that was started. */
+export interface RunningGateway {
+  readonly context: GatewayContext;
+  /** Takes no new callers, finishes what is under way, then stops. */
+  readonly stop: () => Promise<void>;
+  /** Drops everything at once. */
+  readonly kill: () => Promise<void>;
+}
+
+/** Members that get an exchange in each round. */
+const PEER_FANOUT = 3;
+/** Time that a suspected member has to answer, in milliseconds. */
+const SUSPECT_MS = 1200;
+const HOUSEKEEPING_MS = 100;
+/** Part of the grace period in which callers learn to stay away. */
+const SPREAD_SHARE = 0.55;
+/** Part of the grace period after which what still runs is cut. */
+const LAST_SHARE = 0.95;
+const IDLE_CHECK_MS = 50;
+
+function createContext(
+  settings: GatewaySettings,
+  ports: GatewayPorts,
+  log: EventLog,
+  clock: () => number,
+): GatewayContext {
+  const { instance, failureDomain, retryBudget } = settings;
+  // Each run draws other numbers, or all instances would after a restart.
+  const random = createRandom(murmurhash.v3(instance) ^ Date.now());
+  const board = createGatewayBoard({
+    clock,
+    random,
+    instance,
+    failureDomain,
+    retryBudget,
+  });
+  const membership = new Membership(
+    {
+      instance,
+      failureDomain,
+      callerAddress: '',
+      peerAddress: `${settings.peers.host}:${settings.peers.port}`,
+    },
+    clock,
+    random,
+    {
+      ...DEFAULT_MEMBERSHIP,
+      fanout: PEER_FANOUT,
+      periodMs: PEER_PERIOD_MS,
+      suspectMs: SUSPECT_MS,
+      // Wall time grows from run to run; a step back is refuted by heartbeats.
+      incarnation: Date.now(),
+    },
+  );
+  return {
+    settings,
+    router: new GatewayRouter(board, defaultGatewayPolicies(board)),
+    membership,
+    connections: new BackendConnections(),
+    dialect: ports.dialect,
+    metrics: new GatewayMetrics(),
+    log,
+    clock,
+    leaving: false,
+  };
+}
+
+async function listenSide(
+  context: GatewayContext,
+  ports: GatewayPorts,
+): Promise<readonly Server[]> {
+  const { readiness, directory, metrics } = context.settings;
+  const app = await createSideApp(context, ports.controllers);
+  const fastify = app.getHttpAdapter().getInstance();
+  const addresses = [readiness, directory, metrics].flatMap(
+    address => address ?? [],
+  );
+  return Promise.all(
+    addresses.map(address =>
+      listenRaw((req, res) => {
+        fastify.routing(req, res);
+      }, address),
+    ),
+  );
+}
+
+/** Meets other instances by the notes that they left in the store. */
+async function meetThroughStore(
+  context: GatewayContext,
+  store: DiscoveryStore,
+): Promise<void> {
+  const { membership, log, settings } = context;
+  const { self } = membership;
+  try {
+    await store.announce({
+      id: self.instance,
+      failureDomain: self.failureDomain,
+      callerAddress: '',
+      peerAddress: self.peerAddress,
+      state: 'live',
+    });
+    membership.onList(await store.listInstances());
+  } catch (err) {
+    // Seeds and heartbeats bring the instances together without the store.
+    const error = err instanceof Error ? err.message : String(err);
+    log.write('platformDown', {
+      call: 'instances',
+      error,
+      seeds: settings.seeds.length,
+    });
+  }
+}
+
+/**
+ * Starts an instance of the gateway; it takes callers once it knows what for.
+ *
+ * @param settings - checked settings
+ * @param ports - how the surroundings are spoken to
+ * @param log - where events go
+ * @returns the running instance
+ */
+export async function startGateway(
+  settings: GatewaySettings,
+  ports: GatewayPorts,
+  log: EventLog,
+): Promise<RunningGateway> {
+  const clock = (): number => performance.now();
+  const context = createContext(settings, ports, log, clock);
+  const underWay = new RequestsUnderWay(context);
+  const front = createFront(context, underWay);
+  const view = new FleetView(context, front.limit);
+  const reader = new StoreReader(context, ports.store, view);
+  const peers = new PeerLoop(context, view);
+  const stoodStillMs = createWakeUpWatch(clock);
+  let wasReady = false;
+
+  const keepHouse = (): void => {
+    const { replicas } = context.router.board;
+    view.onReplicas(replicas.tick(), 'lapse');
+    const stillMs = stoodStillMs();
+    if (stillMs > 0) {
+      log.write('wokeUp', { stoodStillMs: Math.round(stillMs) });
+      void reader.refresh();
+      void peers.spread();
+    }
+    if (!wasReady && isReady(context)) {
+      wasReady = true;
+      log.write('gatewayReady', {
+        configuration: context.router.board.table?.cfg.version,
+        replicas: replicas.replicas.length,
+      });
+    }
+  };
+
+  await front.app.listen({
+    host: settings.callers.host,
+    port: settings.callers.port,
+  });
+  await peers.start();
+  reader.start();
+  const sides = await listenSide(context, ports);
+  void meetThroughStore(context, ports.store);
+  underWay.start();
+  const housekeeping = setInterval(keepHouse, HOUSEKEEPING_MS);
+  log.write('instanceStarted', { settings });
+
+  const close = async (): Promise<void> => {
+    clearInterval(housekeeping);
+    reader.stop();
+    peers.stop();
+    underWay.stop();
+    sides.forEach(side => {
+      side.close();
+      side.closeAllConnections();
+    });
+    front.server.closeAllConnections();
+    await front.app.close();
+    await context.connections.destroy();
+    await ports.store.close();
+  };
+
+  const stop = async (): Promise<void> => {
+    const startedMs = clock();
+    context.leaving = true;
+    context.membership.leave();
+    log.write('instanceStopping', { inFlight: underWay.count });
+    await peers.spread();
+    // Callers keep addresses for a while, and go on using open connections
+    // until an answer closes them.
+    await sleep(SPREAD_SHARE * settings.graceMs);
+    const lastMs = startedMs + LAST_SHARE * settings.graceMs;
+    while (underWay.count > 0 && clock() < lastMs) {
+      await sleep(IDLE_CHECK_MS);
+    }
+    log.write('instanceStopped', { cut: underWay.count });
+    await close();
+  };
+
+  return { context, stop, kill: close };
+}
--- /dev/null
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -0,0 +1,280 @@
+import type { handleUnaryCall } from '@grpc/grpc-js';
+import { Server, ServerCredentials } from '@grpc/grpc-js';
+import type { Member, MemberState } from '@jujubecroft/decisions';
+import type { proto } from '@jujubecroft/operator';
+import {
+  fromHeartbeatMessage,
+  GatewayPeerService,
+  toHeartbeatMessage,
+} from '@jujubecroft/operator';
+import type { InstanceId, RoutingConfiguration } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import type { GatewayContext } from '../GatewayContext.js';
+import { isReady } from '../GatewayContext.js';
+import type { FleetView } from './FleetView.js';
+import {
+  finite,
+  fromReplicaFields,
+  fromUses,
+  toReplicaFields,
+  toUses,
+} from './gatewayState.js';
+import { PeerClients } from './PeerClients.js';
+
+/** Time between rounds of exchanges. */
+export const PEER_PERIOD_MS = 250;
+/** Exchanges that fail in a row until a peer is suspected. */
+const FAILURES_TO_SUSPECT = 2;
+/** Peers that get urgent news at once; they pass it on. */
+const URGENT_FANOUT = 8;
+/** Rounds between tries of seeds that are not known as members. */
+const SEED_EVERY_ROUNDS = 4;
+
+/** Keeps instances in touch: membership, configuration, replicas and use. */
+export class PeerLoop {
+  readonly #clients = new PeerClients();
+  readonly #server = new Server();
+  readonly #failures = new Map<InstanceId, number>();
+  readonly #states = new Map<InstanceId, MemberState>();
+  readonly #pulling = new Set<string>();
+  #timer: NodeJS.Timeout | null = null;
+  #round = 0;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly view: FleetView,
+  ) {
+    view.onNews(() => {
+      void this.spread();
+    });
+  }
+
+  /** Listens for other instances and starts to call them. */
+  async start(): Promise<void> {
+    const { host, port } = this.context.settings.peers;
+    const exchange: handleUnaryCall<proto.GatewayState, proto.GatewayState> = (
+      call,
+      callback,
+    ) => {
+      const reply = this.#stateFor(call.request);
+      this.#take(call.request, false);
+      callback(null, reply);
+    };
+    this.#server.addService(GatewayPeerService, { exchange });
+    await new Promise<void>((resolve, reject) => {
+      this.#server.bindAsync(
+        `${host}:${port}`,
+        ServerCredentials.createInsecure(),
+        err => {
+          if (err) {
+            reject(err);
+            return;
+          }
+          resolve();
+        },
+      );
+    });
+    this.#timer = setInterval(() => {
+      this.#beat();
+    }, PEER_PERIOD_MS);
+    this.#beat();
+  }
+
+  stop(): void {
+    if (this.#timer) {
+      clearInterval(this.#timer);
+    }
+    this.#clients.close();
+    this.#server.forceShutdown();
+  }
+
+  /** Tells some members at once; each passes on what is new to it. */
+  async spread(): Promise<void> {
+    const { membership, router } = this.context;
+    const { serving } = membership;
+    const start = Math.floor(router.board.random() * serving.length);
+    const chosen = [...serving.slice(start), ...serving.slice(0, start)];
+    await Promise.all(
+      chosen
+        .slice(0, URGENT_FANOUT)
+        .map(member => this.#exchange(member.peerAddress, member)),
+    );
+  }
+
+  #beat(): void {
+    const { membership, router, metrics } = this.context;
+    this.#round += 1;
+    membership.announce(
+      isReady(this.context) ? addressOf(this.context) : '',
+      membership.self.peerAddress,
+    );
+    membership.tick();
+    membership.targets().forEach(member => {
+      void this.#exchange(member.peerAddress, member);
+    });
+    this.#trySeeds();
+    router.onInstances(membership.instances);
+    metrics.members.set(membership.instances.length);
+    this.#noteStates();
+  }
+
+  /** Meets instances that no member has told of, as at the very start. */
+  #trySeeds(): void {
+    if (this.#round % SEED_EVERY_ROUNDS !== 1) {
+      return;
+    }
+    const { membership, settings } = this.context;
+    const known = new Set(
+      membership.serving.map(({ peerAddress }) => peerAddress),
+    );
+    settings.seeds
+      .filter(seed => !known.has(seed) && seed !== membership.self.peerAddress)
+      .forEach(seed => {
+        void this.#exchange(seed, null);
+      });
+  }
+
+  async #exchange(address: string, member: Member | null): Promise<void> {
+    try {
+      const reply = await this.#clients.exchange(address, this.#stateFor(null));
+      if (member) {
+        this.#failures.delete(member.id);
+      }
+      this.#take(reply, true);
+    } catch {
+      // What a peer that can't be reached means is for the membership to say.
+      this.#onFailure(member);
+    }
+  }
+
+  #onFailure(member: Member | null): void {
+    if (!member) {
+      return;
+    }
+    const failures = (this.#failures.get(member.id) ?? 0) + 1;
+    this.#failures.set(member.id, failures);
+    if (failures >= FAILURES_TO_SUSPECT) {
+      this.context.membership.onUnreachable(member.id);
+    }
+  }
+
+  /** What this instance says; with what the other side lacks where its state is known. */
+  #stateFor(theirs: proto.GatewayState | null): proto.GatewayState {
+    const { router, membership, clock } = this.context;
+    const { board } = router;
+    const nowMs = clock();
+    const version = board.table?.cfg.version ?? 0;
+    const isAhead = theirs !== null && version > theirs.configurationVersion;
+    const heartbeat = membership.message({
+      revision: version,
+      inFlight: router.ownUses.reduce((sum, use) => sum + use.inFlight, 0),
+    });
+    const changes =
+      theirs && theirs.replicasVersion < board.replicas.version
+        ? board.replicas.changesSince(theirs.replicasVersion)
+        : {
+            version: board.replicas.version,
+            ageMs: board.replicas.ageMs,
+            complete: false,
+            records: [],
+          };
+    return {
+      heartbeat: toHeartbeatMessage(heartbeat),
+      configurationVersion: version,
+      configurationAgeMs: finite(nowMs - board.configurationAsOfMs),
+      uses: toUses(router.ownUses),
+      configurationJson: isAhead ? JSON.stringify(board.table?.cfg) : '',
+      ...toReplicaFields(changes, nowMs),
+      replicasChangedAt: board.replicas.changedAt,
+    };
+  }
+
+  /**
+   * Takes in what another instance says, and asks for what it didn't send.
+   *
+   * @param state - of the other
+   * @param isReply - whether it holds all that this instance lacks
+   */
+  #take(state: proto.GatewayState, isReply: boolean): void {
+    const { heartbeat } = state;
+    if (!heartbeat) {
+      return;
+    }
+    const { membership, router } = this.context;
+    membership.onMessage(fromHeartbeatMessage(heartbeat));
+    const peer = brand<InstanceId>(heartbeat.instance);
+    router.onPeerUses(peer, fromUses(state.uses));
+    this.#takeConfiguration(state, peer);
+    this.#takeReplicas(state, peer, isReply);
+  }
+
+  #takeConfiguration(state: proto.GatewayState, peer: InstanceId): void {
+    const { board } = this.context.router;
+    const known = board.table?.cfg.version ?? 0;
+    if (state.configurationJson !== '') {
+      const cfg = JSON.parse(state.configurationJson) as RoutingConfiguration;
+      this.view.onConfiguration(cfg, state.configurationAgeMs, peer);
+      return;
+    }
+    if (state.configurationVersion > known) {
+      this.#pull(state);
+      return;
+    }
+    if (state.configurationVersion === known && board.table) {
+      this.view.onConfiguration(null, state.configurationAgeMs, peer);
+    }
+  }
+
+  #takeReplicas(
+    state: proto.GatewayState,
+    peer: InstanceId,
+    isReply: boolean,
+  ): void {
+    const { router, clock } = this.context;
+    const { replicas } = router.board;
+    if (state.replicasVersion <= replicas.version) {
+      return;
+    }
+    if (isReply) {
+      const changes = replicas.merge(fromReplicaFields(state, clock()));
+      this.view.onReplicas(changes, peer);
+      return;
+    }
+    if (state.replicasChangedAt > replicas.version) {
+      this.#pull(state);
+      return;
+    }
+    // Nothing has changed since; only the view is known to be younger.
+    if (replicas.version > 0) {
+      replicas.confirm(state.replicasVersion, state.replicasAgeMs);
+    }
+  }
+
+  /** Asks a peer that is ahead for what this instance lacks. */
+  #pull({ heartbeat }: proto.GatewayState): void {
+    const address = heartbeat?.peerAddress ?? '';
+    if (address === '' || this.#pulling.has(address)) {
+      return;
+    }
+    this.#pulling.add(address);
+    void this.#exchange(address, null).finally(() => {
+      this.#pulling.delete(address);
+    });
+  }
+
+  #noteStates(): void {
+    const { membership, log } = this.context;
+    membership.members
+      .filter(({ id, state }) => this.#states.get(id) !== state)
+      .forEach(({ id, state }) => {
+        const before = this.#states.get(id) ?? 'unknown';
+        this.#states.set(id, state);
+        log.write('memberChanged', { member: id, before, state });
+      });
+  }
+}
+
+function addressOf({ settings }: GatewayContext): string {
+  return `${settings.callers.host}:${settings.callers.port}`;
+}
--- /dev/null
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -0,0 +1,169 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { rankOf, shouldRead } from '@jujubecroft/decisions';
+
+import type { GatewayContext } from '../GatewayContext.js';
+import type {
+  ConfigurationRead,
+  DiscoveryStore,
+  ReplicaRead,
+} from '../ports/DiscoveryStore.js';
+import { HISTORY_GONE } from '../ports/DiscoveryStore.js';
+import type { FleetView } from './FleetView.js';
+
+/**
+ * Longest wait of one call for a new configuration. A connection that fell
+ * silent costs at most this, and the view must not be older than two seconds.
+ */
+const WATCH_MS = 900;
+/** Time between reads of the replicas; entries change several times a second. */
+const REPLICAS_EVERY_MS = 550;
+/** Time between looks whether this instance has to read. */
+const IDLE_CHECK_MS = 100;
+/** Pause after a failed call; grows with the rank, so that few press a store that is away. */
+const FAILED_PAUSE_MS = 250;
+const RANK_PAUSE_MS = 50;
+const MAX_FAILED_PAUSE_MS = 1000;
+/** Failures for this long count as an outage. */
+const OUTAGE_MS = 800;
+/** Time in which live replicas are back after an outage; the platform says about two seconds. */
+const LAPSE_MS = 2500;
+
+type StoreCall = 'configuration' | 'replicas';
+
+/** Reads configuration and replicas from the store, when it is this instance's turn. */
+export class StoreReader {
+  #stopped = false;
+  #watchAfter: number | null = null;
+  #failingSinceMs: number | null = null;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly store: DiscoveryStore,
+    private readonly view: FleetView,
+  ) {}
+
+  start(): void {
+    void this.#loop(() => this.#stepConfiguration());
+    void this.#loop(() => this.#stepReplicas());
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Reads both at once, whoever's turn it is; for a process that stood still. */
+  async refresh(): Promise<void> {
+    await Promise.allSettled([this.#readConfiguration(), this.#readReplicas()]);
+  }
+
+  async #loop(step: () => Promise<number>): Promise<void> {
+    while (!this.#stopped) {
+      const pauseMs = await step();
+      await sleep(pauseMs);
+    }
+  }
+
+  get #rank(): number {
+    const { membership } = this.context;
+    return rankOf(membership.self.instance, membership.instances);
+  }
+
+  get #failedPauseMs(): number {
+    const pauseMs = FAILED_PAUSE_MS + this.#rank * RANK_PAUSE_MS;
+    return Math.min(MAX_FAILED_PAUSE_MS, pauseMs);
+  }
+
+  async #stepConfiguration(): Promise<number> {
+    const { board } = this.context.router;
+    const ageMs = this.context.clock() - board.configurationAsOfMs;
+    if (board.table && !shouldRead(this.#rank, ageMs)) {
+      return IDLE_CHECK_MS;
+    }
+    const done = await this.#call('configuration', () =>
+      this.#readConfiguration(),
+    );
+    return done ? 0 : this.#failedPauseMs;
+  }
+
+  async #stepReplicas(): Promise<number> {
+    const { replicas } = this.context.router.board;
+    const isKnown = replicas.version > 0;
+    if (isKnown && !shouldRead(this.#rank, replicas.ageMs)) {
+      return IDLE_CHECK_MS;
+    }
+    const done = await this.#call('replicas', () => this.#readReplicas());
+    return done ? REPLICAS_EVERY_MS : this.#failedPauseMs;
+  }
+
+  async #readConfiguration(): Promise<void> {
+    const read = await this.#newConfiguration();
+    this.#watchAfter = read.version;
+    this.view.onConfiguration(read.configuration, 0, 'store');
+  }
+
+  /** Waits for a change where the history allows it, else reads the whole. */
+  async #newConfiguration(): Promise<ConfigurationRead> {
+    if (this.#watchAfter === null) {
+      return this.store.readConfiguration();
+    }
+    const read = await this.store.watchConfiguration(
+      this.#watchAfter,
+      WATCH_MS,
+    );
+    return read === HISTORY_GONE ? this.store.readConfiguration() : read;
+  }
+
+  async #readReplicas(): Promise<void> {
+    const { replicas } = this.context.router.board;
+    const changed: ReplicaRead | typeof HISTORY_GONE =
+      replicas.version > 0
+        ? await this.store.changedReplicas(replicas.version)
+        : HISTORY_GONE;
+    if (changed !== HISTORY_GONE) {
+      this.#noteAnswer();
+      const { rows, version } = changed;
+      this.view.onReplicas(replicas.applyRows(rows, version, 0), 'store');
+      return;
+    }
+    const { rows, version } = await this.store.readReplicas();
+    this.#noteAnswer();
+    this.view.onReplicas(replicas.applySnapshot(rows, version, 0), 'store');
+  }
+
+  async #call(call: StoreCall, run: () => Promise<void>): Promise<boolean> {
+    const { metrics } = this.context;
+    try {
+      await run();
+      this.#noteAnswer();
+      metrics.storeCalls.inc({ call, result: 'ok' });
+      return true;
+    } catch (err) {
+      metrics.storeCalls.inc({ call, result: 'failed' });
+      this.#noteFailure(call, err);
+      return false;
+    }
+  }
+
+  #noteAnswer(): void {
+    const { clock, log, router } = this.context;
+    if (this.#failingSinceMs === null) {
+      return;
+    }
+    const awayMs = clock() - this.#failingSinceMs;
+    this.#failingSinceMs = null;
+    if (awayMs >= OUTAGE_MS) {
+      router.board.replicas.expectLapses(LAPSE_MS);
+    }
+    log.write('platformBack', { awayMs: Math.round(awayMs) });
+  }
+
+  #noteFailure(call: StoreCall, err: unknown): void {
+    const { clock, log } = this.context;
+    if (this.#failingSinceMs !== null) {
+      return;
+    }
+    this.#failingSinceMs = clock();
+    const error = err instanceof Error ? err.message : String(err);
+    log.write('platformDown', { call, error });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -0,0 +1,123 @@
+import type {
+  OwnUse,
+  ReplicaChanges,
+  ReplicaRecord,
+} from '@jujubecroft/decisions';
+import type { proto } from '@jujubecroft/operator';
+import type {
+  BackendServerId,
+  FailureDomainId,
+  Replica,
+  ServiceId,
+} from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+/** Told to others while an entry stands. */
+const STANDS = -1;
+/** A removed entry; its other fields mean nothing. */
+const REMOVED = {
+  exists: false,
+  service: '',
+  address: '',
+  failureDomain: '',
+  slots: 0,
+  leaving: false,
+  coldMs: 0,
+} as const;
+
+/**
+ * Turns a replica record into its message.
+ *
+ * @param record - as the registry keeps it
+ * @param nowMs - on the local clock, for the time until it counts as gone
+ */
+function toEntry(record: ReplicaRecord, nowMs: number): proto.ReplicaEntry {
+  const { id, replica, rowVersion, changedAt, goneAtMs } = record;
+  const goneInMs = goneAtMs === null ? STANDS : Math.max(0, goneAtMs - nowMs);
+  const content = replica ? { ...replica, exists: true } : REMOVED;
+  return { ...content, id, rowVersion, changedAt, goneInMs };
+}
+
+function fromEntry(entry: proto.ReplicaEntry, nowMs: number): ReplicaRecord {
+  const id = brand<BackendServerId>(entry.id);
+  const replica: Replica = {
+    id,
+    service: brand<ServiceId>(entry.service),
+    address: entry.address,
+    failureDomain: brand<FailureDomainId>(entry.failureDomain),
+    slots: entry.slots,
+    leaving: entry.leaving,
+    coldMs: entry.coldMs,
+  };
+  return {
+    id,
+    replica: entry.exists ? replica : null,
+    rowVersion: entry.rowVersion,
+    changedAt: entry.changedAt,
+    goneAtMs: entry.goneInMs < 0 ? null : nowMs + entry.goneInMs,
+  };
+}
+
+/**
+ * Turns changes of replicas into the fields of a message.
+ *
+ * @param changes - what the other side lacks
+ * @param nowMs - on the local clock
+ * @returns the fields
+ */
+export function toReplicaFields(
+  changes: ReplicaChanges,
+  nowMs: number,
+): Pick<
+  proto.GatewayState,
+  'replicas' | 'replicasAgeMs' | 'replicasComplete' | 'replicasVersion'
+> {
+  return {
+    replicasVersion: changes.version,
+    replicasAgeMs: finite(changes.ageMs),
+    replicasComplete: changes.complete,
+    replicas: changes.records.map(record => toEntry(record, nowMs)),
+  };
+}
+
+/**
+ * Reads the changes of replicas out of a message.
+ *
+ * @param state - the message
+ * @param nowMs - on the local clock
+ * @returns the changes
+ */
+export function fromReplicaFields(
+  state: proto.GatewayState,
+  nowMs: number,
+): ReplicaChanges {
+  return {
+    version: state.replicasVersion,
+    ageMs: state.replicasAgeMs,
+    complete: state.replicasComplete,
+    records: state.replicas.map(entry => fromEntry(entry, nowMs)),
+  };
+}
+
+/** @returns the message fields of what this instance runs */
+export function toUses(uses: readonly OwnUse[]): proto.BackendUse[] {
+  return uses.map(({ id, inFlight, unreadTokens }) => ({
+    backendServer: id,
+    inFlight,
+    unreadTokens,
+  }));
+}
+
+/** @returns what another instance runs */
+export function fromUses(uses: readonly proto.BackendUse[]): readonly OwnUse[] {
+  return uses.map(({ backendServer, inFlight, unreadTokens }) => ({
+    id: brand<BackendServerId>(backendServer),
+    inFlight,
+    unreadTokens,
+  }));
+}
+
+/** An age that was never known is sent as a very old one. */
+export function finite(ageMs: number): number {
+  return Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER;
+}
--- a/packages/instance/src/InstanceContext.ts
+++ b/packages/instance/src/InstanceContext.ts
@@ -1,10 +1,10 @@
 import type { Membership } from '@jujubecroft/decisions';
-import type { ConfigurationStore } from '@jujubecroft/platform';
+import type { ConfigurationStore } from '@jujubecroft/stores';
 import type { InstanceSettings } from '@jujubecroft/settings';
 
 import type { ClaimBook } from './claims/ClaimBook.js';
 import type { WriteBatcher } from './claims/WriteBatcher.js';
-import type { EventLog } from './events/EventLog.js';
+import type { EventLog } from '@jujubecroft/events';
 import type { DecisionFeed } from './host/DecisionFeed.js';
 import type { RouterHost } from './host/RouterHost.js';
 import type { InstanceMetrics } from './metrics/InstanceMetrics.js';
--- a/packages/instance/src/claims/ClaimBook.ts
+++ b/packages/instance/src/claims/ClaimBook.ts
@@ -1,4 +1,4 @@
-import type { TableStore, TableWrite } from '@jujubecroft/platform';
+import type { TableStore, TableWrite } from '@jujubecroft/stores';
 import type { IdempotencyKey, OrganisationId } from '@jujubecroft/types';
 import { routerError } from '@jujubecroft/types';
 
--- a/packages/instance/src/claims/ClaimCollectors.ts
+++ b/packages/instance/src/claims/ClaimCollectors.ts
@@ -1,6 +1,6 @@
 import murmurhash from 'murmurhash';
 import type { Membership } from '@jujubecroft/decisions';
-import type { TableWrite } from '@jujubecroft/platform';
+import type { TableWrite } from '@jujubecroft/stores';
 import type { InstanceId } from '@jujubecroft/types';
 
 import type { PeerConnections } from '../state/PeerConnections.js';
--- a/packages/instance/src/claims/WriteBatcher.ts
+++ b/packages/instance/src/claims/WriteBatcher.ts
@@ -1,4 +1,4 @@
-import type { Row, TableStore, TableWrite } from '@jujubecroft/platform';
+import type { Row, TableStore, TableWrite } from '@jujubecroft/stores';
 
 /** The row that stood in the way of a write, or undefined when it was written. */
 export type WriteOutcome = Row | null | undefined;
--- a/packages/instance/src/control/OperatorChanges.ts
+++ b/packages/instance/src/control/OperatorChanges.ts
@@ -1,6 +1,6 @@
 import type { proto } from '@jujubecroft/operator';
 import { fromProtoEntity, fromProtoKind } from '@jujubecroft/operator';
-import type { ChangeRequest } from '@jujubecroft/platform';
+import type { ChangeRequest } from '@jujubecroft/stores';
 import { parseEntity } from '@jujubecroft/settings';
 import type { Entity, EntityKind } from '@jujubecroft/types';
 import { routerError } from '@jujubecroft/types';
--- a/packages/instance/src/control/peerHandlers.ts
+++ b/packages/instance/src/control/peerHandlers.ts
@@ -1,12 +1,12 @@
 import { connect } from 'node:net';
 import type { handleUnaryCall } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
-
-import type { InstanceContext } from '../InstanceContext.js';
 import {
   fromHeartbeatMessage,
   toHeartbeatMessage,
-} from '../state/peerMessages.js';
+} from '@jujubecroft/operator';
+
+import type { InstanceContext } from '../InstanceContext.js';
 import { grpcError } from './grpcError.js';
 
 const PROBE_TIMEOUT_MS = 700;
--- a/packages/instance/src/http/ErrorFilter.ts
+++ b/packages/instance/src/http/ErrorFilter.ts
@@ -4,7 +4,7 @@
 import type { RouterErrorInstance } from '@jujubecroft/types';
 import { isRouterError, routerError, toRouterError } from '@jujubecroft/types';
 
-import type { EventLog } from '../events/EventLog.js';
+import type { EventLog } from '@jujubecroft/events';
 import { sendError } from './sendError.js';
 
 const NOT_FOUND = 404;
--- a/packages/instance/src/startInstance.ts
+++ b/packages/instance/src/startInstance.ts
@@ -1,7 +1,7 @@
 import murmurhash from 'murmurhash';
 import type { Placement } from '@jujubecroft/decisions';
 import { Membership } from '@jujubecroft/decisions';
-import { ConfigurationStore, createPlatform } from '@jujubecroft/platform';
+import { ConfigurationStore, createPlatform } from '@jujubecroft/stores';
 import type { InstanceSettings } from '@jujubecroft/settings';
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
@@ -11,7 +11,7 @@
 import { WriteBatcher } from './claims/WriteBatcher.js';
 import { peerCredentials } from './control/peerCredentials.js';
 import { startControlServer } from './control/startControlServer.js';
-import type { EventLog } from './events/EventLog.js';
+import type { EventLog } from '@jujubecroft/events';
 import { DecisionFeed } from './host/DecisionFeed.js';
 import { RouterHost } from './host/RouterHost.js';
 import { createHttpApp } from './http/createHttpApp.js';
--- a/packages/instance/src/state/ConfigurationSync.ts
+++ b/packages/instance/src/state/ConfigurationSync.ts
@@ -1,9 +1,9 @@
 import type { Member, Membership } from '@jujubecroft/decisions';
-import type { ConfigurationStore } from '@jujubecroft/platform';
+import type { ConfigurationStore } from '@jujubecroft/stores';
 import type { Configuration } from '@jujubecroft/types';
 import { routerError } from '@jujubecroft/types';
 
-import type { EventLog } from '../events/EventLog.js';
+import type { EventLog } from '@jujubecroft/events';
 import type { RouterHost } from '../host/RouterHost.js';
 import type { InstanceMetrics } from '../metrics/InstanceMetrics.js';
 import type { PeerConnections } from './PeerConnections.js';
--- a/packages/instance/src/state/MembershipLoop.ts
+++ b/packages/instance/src/state/MembershipLoop.ts
@@ -1,12 +1,15 @@
 import type { Member, Membership, MemberState } from '@jujubecroft/decisions';
-import type { InstanceList } from '@jujubecroft/platform';
+import {
+  fromHeartbeatMessage,
+  toHeartbeatMessage,
+} from '@jujubecroft/operator';
+import type { InstanceList } from '@jujubecroft/stores';
 import type { InstanceId } from '@jujubecroft/types';
 
-import type { EventLog } from '../events/EventLog.js';
+import type { EventLog } from '@jujubecroft/events';
 import type { RouterHost } from '../host/RouterHost.js';
 import type { InstanceMetrics } from '../metrics/InstanceMetrics.js';
 import type { PeerConnections } from './PeerConnections.js';
-import { fromHeartbeatMessage, toHeartbeatMessage } from './peerMessages.js';
 
 const PERIOD_MS = 1000;
 const LIST_EVERY_PERIODS = 5;
--- a/packages/instance/src/state/PeerConnections.ts
+++ b/packages/instance/src/state/PeerConnections.ts
@@ -2,7 +2,7 @@
 import { Metadata } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
 import { PeerClient, unary } from '@jujubecroft/operator';
-import type { Row, TableWrite } from '@jujubecroft/platform';
+import type { Row, TableWrite } from '@jujubecroft/stores';
 
 import type { WriteOutcome } from '../claims/WriteBatcher.js';
 
--- a/packages/instance/tests/catalogues.test.ts
+++ b/packages/instance/tests/catalogues.test.ts
@@ -1,12 +1,11 @@
 import { readFileSync } from 'node:fs';
 import path from 'node:path';
+import type { LogEvent } from '@jujubecroft/events';
+import { LOG_EVENTS } from '@jujubecroft/events';
 import { describe } from '@jujubecroft/testing';
 import type { ResultCode } from '@jujubecroft/types';
 import { RESULT_CODES } from '@jujubecroft/types';
 
-import type { LogEvent } from '../src/index.js';
-import { LOG_EVENTS } from '../src/index.js';
-
 const docs = path.resolve(import.meta.dirname, '../../../docs');
 const page = (name: string): string =>
   readFileSync(path.join(docs, name), 'utf8').replaceAll(/ +/g, ' ');
--- a/packages/instance/tests/claims/ClaimBook.test.ts
+++ b/packages/instance/tests/claims/ClaimBook.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@jujubecroft/testing';
-import type { TableStore, TableWrite } from '@jujubecroft/platform';
+import type { TableStore, TableWrite } from '@jujubecroft/stores';
 import { Table } from '@jujubecroft/stand-ins';
 import type { IdempotencyKey, OrganisationId } from '@jujubecroft/types';
 import { brand, isRouterError, routerError } from '@jujubecroft/types';
--- a/packages/instance/tests/claims/ClaimCollectors.test.ts
+++ b/packages/instance/tests/claims/ClaimCollectors.test.ts
@@ -1,7 +1,7 @@
 import { credentials } from '@grpc/grpc-js';
 import { describe } from '@jujubecroft/testing';
 import { Membership } from '@jujubecroft/decisions';
-import type { TableWrite } from '@jujubecroft/platform';
+import type { TableWrite } from '@jujubecroft/stores';
 import { Table } from '@jujubecroft/stand-ins';
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
--- a/packages/instance/src/state/peerMessages.ts
+++ b/packages/operator/src/heartbeatMessages.ts
@@ -1,25 +1,35 @@
 import type { HeartbeatFacts, MemberState } from '@jujubecroft/decisions';
-import type { proto } from '@jujubecroft/operator';
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
+import type * as proto from './generated/jujubecroft.js';
+
 const STATES: readonly MemberState[] = ['live', 'suspect', 'leaving', 'failed'];
 
-/** Turns heartbeat facts into their message. */
+/**
+ * Turns heartbeat facts into their message.
+ *
+ * @param facts - what an instance says
+ * @returns the message
+ */
 export function toHeartbeatMessage(
   facts: HeartbeatFacts,
 ): proto.HeartbeatMessage {
   return {
     ...facts,
-    facts: facts.facts.map(({ instance, incarnation, state }) => ({
-      instance,
-      incarnation,
-      state: STATES.indexOf(state),
+    facts: facts.facts.map(fact => ({
+      ...fact,
+      state: STATES.indexOf(fact.state),
     })),
   };
 }
 
-/** Turns a heartbeat message into facts. */
+/**
+ * Turns a heartbeat message into facts.
+ *
+ * @param message - as it came
+ * @returns the facts; unknown states count as suspect
+ */
 export function fromHeartbeatMessage(
   message: proto.HeartbeatMessage,
 ): HeartbeatFacts {
@@ -27,10 +37,11 @@
     ...message,
     instance: brand<InstanceId>(message.instance),
     failureDomain: brand<FailureDomainId>(message.failureDomain),
-    facts: message.facts.map(({ instance, incarnation, state }) => ({
-      instance: brand<InstanceId>(instance),
-      incarnation,
-      state: STATES[state] ?? 'suspect',
+    facts: message.facts.map(fact => ({
+      ...fact,
+      instance: brand<InstanceId>(fact.instance),
+      failureDomain: brand<FailureDomainId>(fact.failureDomain),
+      state: STATES[fact.state] ?? 'suspect',
     })),
   };
 }
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -9,6 +9,8 @@
 export {
   DemandReport,
   EntityKind as ProtoEntityKind,
+  GatewayPeerClient,
+  GatewayPeerService,
   HeartbeatMessage,
   OperatorClient,
   OperatorService,
@@ -21,3 +23,7 @@
 export type { DeploymentEntities } from './applyDeployment.js';
 export { applyDeployment } from './applyDeployment.js';
 export { OperatorConnection } from './OperatorConnection.js';
+export {
+  fromHeartbeatMessage,
+  toHeartbeatMessage,
+} from './heartbeatMessages.js';
--- a/packages/stand-ins/src/platform/Table.ts
+++ b/packages/stand-ins/src/platform/Table.ts
@@ -3,7 +3,7 @@
   ScanOptions,
   TableWrite,
   TransactResult,
-} from '@jujubecroft/platform';
+} from '@jujubecroft/stores';
 
 /** A transactional table in memory. */
 export class Table {
--- a/packages/stand-ins/src/platform/WeightGate.ts
+++ b/packages/stand-ins/src/platform/WeightGate.ts
@@ -1,4 +1,4 @@
-import type { WeightGrant } from '@jujubecroft/platform';
+import type { WeightGrant } from '@jujubecroft/stores';
 
 const MS_PER_MINUTE = 60_000;
 
--- a/packages/stand-ins/src/platform/startPlatform.ts
+++ b/packages/stand-ins/src/platform/startPlatform.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 import type { SettingsOf } from '@jujubecroft/settings';
 import { createRandom } from '@jujubecroft/types';
-import type { ListedInstance } from '@jujubecroft/platform';
+import type { ListedInstance } from '@jujubecroft/stores';
 
 import { Lagging } from '../util/Lagging.js';
 import type { RunningServer } from '../util/RunningServer.js';
--- a/packages/types/src/brand.ts
+++ b/packages/types/src/brand.ts
@@ -10,6 +10,7 @@
 export type ModelId = Brand<string, 'ModelId'>;
 export type OrganisationId = Brand<string, 'OrganisationId'>;
 export type RequestId = Brand<string, 'RequestId'>;
+export type RouteId = Brand<string, 'RouteId'>;
 export type ServiceId = Brand<string, 'ServiceId'>;
 
 /**
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -12,6 +12,7 @@
   routerError,
   toRouterError,
 } from './RouterError.js';
+export type * from './routing.js';
 export { assertDefined } from './util/assertDefined.js';
 export { assertNever } from './util/assertNever.js';
 export { createRandom } from './util/createRandom.js';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,11 +9,11 @@
 } from 'node:fs';
 import path from 'node:path';
 
-import { build } from 'esbuild';
+import { bundle } from './bundle.mjs';
 
 const root = path.resolve(import.meta.dirname, '..');
 const dist = path.join(root, 'dist');
-const bundle = path.join(dist, 'jujubecroft.cjs');
+const bundleFile = path.join(dist, 'jujubecroft.cjs');
 const blob = path.join(dist, 'jujubecroft.blob');
 const binary = path.join(dist, 'jujubecroft');
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
@@ -21,43 +21,13 @@
 rmSync(dist, { recursive: true, force: true });
 mkdirSync(dist);
 
-await build({
-  entryPoints: [path.join(root, 'packages/cli/src/main.ts')],
-  outfile: bundle,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  mainFields: ['module', 'main'],
-  tsconfig: path.join(root, 'tsconfig.json'),
-  // Optional parts of the web framework that are not installed.
-  external: [
-    '@nestjs/microservices',
-    '@nestjs/microservices/*',
-    '@nestjs/platform-express',
-    '@nestjs/websockets',
-    '@nestjs/websockets/*',
-    '@fastify/multipart',
-    '@fastify/static',
-    '@fastify/view',
-    'class-transformer',
-    'class-transformer/*',
-    'class-validator',
-  ],
-  define: { 'import.meta.url': '__bundleUrl' },
-  banner: {
-    js: "const __bundleUrl = require('node:url').pathToFileURL(process.execPath).href;",
-  },
-  minify: true,
-  keepNames: true,
-  logLevel: 'error',
-});
+await bundle(bundleFile);
 
 const seaConfig = path.join(dist, 'sea.json');
 writeFileSync(
   seaConfig,
   JSON.stringify({
-    main: bundle,
+    main: bundleFile,
     output: blob,
     disableExperimentalSEAWarning: true,
   }),
