feat(decisions): split replicas by the delay that routes bear

Cause: recipe-cost missed its pauses (184 of 352 late) since one replica took all short prompts, 43 to 67 at once, with 40 ms reads between its tokens. Change: groups of routes by tolerance, replicas sized by prompt tokens and slots of all instances, shared prompt parts kept at one replica. Also: a resumed stream no longer begins with its predecessor's half event.

--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -7,11 +7,11 @@
 
 import type { Clock } from '../blackboard/Blackboard.js';
 import type { BackendLoad } from './BackendLoad.js';
-import { DemandRate } from './DemandRate.js';
 import { EngineEstimator } from './EngineEstimator.js';
 import { ReplicaRegistry } from './ReplicaRegistry.js';
 import type { RetryBudgetRules } from './RetryBudget.js';
 import { RetryBudget } from './RetryBudget.js';
+import { DemandBook } from './RouteDemand.js';
 import type { RoutingTable } from './RoutingTable.js';
 
 /** What is fixed for one instance of the gateway. */
@@ -26,8 +26,6 @@
 /** Learnt figures of one service. */
 export interface ServiceLearning {
   readonly engine: EngineEstimator;
-  /** Prompt tokens of short requests that this instance gets. */
-  readonly shortDemand: DemandRate;
   /** Mean time of an answer of a plain service, in milliseconds. */
   answerMs: number;
 }
@@ -39,6 +37,7 @@
   readonly instance: InstanceId;
   readonly failureDomain: FailureDomainId;
   readonly budget: RetryBudget;
+  readonly demand: DemandBook;
   readonly replicas: ReplicaRegistry;
   /** Replicas that are used or still have attempts. */
   readonly backends: Map<BackendServerId, BackendLoad>;
@@ -51,8 +50,6 @@
   instances: number;
 }
 
-/** Time over which the demand of short requests is smoothed. */
-const DEMAND_WINDOW_MS = 4000;
 /** Assumed before anything was seen. */
 const PRIOR_ANSWER_MS = 100;
 
@@ -70,6 +67,7 @@
     instance,
     failureDomain,
     budget: new RetryBudget(retryBudget, clock),
+    demand: new DemandBook(clock),
     replicas: new ReplicaRegistry(clock),
     backends: new Map(),
     learning: new Map(),
@@ -90,7 +88,6 @@
   }
   const learning: ServiceLearning = {
     engine: new EngineEstimator(),
-    shortDemand: new DemandRate(board.clock, DEMAND_WINDOW_MS),
     answerMs: PRIOR_ANSWER_MS,
   };
   board.learning.set(service, learning);
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -28,6 +28,7 @@
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
 import { isSilent, usableCandidates } from './usableCandidates.js';
+import type { RouteDemand } from './RouteDemand.js';
 import { RoutingTable } from './RoutingTable.js';
 
 /** The policies of the gateway. */
@@ -80,9 +81,14 @@
 /** Weight of the newest answer in the mean time of a plain service. */
 const ANSWER_WEIGHT = 0.05;
 
-interface PeerReport {
-  readonly atMs: number;
+/** What another instance told of its work. */
+export interface PeerWork {
   readonly uses: readonly OwnUse[];
+  readonly demands: readonly RouteDemand[];
+}
+
+interface PeerReport extends PeerWork {
+  readonly atMs: number;
 }
 
 /**
@@ -251,6 +257,7 @@
     load.health.onSent();
     if (request.prompt) {
       load.memory.onRead(request.prompt.parts);
+      this.board.demand.onRequest(request.route.id, unreadTokens);
     }
     return attempt;
   }
@@ -282,6 +289,10 @@
   onEnded(attempt: GatewayAttempt, result: AttemptResult): void {
     const { load, request } = attempt;
     load.attempts.delete(attempt);
+    if (request.prompt) {
+      const tookMs = this.board.clock() - attempt.sentMs;
+      this.board.demand.onEnded(request.route.id, tookMs);
+    }
     this.#judge(load, result);
     if (result.kind === 'answered' && !request.service.engine) {
       const learning = learningOf(this.board, request.service.id);
@@ -324,8 +335,8 @@
   }
 
   /** Takes in what another instance runs. */
-  onPeerUses(peer: InstanceId, uses: readonly OwnUse[]): void {
-    this.#peerReports.set(peer, { atMs: this.board.clock(), uses });
+  onPeerWork(peer: InstanceId, work: PeerWork): void {
+    this.#peerReports.set(peer, { atMs: this.board.clock(), ...work });
     this.#sumPeers();
   }
 
@@ -349,8 +360,11 @@
   #sumPeers(): void {
     const oldestMs = this.board.clock() - PEER_USE_MAX_AGE_MS;
     const sums = new Map<BackendServerId, PeerUse>();
-    [...this.#peerReports.values()]
-      .filter(({ atMs }) => atMs >= oldestMs)
+    const reports = [...this.#peerReports.values()].filter(
+      ({ atMs }) => atMs >= oldestMs,
+    );
+    this.board.demand.onPeers(reports.flatMap(({ demands }) => demands));
+    reports
       .flatMap(({ uses }) => uses)
       .forEach(({ id, inFlight, unreadTokens }) => {
         const sum = sums.get(id) ?? NO_PEER_USE;
--- /dev/null
+++ b/packages/decisions/src/gateway/RouteDemand.ts
@@ -0,0 +1,74 @@
+import type { RouteId } from '@jujubecroft/types';
+
+import type { Clock } from '../blackboard/Blackboard.js';
+import { DemandRate } from './DemandRate.js';
+
+/** How much of an engine's time the requests of one route ask for. */
+export interface RouteDemand {
+  readonly route: RouteId;
+  /** Prompt tokens to be read per second. */
+  readonly tokensPerS: number;
+  /** Requests that run at once. */
+  readonly inFlight: number;
+}
+
+/** Time over which demand is smoothed; bursts of a few seconds should count. */
+const WINDOW_MS = 3000;
+const MS_PER_SECOND = 1000;
+
+/** Demand of each route at this instance. */
+export class DemandBook {
+  readonly #tokens = new Map<RouteId, DemandRate>();
+  readonly #busy = new Map<RouteId, DemandRate>();
+  #peers: readonly RouteDemand[] = [];
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Notes prompt tokens that a request brings. */
+  onRequest(route: RouteId, tokens: number): void {
+    this.#rateOf(this.#tokens, route).add(tokens);
+  }
+
+  /** Notes the time that a request spent at a replica. */
+  onEnded(route: RouteId, tookMs: number): void {
+    this.#rateOf(this.#busy, route).add(tookMs);
+  }
+
+  /** What this instance tells the others. */
+  get own(): readonly RouteDemand[] {
+    return [...this.#tokens].map(([route, tokens]) => ({
+      route,
+      tokensPerS: tokens.perMs * MS_PER_SECOND,
+      // Time spent per time is the mean number that run at once.
+      inFlight: this.#busy.get(route)?.perMs ?? 0,
+    }));
+  }
+
+  /** Takes in what the other instances have, summed up. */
+  onPeers(demands: readonly RouteDemand[]): void {
+    this.#peers = demands;
+  }
+
+  /** @returns the demand of some routes over all instances */
+  total(routes: readonly RouteId[]): Omit<RouteDemand, 'route'> {
+    return [...this.own, ...this.#peers]
+      .filter(({ route }) => routes.includes(route))
+      .reduce(
+        (sum, { tokensPerS, inFlight }) => ({
+          tokensPerS: sum.tokensPerS + tokensPerS,
+          inFlight: sum.inFlight + inFlight,
+        }),
+        { tokensPerS: 0, inFlight: 0 },
+      );
+  }
+
+  #rateOf(rates: Map<RouteId, DemandRate>, route: RouteId): DemandRate {
+    const known = rates.get(route);
+    if (known) {
+      return known;
+    }
+    const rate = new DemandRate(this.clock, WINDOW_MS);
+    rates.set(route, rate);
+    return rate;
+  }
+}
--- a/packages/decisions/src/gateway/defaultGatewayPolicies.ts
+++ b/packages/decisions/src/gateway/defaultGatewayPolicies.ts
@@ -3,7 +3,7 @@
 import type { GatewayBoard } from './GatewayBoard.js';
 import type { GatewayPolicies } from './GatewayRouter.js';
 import { leastBusy } from './placement/least-busy.js';
-import { sizeSplit } from './placement/size-split.js';
+import { toleranceSplit } from './placement/tolerance-split.js';
 
 /**
  * The policies that ship as the default.
@@ -13,7 +13,7 @@
  */
 export function defaultGatewayPolicies(board: GatewayBoard): GatewayPolicies {
   return {
-    placePrompt: sizeSplit.create(board),
+    placePrompt: toleranceSplit.create(board),
     placeCall: leastBusy.create(board),
     admitPrompt: firstEventTarget.create(board),
     admitCall: admitAny.create(board),
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -12,6 +12,7 @@
   GatewayPolicies,
   Match,
   OwnUse,
+  PeerWork,
   PlacementDecision,
 } from './GatewayRouter.js';
 export { GatewayRouter } from './GatewayRouter.js';
@@ -31,5 +32,6 @@
 } from './ReplicaRegistry.js';
 export { ReplicaRegistry } from './ReplicaRegistry.js';
 export type { RetryBudgetRules } from './RetryBudget.js';
+export type { RouteDemand } from './RouteDemand.js';
 export { RoutingTable } from './RoutingTable.js';
 export { connectionShare } from './usableCandidates.js';
--- /dev/null
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -0,0 +1,189 @@
+import murmurhash from 'murmurhash';
+import { z } from 'zod';
+import type { PromptPart } from '@jujubecroft/types';
+
+import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
+import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
+import type { GatewayBoard } from '../GatewayBoard.js';
+import { learningOf } from '../GatewayBoard.js';
+import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
+import { splitReplicas } from './splitReplicas.js';
+import type { ToleranceGroup } from './toleranceGroups.js';
+import { toleranceGroups } from './toleranceGroups.js';
+
+interface ToleranceSplitOptions {
+  /** Share of the time for which replicas of the most delicate group may read prompts. */
+  readonly delicateUse: number;
+  /** The same for the groups between the first and the last. */
+  readonly middleUse: number;
+  /** Share of a replica's slots that a group should fill. */
+  readonly slotUse: number;
+  /** Share of the replicas that the most tolerant group keeps in any case. */
+  readonly minLastShare: number;
+  /** What a replica of a more tolerant group costs, in milliseconds. */
+  readonly mixingMs: number;
+  /** What each request in flight costs, in milliseconds of step time. */
+  readonly perRequestMs: number;
+  /** What a replica whose slots are nearly all taken costs, in milliseconds. */
+  readonly fullMs: number;
+  /** What another failure domain costs, in milliseconds; about a round trip. */
+  readonly domainMs: number;
+  /** Weight of tokens that would be read again, against the time to read them. */
+  readonly rereadWeight: number;
+  /** Chance that shared parts are kept where the hash puts them, though not by us. */
+  readonly homeChance: number;
+}
+
+/** Share of slots from which a replica counts as nearly full. */
+const NEARLY_FULL = 0.85;
+
+/** Order of replicas that all instances agree on without talking. */
+function byRank(loads: readonly BackendLoad[]): readonly BackendLoad[] {
+  return [...loads].sort(
+    (a, b) =>
+      murmurhash.v3(a.replica.id) - murmurhash.v3(b.replica.id) ||
+      (a.replica.id < b.replica.id ? -1 : 1),
+  );
+}
+
+/** The replica on which all instances would put a prompt part. */
+function homeOf(
+  part: PromptPart,
+  loads: readonly BackendLoad[],
+): BackendLoad | undefined {
+  return loads.reduce<{ load: BackendLoad; weight: number } | undefined>(
+    (best, load) => {
+      const weight = murmurhash.v3(`${part.id}/${load.replica.id}`);
+      return best && best.weight >= weight ? best : { load, weight };
+    },
+    undefined,
+  )?.load;
+}
+
+/** Parts that other requests can share; the last of all is the request's own. */
+function sharedParts({ prompt }: GatewayRequest): readonly PromptPart[] {
+  return prompt?.parts.slice(0, -1) ?? [];
+}
+
+function tokensOf(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+/** Where a request may go: its own group's replicas and those of groups behind it. */
+interface Segments {
+  readonly own: readonly BackendLoad[];
+  readonly behind: readonly BackendLoad[];
+}
+
+function createToleranceSplit(
+  board: GatewayBoard,
+  options: ToleranceSplitOptions,
+): PlacementPolicy {
+  /** Replicas that a group needs so that prompts and slots leave it enough room. */
+  const needOf = (
+    { routes }: ToleranceGroup,
+    index: number,
+    request: GatewayRequest,
+  ): number => {
+    const { service } = request;
+    const { engine } = learningOf(board, service.id);
+    const { tokensPerS, inFlight } = board.demand.total(routes);
+    const use = index === 0 ? options.delicateUse : options.middleUse;
+    const byTokens = tokensPerS / 1000 / engine.tokensPerMs / use;
+    const slots = service.engine?.slots ?? 1;
+    return Math.max(byTokens, inFlight / (slots * options.slotUse));
+  };
+
+  const segmentsFor = (
+    request: GatewayRequest,
+    ranked: readonly BackendLoad[],
+  ): Segments => {
+    const groups = board.table
+      ? toleranceGroups(board.table, request.service.id)
+      : [];
+    const index = groups.findIndex(({ routes }) =>
+      routes.includes(request.route.id),
+    );
+    if (index === -1 || ranked.length < groups.length) {
+      return { own: ranked, behind: [] };
+    }
+    const sizes = splitReplicas(
+      groups.map((group, place) => ({
+        replicas: needOf(group, place, request),
+      })),
+      ranked.length,
+      options.minLastShare,
+    );
+    const start = sizes.slice(0, index).reduce((sum, size) => sum + size, 0);
+    const end = start + (sizes[index] ?? 0);
+    return { own: ranked.slice(start, end), behind: ranked.slice(end) };
+  };
+
+  const judge = (
+    request: GatewayRequest,
+    load: BackendLoad,
+    home: BackendLoad | undefined,
+  ): PlacedCandidate => {
+    const { engine } = learningOf(board, request.service.id);
+    const total = request.prompt?.promptTokens ?? 0;
+    const shared = tokensOf(sharedParts(request));
+    const cached = load.memory.cachedTokens(request.prompt?.parts ?? []);
+    const hoped =
+      load === home ? Math.max(cached, options.homeChance * shared) : cached;
+    const unreadTokens = Math.max(0, total - hoped);
+    const aheadMs = (load.unreadTokens + unreadTokens) / engine.tokensPerMs;
+    const predictedMs = engine.baseMs + load.slowness * aheadMs;
+    const rereadMs =
+      load === home || cached >= shared
+        ? 0
+        : ((shared - cached) / engine.tokensPerMs) * options.rereadWeight;
+    const slots = request.service.engine?.slots ?? Infinity;
+    const isFull = load.totalInFlight > NEARLY_FULL * slots;
+    const isRemote = load.replica.failureDomain !== board.failureDomain;
+    const cost =
+      predictedMs +
+      rereadMs +
+      options.perRequestMs * load.totalInFlight +
+      (isFull ? options.fullMs : 0) +
+      (isRemote ? options.domainMs : 0);
+    return { load, unreadTokens, predictedMs, cost };
+  };
+
+  return (request, candidates) => {
+    const ranked = byRank(candidates);
+    const { own, behind } = segmentsFor(request, ranked);
+    const shared = sharedParts(request).at(-1);
+    const base = own.length > 0 ? own : ranked;
+    const home = shared && homeOf(shared, base);
+    const placed = base.map(load => judge(request, load, home));
+    const mixed = (own.length > 0 ? behind : []).map(load => {
+      const candidate = judge(request, load, home);
+      return { ...candidate, cost: candidate.cost + options.mixingMs };
+    });
+    return [...placed, ...mixed].sort((a, b) => a.cost - b.cost);
+  };
+}
+
+/** Keeps delicate streams away from long prompts, then places by first event and cache. */
+export const toleranceSplit = createPolicyUnit<
+  ToleranceSplitOptions,
+  PlacementPolicy,
+  GatewayBoard
+>({
+  name: 'tolerance-split',
+  description:
+    'Splits replicas among groups of routes by the delay that they bear, sized by demand, so that long prompts never stop delicate streams; within a group places a request where its first event is expected first, and keeps requests that share prompt parts together.',
+  schema: z.object({
+    delicateUse: z.number().positive().max(1).default(0.25),
+    middleUse: z.number().positive().max(1).default(0.5),
+    slotUse: z.number().positive().max(1).default(0.6),
+    minLastShare: z.number().min(0).max(1).default(0.4),
+    mixingMs: z.number().nonnegative().default(150),
+    perRequestMs: z.number().nonnegative().default(0.4),
+    fullMs: z.number().nonnegative().default(300),
+    domainMs: z.number().nonnegative().default(2),
+    rereadWeight: z.number().nonnegative().default(8),
+    homeChance: z.number().min(0).max(1).default(0.5),
+  }),
+  create: createToleranceSplit,
+});
--- /dev/null
+++ b/packages/decisions/src/gateway/placement/toleranceGroups.ts
@@ -0,0 +1,66 @@
+import type { Route, RouteId, ServiceId } from '@jujubecroft/types';
+
+import type { RoutingTable } from '../RoutingTable.js';
+
+/** Routes of one service that bear the same delay. */
+export interface ToleranceGroup {
+  /** Longest delay that their requests bear at any moment, in milliseconds. */
+  readonly toleranceMs: number;
+  readonly routes: readonly RouteId[];
+}
+
+/** Routes that differ by less than this factor belong together. */
+const SAME_FACTOR = 1.3;
+
+/** The longest stop that a request of a route bears without being late. */
+function toleranceOf({ latencyTargetMs, gapTargetMs }: Route): number {
+  return gapTargetMs > 0
+    ? Math.min(gapTargetMs, latencyTargetMs)
+    : latencyTargetMs;
+}
+
+function groupRoutes(routes: readonly Route[]): readonly ToleranceGroup[] {
+  const ordered = [...routes].sort((a, b) => toleranceOf(a) - toleranceOf(b));
+  return ordered.reduce<readonly ToleranceGroup[]>((groups, route) => {
+    const last = groups.at(-1);
+    const toleranceMs = toleranceOf(route);
+    if (last && toleranceMs < last.toleranceMs * SAME_FACTOR) {
+      const joined = { ...last, routes: [...last.routes, route.id] };
+      return [...groups.slice(0, -1), joined];
+    }
+    return [...groups, { toleranceMs, routes: [route.id] }];
+  }, []);
+}
+
+const known = new WeakMap<
+  RoutingTable,
+  Map<ServiceId, readonly ToleranceGroup[]>
+>();
+
+/**
+ * Groups the routes of a service by the delay that they bear.
+ *
+ * @param table - the configuration in force
+ * @param service - of language models
+ * @returns groups, the most delicate first; computed once for a configuration
+ */
+export function toleranceGroups(
+  table: RoutingTable,
+  service: ServiceId,
+): readonly ToleranceGroup[] {
+  const byService =
+    known.get(table) ?? new Map<ServiceId, readonly ToleranceGroup[]>();
+  known.set(table, byService);
+  const cached = byService.get(service);
+  if (cached) {
+    return cached;
+  }
+  const routes = table.cfg.routes.filter(
+    route =>
+      route.kind === 'streaming' &&
+      route.shares.some(share => share.service === service),
+  );
+  const groups = groupRoutes(routes);
+  byService.set(service, groups);
+  return groups;
+}
--- a/packages/gateway/src/forward/EventCutter.ts
+++ b/packages/gateway/src/forward/EventCutter.ts
@@ -39,6 +39,12 @@
     return whole;
   }
 
+  /** Forgets the part of an event that a replica left unfinished. */
+  startOver(): void {
+    this.#rest = Buffer.alloc(0);
+    this.#parser.reset();
+  }
+
   /** What is left at the regular end of a stream. */
   takeRest(): Buffer {
     const rest = this.#rest;
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -160,6 +160,7 @@
     );
     this.#attempt = attempt;
     this.#incoming = null;
+    this.#events?.startOver();
     this.#notePlaced(attempt, candidates);
     const exchange = sendAttempt(
       connections.of(replica, connectionShare(router.board, request)),
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -16,7 +16,7 @@
 import {
   finite,
   fromReplicaFields,
-  fromUses,
+  fromWork,
   toReplicaFields,
   toUses,
 } from './gatewayState.js';
@@ -184,6 +184,7 @@
       configurationVersion: version,
       configurationAgeMs: finite(nowMs - board.configurationAsOfMs),
       uses: toUses(router.ownUses),
+      demands: [...board.demand.own],
       configurationJson: isAhead ? JSON.stringify(board.table?.cfg) : '',
       ...toReplicaFields(changes, nowMs),
       replicasChangedAt: board.replicas.changedAt,
@@ -204,7 +205,7 @@
     const { membership, router } = this.context;
     membership.onMessage(fromHeartbeatMessage(heartbeat));
     const peer = brand<InstanceId>(heartbeat.instance);
-    router.onPeerUses(peer, fromUses(state.uses));
+    router.onPeerWork(peer, fromWork(state));
     this.#takeConfiguration(state, peer);
     this.#takeReplicas(state, peer, isReply);
   }
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -1,5 +1,6 @@
 import type {
   OwnUse,
+  PeerWork,
   ReplicaChanges,
   ReplicaRecord,
 } from '@jujubecroft/decisions';
@@ -8,6 +9,7 @@
   BackendServerId,
   FailureDomainId,
   Replica,
+  RouteId,
   ServiceId,
 } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
@@ -109,12 +111,18 @@
 }
 
 /** @returns what another instance runs */
-export function fromUses(uses: readonly proto.BackendUse[]): readonly OwnUse[] {
-  return uses.map(({ backendServer, inFlight, unreadTokens }) => ({
-    id: brand<BackendServerId>(backendServer),
-    inFlight,
-    unreadTokens,
-  }));
+export function fromWork({ uses, demands }: proto.GatewayState): PeerWork {
+  return {
+    uses: uses.map(({ backendServer, inFlight, unreadTokens }) => ({
+      id: brand<BackendServerId>(backendServer),
+      inFlight,
+      unreadTokens,
+    })),
+    demands: demands.map(demand => ({
+      ...demand,
+      route: brand<RouteId>(demand.route),
+    })),
+  };
 }
 
 /** An age that was never known is sent as a very old one. */
