test(decisions): contracts of the gateway's decision units

Requests that fail by their content are no longer run twice. What would not finish within its time limit is turned away by the pace of streams.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -41,6 +41,8 @@
   /** Prompt tokens to be read there up to the end of this request. */
   readonly tokensAhead: number;
   readonly predictedMs: number;
+  /** Pieces of the answer that came so far. */
+  pieces: number;
   firstByteMs: number | null;
   lastByteMs: number | null;
 }
@@ -60,8 +62,21 @@
   readonly slots: number;
 }
 
+/** A load report with what this instance had there at the time. */
+interface TimedReport {
+  readonly total: number;
+  readonly ownInFlight: number;
+  readonly atMs: number;
+}
+
+/** Time for which a reported load says something of the present. */
+const REPORT_MAX_AGE_MS = 1000;
 /** Weight of the newest sample of a replica's slowness. */
-const SLOWNESS_WEIGHT = 0.1;
+const SLOWNESS_WEIGHT = 0.15;
+/** Weight of the newest pause in the pace of a replica's streams. */
+const PACE_WEIGHT = 0.03;
+/** Pause between pieces assumed before any came, in milliseconds. */
+const PRIOR_PACE_MS = 30;
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 8;
 /** Cache size assumed where the configuration doesn't tell one, in tokens. */
@@ -74,15 +89,20 @@
   readonly memory: PromptMemory;
   replica: Replica;
   peers: PeerUse = NO_PEER_USE;
-  reported: ReportedLoad | null = null;
   /** Took against predicted time, smoothed; 1 is usual for the service. */
   slowness = 1;
+  /**
+   * Pause between pieces of a stream, smoothed, in milliseconds. It grows many
+   * times over while a replica reads prompts without a break.
+   */
+  paceMs = PRIOR_PACE_MS;
   lastByteMs = -Infinity;
+  #report: TimedReport | null = null;
 
   constructor(
     replica: Replica,
     service: RoutedService | undefined,
-    clock: Clock,
+    private readonly clock: Clock,
   ) {
     this.replica = replica;
     this.health = new ReplicaHealth(clock);
@@ -96,9 +116,23 @@
     return this.attempts.size;
   }
 
-  /** Attempts of all instances, as far as known. */
+  /**
+   * Attempts of all instances, as far as known.
+   *
+   * Guards against crowding a replica whose other users this instance doesn't
+   * hear of, as when instances are cut off from each other: the replica's own
+   * report counts them all, though it is only as fresh as the last answer.
+   */
   get totalInFlight(): number {
-    return this.inFlight + this.peers.inFlight;
+    return this.inFlight + Math.max(this.peers.inFlight, this.#reportedOthers);
+  }
+
+  get #reportedOthers(): number {
+    const report = this.#report;
+    if (!report || this.clock() - report.atMs > REPORT_MAX_AGE_MS) {
+      return 0;
+    }
+    return Math.max(0, report.total - report.ownInFlight);
   }
 
   /** Prompt tokens that this instance sent and that are not read yet. */
@@ -113,6 +147,20 @@
     return this.ownUnreadTokens + this.peers.unreadTokens;
   }
 
+  /** Takes in the load that the replica told with an answer. */
+  onReported({ running, waiting }: ReportedLoad): void {
+    this.#report = {
+      total: running + waiting,
+      ownInFlight: this.inFlight,
+      atMs: this.clock(),
+    };
+  }
+
+  /** Takes in the time between two pieces of one stream. */
+  onPause(pauseMs: number): void {
+    this.paceMs += PACE_WEIGHT * (pauseMs - this.paceMs);
+  }
+
   /** Takes in how long something took against what was predicted. */
   onDuration(tookMs: number, predictedMs: number): void {
     const ratio = tookMs / Math.max(1, predictedMs);
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -6,8 +6,10 @@
 } from '@jujubecroft/types';
 
 import type { Clock } from '../blackboard/Blackboard.js';
+import { AnswerLengths } from './AnswerLengths.js';
 import type { BackendLoad } from './BackendLoad.js';
 import { EngineEstimator } from './EngineEstimator.js';
+import { RetryGain } from './recovery/RetryGain.js';
 import { ReplicaRegistry } from './ReplicaRegistry.js';
 import type { RetryBudgetRules } from './RetryBudget.js';
 import { RetryBudget } from './RetryBudget.js';
@@ -38,6 +40,8 @@
   readonly failureDomain: FailureDomainId;
   readonly budget: RetryBudget;
   readonly demand: DemandBook;
+  readonly lengths: AnswerLengths;
+  readonly retryGain: RetryGain;
   readonly replicas: ReplicaRegistry;
   /** Replicas that are used or still have attempts. */
   readonly backends: Map<BackendServerId, BackendLoad>;
@@ -68,6 +72,8 @@
     failureDomain,
     budget: new RetryBudget(retryBudget, clock),
     demand: new DemandBook(clock),
+    lengths: new AnswerLengths(),
+    retryGain: new RetryGain(),
     replicas: new ReplicaRegistry(clock),
     backends: new Map(),
     learning: new Map(),
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -250,6 +250,7 @@
       unreadTokens,
       tokensAhead: load.unreadTokens + unreadTokens,
       predictedMs,
+      pieces: 0,
       firstByteMs: null,
       lastByteMs: null,
     };
@@ -266,7 +267,11 @@
   onBytes(attempt: GatewayAttempt): void {
     const nowMs = this.board.clock();
     attempt.load.lastByteMs = nowMs;
+    if (attempt.lastByteMs !== null) {
+      attempt.load.onPause(nowMs - attempt.lastByteMs);
+    }
     attempt.lastByteMs = nowMs;
+    attempt.pieces += 1;
     if (attempt.firstByteMs !== null) {
       return;
     }
@@ -282,7 +287,7 @@
 
   /** Notes the load that a replica told with an answer. */
   onReported(attempt: GatewayAttempt, reported: ReportedLoad): void {
-    attempt.load.reported = reported;
+    attempt.load.onReported(reported);
   }
 
   /** Notes how an attempt ended. */
@@ -290,10 +295,16 @@
     const { load, request } = attempt;
     load.attempts.delete(attempt);
     if (request.prompt) {
-      const tookMs = this.board.clock() - attempt.sentMs;
-      this.board.demand.onEnded(request.route.id, tookMs);
+      this.board.demand.onEnded(request.route.id);
+    }
+    if (result.kind === 'answered') {
+      this.board.lengths.onEnded(request.route.id, attempt.pieces);
     }
     this.#judge(load, result);
+    if (attempt.number > 1 && result.kind !== 'withdrawn') {
+      const answered = result.kind === 'answered';
+      this.board.retryGain.onRetried(request.route.id, answered);
+    }
     if (result.kind === 'answered' && !request.service.engine) {
       const learning = learningOf(this.board, request.service.id);
       const tookMs = this.board.clock() - attempt.sentMs;
@@ -312,6 +323,7 @@
       ...counts,
       route: request.route,
       timeLeftMs: request.deadlineMs - this.board.clock(),
+      retryHelps: () => this.board.retryGain.isWorthIt(request.route.id),
       takeRepeat: () => this.board.budget.take(request.service.id),
     });
   }
--- a/packages/decisions/src/gateway/ReplicaHealth.ts
+++ b/packages/decisions/src/gateway/ReplicaHealth.ts
@@ -19,7 +19,7 @@
 const FIRST_AVOID_MS = 800;
 const MAX_AVOID_MS = 6400;
 /** Successful probes in a row that end the caution. */
-const PROBES_TO_TRUST = 2;
+const PROBES_TO_TRUST = 3;
 
 /**
  * How one replica behaves towards this instance.
@@ -72,14 +72,13 @@
     this.onNeutral();
     this.#consecutive = 0;
     this.#count(0);
-    if (!this.#onProbation) {
+    // Answers that were under way when the caution began are no probes.
+    if (!this.#onProbation || this.clock() < this.#avoidUntilMs) {
       return;
     }
     this.#goodProbes += 1;
     if (this.#goodProbes >= PROBES_TO_TRUST) {
       this.#onProbation = false;
-      this.#failureShare = 0;
-      this.#outcomes = 0;
       this.#avoidMs = FIRST_AVOID_MS;
     }
   }
--- a/packages/decisions/src/gateway/RouteDemand.ts
+++ b/packages/decisions/src/gateway/RouteDemand.ts
@@ -19,19 +19,20 @@
 /** Demand of each route at this instance. */
 export class DemandBook {
   readonly #tokens = new Map<RouteId, DemandRate>();
-  readonly #busy = new Map<RouteId, DemandRate>();
+  readonly #inFlight = new Map<RouteId, number>();
   #peers: readonly RouteDemand[] = [];
 
   constructor(private readonly clock: Clock) {}
 
-  /** Notes prompt tokens that a request brings. */
+  /** Notes a request that goes to a replica, with the tokens to be read. */
   onRequest(route: RouteId, tokens: number): void {
-    this.#rateOf(this.#tokens, route).add(tokens);
+    this.#rateOf(route).add(tokens);
+    this.#inFlight.set(route, (this.#inFlight.get(route) ?? 0) + 1);
   }
 
-  /** Notes the time that a request spent at a replica. */
-  onEnded(route: RouteId, tookMs: number): void {
-    this.#rateOf(this.#busy, route).add(tookMs);
+  /** Notes that a request left its replica. */
+  onEnded(route: RouteId): void {
+    this.#inFlight.set(route, (this.#inFlight.get(route) ?? 1) - 1);
   }
 
   /** What this instance tells the others. */
@@ -39,8 +40,7 @@
     return [...this.#tokens].map(([route, tokens]) => ({
       route,
       tokensPerS: tokens.perMs * MS_PER_SECOND,
-      // Time spent per time is the mean number that run at once.
-      inFlight: this.#busy.get(route)?.perMs ?? 0,
+      inFlight: this.#inFlight.get(route) ?? 0,
     }));
   }
 
@@ -62,13 +62,13 @@
       );
   }
 
-  #rateOf(rates: Map<RouteId, DemandRate>, route: RouteId): DemandRate {
-    const known = rates.get(route);
+  #rateOf(route: RouteId): DemandRate {
+    const known = this.#tokens.get(route);
     if (known) {
       return known;
     }
     const rate = new DemandRate(this.clock, WINDOW_MS);
-    rates.set(route, rate);
+    this.#tokens.set(route, rate);
     return rate;
   }
 }
--- a/packages/decisions/src/gateway/admission/first-event-target.ts
+++ b/packages/decisions/src/gateway/admission/first-event-target.ts
@@ -8,6 +8,12 @@
 interface FirstEventTargetOptions {
   /** Share of the latency target that the prediction may use up. */
   readonly margin: number;
+  /** Share of the time left in which the whole answer should have come. */
+  readonly wholeShare: number;
+  /** The same for requests that are served late rather than turned away. */
+  readonly lateWholeShare: number;
+  /** Time after which a replica that reads without a break has caught up. */
+  readonly paceRetryMs: number;
   /** Share of the time left that a request which came back may wait. */
   readonly lateShare: number;
   /** Part of the allowed time to which the backlog should fall before a return. */
@@ -21,11 +27,14 @@
   board: GatewayBoard,
   options: FirstEventTargetOptions,
 ): GatewayAdmission {
+  // The most urgent requests are served late rather than turned away, and a
+  // caller that came back as told is not sent away again while it can be served
+  // at all.
+  const isKept = ({ priority, cameBack }: GatewayRequest): boolean =>
+    priority === 0 || cameBack;
+
   const allowedFor = (request: GatewayRequest, leftMs: number): number =>
-    // The most urgent requests are served late rather than turned away, and a
-    // caller that came back as told is not sent away again while it can be
-    // served at all.
-    request.priority === 0 || request.cameBack
+    isKept(request)
       ? options.lateShare * leftMs
       : options.margin * request.route.latencyTargetMs;
 
@@ -35,7 +44,15 @@
     const spentMs = nowMs - request.arrivedMs;
     const allowedMs = allowedFor(request, leftMs);
     const predictedMs = spentMs + best.predictedMs;
-    const overMs = predictedMs - options.returnShare * allowedMs;
+    // A replica that reads prompts without a break starts new streams in time
+    // and finishes none: every token waits for the next part of a prompt.
+    const wholeShare = isKept(request)
+      ? options.lateWholeShare
+      : options.wholeShare;
+    const finishes = best.predictedWholeMs <= wholeShare * leftMs;
+    const overMs = finishes
+      ? predictedMs - options.returnShare * allowedMs
+      : options.paceRetryMs;
     // Returns are spread, so that those turned away together don't come back
     // together.
     const spreadMs = overMs * (0.5 + board.random());
@@ -44,7 +61,7 @@
       Math.max(options.minRetryAfterMs, spreadMs),
     );
     return {
-      admit: predictedMs <= allowedMs,
+      admit: finishes && predictedMs <= allowedMs,
       predictedMs,
       allowedMs,
       retryAfterMs,
@@ -63,6 +80,9 @@
     'Turns away at once what is predicted to miss its target, with a time to come back when there is room; the most urgent requests and those that came back are served late instead.',
   schema: z.object({
     margin: z.number().positive().default(0.95),
+    wholeShare: z.number().positive().max(1).default(0.7),
+    lateWholeShare: z.number().positive().default(1),
+    paceRetryMs: z.number().positive().default(3000),
     lateShare: z.number().positive().max(1).default(0.6),
     returnShare: z.number().min(0).max(1).default(0.5),
     minRetryAfterMs: z.number().positive().default(300),
--- a/packages/decisions/src/gateway/placement/PlacementPolicy.ts
+++ b/packages/decisions/src/gateway/placement/PlacementPolicy.ts
@@ -7,6 +7,8 @@
   readonly unreadTokens: number;
   /** Expected time to the first event, or to the whole answer. */
   readonly predictedMs: number;
+  /** Expected time to the end of the answer. */
+  readonly predictedWholeMs: number;
   /** Predicted time plus what else speaks against the replica; least wins. */
   readonly cost: number;
 }
--- a/packages/decisions/src/gateway/placement/least-busy.ts
+++ b/packages/decisions/src/gateway/placement/least-busy.ts
@@ -35,7 +35,13 @@
         busyMs +
         (remote ? options.domainMs : 0) +
         board.random() * options.tieBreakMs;
-      return { load, unreadTokens: 0, predictedMs, cost };
+      return {
+        load,
+        unreadTokens: 0,
+        predictedMs,
+        predictedWholeMs: predictedMs,
+        cost,
+      };
     };
     return candidates.map(judge).sort((a, b) => a.cost - b.cost);
   };
--- a/packages/decisions/src/gateway/placement/splitReplicas.ts
+++ b/packages/decisions/src/gateway/placement/splitReplicas.ts
@@ -2,15 +2,15 @@
 export interface GroupNeed {
   /** Replicas that would serve the group well; a fraction is fine. */
   readonly replicas: number;
+  /** Replicas that it gets at least, if there is room. */
+  readonly least: number;
 }
 
 /**
  * Splits replicas among groups, the most delicate group first.
  *
  * The last group gets what the others leave, but never less than its minimum;
- * where that is too little for the others, they share it by their need. A group
- * that asks for anything gets one replica at least, as long as there are enough
- * for all.
+ * where that is too little for the others, they share it by their need.
  *
  * @param needs - of the groups, in order
  * @param count - replicas to split
@@ -26,18 +26,17 @@
     return [];
   }
   const firsts = needs.slice(0, -1);
-  const last = needs.at(-1)?.replicas ?? 0;
-  const kept = last > 0 ? Math.max(1, Math.round(minLastShare * count)) : 0;
+  const kept = Math.max(1, Math.round(minLastShare * count));
   const room = Math.max(0, count - kept);
-  const wanted = firsts.reduce((sum, { replicas }) => sum + replicas, 0);
+  const wanted = firsts.reduce(
+    (sum, { replicas, least }) => sum + Math.max(least, replicas),
+    0,
+  );
   const scale = wanted > room ? room / wanted : 1;
   const { sizes } = firsts.reduce<{ sizes: readonly number[]; left: number }>(
-    ({ sizes: before, left }, { replicas }) => {
-      const least = replicas > 0 ? 1 : 0;
-      const size = Math.min(
-        left,
-        Math.max(least, Math.round(replicas * scale)),
-      );
+    ({ sizes: before, left }, { replicas, least }) => {
+      const fair = Math.round(Math.max(least, replicas) * scale);
+      const size = Math.min(left, Math.max(1, fair));
       return { sizes: [...before, size], left: left - size };
     },
     { sizes: [], left: room },
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -22,10 +22,15 @@
   readonly minLastShare: number;
   /** What a replica of a more tolerant group costs, in milliseconds. */
   readonly mixingMs: number;
-  /** What each request in flight costs, in milliseconds of step time. */
-  readonly perRequestMs: number;
-  /** What a replica whose slots are nearly all taken costs, in milliseconds. */
-  readonly fullMs: number;
+  /**
+   * What a replica with all slots taken costs, in milliseconds. The cost grows
+   * with the square of the share taken, since steps slow down and waiting starts.
+   */
+  readonly crowdMs: number;
+  /** Weight of the time from first event to last against that to the first. */
+  readonly streamWeight: number;
+  /** Share of the replicas that the most delicate group keeps in any case. */
+  readonly minDelicateShare: number;
   /** What another failure domain costs, in milliseconds; about a round trip. */
   readonly domainMs: number;
   /** Weight of tokens that would be read again, against the time to read them. */
@@ -34,9 +39,6 @@
   readonly homeChance: number;
 }
 
-/** Share of slots from which a replica counts as nearly full. */
-const NEARLY_FULL = 0.85;
-
 /** Order of replicas that all instances agree on without talking. */
 function byRank(loads: readonly BackendLoad[]): readonly BackendLoad[] {
   return [...loads].sort(
@@ -110,6 +112,7 @@
     const sizes = splitReplicas(
       groups.map((group, place) => ({
         replicas: needOf(group, place, request),
+        least: place === 0 ? options.minDelicateShare * ranked.length : 1,
       })),
       ranked.length,
       options.minLastShare,
@@ -138,15 +141,27 @@
         ? 0
         : ((shared - cached) / engine.tokensPerMs) * options.rereadWeight;
     const slots = request.service.engine?.slots ?? Infinity;
-    const isFull = load.totalInFlight > NEARLY_FULL * slots;
+    const taken = load.totalInFlight / slots;
     const isRemote = load.replica.failureDomain !== board.failureDomain;
+    const pieces = board.lengths.expect(
+      request.route.id,
+      request.prompt,
+      request.service,
+    );
+    const streamMs = pieces * load.paceMs;
     const cost =
       predictedMs +
       rereadMs +
-      options.perRequestMs * load.totalInFlight +
-      (isFull ? options.fullMs : 0) +
+      options.streamWeight * streamMs +
+      options.crowdMs * taken * taken +
       (isRemote ? options.domainMs : 0);
-    return { load, unreadTokens, predictedMs, cost };
+    return {
+      load,
+      unreadTokens,
+      predictedMs,
+      predictedWholeMs: predictedMs + streamMs,
+      cost,
+    };
   };
 
   return (request, candidates) => {
@@ -176,11 +191,12 @@
   schema: z.object({
     delicateUse: z.number().positive().max(1).default(0.25),
     middleUse: z.number().positive().max(1).default(0.5),
-    slotUse: z.number().positive().max(1).default(0.6),
-    minLastShare: z.number().min(0).max(1).default(0.4),
+    slotUse: z.number().positive().max(1).default(0.4),
+    minLastShare: z.number().min(0).max(1).default(0.25),
     mixingMs: z.number().nonnegative().default(150),
-    perRequestMs: z.number().nonnegative().default(0.4),
-    fullMs: z.number().nonnegative().default(300),
+    crowdMs: z.number().nonnegative().default(250),
+    streamWeight: z.number().nonnegative().default(0.03),
+    minDelicateShare: z.number().min(0).max(1).default(0.2),
     domainMs: z.number().nonnegative().default(2),
     rereadWeight: z.number().nonnegative().default(8),
     homeChance: z.number().min(0).max(1).default(0.5),
--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -16,6 +16,8 @@
   /** Whether an earlier attempt may have run. */
   readonly mayHaveRun: boolean;
   readonly timeLeftMs: number;
+  /** Whether retries after a failure answer have helped on this route. */
+  readonly retryHelps: () => boolean;
   /** Takes a repeat out of the shared budget; false when none is left. */
   readonly takeRepeat: () => boolean;
 }
@@ -72,7 +74,10 @@
     case 'notRun':
       return mayRepeat(facts) ? { kind: 'retry' } : refusal(facts);
     case 'failed':
-      return isIdempotent(facts.route) && mayRepeat(facts)
+      return isIdempotent(facts.route) &&
+        facts.sent < facts.route.maxAttempts &&
+        facts.retryHelps() &&
+        mayRepeat(facts)
         ? { kind: 'retry' }
         : { kind: 'passOn' };
     case 'lost':
--- a/packages/decisions/src/policies/catalogue.ts
+++ b/packages/decisions/src/policies/catalogue.ts
@@ -1,4 +1,8 @@
 import type { PolicyMeta } from './PolicyUnit.js';
+import { admitAny } from '../gateway/admission/admit-any.js';
+import { firstEventTarget } from '../gateway/admission/first-event-target.js';
+import { leastBusy } from '../gateway/placement/least-busy.js';
+import { toleranceSplit } from '../gateway/placement/tolerance-split.js';
 import { admitAll } from './admission/admit-all.js';
 import { predictive } from './admission/predictive.js';
 import { adaptiveLimit } from './concurrency/adaptive-limit.js';
@@ -18,13 +22,17 @@
 export const POLICY_CATALOGUE: readonly CatalogueEntry[] = [
   adaptiveLimit.meta,
   admitAll.meta,
+  admitAny.meta,
   budgetedResume.meta,
   firstCome.meta,
+  firstEventTarget.meta,
   giveUp.meta,
+  leastBusy.meta,
   leastCost.meta,
   leastOutstanding.meta,
   predictive.meta,
   roundRobin.meta,
   tieredFair.meta,
+  toleranceSplit.meta,
   unlimited.meta,
 ];
--- /dev/null
+++ b/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
@@ -0,0 +1,154 @@
+import fc from 'fast-check';
+import { describe } from '@jujubecroft/testing';
+import type { BackendServerId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import type { ReplicaRow } from '../../src/index.js';
+import { ReplicaRegistry } from '../../src/index.js';
+import { manualClock, replica } from './helpers/gatewayFixture.js';
+
+const row = (
+  name: string,
+  rowVersion: number,
+  leaving = false,
+): ReplicaRow => ({
+  id: brand<BackendServerId>(name),
+  rowVersion,
+  replica: replica(name, { leaving }),
+});
+const removed = (name: string, rowVersion: number): ReplicaRow => ({
+  id: brand<BackendServerId>(name),
+  rowVersion,
+  replica: null,
+});
+const idsOf = (registry: ReplicaRegistry): readonly string[] =>
+  registry.replicas.map(({ id }) => id as string).sort();
+
+describe('ReplicaRegistry', ({ describe: group, it }) => {
+  it('tells only of changes that matter, not of heartbeats', t => {
+    const registry = new ReplicaRegistry(manualClock().now);
+    t.is(registry.applyRows([row('a', 1)], 1, 0)[0]?.kind, 'added');
+    t.deepEqual(registry.applyRows([row('a', 5)], 5, 0), []);
+    t.is(registry.changedAt, 1);
+    t.is(registry.applyRows([row('a', 6, true)], 6, 0)[0]?.kind, 'leaving');
+    t.is(registry.applyRows([removed('a', 7)], 7, 0)[0]?.kind, 'gone');
+  });
+
+  it('never goes back when older rows come late', t => {
+    // A user's request goes to a replica that has left: a slow instance hands on
+    // an entry that was replaced meanwhile. The store's version must decide.
+    const registry = new ReplicaRegistry(manualClock().now);
+    registry.applyRows([row('a', 8, true)], 8, 0);
+    registry.applyRows([row('a', 4)], 4, 0);
+    t.true(registry.find(brand<BackendServerId>('a'))?.leaving);
+    t.is(registry.version, 8);
+  });
+
+  group('after an outage of the store', ({ it: case_ }) => {
+    // Users get refusals though all replicas live: the store was away, entries
+    // ran out meanwhile and come back within seconds of its return.
+    case_('keeps live replicas until their time to come back is up', t => {
+      const clock = manualClock();
+      const registry = new ReplicaRegistry(clock.now);
+      registry.applySnapshot([row('a', 1), row('b', 2)], 2, 0);
+      registry.expectLapses(2500);
+      const changes = registry.applyRows(
+        [removed('a', 9), removed('b', 10)],
+        10,
+        0,
+      );
+      t.deepEqual(
+        changes.map(({ kind }) => kind),
+        ['lapsed', 'lapsed'],
+      );
+      t.deepEqual(idsOf(registry), ['a', 'b']);
+      registry.applyRows([row('a', 11)], 11, 0);
+      clock.advance(2600);
+      t.deepEqual(
+        registry.tick().map(({ id }) => id as string),
+        ['b'],
+      );
+      t.deepEqual(idsOf(registry), ['a']);
+    });
+
+    case_('drops a replica that was leaving before at once', t => {
+      const registry = new ReplicaRegistry(manualClock().now);
+      registry.applySnapshot([row('a', 1, true)], 1, 0);
+      registry.expectLapses(2500);
+      registry.applyRows([removed('a', 9)], 9, 0);
+      t.deepEqual(idsOf(registry), []);
+    });
+  });
+
+  it('takes entries that a full read lacks for removed', t => {
+    const registry = new ReplicaRegistry(manualClock().now);
+    registry.applySnapshot([row('a', 1), row('b', 2)], 2, 0);
+    registry.applySnapshot([row('b', 7)], 9, 0);
+    t.deepEqual(idsOf(registry), ['b']);
+  });
+
+  it('agrees with the store however its changes travel between instances', t => {
+    // Instances hand changes on while messages are lost, late, repeated and out
+    // of order. Whoever has heard of a version must see what the store had then.
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            name: fc.constantFrom('a', 'b', 'c', 'd'),
+            what: fc.constantFrom('put', 'leave', 'remove'),
+          }),
+          { minLength: 1, maxLength: 25 },
+        ),
+        fc.array(
+          fc.record({
+            from: fc.integer({ min: 0, max: 3 }),
+            to: fc.integer({ min: 0, max: 3 }),
+            reads: fc.boolean(),
+            repeat: fc.boolean(),
+          }),
+          { maxLength: 60 },
+        ),
+        (writes, steps) => {
+          const clock = manualClock();
+          const views = [0, 1, 2, 3].map(() => new ReplicaRegistry(clock.now));
+          const rows = writes.map(({ name, what }, index) =>
+            what === 'remove'
+              ? removed(name, index + 1)
+              : row(name, index + 1, what === 'leave'),
+          );
+          const truthAt = (version: number): readonly string[] => {
+            const last = new Map(
+              rows.slice(0, version).map(entry => [entry.id as string, entry]),
+            );
+            return [...last.values()]
+              .filter(entry => entry.replica !== null)
+              .map(({ id }) => id as string)
+              .sort();
+          };
+          steps.forEach(({ from, to, reads, repeat }, index) => {
+            const target = views[to];
+            const source = views[from];
+            if (!target || !source) {
+              return;
+            }
+            if (reads) {
+              const upTo = Math.min(rows.length, index + 1);
+              const fresh = rows
+                .slice(0, upTo)
+                .filter(entry => entry.rowVersion > target.version);
+              target.applyRows(fresh, Math.max(target.version, upTo), 0);
+            } else if (source.version > target.version) {
+              const changes = source.changesSince(target.version);
+              target.merge(changes);
+              if (repeat) {
+                target.merge(changes);
+              }
+            }
+            t.deepEqual(idsOf(target), truthAt(target.version));
+          });
+        },
+      ),
+      { seed: 20_260, numRuns: 400 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/gateway/recovery/decideRecovery.test.ts
@@ -0,0 +1,110 @@
+import { describe } from '@jujubecroft/testing';
+
+import type { AttemptResult, Recovery } from '../../../src/index.js';
+import type { RecoveryFacts } from '../../../src/gateway/recovery/decideRecovery.js';
+import { decideRecovery } from '../../../src/gateway/recovery/decideRecovery.js';
+import { route } from '../helpers/gatewayFixture.js';
+
+const SAFE = route({ kind: 'safe', maxAttempts: 2 });
+const UNSAFE = route({ kind: 'unsafe', maxAttempts: 2 });
+const STREAM = route({ kind: 'streaming', maxAttempts: 2 });
+const RESUMABLE = route({ kind: 'streaming', maxAttempts: 2, resumable: true });
+
+const facts = (overrides: Partial<RecoveryFacts>): RecoveryFacts => ({
+  route: SAFE,
+  sent: 1,
+  unsent: 0,
+  mayHaveRun: false,
+  timeLeftMs: 1000,
+  retryHelps: () => true,
+  takeRepeat: () => true,
+  ...overrides,
+});
+
+const told = (recovery: Recovery): string =>
+  recovery.kind === 'answer' ? recovery.code : recovery.kind;
+
+const LOST: AttemptResult = { kind: 'lost', reason: 'reset' };
+const FAILED: AttemptResult = { kind: 'failed', status: 500 };
+const NOT_RUN: AttemptResult = { kind: 'notRun', reason: 'full' };
+const UNSENT: AttemptResult = { kind: 'unsent', reason: 'refused' };
+const SILENT: AttemptResult = { kind: 'withdrawn', reason: 'silent' };
+const TIMEOUT: AttemptResult = { kind: 'withdrawn', reason: 'timeLimit' };
+
+type Row = readonly [string, AttemptResult, Partial<RecoveryFacts>, string];
+
+describe('decideRecovery', ({ describe: group }) => {
+  // A menu is repriced twice: its request was sent, the answer got lost, and it
+  // was sent again or refused as "not run". Only what never ran may be refused,
+  // and only what is idempotent may be sent again.
+  group('after each end of an attempt', ({ it }) => {
+    const rows: readonly Row[] = [
+      ['safe, lost', LOST, {}, 'retry'],
+      ['unsafe, lost', LOST, { route: UNSAFE }, 'backendMaybeRan'],
+      ['stream, lost', LOST, { route: STREAM }, 'backendMaybeRan'],
+      ['resumable stream, lost', LOST, { route: RESUMABLE }, 'retry'],
+      ['unsafe, silent', SILENT, { route: UNSAFE }, 'backendMaybeRan'],
+      ['safe, silent', SILENT, {}, 'retry'],
+      ['safe, failed', FAILED, {}, 'retry'],
+      [
+        'safe, failed, retries do not help',
+        FAILED,
+        { retryHelps: () => false },
+        'passOn',
+      ],
+      ['unsafe, failed', FAILED, { route: UNSAFE }, 'passOn'],
+      ['unsafe, not run', NOT_RUN, { route: UNSAFE }, 'retry'],
+      [
+        'unsafe, not run, last attempt',
+        NOT_RUN,
+        { route: UNSAFE, sent: 2 },
+        'noBackendServer',
+      ],
+      [
+        'unsafe, unsent',
+        UNSENT,
+        { route: UNSAFE, sent: 0, unsent: 1 },
+        'retry',
+      ],
+      [
+        'unsafe, unsent thrice',
+        UNSENT,
+        { route: UNSAFE, sent: 0, unsent: 3 },
+        'noBackendServer',
+      ],
+      [
+        'safe, unsent after it may have run',
+        UNSENT,
+        { unsent: 3, mayHaveRun: true },
+        'backendMaybeRan',
+      ],
+      ['safe, lost, no attempt left', LOST, { sent: 2 }, 'backendMaybeRan'],
+      ['safe, lost, no time left', LOST, { timeLeftMs: 10 }, 'backendMaybeRan'],
+      [
+        'safe, lost, no budget left',
+        LOST,
+        { takeRepeat: () => false },
+        'backendMaybeRan',
+      ],
+      ['safe, out of time', TIMEOUT, {}, 'backendTimeout'],
+    ];
+    rows.forEach(([title, result, overrides, wanted]) => {
+      it(`${title}: ${wanted}`, t => {
+        t.is(told(decideRecovery(result, facts(overrides))), wanted);
+      });
+    });
+  });
+
+  group('the budget', ({ it }) => {
+    it('is not touched where no retry is possible anyway', t => {
+      const takeRepeat = (): boolean => {
+        t.fail('a repeat was taken');
+        return true;
+      };
+      decideRecovery(FAILED, facts({ sent: 2, takeRepeat }));
+      decideRecovery(LOST, facts({ route: UNSAFE, takeRepeat }));
+      decideRecovery(UNSENT, facts({ sent: 0, unsent: 1, takeRepeat }));
+      t.pass();
+    });
+  });
+});
