fix(gateway): tell a reset from the end of an answer without length; stop without cutting late streams

(2) LOST: streams taken four seconds after SIGTERM were cut at the end of the grace period; what is predicted to outlast the instance is now refused at once, truthfully. Ruled out: the client's own handling of ECONNRESET (renamed before, not enough).

--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -19,6 +19,8 @@
   readonly clock: () => number;
   /** Whether a stop was asked for. */
   leaving: boolean;
+  /** When everything must have ended, on the local clock; null while it runs on. */
+  leavingUntilMs: number | null;
 }
 
 /** Injection token of the context. */
--- a/packages/gateway/src/backends/BackendConnections.ts
+++ b/packages/gateway/src/backends/BackendConnections.ts
@@ -21,8 +21,20 @@
  * replica that got the same address.
  */
 export class BackendConnections {
+  #endsByReset = false;
   readonly #pools = new Map<BackendServerId, Pool>();
 
+  /**
+   * Whether the end that the HTTP client is telling of right now is a reset.
+   *
+   * The client knows an answer's connection but doesn't name it. It tells of an
+   * end while the connection's own event is handled, so a mark that lasts for
+   * that one event belongs to the answer at hand.
+   */
+  get endsByReset(): boolean {
+    return this.#endsByReset;
+  }
+
   /** @returns the pool of a replica, opened at first use */
   of({ id, address }: Replica, maxConnections: number): Pool {
     const known = this.#pools.get(id);
@@ -32,7 +44,9 @@
     const pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connect: connectWithin(CONNECT_TIMEOUT_MS),
+      connect: connectWithin(CONNECT_TIMEOUT_MS, () => {
+        this.#onResetAtEnd();
+      }),
       keepAliveTimeout: IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       keepAliveMaxTimeout: MAX_IDLE_MS,
@@ -56,6 +70,13 @@
       });
   }
 
+  #onResetAtEnd(): void {
+    this.#endsByReset = true;
+    queueMicrotask(() => {
+      this.#endsByReset = false;
+    });
+  }
+
   /** Drops all connections. */
   async destroy(): Promise<void> {
     await Promise.all([...this.#pools.values()].map(pool => pool.destroy()));
--- a/packages/gateway/src/backends/connectWithin.ts
+++ b/packages/gateway/src/backends/connectWithin.ts
@@ -2,18 +2,43 @@
 import type { Socket } from 'node:net';
 import type { buildConnector } from 'undici';
 
+/** Code of a reset, other than the system's own. */
+const RESET_CODE = 'RESET_BY_BACKEND';
+
 /**
- * Creates a connector that gives up early and tells resets apart.
+ * Tells resets apart from regular ends.
  *
- * The HTTP client takes a reset for the regular end of an answer that has
- * neither length nor chunks. A replica that breaks off in the middle of such an
- * answer would look complete. The connector sees the error first and gives it
- * another code, so that the client treats it as the failure it is.
+ * Guards against an answer without length or chunks whose replica breaks off: it
+ * would look complete, since such an answer ends with its connection. Resets get
+ * lost in two ways. The HTTP client takes one for the end of such an answer; here
+ * it gets another code before the client sees it. And when a reset comes together
+ * with the last bytes, the event loop reports an end and no error; a connection
+ * that the other side closed has a peer then, one that was reset has none.
+ */
+function tellResets(socket: Socket, onResetAtEnd: () => void): void {
+  socket.prependListener('error', (err: NodeJS.ErrnoException) => {
+    if (err.code === 'ECONNRESET') {
+      err.code = RESET_CODE;
+    }
+  });
+  socket.prependListener('end', () => {
+    if (socket.remoteAddress === undefined) {
+      onResetAtEnd();
+    }
+  });
+}
+
+/**
+ * Creates a connector that gives up early and tells resets apart.
  *
  * @param timeoutMs - bound on opening a connection
+ * @param onResetAtEnd - told just before the client sees an end that is a reset
  * @returns the connector
  */
-export function connectWithin(timeoutMs: number): buildConnector.connector {
+export function connectWithin(
+  timeoutMs: number,
+  onResetAtEnd: () => void,
+): buildConnector.connector {
   return ({ hostname, port }, callback) => {
     const socket: Socket = connect({ host: hostname, port: Number(port) });
     socket.setNoDelay(true);
@@ -24,11 +49,7 @@
       clearTimeout(timer);
       callback(err, null);
     };
-    socket.prependListener('error', (err: NodeJS.ErrnoException) => {
-      if (err.code === 'ECONNRESET') {
-        err.code = 'RESET_BY_BACKEND';
-      }
-    });
+    tellResets(socket, onResetAtEnd);
     socket.once('error', onEarlyError);
     socket.once('connect', () => {
       clearTimeout(timer);
--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -22,6 +22,8 @@
 export interface AnswerListener {
   /** @returns false to give the exchange up */
   readonly onStart: (status: number, headers: RawHeaders) => boolean;
+  /** Whether the end that is told of right now is a reset. */
+  readonly endsByReset: () => boolean;
   /** @returns false to pause until `resume` */
   readonly onData: (chunk: Buffer) => boolean;
 }
@@ -99,7 +101,11 @@
       }
     },
     onResponseEnd: () => {
-      settle({ kind: 'complete' });
+      settle(
+        listener.endsByReset()
+          ? { kind: 'failed', sent, reason: 'reset with the last bytes' }
+          : { kind: 'complete' },
+      );
     },
     onResponseError: (_started, err) => {
       settle(
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -36,6 +36,10 @@
 const FIRST_SERVER_FAILURE = 500;
 /** Answers up to this size are held back until they are whole. */
 const MAX_HELD_BYTES = 1024 * 1024;
+/** Told by an instance that stops; callers find another at once. */
+const LEAVING_RETRY_MS = 50;
+/** Answers may take this much longer than predicted. */
+const LEAVING_PATIENCE = 1.6;
 /** Highest rank that a replica takes. */
 const LAST_PRIORITY = 9;
 
@@ -124,6 +128,12 @@
       return false;
     }
     const decision = router.place(this.request, this.#tried);
+    if (decision.kind === 'send' && this.#outlastsThis(decision.placed)) {
+      this.#finishWithout('instanceLeaving', LEAVING_RETRY_MS, {
+        predictedMs: Math.round(decision.placed.predictedWholeMs),
+      });
+      return false;
+    }
     if (decision.kind === 'refuse') {
       this.#finishWithout(decision.code, decision.retryAfterMs, {
         predictedMs: Math.round(decision.predictedMs),
@@ -146,6 +156,21 @@
     return this.#follow(recovery, result);
   }
 
+  /**
+   * Whether a request would run longer than this instance.
+   *
+   * Guards against cutting a stream that came after a stop was asked for, while
+   * callers still held this address. Turned away at once it runs elsewhere.
+   */
+  #outlastsThis({ predictedWholeMs }: PlacedCandidate): boolean {
+    const { leavingUntilMs, clock } = this.context;
+    return (
+      leavingUntilMs !== null &&
+      this.#sent === 0 &&
+      clock() + LEAVING_PATIENCE * predictedWholeMs > leavingUntilMs
+    );
+  }
+
   async #try(
     placed: PlacedCandidate,
     candidates: number,
@@ -173,6 +198,7 @@
       {
         onStart: (status, headers) => this.#onStart(status, headers),
         onData: chunk => this.#onData(chunk),
+        endsByReset: () => connections.endsByReset,
       },
     );
     this.#exchange = exchange;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -100,6 +100,7 @@
     log,
     clock,
     leaving: false,
+    leavingUntilMs: null,
   };
 }
 
@@ -218,15 +219,15 @@
   };
 
   const stop = async (): Promise<void> => {
-    const startedMs = clock();
+    const lastMs = clock() + LAST_SHARE * settings.graceMs;
     context.leaving = true;
+    context.leavingUntilMs = lastMs;
     context.membership.leave();
     log.write('instanceStopping', { inFlight: underWay.count });
     await peers.spread();
     // Callers keep addresses for a while, and go on using open connections
     // until an answer closes them.
     await sleep(SPREAD_SHARE * settings.graceMs);
-    const lastMs = startedMs + LAST_SHARE * settings.graceMs;
     while (underWay.count > 0 && clock() < lastMs) {
       await sleep(IDLE_CHECK_MS);
     }
