perf(build): keep compiled code beside the bundle

Cause: after a kill of all instances callers waited 1.2 s for programs to load. The build keeps the compiled code; the run line starts from it. Ruled out: smaller bundles (loading is compiling and running, not reading).

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,14 @@
-// Bundles the program into one file: node scripts/bundle.mjs FILE
-import { mkdirSync } from 'node:fs';
+// Bundles the program for a quick start: node scripts/bundle.mjs FOLDER
+import { spawnSync } from 'node:child_process';
+import { copyFileSync, mkdirSync } from 'node:fs';
 import path from 'node:path';
 import { pathToFileURL } from 'node:url';
 
 import { build } from 'esbuild';
 
+/** The flags that deploy/system.toml runs with; kept code fits the same flags only. */
+const RUN_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
+
 const root = path.resolve(import.meta.dirname, '..');
 
 /** Bundles the command line with everything it loads into one CommonJS file. */
@@ -42,11 +46,26 @@
   });
 }
 
-const [, script = '', outfile] = process.argv;
+/** Keeps compiled code beside the bundle, for a quick start. */
+function keepCode(target) {
+  copyFileSync(
+    path.join(root, 'scripts/start.cjs'),
+    path.join(target, 'start.cjs'),
+  );
+  // Without settings the command loads everything and ends with a usage error.
+  spawnSync(
+    process.execPath,
+    [...RUN_FLAGS, path.join(target, 'start.cjs'), 'gateway'],
+    { env: { PATH: process.env.PATH, JUJUBECROFT_KEEP_CODE: '1' } },
+  );
+}
+
+const [, script = '', target] = process.argv;
 if (import.meta.url === pathToFileURL(script).href) {
-  if (!outfile) {
-    throw new Error('usage: node scripts/bundle.mjs FILE');
+  if (!target) {
+    throw new Error('usage: node scripts/bundle.mjs FOLDER');
   }
-  mkdirSync(path.dirname(outfile), { recursive: true });
-  await bundle(path.resolve(outfile));
+  mkdirSync(target, { recursive: true });
+  await bundle(path.resolve(target, 'jujubecroft.cjs'));
+  keepCode(path.resolve(target));
 }
