--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -198,7 +198,7 @@
     streamWeight: z.number().nonnegative().default(0.03),
     minDelicateShare: z.number().min(0).max(1).default(0.2),
     domainMs: z.number().nonnegative().default(2),
-    rereadWeight: z.number().nonnegative().default(8),
+    rereadWeight: z.number().nonnegative().default(16),
     homeChance: z.number().min(0).max(1).default(0.5),
   }),
   create: createToleranceSplit,
