fix(gateway): keep a slow attempt that could not go on elsewhere; explain a request from logs

Also: jujubecroft explain, config check of the platform's settings, help of groups of commands; the log no longer says that a caller had the beginning of an answer when it had our own.

--- a/packages/cli/src/commands/ConfigCheckCommand.ts
+++ b/packages/cli/src/commands/ConfigCheckCommand.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
+import type { SettingsRead } from '@jujubecroft/platform';
 import { formatFaults, parseSettings } from '@jujubecroft/settings';
 
 import { EXIT } from '../exitCodes.js';
@@ -10,20 +11,43 @@
   static override usage = Command.Usage({
     description: 'check a settings file',
     details:
-      'Lists each fault with line, path and what is expected. Exit code 3 when there is one.',
+      'Lists each fault with line, path and what is expected. Takes settings of every kind, and those that the platform gives a process. Exit code 3 when there is a fault.',
     examples: [['Check a file', '$0 config check instance.jsonc']],
   });
 
   readonly file = Option.String({ name: 'file', required: true });
 
-  execute(): Promise<number> {
-    const result = parseSettings(readFileSync(this.file, 'utf8'));
+  async execute(): Promise<number> {
+    const text = readFileSync(this.file, 'utf8');
+    // Loaded here, so that other commands need no memory for it.
+    const { isPlatformSettings, readPlatformSettings } =
+      await import('@jujubecroft/platform');
+    return isPlatformSettings(text)
+      ? this.#tell(readPlatformSettings(text))
+      : this.#checkOwn(text);
+  }
+
+  #tell(result: SettingsRead): number {
+    if (result.ok) {
+      this.context.stdout.write(`${this.file}: platform settings, ok\n`);
+      return EXIT.ok;
+    }
+    const lines = result.faults.map(
+      ({ path, message }) =>
+        `${this.file}: ${path || '(document)'}: ${message}`,
+    );
+    this.context.stderr.write(`${lines.join('\n')}\n`);
+    return EXIT.badSettings;
+  }
+
+  #checkOwn(text: string): number {
+    const result = parseSettings(text);
     if (result.ok) {
       this.context.stdout.write(`${this.file}: ${result.settings.kind}, ok\n`);
-      return Promise.resolve(EXIT.ok);
+      return EXIT.ok;
     }
-    const text = formatFaults(this.file, result.faults);
-    this.context.stderr.write(`${text}\n`);
-    return Promise.resolve(EXIT.badSettings);
+    const faults = formatFaults(this.file, result.faults);
+    this.context.stderr.write(`${faults}\n`);
+    return EXIT.badSettings;
   }
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -18,6 +18,8 @@
   ExperimentListCommand,
   ExperimentRunCommand,
 } from './commands/experimentCommands.js';
+import { createGroupHelp } from './commands/createGroupHelp.js';
+import { ExplainCommand } from './commands/ExplainCommand.js';
 import { GatewayCommand } from './commands/GatewayCommand.js';
 import { LoadCommand } from './commands/LoadCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
@@ -45,10 +47,12 @@
   DemoCommand,
   ExperimentListCommand,
   ExperimentRunCommand,
+  ExplainCommand,
   GatewayCommand,
   LoadCommand,
   ServeCommand,
   StandInCommand,
+  ...['config', 'ctl', 'experiment', 'stand-in'].map(createGroupHelp),
 ].forEach(command => {
   cli.register(command);
 });
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -35,6 +35,8 @@
   readonly load: BackendLoad;
   /** 1 for the first. */
   readonly number: number;
+  /** The same, counting only attempts that left this instance. */
+  readonly sentNumber: number;
   readonly sentMs: number;
   /** Prompt tokens that the replica has to read for this request. */
   readonly unreadTokens: number;
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -235,17 +235,26 @@
     return { kind: 'send', placed: best, candidates: ranked.length };
   }
 
-  /** Notes that a request is being sent to a replica. */
+  /**
+   * Notes that a request is being sent to a replica.
+   *
+   * @param request - the request
+   * @param placed - where it goes
+   * @param number - of the attempt, 1 for the first
+   * @param sentNumber - the same, counting only those that left this instance
+   */
   begin(
     request: GatewayRequest,
     placed: PlacedCandidate,
     number: number,
+    sentNumber = number,
   ): GatewayAttempt {
     const { load, unreadTokens, predictedMs } = placed;
     const attempt: GatewayAttempt = {
       request,
       load,
       number,
+      sentNumber,
       sentMs: this.board.clock(),
       unreadTokens,
       tokensAhead: load.unreadTokens + unreadTokens,
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -4,7 +4,7 @@
   GatewayRequest,
 } from './BackendLoad.js';
 import type { GatewayBoard } from './GatewayBoard.js';
-import { learningOf } from './GatewayBoard.js';
+import { candidatesOf, learningOf } from './GatewayBoard.js';
 import { isIdempotent } from './recovery/decideRecovery.js';
 
 /**
@@ -24,6 +24,8 @@
 /** Patience with a first byte, as a multiple of the prediction, and at least. */
 const PATIENCE = 2.5;
 const MIN_PATIENCE_MS = 250;
+/** Time that another replica needs to answer at all, in milliseconds. */
+const MIN_MOVE_MS = 100;
 /** Pause in a stream, as a multiple of its target, after which it is moved. */
 const GAP_PATIENCE = 3;
 
@@ -90,6 +92,23 @@
   return speaking.length > 0 ? speaking : open;
 }
 
+/** Whether a request could go on at another replica if its attempt were given up. */
+function canGoElsewhere(
+  board: GatewayBoard,
+  { request, load, sentNumber }: GatewayAttempt,
+): boolean {
+  const { route, service, deadlineMs } = request;
+  return (
+    isIdempotent(route) &&
+    sentNumber < route.maxAttempts &&
+    deadlineMs - board.clock() > MIN_MOVE_MS &&
+    board.budget.left(service.id) >= 1 &&
+    candidatesOf(board, service.id).some(
+      other => other !== load && !hasFallenSilent(board, other),
+    )
+  );
+}
+
 /**
  * Whether an attempt should be given up and go on elsewhere.
  *
@@ -107,7 +126,8 @@
 ): boolean {
   const { request, load } = attempt;
   const nowMs = board.clock();
-  if (!isIdempotent(request.route)) {
+  // Giving up without anywhere to go would only end the answer sooner.
+  if (!canGoElsewhere(board, attempt)) {
     return false;
   }
   if (nowMs - load.lastByteMs < STALLED_MS) {
--- a/packages/decisions/tests/gateway/GatewayRouter.test.ts
+++ b/packages/decisions/tests/gateway/GatewayRouter.test.ts
@@ -123,6 +123,20 @@
       t.deepEqual(router.findSilent(), []);
     });
 
+    case_('keep their attempt when it could not go on elsewhere', t => {
+      // A caller gets an error long before its time is up: the replica is only
+      // slow, the attempt was given up, and no second one was allowed.
+      const once = route({ ...CALL, maxAttempts: 1 });
+      const { router, request, clock } = gatewayFixture([once], PLAINS);
+      const asked = request(once);
+      const decision = router.place(asked, new Set());
+      if (decision.kind === 'send') {
+        router.begin(asked, decision.placed, 1);
+      }
+      clock.advance(1500);
+      t.deepEqual(router.findSilent(), []);
+    });
+
     case_('are used all the same when there is no other', t => {
       const { router, request, clock } = gatewayFixture(
         [CALL],
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -182,6 +182,7 @@
       request,
       placed,
       this.#sent + this.#unsent + 1,
+      this.#sent + 1,
     );
     this.#attempt = attempt;
     this.#incoming = null;
@@ -413,9 +414,10 @@
       this.#passOnFailure();
       return;
     }
+    const started = this.#answer.hasStarted;
     const isRefusal = RESULT_CODES[code].ran === 'no';
     const told = isRefusal && this.#mayHaveRun ? 'backendMaybeRan' : code;
-    if (this.#answer.hasStarted) {
+    if (started) {
       this.#answer.cut();
     } else if (!this.#answer.isClosed) {
       this.#answer.send(
@@ -423,7 +425,7 @@
       );
     }
     const event = told === code && isRefusal ? 'requestRefused' : 'requestCut';
-    this.#noteEnd(event, told, { retryAfterMs, ...facts });
+    this.#noteEnd(event, told, { retryAfterMs, started, ...facts });
   }
 
   #notePlaced(attempt: GatewayAttempt, candidates: number): void {
@@ -507,7 +509,6 @@
       code,
       afterMs: Math.round(context.clock() - request.arrivedMs),
       attempts: this.#sent + this.#unsent,
-      started: this.#answer.hasStarted,
       ...facts,
     });
   }
