--- /dev/null
+++ b/packages/events/tests/LineWriter.test.ts
@@ -0,0 +1,78 @@
+import { describe } from '@jujubecroft/testing';
+
+import type { ParsedLine } from '../src/index.js';
+import { createBoundedLog, LineWriter, readLogLines } from '../src/index.js';
+
+/** A reader that takes nothing until it is let go on. */
+function stalledReader() {
+  const written: string[] = [];
+  let goOn: (() => void) | null = null;
+  return {
+    written,
+    write: (bytes: Buffer, done: (err: Error | null) => void): void => {
+      written.push(bytes.toString('utf8'));
+      goOn = () => {
+        done(null);
+      };
+    },
+    goOn: (): void => {
+      goOn?.();
+    },
+  };
+}
+
+describe('LineWriter', ({ it }) => {
+  it('never waits for a reader that stalls, and counts what it drops', t => {
+    // Requests hang while a log collector is stuck: writes to a full pipe block
+    // the whole process. Lines must be dropped and counted instead.
+    const reader = stalledReader();
+    const writer = new LineWriter(reader.write);
+    const line = 'x'.repeat(1000);
+    Array.from({ length: 2000 }).forEach(() => {
+      writer.write(line);
+    });
+    t.is(reader.written.length, 1);
+    const dropped = writer.takeDropped();
+    t.true(dropped > 1000 && dropped < 2000);
+    t.is(writer.takeDropped(), 0);
+    reader.goOn();
+    t.is(reader.written.length, 2);
+    const lines = reader.written.join('').split('\n').filter(Boolean);
+    t.is(lines.length + dropped, 2000);
+  });
+});
+
+describe('createBoundedLog', ({ it }) => {
+  const logOf = (clock: () => number) => {
+    const reader = stalledReader();
+    const log = createBoundedLog({
+      instance: 'i-1',
+      level: 'info',
+      clock,
+      writer: new LineWriter((bytes, done) => {
+        reader.write(bytes, done);
+        done(null);
+      }),
+    });
+    return {
+      log,
+      lines: (): readonly ParsedLine[] => readLogLines(reader.written.join('')),
+    };
+  };
+
+  it('bounds the lines of an event and tells how many it left out', t => {
+    let nowMs = 0;
+    const { log, lines } = logOf(() => nowMs);
+    Array.from({ length: 1000 }, (_, index) => index).forEach(request => {
+      log.write('requestRefused', { request });
+    });
+    log.write('platformDown', { call: 'replicas' });
+    t.is(lines().filter(({ id }) => id === 'requestRefused').length, 300);
+    t.is(lines().filter(({ id }) => id === 'platformDown').length, 1);
+    nowMs = 1500;
+    log.write('requestRefused', { request: 'later' });
+    const [left] = lines().filter(({ id }) => id === 'linesLeftOut');
+    t.is(left?.fields.of, 'requestRefused');
+    t.is(left?.fields.left, 700);
+  });
+});
