--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -10,7 +10,10 @@
   RoutingConfiguration,
 } from '@jujubecroft/types';
 
-import type { GatewayAdmission } from './admission/GatewayAdmission.js';
+import type {
+  GatewayAdmission,
+  GatewayVerdict,
+} from './admission/GatewayAdmission.js';
 import type {
   GatewayAttempt,
   GatewayRequest,
@@ -62,8 +65,8 @@
       readonly kind: 'refuse';
       readonly code: ResultCodeId;
       readonly retryAfterMs: number;
-      readonly predictedMs: number;
-      readonly allowedMs: number;
+      /** Null where there was no replica to judge. */
+      readonly verdict: GatewayVerdict | null;
       readonly candidates: number;
     };
 
@@ -212,8 +215,7 @@
         kind: 'refuse',
         code: 'noBackendServer',
         retryAfterMs: NO_BACKEND_RETRY_MS,
-        predictedMs: Infinity,
-        allowedMs: 0,
+        verdict: null,
         candidates: 0,
       };
     }
@@ -227,8 +229,7 @@
         kind: 'refuse',
         code: 'overloaded',
         retryAfterMs: verdict.retryAfterMs,
-        predictedMs: verdict.predictedMs,
-        allowedMs: verdict.allowedMs,
+        verdict,
         candidates: ranked.length,
       };
     }
--- a/packages/decisions/src/gateway/admission/admit-any.ts
+++ b/packages/decisions/src/gateway/admission/admit-any.ts
@@ -17,6 +17,8 @@
     admit: true,
     predictedMs: best.predictedMs,
     allowedMs: Infinity,
+    predictedWholeMs: best.predictedWholeMs,
+    allowedWholeMs: Infinity,
     retryAfterMs: 0,
   }),
 });
--- a/packages/decisions/src/gateway/admission/first-event-target.ts
+++ b/packages/decisions/src/gateway/admission/first-event-target.ts
@@ -49,7 +49,8 @@
     const wholeShare = isKept(request)
       ? options.lateWholeShare
       : options.wholeShare;
-    const finishes = best.predictedWholeMs <= wholeShare * leftMs;
+    const allowedWholeMs = wholeShare * leftMs;
+    const finishes = best.predictedWholeMs <= allowedWholeMs;
     const overMs = finishes
       ? predictedMs - options.returnShare * allowedMs
       : options.paceRetryMs;
@@ -64,6 +65,8 @@
       admit: finishes && predictedMs <= allowedMs,
       predictedMs,
       allowedMs,
+      predictedWholeMs: best.predictedWholeMs,
+      allowedWholeMs,
       retryAfterMs,
     };
   };
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export type { GatewayVerdict } from './admission/GatewayAdmission.js';
 export type {
   BackendLoad,
   GatewayAttempt,
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -6,22 +6,20 @@
   Recovery,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import { connectionShare, isIdempotent } from '@jujubecroft/decisions';
+import { connectionShare } from '@jujubecroft/decisions';
 import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
 import { RESULT_CODES } from '@jujubecroft/types';
 
-import type { RunningExchange } from '../backends/sendAttempt.js';
+import type { ExchangeEnd, RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
 import type { GatewayContext } from '../GatewayContext.js';
-import type {
-  AnswerHead,
-  CallerHead,
-  RawHeaders,
-} from '../ports/CallerDialect.js';
-import type { WholeAnswer } from './CallerAnswer.js';
-import type { CallerAnswer } from './CallerAnswer.js';
+import type { CallerHead, RawHeaders } from '../ports/CallerDialect.js';
+import { AnswerAssembly } from './AnswerAssembly.js';
+import type { CallerAnswer, WholeAnswer } from './CallerAnswer.js';
 import { EventCutter } from './EventCutter.js';
 import { ownAnswer } from './ownAnswer.js';
+import type { Facts, Progress } from './RequestNotes.js';
+import { RequestNotes, verdictFacts } from './RequestNotes.js';
 
 /** A caller's request as it came. */
 export interface IncomingCall {
@@ -32,10 +30,6 @@
   readonly body: Buffer | null;
 }
 
-const FIRST_FAILURE_STATUS = 400;
-const FIRST_SERVER_FAILURE = 500;
-/** Answers up to this size are held back until they are whole. */
-const MAX_HELD_BYTES = 1024 * 1024;
 /** Told by an instance that stops; callers find another at once. */
 const LEAVING_RETRY_MS = 50;
 /** Answers may take this much longer than predicted. */
@@ -43,27 +37,15 @@
 /** Highest rank that a replica takes. */
 const LAST_PRIORITY = 9;
 
-/** What is known of the answer that is coming in. */
-interface IncomingAnswer {
-  readonly status: number;
-  readonly headers: RawHeaders;
-  readonly head: AnswerHead;
-  /** Body that is held back. */
-  readonly held: Buffer[];
-  heldBytes: number;
-  /** Whether body bytes go to the caller as they come. */
-  relays: boolean;
-}
-
 /** Carries one request to a replica, and to others if that fails. */
 export class ForwardedRequest {
   readonly #answer: CallerAnswer;
+  readonly #notes: RequestNotes;
   readonly #tried = new Set<BackendServerId>();
   readonly #events: EventCutter | null;
   #exchange: RunningExchange | null = null;
   #attempt: GatewayAttempt | null = null;
   #withdrawn: WithdrawReason | null = null;
-  #incoming: IncomingAnswer | null = null;
   #failure: WholeAnswer | null = null;
   #sent = 0;
   #unsent = 0;
@@ -77,6 +59,7 @@
     answer: CallerAnswer,
   ) {
     this.#answer = answer;
+    this.#notes = new RequestNotes(context, request);
     const resumes =
       request.route.kind === 'streaming' && request.route.resumable;
     this.#events = resumes ? new EventCutter(call.head.lastEventId) : null;
@@ -136,15 +119,14 @@
     }
     if (decision.kind === 'refuse') {
       this.#finishWithout(decision.code, decision.retryAfterMs, {
-        predictedMs: Math.round(decision.predictedMs),
-        allowedMs: Math.round(decision.allowedMs),
+        ...verdictFacts(decision.verdict),
         candidates: decision.candidates,
       });
       return false;
     }
     const result = await this.#try(decision.placed, decision.candidates);
     if (result.kind === 'answered') {
-      this.#noteAnswered(result.status);
+      this.#notes.answered(result.status, this.#progress);
       return false;
     }
     const recovery = router.recover(this.request, result, {
@@ -152,8 +134,8 @@
       unsent: this.#unsent,
       mayHaveRun: this.#mayHaveRun,
     });
-    this.#noteFailure(result, recovery);
-    return this.#follow(recovery, result);
+    this.#notes.failed(result, recovery, this.#sent);
+    return this.#follow(recovery);
   }
 
   /**
@@ -185,9 +167,9 @@
       this.#sent + 1,
     );
     this.#attempt = attempt;
-    this.#incoming = null;
     this.#events?.startOver();
-    this.#notePlaced(attempt, candidates);
+    this.#notes.placed(attempt, candidates);
+    const assembly = this.#assembly();
     const exchange = sendAttempt(
       connections.of(replica, connectionShare(router.board, request)),
       {
@@ -197,8 +179,13 @@
         body: this.call.body,
       },
       {
-        onStart: (status, headers) => this.#onStart(status, headers),
-        onData: chunk => this.#onData(chunk),
+        onStart: (status, headers) =>
+          assembly.start(status, headers) && this.#onHead(attempt, assembly),
+        onData: chunk => {
+          router.onBytes(attempt);
+          this.#firstByteMs ??= this.context.clock();
+          return assembly.take(chunk);
+        },
         endsByReset: () => connections.endsByReset,
       },
     );
@@ -206,13 +193,35 @@
     const end = await exchange.ended;
     this.#exchange = null;
     this.#attempt = null;
-    const result = this.#resultOf(end);
+    const result = this.#resultOf(end, assembly);
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     this.#count(result, replica.id);
     return result;
   }
 
+  #assembly(): AnswerAssembly {
+    return new AnswerAssembly({
+      requestId: this.request.id,
+      kind: this.request.route.kind,
+      dialect: this.context.dialect,
+      answer: this.#answer,
+      events: this.#events,
+      resume: () => this.#exchange?.resume(),
+    });
+  }
+
+  #onHead(attempt: GatewayAttempt, assembly: AnswerAssembly): true {
+    const { router } = this.context;
+    if (assembly.load) {
+      router.onReported(attempt, assembly.load);
+    }
+    if (!assembly.relays) {
+      router.onBytes(attempt);
+    }
+    return true;
+  }
+
   #backendHeaders(attempt: GatewayAttempt): string[] {
     const { request, call, context } = this;
     const { dialect } = context;
@@ -228,78 +237,13 @@
     });
   }
 
-  #onStart(status: number, headers: RawHeaders): boolean {
-    const { context, request } = this;
-    const head = context.dialect.readAnswer(status, headers);
-    // An answer of another request may come late, in the place of this one's.
-    if (head.requestId !== request.id && !head.notRun) {
-      return false;
-    }
-    if (status < FIRST_FAILURE_STATUS && !head.isStamped) {
-      return false;
-    }
-    const relays =
-      request.route.kind === 'streaming' &&
-      status < FIRST_FAILURE_STATUS &&
-      !head.notRun;
-    this.#incoming = { status, headers, head, held: [], heldBytes: 0, relays };
-    if (this.#attempt && head.load) {
-      context.router.onReported(this.#attempt, head.load);
-    }
-    if (!relays && this.#attempt) {
-      context.router.onBytes(this.#attempt);
-    }
-    return true;
-  }
-
-  #onData(chunk: Buffer): boolean {
-    const incoming = this.#incoming;
-    if (!incoming) {
-      return true;
-    }
-    if (this.#attempt) {
-      this.context.router.onBytes(this.#attempt);
-    }
-    this.#firstByteMs ??= this.context.clock();
-    if (!incoming.relays) {
-      this.#hold(incoming, chunk);
-      return true;
-    }
-    return this.#relay(incoming, this.#events?.push(chunk) ?? chunk);
-  }
-
-  /** Keeps an answer back until it is whole, so that a cut one can be replaced. */
-  #hold(incoming: IncomingAnswer, chunk: Buffer): void {
-    incoming.held.push(chunk);
-    incoming.heldBytes += chunk.length;
-    const fits = incoming.heldBytes <= MAX_HELD_BYTES;
-    if (fits || incoming.status >= FIRST_FAILURE_STATUS) {
-      return;
-    }
-    incoming.relays = true;
-    this.#relay(incoming, Buffer.concat(incoming.held));
-  }
-
-  #relay(incoming: IncomingAnswer, chunk: Buffer): boolean {
-    if (this.#answer.isClosed || chunk.length === 0) {
-      return true;
-    }
-    if (!this.#answer.hasStarted) {
-      const { dialect } = this.context;
-      this.#answer.start(incoming.status, dialect.toCaller(incoming.headers));
-    }
-    const takesMore = this.#answer.write(chunk);
-    if (!takesMore) {
-      const exchange = this.#exchange;
-      this.#answer.onDrain(() => exchange?.resume());
-    }
-    return takesMore;
-  }
-
-  #resultOf(end: Awaited<RunningExchange['ended']>): AttemptResult {
+  #resultOf(end: ExchangeEnd, assembly: AnswerAssembly): AttemptResult {
     switch (end.kind) {
-      case 'complete':
-        return this.#completeResult();
+      case 'complete': {
+        const { result, failure } = assembly.complete();
+        this.#failure = failure ?? this.#failure;
+        return result;
+      }
       case 'aborted':
         return this.#withdrawn === null
           ? { kind: 'lost', reason: 'answer of another request' }
@@ -311,46 +255,6 @@
     }
   }
 
-  #completeResult(): AttemptResult {
-    const incoming = this.#incoming;
-    if (!incoming) {
-      return { kind: 'lost', reason: 'no answer' };
-    }
-    const { status, head } = incoming;
-    if (head.notRun) {
-      return { kind: 'notRun', reason: `status ${status}` };
-    }
-    if (incoming.relays) {
-      this.#relay(incoming, this.#events?.takeRest() ?? Buffer.alloc(0));
-      this.#endRelay(incoming);
-      return { kind: 'answered', status };
-    }
-    const whole: WholeAnswer = {
-      status,
-      headers: this.context.dialect.toCaller(incoming.headers),
-      body: Buffer.concat(incoming.held),
-    };
-    if (status >= FIRST_SERVER_FAILURE || this.#answer.hasStarted) {
-      this.#failure = whole;
-      return { kind: 'failed', status };
-    }
-    if (!this.#answer.isClosed) {
-      this.#answer.send(whole);
-    }
-    return { kind: 'answered', status };
-  }
-
-  #endRelay(incoming: IncomingAnswer): void {
-    if (this.#answer.isClosed) {
-      return;
-    }
-    if (!this.#answer.hasStarted) {
-      const { dialect } = this.context;
-      this.#answer.start(incoming.status, dialect.toCaller(incoming.headers));
-    }
-    this.#answer.end();
-  }
-
   #count(result: AttemptResult, replica: BackendServerId): void {
     if (result.kind === 'unsent') {
       this.#unsent += 1;
@@ -362,7 +266,7 @@
   }
 
   /** Takes the next step; returns whether another attempt follows. */
-  #follow(recovery: Recovery, result: AttemptResult): boolean {
+  #follow(recovery: Recovery): boolean {
     switch (recovery.kind) {
       case 'retry':
         if (this.#withdrawn === 'silent') {
@@ -372,10 +276,6 @@
           this.#finishWithout('callerLeft', 0, {});
           return false;
         }
-        this.context.metrics.retries.inc({
-          service: this.request.service.id,
-          after: result.kind,
-        });
         return true;
       case 'passOn':
         this.#passOnFailure();
@@ -395,18 +295,19 @@
     if (!this.#answer.isClosed) {
       this.#answer.send(failure);
     }
-    this.#noteEnd('requestCut', `status ${failure.status}`, {});
+    this.#notes.ended(
+      'requestCut',
+      `status ${failure.status}`,
+      this.#progress,
+      {},
+    );
   }
 
   /** Ends the request with an answer of this system's own. */
-  #finishWithout(
-    code: ResultCodeId,
-    retryAfterMs: number,
-    facts: Readonly<Record<string, unknown>>,
-  ): void {
+  #finishWithout(code: ResultCodeId, retryAfterMs: number, facts: Facts): void {
     if (code === 'callerLeft') {
       this.#answer.cut();
-      this.#noteEnd('callerLeft', code, facts);
+      this.#notes.ended('callerLeft', code, this.#progress, facts);
       return;
     }
     // A failure that a replica gave says more than one of ours.
@@ -425,92 +326,19 @@
       );
     }
     const event = told === code && isRefusal ? 'requestRefused' : 'requestCut';
-    this.#noteEnd(event, told, { retryAfterMs, started, ...facts });
-  }
-
-  #notePlaced(attempt: GatewayAttempt, candidates: number): void {
-    const { context, request } = this;
-    const { board } = context.router;
-    context.log.write('requestPlaced', {
-      request: request.id,
-      route: request.route.id,
-      kind: request.route.kind,
-      priority: request.priority,
-      organisation: request.organisation,
-      attempt: attempt.number,
-      backendServer: attempt.load.replica.id,
-      predictedMs: Math.round(attempt.predictedMs),
-      tokensAhead: attempt.tokensAhead,
-      inFlight: attempt.load.totalInFlight,
-      candidates,
-      replicasVersion: board.replicas.version,
-      replicasAgeMs: Math.round(board.replicas.ageMs),
-      configuration: board.table?.cfg.version,
-      leftMs: Math.round(request.deadlineMs - context.clock()),
+    this.#notes.ended(event, told, this.#progress, {
+      retryAfterMs: Math.round(retryAfterMs),
+      started,
+      ...facts,
     });
   }
 
-  #noteFailure(result: AttemptResult, recovery: Recovery): void {
-    const { context, request } = this;
-    context.log.write('attemptFailed', {
-      request: request.id,
-      result: result.kind,
-      ...('reason' in result ? { reason: result.reason } : {}),
-      ...('status' in result ? { status: result.status } : {}),
-      next: recovery.kind,
+  get #progress(): Progress {
+    return {
       sent: this.#sent,
-      budgetLeft: Math.floor(
-        context.router.board.budget.left(request.service.id),
-      ),
-      idempotent: isIdempotent(request.route),
-    });
-  }
-
-  #noteAnswered(status: number): void {
-    const { context, request } = this;
-    const { kind, latencyTargetMs } = request.route;
-    const priority = String(request.priority);
-    const nowMs = context.clock();
-    const wholeMs = nowMs - request.arrivedMs;
-    const firstMs = (this.#firstByteMs ?? nowMs) - request.arrivedMs;
-    context.metrics.requests.inc({ kind, priority, outcome: 'answered' });
-    context.metrics.whole.observe({ kind, priority }, wholeMs / 1000);
-    context.metrics.firstByte.observe({ kind, priority }, firstMs / 1000);
-    context.log.write('requestAnswered', {
-      request: request.id,
-      status,
-      firstMs: Math.round(firstMs),
-      wholeMs: Math.round(wholeMs),
-      targetMs: latencyTargetMs,
-      attempts: this.#sent + this.#unsent,
-    });
-  }
-
-  #noteEnd(
-    event: 'callerLeft' | 'requestCut' | 'requestRefused',
-    code: string,
-    facts: Readonly<Record<string, unknown>>,
-  ): void {
-    const { context, request } = this;
-    const priority = String(request.priority);
-    context.metrics.requests.inc({
-      kind: request.route.kind,
-      priority,
-      outcome: event,
-    });
-    if (event === 'requestRefused') {
-      context.metrics.refusals.inc({ code, priority });
-    }
-    context.log.write(event, {
-      request: request.id,
-      route: request.route.id,
-      priority: request.priority,
-      organisation: request.organisation,
-      code,
-      afterMs: Math.round(context.clock() - request.arrivedMs),
-      attempts: this.#sent + this.#unsent,
-      ...facts,
-    });
+      unsent: this.#unsent,
+      firstByteMs: this.#firstByteMs,
+    };
   }
 }
 
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -37,7 +37,7 @@
   const { id, replica, rowVersion, changedAt, goneAtMs } = record;
   const goneInMs = goneAtMs === null ? STANDS : Math.max(0, goneAtMs - nowMs);
   const content = replica ? { ...replica, exists: true } : REMOVED;
-  return { ...content, id, rowVersion, changedAt, goneInMs };
+  return { ...content, id, entryVersion: rowVersion, changedAt, goneInMs };
 }
 
 function fromEntry(entry: proto.ReplicaEntry, nowMs: number): ReplicaRecord {
@@ -54,7 +54,7 @@
   return {
     id,
     replica: entry.exists ? replica : null,
-    rowVersion: entry.rowVersion,
+    rowVersion: entry.entryVersion,
     changedAt: entry.changedAt,
     goneAtMs: entry.goneInMs < 0 ? null : nowMs + entry.goneInMs,
   };
