fix(gateway): instances exchange states under load again

Cause, found by reading the logs of an incident: every exchange failed as soon as there was load, since expected cache hits made the unread tokens a fraction and the message takes whole numbers. Now rounded, and errors other than an unreachable peer are logged. The test on the message fails without the change. Ruled out: slow peers, silent channels (all calls failed within 2 ms).

--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -1,5 +1,5 @@
-import type { handleUnaryCall } from '@grpc/grpc-js';
-import { Server, ServerCredentials } from '@grpc/grpc-js';
+import type { handleUnaryCall, ServiceError } from '@grpc/grpc-js';
+import { Server, ServerCredentials, status } from '@grpc/grpc-js';
 import type { Member, MemberState } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator';
 import {
@@ -24,6 +24,12 @@
 
 /** Time between rounds of exchanges. */
 export const PEER_PERIOD_MS = 250;
+/** What a call to an instance that is down, cut off or slow ends with. */
+const UNREACHABLE: readonly status[] = [
+  status.CANCELLED,
+  status.DEADLINE_EXCEEDED,
+  status.UNAVAILABLE,
+];
 /** Exchanges that fail in a row until a peer is suspected. */
 const FAILURES_TO_SUSPECT = 2;
 /** Peers that get urgent news at once; they pass it on. */
@@ -142,12 +148,22 @@
         this.#failures.delete(member.id);
       }
       this.#take(reply, true);
-    } catch {
-      // What a peer that can't be reached means is for the membership to say.
+    } catch (err) {
+      this.#noteFailure(address, err);
       this.#onFailure(member);
     }
   }
 
+  /** A peer out of reach is the membership's matter; anything else is a fault of ours. */
+  #noteFailure(address: string, err: unknown): void {
+    const code = (err as Partial<ServiceError>).code;
+    if (code !== undefined && UNREACHABLE.includes(code)) {
+      return;
+    }
+    const error = err instanceof Error ? err.message : String(err);
+    this.context.log.write('unexpectedError', { peer: address, error });
+  }
+
   #onFailure(member: Member | null): void {
     if (!member) {
       return;
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -106,7 +106,8 @@
   return uses.map(({ id, inFlight, unreadTokens }) => ({
     backendServer: id,
     inFlight,
-    unreadTokens,
+    // Expected cache hits make it a fraction, which the message can't hold.
+    unreadTokens: Math.round(unreadTokens),
   }));
 }
 
--- /dev/null
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -0,0 +1,79 @@
+import { describe } from '@jujubecroft/testing';
+import { GatewayPeerService } from '@jujubecroft/operator';
+import type { BackendServerId, RouteId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import {
+  finite,
+  fromReplicaFields,
+  fromWork,
+  toReplicaFields,
+  toUses,
+} from '../../src/state/gatewayState.js';
+
+const id = brand<BackendServerId>('s-1');
+
+describe('gatewayState', ({ it }) => {
+  it('can be sent whatever the estimates are', t => {
+    // Instances suspect each other all the time and place prompts blindly as
+    // soon as there is load: expected cache hits make the tokens still to be
+    // read a fraction, which the message cannot hold, so no exchange goes out.
+    const { requestSerialize, requestDeserialize } =
+      GatewayPeerService.exchange;
+    const bytes = requestSerialize({
+      heartbeat: undefined,
+      configurationVersion: 3,
+      configurationAgeMs: finite(Infinity),
+      uses: toUses([{ id, inFlight: 2, unreadTokens: 5888.5 }]),
+      demands: [{ route: brand<RouteId>('r'), tokensPerS: 10.25, inFlight: 2 }],
+      configurationJson: '',
+      replicasChangedAt: 4,
+      ...toReplicaFields(
+        { version: 9, ageMs: Infinity, complete: true, records: [] },
+        0,
+      ),
+    });
+    const work = fromWork(requestDeserialize(bytes));
+    t.is(work.uses[0]?.unreadTokens, 5889);
+    t.is(work.demands[0]?.tokensPerS, 10.25);
+  });
+
+  it('carries entries, removed ones and those that may come back', t => {
+    const replica = {
+      id,
+      service: 'x' as never,
+      address: '10.0.0.1:80',
+      failureDomain: 'd' as never,
+      slots: 4,
+      leaving: true,
+      coldMs: 12.5,
+    };
+    const changes = {
+      version: 9,
+      ageMs: 20,
+      complete: false,
+      records: [
+        { id, replica, rowVersion: 8, changedAt: 7, goneAtMs: null },
+        { id, replica: null, rowVersion: 9, changedAt: 9, goneAtMs: 100 },
+        { id, replica, rowVersion: 9, changedAt: 9, goneAtMs: 1500 },
+      ],
+    };
+    const fields = toReplicaFields(changes, 1000);
+    const back = fromReplicaFields(
+      {
+        heartbeat: undefined,
+        configurationVersion: 0,
+        configurationAgeMs: 0,
+        uses: [],
+        demands: [],
+        configurationJson: '',
+        replicasChangedAt: 0,
+        ...fields,
+      },
+      5000,
+    );
+    t.deepEqual(back.records[0], changes.records[0]);
+    t.is(back.records[1]?.replica, null);
+    t.is(back.records[2]?.goneAtMs, 5500);
+  });
+});
