--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -45,6 +45,8 @@
   readonly predictedMs: number;
   /** Pieces of the answer that came so far. */
   pieces: number;
+  /** Attempts that were sent there later, are no more urgent and began before it. */
+  overtaken: number;
   firstByteMs: number | null;
   lastByteMs: number | null;
 }
@@ -158,6 +160,20 @@
     };
   }
 
+  /** Notes the first byte of an attempt, for those that were sent before it. */
+  onFirstByte(first: GatewayAttempt): void {
+    [...this.attempts]
+      .filter(
+        ({ firstByteMs, sentMs, request }) =>
+          firstByteMs === null &&
+          sentMs < first.sentMs &&
+          request.priority <= first.request.priority,
+      )
+      .forEach(attempt => {
+        attempt.overtaken += 1;
+      });
+  }
+
   /** Takes in the time between two pieces of one stream. */
   onPause(pauseMs: number): void {
     this.paceMs += PACE_WEIGHT * (pauseMs - this.paceMs);
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -30,7 +30,7 @@
 import type { AttemptResult, Recovery } from './recovery/AttemptResult.js';
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
-import { isSilent, usableCandidates } from './usableCandidates.js';
+import { isOvertaken, isSilent, usableCandidates } from './usableCandidates.js';
 import type { RouteDemand } from './RouteDemand.js';
 import { RoutingTable } from './RoutingTable.js';
 
@@ -261,6 +261,7 @@
       tokensAhead: load.unreadTokens + unreadTokens,
       predictedMs,
       pieces: 0,
+      overtaken: 0,
       firstByteMs: null,
       lastByteMs: null,
     };
@@ -286,6 +287,7 @@
       return;
     }
     attempt.firstByteMs = nowMs;
+    attempt.load.onFirstByte(attempt);
     const { request, load, predictedMs, tokensAhead, sentMs } = attempt;
     const tookMs = nowMs - sentMs;
     if (request.service.engine) {
@@ -310,7 +312,7 @@
     if (result.kind === 'answered') {
       this.board.lengths.onEnded(request.route.id, attempt.pieces);
     }
-    this.#judge(load, result);
+    this.#judge(attempt, result);
     if (attempt.number > 1 && result.kind !== 'withdrawn') {
       const answered = result.kind === 'answered';
       this.board.retryGain.onRetried(request.route.id, answered);
@@ -411,7 +413,8 @@
     return chosen && table.service(chosen.service);
   }
 
-  #judge(load: BackendLoad, result: AttemptResult): void {
+  #judge(attempt: GatewayAttempt, result: AttemptResult): void {
+    const { load } = attempt;
     switch (result.kind) {
       case 'answered':
         load.health.onSuccess();
@@ -423,7 +426,12 @@
         load.health.onFailure(this.#usualFailures(load));
         return;
       case 'withdrawn':
-        if (result.reason === 'callerLeft') {
+        // A caller that leaves says nothing of the replica, unless its answer
+        // was lost there.
+        if (
+          result.reason === 'callerLeft' &&
+          !isOvertaken(this.board, attempt)
+        ) {
           load.health.onNeutral();
         } else {
           load.health.onFailure(this.#usualFailures(load));
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -24,6 +24,12 @@
 /** Patience with a first byte, as a multiple of the prediction, and at least. */
 const PATIENCE = 2.5;
 const MIN_PATIENCE_MS = 250;
+/** Later attempts that began before an overdue one until its answer counts as lost. */
+const OVERTAKEN = 3;
+/** Time without a first byte before that, in milliseconds. */
+const MIN_OVERDUE_MS = 800;
+/** Lost answers at once from which a replica gets nothing more. */
+const LOST_ANSWERS = 2;
 /** Time that another replica needs to answer at all, in milliseconds. */
 const MIN_MOVE_MS = 100;
 /** Pause in a stream, as a multiple of its target, after which it is moved. */
@@ -44,6 +50,38 @@
   return Math.max(MIN_CONNECTIONS, Math.floor(share));
 }
 
+/**
+ * Whether the answer to an attempt seems to be lost.
+ *
+ * Guards against a replica that runs requests and loses some of their answers
+ * without a sign: it goes on answering others, so it looks alive. It shows as
+ * attempts without a first byte though several later ones have theirs.
+ *
+ * @param board - the blackboard
+ * @param attempt - an attempt that has not ended, or is just ending
+ * @returns true once it is well beyond its prediction, too
+ */
+export function isOvertaken(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+): boolean {
+  const { firstByteMs, overtaken, sentMs, predictedMs } = attempt;
+  const patienceMs = Math.max(MIN_OVERDUE_MS, PATIENCE * predictedMs);
+  return (
+    firstByteMs === null &&
+    overtaken >= OVERTAKEN &&
+    board.clock() - sentMs > patienceMs
+  );
+}
+
+/** Whether a replica loses answers. */
+function losesAnswers(board: GatewayBoard, load: BackendLoad): boolean {
+  const lost = [...load.attempts].filter(attempt =>
+    isOvertaken(board, attempt),
+  );
+  return lost.length >= LOST_ANSWERS;
+}
+
 /** Whether a replica has sent nothing for long though it has work of ours. */
 function hasFallenSilent(board: GatewayBoard, load: BackendLoad): boolean {
   const nowMs = board.clock();
@@ -76,7 +114,9 @@
 ): readonly BackendLoad[] {
   const share = connectionShare(board, request);
   const open = candidates.filter(({ inFlight }) => inFlight < share);
-  const speaking = open.filter(load => !hasFallenSilent(board, load));
+  const speaking = open.filter(
+    load => !hasFallenSilent(board, load) && !losesAnswers(board, load),
+  );
   const good = speaking.filter(({ health }) => health.verdict === 'good');
   const probes = speaking.filter(({ health }) => health.verdict === 'probe');
   // Whatever may be repeated is used to find out whether a replica is back.
@@ -130,6 +170,9 @@
   if (!canGoElsewhere(board, attempt)) {
     return false;
   }
+  if (isOvertaken(board, attempt)) {
+    return true;
+  }
   if (nowMs - load.lastByteMs < STALLED_MS) {
     return false;
   }
--- a/packages/decisions/tests/gateway/GatewayRouter.test.ts
+++ b/packages/decisions/tests/gateway/GatewayRouter.test.ts
@@ -152,6 +152,72 @@
     });
   });
 
+  group('replicas that lose answers', ({ it: case_ }) => {
+    const UNSAFE = route({ ...CALL, kind: 'unsafe', maxAttempts: 1 });
+
+    /** Sends to one replica; answers what is sent except the first few. */
+    const losing = (lost: number) => {
+      const fixture = gatewayFixture([UNSAFE], PLAINS.slice(0, 2));
+      const { router, request, clock } = fixture;
+      const other = new Set([brand<BackendServerId>('p-2')]);
+      const sent = Array.from({ length: lost + 4 }, (_, index) => {
+        clock.advance(20);
+        const asked = request(UNSAFE);
+        const decision = router.place(asked, other);
+        if (decision.kind !== 'send') {
+          throw new Error('nothing was sent');
+        }
+        const attempt = router.begin(asked, decision.placed, 1);
+        if (index >= lost) {
+          clock.advance(20);
+          router.onBytes(attempt);
+          router.onEnded(attempt, { kind: 'answered', status: 200 });
+        }
+        return attempt;
+      });
+      return { ...fixture, sent };
+    };
+
+    case_('get nothing more, though they answer others', t => {
+      // Callers wait for eight seconds and leave: the replica runs their requests
+      // and their answers never come. Later requests there are answered, so it
+      // looks alive and goes on getting more.
+      const { router, request, clock } = losing(2);
+      clock.advance(1000);
+      Array.from({ length: 10 }).forEach(() => {
+        const decision = router.place(request(UNSAFE), new Set());
+        t.true(
+          decision.kind === 'send' &&
+            (decision.placed.load.replica.id as string) === 'p-2',
+        );
+      });
+    });
+
+    case_('are blamed when the caller leaves, unlike others', t => {
+      const { router, clock, sent } = losing(3);
+      clock.advance(1000);
+      const [first] = sent;
+      const before = first?.load.health.failureShare ?? 1;
+      if (first) {
+        router.onEnded(first, { kind: 'withdrawn', reason: 'callerLeft' });
+      }
+      t.true((first?.load.health.failureShare ?? 0) > before);
+    });
+
+    case_('are not suspected for one slow answer', t => {
+      const { router, request, clock } = losing(1);
+      clock.advance(650);
+      const goesToFirst = (): boolean => {
+        const decision = router.place(request(UNSAFE), new Set());
+        return (
+          decision.kind === 'send' &&
+          (decision.placed.load.replica.id as string) === 'p-1'
+        );
+      };
+      t.true(Array.from({ length: 20 }).some(goesToFirst));
+    });
+  });
+
   it('splits the connections of a replica among the instances', t => {
     const { board, request, router } = gatewayFixture([CALL], PLAINS);
     router.onInstances(['a', 'b', 'c', 'd'].map(id => brand<InstanceId>(id)));
