--- a/packages/bench/src/simulation/runArm.ts
+++ b/packages/bench/src/simulation/runArm.ts
@@ -1,7 +1,6 @@
 import type { Attempt, RequestRecord, Router } from '@jujubecroft/decisions';
 import { createRouter } from '@jujubecroft/decisions';
 import type {
-  BackendServerId,
   ClassId,
   Configuration,
   FailureDomainId,
@@ -14,17 +13,13 @@
 import { brand, createRandom, RESULT_CODES } from '@jujubecroft/types';
 
 import type { ClassResult } from '../report/ClassResult.js';
-import { ClassTally } from '../report/ClassTally.js';
-import type { Outcome } from '../report/ClassTally.js';
 import type { Arm } from './Arm.js';
+import { CallLedger } from './CallLedger.js';
 import type { CallRecord } from './CallRecord.js';
-import { createCallRecord } from './CallRecord.js';
 import type { Arrival } from './drawArrivals.js';
 import { EventQueue } from './EventQueue.js';
-import { PromiseWatch } from './PromiseWatch.js';
-import type { Scenario, SimFault } from './Scenario.js';
-import { SimEngine } from './SimEngine.js';
-import { SimService } from './SimService.js';
+import type { Scenario } from './Scenario.js';
+import { SimFleet } from './SimFleet.js';
 
 /** What one arm brought in one scenario. */
 export interface ArmRun {
@@ -38,8 +33,6 @@
 export const SIM_SERVICE = brand<ServiceId>('service');
 
 const TICK_MS = 100;
-/** As often as an instance with this many servers reads each of them. */
-const REPORT_EVERY_MS = 2800;
 const MS_PER_SECOND = 1000;
 const DRAIN_SECONDS = 120;
 const SAME_PRIORITY = 1;
@@ -47,101 +40,47 @@
 /** One run: a fleet of routers, engines and services on virtual time. */
 class SimRun {
   readonly #events = new EventQueue();
-  readonly #engines = new Map<BackendServerId, SimEngine>();
-  readonly #services = new Map<BackendServerId, SimService>();
   readonly #routers: Router[] = [];
-  readonly #calls = new Map<string, CallRecord>();
-  readonly #tallies = new Map<string, ClassTally>();
-  readonly #promises: PromiseWatch;
-  #wholeTokens = 0;
+  readonly #fleet: SimFleet;
+  readonly #ledger: CallLedger;
 
   constructor(
     private readonly scenario: Scenario,
     private readonly arm: Arm,
     private readonly seed: number,
   ) {
-    this.#promises = new PromiseWatch(scenario.classes);
-    scenario.classes.forEach(rules => {
-      this.#tallies.set(rules.id, new ClassTally({ ...rules, name: rules.id }));
-    });
+    this.#ledger = new CallLedger(scenario);
+    this.#fleet = new SimFleet(
+      this.#events,
+      scenario,
+      (readings, takenAtMs) => {
+        this.#routers.forEach(router => {
+          readings.forEach(({ id, running, waiting }) => {
+            router.onReport(id, { takenAtMs, running, waiting });
+          });
+        });
+      },
+    );
   }
 
   run(arrivals: readonly Arrival[]): ArmRun {
     const { seconds } = this.scenario;
-    this.#startServers();
+    this.#fleet.start();
     this.#startRouters();
-    this.scenario.faults.forEach(fault => {
-      this.#schedule(fault);
-    });
     arrivals.forEach(arrival => {
       this.#events.at(arrival.atMs, () => {
         this.#arrive(arrival);
       });
     });
     this.#events.runUntil((seconds + DRAIN_SECONDS) * MS_PER_SECOND);
-    [...this.#calls.values()]
-      .filter(({ state }) => state === 'open')
-      .forEach(call => {
-        this.#end(call, { kind: 'left', tokens: call.tokens });
-      });
-    const classes = [...this.#tallies.values()].map(tally =>
-      tally.result(seconds),
-    );
-    this.#promises.onEnd(classes);
-    const generatedTokens = [...this.#engines.values()].reduce(
-      (sum, { model }) => sum + model.generatedTokens,
-      0,
-    );
     return {
-      classes,
-      generatedTokens,
-      wholeTokens: this.#wholeTokens,
-      brokenPromises: this.#promises.broken,
+      classes: this.#ledger.close(),
+      generatedTokens: this.#fleet.generatedTokens,
+      wholeTokens: this.#ledger.wholeTokens,
+      brokenPromises: this.#ledger.promises.broken,
     };
   }
 
-  #startServers(): void {
-    const { servers, engineModel, networkMs, serviceConcurrency } =
-      this.scenario;
-    servers.forEach(({ id, models }) => {
-      if (models.length > 0) {
-        const engine = new SimEngine(this.#events, engineModel, networkMs);
-        this.#engines.set(id, engine);
-        return;
-      }
-      this.#services.set(id, new SimService(this.#events, serviceConcurrency));
-    });
-    this.#events.every(REPORT_EVERY_MS, REPORT_EVERY_MS, () => {
-      this.#report();
-    });
-  }
-
-  /** Reports are taken now and reach the instances after the lag. */
-  #report(): void {
-    const takenAtMs = this.#events.nowMs;
-    const readings = [
-      ...[...this.#engines]
-        .filter(([, { crashed }]) => !crashed)
-        .map(([id, { model }]) => ({
-          id,
-          running: model.running,
-          waiting: model.waiting,
-        })),
-      ...[...this.#services].map(([id, { running, waiting }]) => ({
-        id,
-        running,
-        waiting,
-      })),
-    ];
-    this.#events.after(this.scenario.reportLagMs, () => {
-      this.#routers.forEach(router => {
-        readings.forEach(({ id, running, waiting }) => {
-          router.onReport(id, { takenAtMs, running, waiting });
-        });
-      });
-    });
-  }
-
   #startRouters(): void {
     const { scenario, arm } = this;
     const instances = Array.from({ length: scenario.instances }, (_, index) =>
@@ -173,21 +112,27 @@
             cancel: (record, attempt) => {
               const key = `${record.request.id}/${attempt.number}`;
               this.#events.after(scenario.networkMs, () => {
-                this.#engines.get(attempt.backendServer)?.cancel(key);
+                this.#fleet.engine(attempt.backendServer)?.cancel(key);
               });
             },
             refuse: (record, refusal) => {
-              const call = this.#calls.get(record.request.id);
+              const call = this.#ledger.find(record.request.id);
               if (call && RESULT_CODES[refusal.code].ran === 'no') {
-                this.#promises.onNotRun(call);
+                this.#ledger.promises.onNotRun(call);
               }
               if (call) {
-                this.#end(call, { kind: 'refused', tokens: call.tokens });
+                this.#ledger.end(call, {
+                  kind: 'refused',
+                  tokens: call.tokens,
+                });
               }
             },
             isWatched: () => false,
             explain: event => {
-              this.#promises.onDecision(event, this.#calls.get(event.request));
+              this.#ledger.promises.onDecision(
+                event,
+                this.#ledger.find(event.request),
+              );
             },
           },
         },
@@ -205,8 +150,7 @@
   #arrive(arrival: Arrival): void {
     const router = this.#routers[arrival.instance];
     const { stream, id } = arrival;
-    const call = createCallRecord(arrival);
-    this.#calls.set(id, call);
+    const call = this.#ledger.open(arrival);
     const rules = this.scenario.classes.find(
       rule => rule.id === stream.requestClass,
     );
@@ -235,7 +179,7 @@
     const { stream, leavesAfterMs } = call.arrival;
     const leave = (kind: 'left' | 'withdrawn'): void => {
       if (call.state === 'open') {
-        this.#end(call, { kind, tokens: call.tokens });
+        this.#ledger.end(call, { kind, tokens: call.tokens });
         router.onCallerLeft(brand<RequestId>(call.arrival.id));
       }
     };
@@ -255,7 +199,7 @@
   }
 
   #dispatch(router: Router, record: RequestRecord, attempt: Attempt): void {
-    const call = this.#calls.get(record.request.id);
+    const call = this.#ledger.find(record.request.id);
     if (!call) {
       return;
     }
@@ -276,7 +220,7 @@
   ): void {
     const { arrival } = call;
     const { id } = record.request;
-    const engine = this.#engines.get(attempt.backendServer);
+    const engine = this.#fleet.engine(attempt.backendServer);
     const isCurrent =
       record.state === 'running' && record.attempt?.number === attempt.number;
     if (!engine || !isCurrent) {
@@ -295,14 +239,12 @@
       {
         onToken: () => {
           if (router.onTokens(id, attempt.number, 1)) {
-            call.tokens += 1;
-            call.lastTokenAtMs = this.#events.nowMs + callerMs;
-            call.firstTokenAtMs ||= call.lastTokenAtMs;
+            this.#ledger.onToken(call, this.#events.nowMs + callerMs);
           }
         },
         onFinished: () => {
           if (router.onFinished(id, attempt.number)) {
-            this.#whole(call);
+            this.#ledger.whole(call);
           }
         },
         onLost: () => {
@@ -327,71 +269,19 @@
     call: CallRecord,
   ): void {
     const { id } = record.request;
-    const service = this.#services.get(attempt.backendServer);
-    this.#promises.onServiceStart(call);
+    const service = this.#fleet.service(attempt.backendServer);
+    this.#ledger.promises.onServiceStart(call);
     service?.submit(call.arrival.serviceMs, () => {
       this.#events.after(this.scenario.networkMs, () => {
         if (router.onTokens(id, attempt.number, 1)) {
-          call.tokens += 1;
-          call.lastTokenAtMs = this.#events.nowMs + this.scenario.callerMs;
-          call.firstTokenAtMs = call.lastTokenAtMs;
+          const atMs = this.#events.nowMs + this.scenario.callerMs;
+          this.#ledger.onToken(call, atMs);
           router.onFinished(id, attempt.number);
-          this.#whole(call);
+          this.#ledger.whole(call);
         }
       });
     });
   }
-
-  #whole(call: CallRecord): void {
-    const { arrival, tokens, firstTokenAtMs, lastTokenAtMs } = call;
-    const gaps = Math.max(1, tokens - 1);
-    this.#promises.onWhole(call);
-    this.#wholeTokens += arrival.stream.target === 'engine' ? tokens : 0;
-    this.#end(call, {
-      kind: 'whole',
-      tokens,
-      firstTokenMs: firstTokenAtMs - arrival.atMs,
-      betweenTokensMs: (lastTokenAtMs - firstTokenAtMs) / gaps,
-    });
-  }
-
-  #end(call: CallRecord, outcome: Outcome): void {
-    if (call.state === 'ended') {
-      return;
-    }
-    call.state = 'ended';
-    this.#tallies.get(call.arrival.stream.requestClass)?.add(outcome);
-  }
-
-  #schedule(fault: SimFault): void {
-    const engine = [...this.#engines.values()][fault.engine];
-    if (!engine) {
-      return;
-    }
-    switch (fault.kind) {
-      case 'crash':
-        this.#events.at(fault.atMs, () => {
-          engine.crash();
-        });
-        this.#events.at(fault.untilMs, () => {
-          engine.crashed = false;
-        });
-        return;
-      case 'silence':
-        this.#events.at(fault.atMs, () => {
-          engine.silenceOpen();
-        });
-        return;
-      case 'slow':
-        this.#events.at(fault.atMs, () => {
-          engine.model.slowdown = fault.factor;
-        });
-        this.#events.at(fault.untilMs, () => {
-          engine.model.slowdown = 1;
-        });
-        return;
-    }
-  }
 }
 
 /**
