--- a/packages/bench/src/fleet/FleetExperiment.ts
+++ b/packages/bench/src/fleet/FleetExperiment.ts
@@ -1,13 +1,13 @@
 import type { ClassResult } from '../report/ClassResult.js';
 
-/** How an experiment over real sockets is run. */
+/** How such an experiment is run. */
 export interface FleetOptions {
   readonly seed: number;
   /** Length of the load; the experiment's own where null. */
   readonly seconds: number | null;
 }
 
-/** What an experiment over real sockets brought. */
+/** What such an experiment brought. */
 export interface FleetResult {
   readonly experiment: string;
   readonly seed: number;
@@ -16,7 +16,7 @@
   readonly brokenPromises: readonly string[];
 }
 
-/** An experiment over real sockets in one process, as data plus a function. */
+/** An experiment with figures of its own, as data plus a function. */
 export interface FleetExperiment {
   readonly meta: {
     /** Kebab-case, equal to the file name. */
--- a/packages/bench/src/fleet/catalogue.ts
+++ b/packages/bench/src/fleet/catalogue.ts
@@ -1,12 +1,14 @@
 import { configSpread } from './config-spread.js';
 import type { FleetExperiment } from './FleetExperiment.js';
+import { gatewayBurst } from '../gateway/gateway-burst.js';
 import { instanceCrash } from './instance-crash.js';
 import { rollingReplace } from './rolling-replace.js';
 import { storeOutage } from './store-outage.js';
 
-/** Experiments over real sockets. */
+/** Experiments with figures of their own, most of them over real sockets. */
 export const FLEET_EXPERIMENTS: readonly FleetExperiment[] = [
   configSpread,
+  gatewayBurst,
   instanceCrash,
   rollingReplace,
   storeOutage,
--- /dev/null
+++ b/packages/bench/src/gateway/PromptEngine.ts
@@ -0,0 +1,148 @@
+import type { EventQueue } from '../simulation/EventQueue.js';
+
+/** Figures of an engine that reads prompts in chunks between tokens. */
+export interface PromptEngineFigures {
+  readonly slots: number;
+  /** Time of a step without any request, in milliseconds. */
+  readonly stepMs: number;
+  /** What each running request adds to a step, in milliseconds. */
+  readonly perSlotMs: number;
+  readonly tokensPerMs: number;
+  /** Prompt tokens that are read in one step, at most. */
+  readonly chunkTokens: number;
+  readonly tokensPerEvent: number;
+}
+
+/** One request at an engine. */
+export interface PromptJob {
+  /** Part that other requests share; kept once it was read. */
+  readonly sharedPart: string;
+  readonly sharedTokens: number;
+  readonly ownTokens: number;
+  readonly outputTokens: number;
+  /** Rank; 0 is admitted first. */
+  readonly priority: number;
+  readonly onEvent: () => void;
+  readonly onEnd: () => void;
+}
+
+interface Running {
+  readonly job: PromptJob;
+  unread: number;
+  made: number;
+}
+
+/**
+ * An engine with continuous batching on virtual time.
+ *
+ * Every step makes a token for each request whose prompt is read, and reads a
+ * chunk of the first prompt that isn't. A long prompt therefore stretches the
+ * pauses of all streams beside it, which is what placement has to avoid.
+ */
+export class PromptEngine {
+  readonly #running: Running[] = [];
+  readonly #waiting: PromptJob[] = [];
+  readonly #kept = new Set<string>();
+  #readTokens = 0;
+  #isStepping = false;
+
+  constructor(
+    private readonly events: EventQueue,
+    private readonly figures: PromptEngineFigures,
+  ) {}
+
+  get running(): number {
+    return this.#running.length;
+  }
+
+  get waiting(): number {
+    return this.#waiting.length;
+  }
+
+  /** Tokens of shared parts that were read. */
+  get sharedTokensRead(): number {
+    return this.#readTokens;
+  }
+
+  submit(job: PromptJob): void {
+    this.#waiting.push(job);
+    this.#step();
+  }
+
+  /** Withdraws a request whose caller is gone or out of time. */
+  cancel(job: PromptJob): void {
+    const at = this.#running.findIndex(entry => entry.job === job);
+    if (at !== -1) {
+      this.#running.splice(at, 1);
+    }
+    const queued = this.#waiting.indexOf(job);
+    if (queued !== -1) {
+      this.#waiting.splice(queued, 1);
+    }
+  }
+
+  #admit(): void {
+    while (
+      this.#running.length < this.figures.slots &&
+      this.#waiting.length > 0
+    ) {
+      const most = Math.min(...this.#waiting.map(({ priority }) => priority));
+      const next = this.#waiting.findIndex(({ priority }) => priority === most);
+      const [job] = this.#waiting.splice(next, 1);
+      if (job) {
+        this.#running.push({ job, unread: this.#unreadOf(job), made: 0 });
+      }
+    }
+  }
+
+  #unreadOf({ sharedPart, sharedTokens, ownTokens }: PromptJob): number {
+    const isKept = this.#kept.has(sharedPart);
+    this.#kept.add(sharedPart);
+    this.#readTokens += isKept ? 0 : sharedTokens;
+    return ownTokens + (isKept ? 0 : sharedTokens);
+  }
+
+  #step(): void {
+    if (this.#isStepping) {
+      return;
+    }
+    this.#admit();
+    if (this.#running.length === 0) {
+      return;
+    }
+    this.#isStepping = true;
+    const { stepMs, perSlotMs, tokensPerMs, chunkTokens } = this.figures;
+    const decoding = this.#running.filter(({ unread }) => unread <= 0);
+    const reading = this.#running.find(({ unread }) => unread > 0);
+    const read = Math.min(chunkTokens, reading?.unread ?? 0);
+    const tookMs =
+      stepMs + perSlotMs * this.#running.length + read / tokensPerMs;
+    this.events.after(tookMs, () => {
+      this.#isStepping = false;
+      if (reading) {
+        reading.unread -= read;
+      }
+      decoding.forEach(entry => {
+        this.#makeToken(entry);
+      });
+      this.#step();
+    });
+  }
+
+  #makeToken(entry: Running): void {
+    const { job } = entry;
+    // It may have been withdrawn while the step ran.
+    if (!this.#running.includes(entry)) {
+      return;
+    }
+    entry.made += 1;
+    const isLast = entry.made >= job.outputTokens;
+    if (isLast || entry.made % this.figures.tokensPerEvent === 0) {
+      job.onEvent();
+    }
+    if (isLast) {
+      this.#running.splice(this.#running.indexOf(entry), 1);
+      job.onEnd();
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/gateway/gateway-burst.ts
@@ -0,0 +1,68 @@
+import {
+  admitAny,
+  defaultGatewayPolicies,
+  leastBusy,
+} from '@jujubecroft/decisions';
+
+import type { GatewayPolicyFactory } from './GatewayReplay.js';
+import { GatewayReplay } from './GatewayReplay.js';
+import type { FleetExperiment } from '../fleet/FleetExperiment.js';
+
+/** Ways of deciding that are compared on the same load. */
+const ARMS: Readonly<Record<string, GatewayPolicyFactory>> = {
+  jujubecroft: defaultGatewayPolicies,
+  withoutAdmission: board => ({
+    ...defaultGatewayPolicies(board),
+    admitPrompt: admitAny.create(board),
+  }),
+  leastBusy: board => ({
+    placePrompt: leastBusy.create(board),
+    placeCall: leastBusy.create(board),
+    admitPrompt: admitAny.create(board),
+    admitCall: admitAny.create(board),
+  }),
+};
+
+const percent = (part: number, whole: number): number =>
+  (100 * part) / Math.max(1, whole);
+
+/** What one arm brings: shares of each kind, and shared tokens read. */
+function figuresOf(
+  arm: string,
+  createPolicies: GatewayPolicyFactory,
+  seed: number,
+): readonly (readonly [string, number])[] {
+  const replay = new GatewayReplay(createPolicies, seed);
+  const shares = replay
+    .run()
+    .flatMap(({ kind, asked, onTime, refused, cut }) => [
+      [`${arm}, ${kind}: on time, %`, percent(onTime, asked)] as const,
+      [`${arm}, ${kind}: refused, %`, percent(refused, asked)] as const,
+      [`${arm}, ${kind}: cut, %`, percent(cut, asked)] as const,
+    ]);
+  return [
+    ...shares,
+    [`${arm}: shared tokens read, thousands`, replay.sharedThousandsRead],
+  ];
+}
+
+/** How the gateway's decisions hold in a burst, on virtual time. */
+export const gatewayBurst: FleetExperiment = {
+  meta: {
+    name: 'gateway-burst',
+    description:
+      'Six instances of the gateway before eight engines; long prompts come at 2.2 times and live ones at twice their rate for eight seconds; shares on time, refused and cut of each kind, on virtual time.',
+  },
+  run: ({ seed }) =>
+    Promise.resolve({
+      experiment: 'gateway-burst',
+      seed,
+      figures: Object.fromEntries(
+        Object.entries(ARMS).flatMap(([arm, createPolicies]) =>
+          figuresOf(arm, createPolicies, seed),
+        ),
+      ),
+      classes: [],
+      brokenPromises: [],
+    }),
+};
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export { admitAny } from './admission/admit-any.js';
 export type { GatewayVerdict } from './admission/GatewayAdmission.js';
 export type {
   BackendLoad,
@@ -18,6 +19,7 @@
 } from './GatewayRouter.js';
 export { GatewayRouter } from './GatewayRouter.js';
 export { rankOf, shouldRead } from './readDuty.js';
+export { leastBusy } from './placement/least-busy.js';
 export type { PlacedCandidate } from './placement/PlacementPolicy.js';
 export type {
   AttemptResult,
