--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -34,6 +34,7 @@
   ReplicaRow,
 } from './ReplicaRegistry.js';
 export { ReplicaRegistry } from './ReplicaRegistry.js';
+export type { HealthVerdict } from './ReplicaHealth.js';
 export type { RetryBudgetRules } from './RetryBudget.js';
 export type { RouteDemand } from './RouteDemand.js';
 export { RoutingTable } from './RoutingTable.js';
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -90,7 +90,7 @@
     number: 304,
     level: 'warn',
     summary:
-      'A backend server fails or is silent towards this instance; it gets probes only.',
+      'This instance begins or ceases to give a backend server probes only.',
   },
   memberChanged: {
     number: 401,
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -182,6 +182,9 @@
         onStart: (status, headers) =>
           assembly.start(status, headers) && this.#onHead(attempt, assembly),
         onData: chunk => {
+          if (attempt.pieces === 0) {
+            this.#notes.firstByte(attempt);
+          }
           router.onBytes(attempt);
           this.#firstByteMs ??= this.context.clock();
           return assembly.take(chunk);
@@ -217,6 +220,7 @@
       router.onReported(attempt, assembly.load);
     }
     if (!assembly.relays) {
+      this.#notes.firstByte(attempt);
       router.onBytes(attempt);
     }
     return true;
--- a/packages/gateway/src/forward/RequestNotes.ts
+++ b/packages/gateway/src/forward/RequestNotes.ts
@@ -79,6 +79,16 @@
     });
   }
 
+  /** The first byte of an answer came. */
+  firstByte({ sentMs, predictedMs }: GatewayAttempt): void {
+    const { context, request } = this;
+    const tookMs = context.clock() - sentMs;
+    context.metrics.predictionError.observe(
+      { service: request.service.id },
+      tookMs - predictedMs,
+    );
+  }
+
   /** An attempt gave no answer for the caller. */
   failed(result: AttemptResult, recovery: Recovery, sent: number): void {
     const { context, request } = this;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -13,6 +13,7 @@
 import { createRandom } from '@jujubecroft/types';
 
 import { BackendConnections } from './backends/BackendConnections.js';
+import { VerdictWatch } from './backends/VerdictWatch.js';
 import { createFront } from './front/createFront.js';
 import { RequestsUnderWay } from './front/RequestsUnderWay.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -170,12 +171,14 @@
   const view = new FleetView(context, front.limit);
   const reader = new StoreReader(context, ports.store, view);
   const peers = new PeerLoop(context, view);
+  const verdicts = new VerdictWatch(context.router.board, log);
   const stoodStillMs = createWakeUpWatch(clock);
   let wasReady = false;
 
   const keepHouse = (): void => {
     const { replicas } = context.router.board;
     view.onReplicas(replicas.tick(), 'lapse');
+    verdicts.look();
     const stillMs = stoodStillMs();
     if (stillMs > 0) {
       log.write('wokeUp', { stoodStillMs: Math.round(stillMs) });
