fix(gateway): late in a stop, take only what must end in time

Change: after three tenths of the grace period, when callers have learnt of the stop, only requests whose time limit ends before the instance are taken; the others are refused at once and run elsewhere.

--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -1,4 +1,6 @@
 export { admitAny } from './admission/admit-any.js';
+export type { StopPlan } from './admission/outlastsStop.js';
+export { outlastsStop } from './admission/outlastsStop.js';
 export type { GatewayVerdict } from './admission/GatewayAdmission.js';
 export type {
   BackendLoad,
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -1,4 +1,8 @@
-import type { GatewayRouter, Membership } from '@jujubecroft/decisions';
+import type {
+  GatewayRouter,
+  Membership,
+  StopPlan,
+} from '@jujubecroft/decisions';
 import type { EventLog } from '@jujubecroft/events';
 
 import type { BackendConnections } from './backends/BackendConnections.js';
@@ -19,8 +23,8 @@
   readonly clock: () => number;
   /** Whether a stop was asked for. */
   leaving: boolean;
-  /** When everything must have ended, on the local clock; null while it runs on. */
-  leavingUntilMs: number | null;
+  /** What is still taken before the stop; null while the instance runs on. */
+  stopPlan: StopPlan | null;
 }
 
 /** Injection token of the context. */
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -6,7 +6,7 @@
   Recovery,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import { connectionShare } from '@jujubecroft/decisions';
+import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
 import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
 import { RESULT_CODES } from '@jujubecroft/types';
 
@@ -32,8 +32,6 @@
 
 /** Told by an instance that stops; callers find another at once. */
 const LEAVING_RETRY_MS = 50;
-/** Answers may take this much longer than predicted. */
-const LEAVING_PATIENCE = 1.6;
 /** Highest rank that a replica takes. */
 const LAST_PRIORITY = 9;
 
@@ -138,18 +136,12 @@
     return this.#follow(recovery);
   }
 
-  /**
-   * Whether a request would run longer than this instance.
-   *
-   * Guards against cutting a stream that came after a stop was asked for, while
-   * callers still held this address. Turned away at once it runs elsewhere.
-   */
+  /** Whether the instance would stop before the request's answer ends. */
   #outlastsThis({ predictedWholeMs }: PlacedCandidate): boolean {
-    const { leavingUntilMs, clock } = this.context;
+    const { stopPlan, clock } = this.context;
     return (
-      leavingUntilMs !== null &&
       this.#sent === 0 &&
-      clock() + LEAVING_PATIENCE * predictedWholeMs > leavingUntilMs
+      outlastsStop(this.request, predictedWholeMs, clock(), stopPlan)
     );
   }
 
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -53,6 +53,8 @@
 const HOUSEKEEPING_MS = 100;
 /** Part of the grace period in which callers learn to stay away. */
 const SPREAD_SHARE = 0.55;
+/** Part of the grace period after which callers should know of the stop. */
+const STRICT_SHARE = 0.3;
 /** Part of the grace period after which what still runs is cut. */
 const LAST_SHARE = 0.95;
 const IDLE_CHECK_MS = 50;
@@ -101,7 +103,7 @@
     log,
     clock,
     leaving: false,
-    leavingUntilMs: null,
+    stopPlan: null,
   };
 }
 
@@ -223,8 +225,9 @@
 
   const stop = async (): Promise<void> => {
     const lastMs = clock() + LAST_SHARE * settings.graceMs;
+    const strictFromMs = clock() + STRICT_SHARE * settings.graceMs;
     context.leaving = true;
-    context.leavingUntilMs = lastMs;
+    context.stopPlan = { strictFromMs, untilMs: lastMs };
     context.membership.leave();
     log.write('instanceStopping', { inFlight: underWay.count });
     await peers.spread();
