refactor: one hash order, one rotation, one own address; drop what nobody reads

Found on reading the whole change: the order by hash stood in three places, the cut of a list at a random place in three, the instance's own address in two, and requests in flight were summed from a list made for messages. Decoded fields, a setting and two methods that nothing used are gone. Behaviour stays: the same orders, the same draws; no test's assertion changes.

--- a/packages/bench/src/gateway/burstLoad.ts
+++ b/packages/bench/src/gateway/burstLoad.ts
@@ -34,7 +34,6 @@
     kind: 'streaming',
     maxAttempts: 1,
     isPublic: true,
-    hasPrompts: true,
     shares: [{ service: PROMPT_SERVICE, weight: 1 }],
   };
 }
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -1,7 +1,6 @@
 import type {
   BackendServerId,
   InstanceId,
-  RequestId,
   ResultCodeId,
   Route,
   RouteId,
@@ -347,6 +346,14 @@
     );
   }
 
+  /** Attempts of this instance that have not ended. */
+  get inFlight(): number {
+    return [...this.board.backends.values()].reduce(
+      (sum, { inFlight }) => sum + inFlight,
+      0,
+    );
+  }
+
   /** What this instance runs, for the others. */
   get ownUses(): readonly OwnUse[] {
     return [...this.board.backends.values()]
@@ -374,13 +381,6 @@
     this.#sumPeers();
   }
 
-  /** @returns the attempts of a request */
-  attemptsOf(id: RequestId): readonly GatewayAttempt[] {
-    return [...this.board.backends.values()].flatMap(({ attempts }) =>
-      [...attempts].filter(({ request }) => request.id === id),
-    );
-  }
-
   #sumPeers(): void {
     const oldestMs = this.board.clock() - PEER_USE_MAX_AGE_MS;
     const sums = new Map<BackendServerId, PeerUse>();
--- a/packages/decisions/src/gateway/PromptMemory.ts
+++ b/packages/decisions/src/gateway/PromptMemory.ts
@@ -44,12 +44,6 @@
     this.#evict();
   }
 
-  /** Forgets everything, as a replica does that starts again. */
-  clear(): void {
-    this.#parts.clear();
-    this.#tokens = 0;
-  }
-
   #evict(): void {
     const oldest = this.#parts.keys();
     while (this.#tokens > this.#maxTokens) {
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -3,6 +3,7 @@
 import type { PromptPart } from '@jujubecroft/types';
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
+import { byHash } from '../../util/byHash.js';
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
@@ -39,14 +40,7 @@
   readonly homeChance: number;
 }
 
-/** Order of replicas that all instances agree on without talking. */
-function byRank(loads: readonly BackendLoad[]): readonly BackendLoad[] {
-  return [...loads].sort(
-    (a, b) =>
-      murmurhash.v3(a.replica.id) - murmurhash.v3(b.replica.id) ||
-      (a.replica.id < b.replica.id ? -1 : 1),
-  );
-}
+const MS_PER_SECOND = 1000;
 
 /** The replica on which all instances would put a prompt part. */
 function homeOf(
@@ -91,7 +85,7 @@
     const { engine } = learningOf(board, service.id);
     const { tokensPerS, inFlight } = board.demand.total(routes);
     const use = index === 0 ? options.delicateUse : options.middleUse;
-    const byTokens = tokensPerS / 1000 / engine.tokensPerMs / use;
+    const byTokens = tokensPerS / MS_PER_SECOND / engine.tokensPerMs / use;
     const slots = service.engine?.slots ?? 1;
     return Math.max(byTokens, inFlight / (slots * options.slotUse));
   };
@@ -165,7 +159,9 @@
   };
 
   return (request, candidates) => {
-    const ranked = byRank(candidates);
+    const ranked = [...candidates].sort((a, b) =>
+      byHash(a.replica.id, b.replica.id),
+    );
     const { own, behind } = segmentsFor(request, ranked);
     const shared = sharedParts(request).at(-1);
     const base = own.length > 0 ? own : ranked;
--- a/packages/decisions/src/gateway/readDuty.ts
+++ b/packages/decisions/src/gateway/readDuty.ts
@@ -1,6 +1,7 @@
-import murmurhash from 'murmurhash';
 import type { InstanceId } from '@jujubecroft/types';
 
+import { byHash } from '../util/byHash.js';
+
 /** Instances that read the store all the time; the second covers the first. */
 const READERS = 2;
 /**
@@ -20,12 +21,7 @@
  * @returns 0 for the first
  */
 export function rankOf(self: InstanceId, live: readonly InstanceId[]): number {
-  const own = murmurhash.v3(self);
-  return live.filter(
-    id =>
-      id !== self &&
-      (murmurhash.v3(id) < own || (murmurhash.v3(id) === own && id < self)),
-  ).length;
+  return live.filter(id => id !== self && byHash(id, self) < 0).length;
 }
 
 /**
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -57,3 +57,4 @@
 export { Router } from './Router.js';
 export { evenSubset } from './subset/evenSubset.js';
 export { poolKey } from './util/poolKey.js';
+export { rotated } from './util/rotated.js';
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -1,6 +1,7 @@
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 
 import type { Clock } from '../blackboard/Blackboard.js';
+import { rotated } from '../util/rotated.js';
 import type {
   HeartbeatFacts,
   Member,
@@ -175,8 +176,7 @@
   /** Members that can check a suspect from elsewhere. */
   helpers(except: InstanceId, count: number): readonly Member[] {
     const others = this.#probeable().filter(({ id }) => id !== except);
-    const start = Math.floor(this.random() * others.length);
-    return [...others.slice(start), ...others.slice(0, start)].slice(0, count);
+    return rotated(others, this.random).slice(0, count);
   }
 
   /** The next heartbeat of this instance. */
@@ -330,8 +330,7 @@
   #fillUp(news: readonly MemberFact[]): readonly MemberFact[] {
     const told = new Set(news.map(({ instance }) => instance));
     const others = this.serving.filter(({ id }) => !told.has(id));
-    const start = Math.floor(this.random() * others.length);
-    const rest = [...others.slice(start), ...others.slice(0, start)]
+    const rest = rotated(others, this.random)
       .slice(0, this.options.maxFacts - news.length)
       .map(factOf);
     return [...news, ...rest];
--- a/packages/decisions/src/subset/evenSubset.ts
+++ b/packages/decisions/src/subset/evenSubset.ts
@@ -1,15 +1,13 @@
-import murmurhash from 'murmurhash';
 import type { BackendServer, InstanceId } from '@jujubecroft/types';
 
+import { byHash } from '../util/byHash.js';
+
 interface Placed {
   readonly server: BackendServer;
   /** Position on the ring, in [0, 1). */
   readonly position: number;
 }
 
-const byHash = (a: string, b: string): number =>
-  murmurhash.v3(a) - murmurhash.v3(b) || (a < b ? -1 : 1);
-
 /** Spreads each failure domain evenly over the ring, so that any arc spans domains. */
 function placeOnRing(servers: readonly BackendServer[]): readonly Placed[] {
   return [...groupByDomain(servers).values()]
--- a/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
+++ b/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
@@ -51,7 +51,6 @@
     maxAttempts: 1,
     isPublic: false,
     resumable: false,
-    hasPrompts: true,
     shares: [{ service: SERVICE, weight: 1 }],
     ...overrides,
   };
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -40,3 +40,8 @@
   const { board } = context.router;
   return !context.leaving && board.table !== null && board.replicas.version > 0;
 }
+
+/** @returns host and port where an instance takes callers */
+export function ownAddress({ settings }: GatewayContext): string {
+  return `${settings.callers.host}:${settings.callers.port}`;
+}
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -21,8 +21,6 @@
   readonly metrics: ListenAddress | null;
   /** Other instances that may be tried first; may be stale. */
   readonly seeds: readonly string[];
-  /** Time between heartbeats of backend servers, in milliseconds. */
-  readonly heartbeatMs: number;
   readonly retryBudget: RetryBudgetRules;
   /** Time from a request to stop until the process is ended, in milliseconds. */
   readonly graceMs: number;
--- a/packages/gateway/src/side/MetricsController.ts
+++ b/packages/gateway/src/side/MetricsController.ts
@@ -31,9 +31,7 @@
       { view: 'configuration' },
       (clock() - board.configurationAsOfMs) / MS_PER_SECOND,
     );
-    metrics.inFlight.set(
-      router.ownUses.reduce((sum, { inFlight }) => sum + inFlight, 0),
-    );
+    metrics.inFlight.set(router.inFlight);
     metrics.backends.reset();
     board.backends.forEach(({ replica, health }) => {
       const verdict = replica.leaving ? 'leaving' : health.verdict;
--- a/packages/gateway/src/side/chooseAddresses.ts
+++ b/packages/gateway/src/side/chooseAddresses.ts
@@ -1,5 +1,5 @@
 import type { GatewayContext } from '../GatewayContext.js';
-import { isReady } from '../GatewayContext.js';
+import { isReady, ownAddress } from '../GatewayContext.js';
 
 /** Addresses in one answer, at most; callers take no more. */
 const MAX_ADDRESSES = 64;
@@ -11,10 +11,8 @@
  * @returns caller addresses of the instances that take callers, this one first
  */
 export function chooseAddresses(context: GatewayContext): readonly string[] {
-  const { membership, settings } = context;
-  const own = isReady(context)
-    ? [`${settings.callers.host}:${settings.callers.port}`]
-    : [];
+  const { membership } = context;
+  const own = isReady(context) ? [ownAddress(context)] : [];
   const others = membership.serving
     .map(({ callerAddress }) => callerAddress)
     .filter(address => address !== '');
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -1,6 +1,7 @@
 import type { handleUnaryCall, ServiceError } from '@grpc/grpc-js';
 import { Server, ServerCredentials, status } from '@grpc/grpc-js';
 import type { Member, MemberState } from '@jujubecroft/decisions';
+import { rotated } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator';
 import {
   fromHeartbeatMessage,
@@ -11,7 +12,7 @@
 import { brand } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
-import { isReady } from '../GatewayContext.js';
+import { isReady, ownAddress } from '../GatewayContext.js';
 import type { FleetView } from './FleetView.js';
 import {
   finite,
@@ -99,10 +100,8 @@
   async spread(): Promise<void> {
     const { membership, router } = this.context;
     const { serving } = membership;
-    const start = Math.floor(router.board.random() * serving.length);
-    const chosen = [...serving.slice(start), ...serving.slice(0, start)];
     await Promise.all(
-      chosen
+      rotated(serving, router.board.random)
         .slice(0, URGENT_FANOUT)
         .map(member => this.#exchange(member.peerAddress, member)),
     );
@@ -112,7 +111,7 @@
     const { membership, router, metrics } = this.context;
     this.#round += 1;
     membership.announce(
-      isReady(this.context) ? addressOf(this.context) : '',
+      isReady(this.context) ? ownAddress(this.context) : '',
       membership.self.peerAddress,
     );
     membership.tick();
@@ -184,7 +183,7 @@
     const isAhead = theirs !== null && version > theirs.configurationVersion;
     const heartbeat = membership.message({
       revision: version,
-      inFlight: router.ownUses.reduce((sum, use) => sum + use.inFlight, 0),
+      inFlight: router.inFlight,
     });
     const changes =
       theirs && theirs.replicasVersion < board.replicas.version
@@ -291,7 +290,3 @@
       });
   }
 }
-
-function addressOf({ settings }: GatewayContext): string {
-  return `${settings.callers.host}:${settings.callers.port}`;
-}
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -41,8 +41,6 @@
   readonly isPublic: boolean;
   /** Whether a stream may go on elsewhere after its last delivered event. */
   readonly resumable: boolean;
-  /** Whether requests name the parts of their prompt. */
-  readonly hasPrompts: boolean;
   readonly shares: readonly ServiceShare[];
 }
 
