feat(soak): run the programs as processes under random faults and check promises

Ruled out: faults inside the programs (they would test other programs); jumps of the time of day (the gateway reads it once, for its run number). Before: no soak.

--- a/packages/cli/src/commands/GatewayCommand.ts
+++ b/packages/cli/src/commands/GatewayCommand.ts
@@ -20,6 +20,11 @@
     description: 'path of the settings file',
   });
 
+  readonly peerAddress = Option.String('--peer-address', {
+    description:
+      'host and port at which other instances reach this one, where they differ from those it listens on',
+  });
+
   async execute(): Promise<number> {
     // Loaded here, so that other commands need no memory for it.
     const { runGateway, SETTINGS_VARIABLE } =
@@ -31,7 +36,7 @@
       );
       return EXIT.usage;
     }
-    const gateway = await runGateway(file);
+    const gateway = await runGateway(file, this.peerAddress);
     process.on('SIGHUP', gateway.reload);
     await untilStopped();
     await gateway.stop();
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -23,6 +23,7 @@
 import { GatewayCommand } from './commands/GatewayCommand.js';
 import { LoadCommand } from './commands/LoadCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
+import { SoakCommand, SoakReplicaCommand } from './commands/soakCommands.js';
 import { StandInCommand } from './commands/StandInCommand.js';
 import { VERSION } from './version.js';
 
@@ -51,6 +52,8 @@
   GatewayCommand,
   LoadCommand,
   ServeCommand,
+  SoakCommand,
+  SoakReplicaCommand,
   StandInCommand,
   ...['config', 'ctl', 'experiment', 'stand-in'].map(createGroupHelp),
 ].forEach(command => {
--- /dev/null
+++ b/packages/cli/tests/soak.test.ts
@@ -0,0 +1,36 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { promisify } from 'node:util';
+import { describe } from '@jujubecroft/testing';
+
+const root = path.resolve(import.meta.dirname, '../../..');
+/** Faults of processes, links and store come in this one. */
+const SEED = 106;
+
+describe('soak', ({ itAlone }) => {
+  // Callers ask while gateways and replicas are killed, paused and stopped and
+  // links go silent. They must get their own whole answers or honest refusals,
+  // and nothing may run twice; bounds in time are left to runs by hand.
+  itAlone('keeps the promises that need no clock', async t => {
+    const folder = await mkdtemp(path.join(tmpdir(), 'jujubecroft-soak-'));
+    try {
+      const { stdout } = await promisify(execFile)(
+        process.execPath,
+        [
+          '--import=tsx',
+          path.join(root, 'packages/cli/src/main.ts'),
+          ...['soak', '--untimed', '--seed', String(SEED)],
+          ...['--seconds', '14', '--processes', '7', '--folder', folder],
+        ],
+        { cwd: root },
+      );
+      t.regex(stdout, new RegExp(`^seed ${SEED}: kept; \\d+ requests`));
+      const [, served = '0'] = /(\d+) served/.exec(stdout) ?? [];
+      t.true(Number(served) > 0, stdout);
+    } finally {
+      await rm(folder, { recursive: true, force: true });
+    }
+  });
+});
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -18,6 +18,8 @@
   readonly directory: ListenAddress | null;
   /** For other instances. */
   readonly peers: ListenAddress;
+  /** Where other instances reach this one; differs behind a forwarder. */
+  readonly peerAddress: string;
   readonly metrics: ListenAddress | null;
   /** Other instances that may be tried first; may be stale. */
   readonly seeds: readonly string[];
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -80,7 +80,7 @@
       instance,
       failureDomain,
       callerAddress: '',
-      peerAddress: `${settings.peers.host}:${settings.peers.port}`,
+      peerAddress: settings.peerAddress,
     },
     clock,
     random,
--- /dev/null
+++ b/packages/soak/src/processes/SoakProcess.ts
@@ -0,0 +1,117 @@
+import type { ChildProcess } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { closeSync, openSync } from 'node:fs';
+
+/** How one program is started. */
+export interface ProgramStart {
+  readonly args: readonly string[];
+  /** File that takes the standard output of all its runs. */
+  readonly outFile: string;
+}
+
+/** The program as it runs now, from the sources or as a bundle. */
+function ownCommand(): readonly string[] {
+  const [, script] = process.argv;
+  return script === undefined ? [] : [...process.execArgv, script];
+}
+
+/**
+ * One program of a soak, as a process that is stopped, paused, killed and started
+ * again. It ends only processes that it started, by their ids.
+ */
+export class SoakProcess {
+  #child: ChildProcess | null = null;
+  #paused = false;
+  #life = 0;
+
+  constructor(
+    private readonly start_: (life: number) => ProgramStart,
+    private readonly onExit: (code: number | null) => void = () => undefined,
+  ) {}
+
+  /** Number of the present run, 1 for the first. */
+  get life(): number {
+    return this.#life;
+  }
+
+  get isUp(): boolean {
+    return this.#child !== null;
+  }
+
+  start(): void {
+    if (this.#child) {
+      return;
+    }
+    this.#life += 1;
+    const { args, outFile } = this.start_(this.#life);
+    const out = openSync(outFile, 'a');
+    const child = spawn(process.execPath, [...ownCommand(), ...args], {
+      stdio: ['ignore', out, out, 'ipc'],
+    });
+    closeSync(out);
+    this.#child = child;
+    this.#paused = false;
+    child.once('exit', code => {
+      if (this.#child === child) {
+        this.#child = null;
+      }
+      this.onExit(code);
+    });
+  }
+
+  signal(name: 'SIGHUP' | 'SIGTERM'): void {
+    this.#child?.kill(name);
+  }
+
+  /** Tells the program something, where it listens. */
+  tell(message: object): void {
+    if (this.#child?.connected === true) {
+      this.#child.send(message);
+    }
+  }
+
+  pause(): void {
+    if (this.#child && !this.#paused) {
+      this.#paused = true;
+      this.#child.kill('SIGSTOP');
+    }
+  }
+
+  resume(): void {
+    if (this.#child && this.#paused) {
+      this.#paused = false;
+      this.#child.kill('SIGCONT');
+    }
+  }
+
+  /** Ends the process at once and waits until it is gone. */
+  async kill(): Promise<void> {
+    const child = this.#child;
+    if (!child) {
+      return;
+    }
+    const gone = new Promise<void>(resolve => {
+      child.once('exit', () => {
+        resolve();
+      });
+    });
+    child.kill('SIGKILL');
+    await gone;
+  }
+
+  /** Waits until the process has ended by itself, or kills it when the time is up. */
+  async ended(withinMs: number): Promise<void> {
+    const child = this.#child;
+    if (!child) {
+      return;
+    }
+    const gone = new Promise<void>(resolve => {
+      child.once('exit', () => {
+        resolve();
+      });
+    });
+    const timer = setTimeout(() => child.kill('SIGKILL'), withinMs);
+    await gone;
+    clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/packages/soak/src/promises/allPromises.ts
@@ -0,0 +1,27 @@
+import { atMostOnce } from './at-most-once.js';
+import { boundedAttempts } from './bounded-attempts.js';
+import { boundedRetries } from './bounded-retries.js';
+import { cancelledWork } from './cancelled-work.js';
+import { configurationInForce } from './configuration-in-force.js';
+import { gracefulStops } from './graceful-stops.js';
+import { leavingReplicas } from './leaving-replicas.js';
+import { servesAgain } from './serves-again.js';
+import type { SoakPromise } from './SoakPromise.js';
+import { trueRefusals } from './true-refusals.js';
+import { unchangedRequests } from './unchanged-requests.js';
+import { wholeOwnAnswers } from './whole-own-answers.js';
+
+/** Every promise that the soak checks. */
+export const ALL_PROMISES: readonly SoakPromise[] = [
+  atMostOnce,
+  boundedAttempts,
+  boundedRetries,
+  cancelledWork,
+  configurationInForce,
+  gracefulStops,
+  leavingReplicas,
+  servesAgain,
+  trueRefusals,
+  unchangedRequests,
+  wholeOwnAnswers,
+];
--- /dev/null
+++ b/packages/soak/tests/faults/planFaults.test.ts
@@ -0,0 +1,46 @@
+import { describe } from '@jujubecroft/testing';
+
+import { CALM_MS, planFaults } from '../../src/faults/planFaults.js';
+
+const SECONDS = 40;
+const SEEDS = Array.from({ length: 100 }, (_, index) => index + 1);
+
+describe('planFaults', ({ it }) => {
+  it('draws the same plan for the same seed', t => {
+    t.deepEqual(planFaults(7, SECONDS), planFaults(7, SECONDS));
+    t.notDeepEqual(planFaults(7, SECONDS), planFaults(8, SECONDS));
+  });
+
+  it('ends every fault before the calm', t => {
+    SEEDS.flatMap(seed => planFaults(seed, SECONDS)).forEach(
+      ({ atMs, forMs }) => {
+        t.true(atMs + forMs <= SECONDS * 1000 - CALM_MS);
+      },
+    );
+  });
+
+  it('lets faults overlap and come again', t => {
+    const plans = SEEDS.map(seed => planFaults(seed, SECONDS));
+    const overlaps = plans.filter(plan =>
+      plan.some((fault, index) => {
+        const next = plan[index + 1];
+        return next !== undefined && next.atMs < fault.atMs + fault.forMs;
+      }),
+    );
+    const again = plans.filter(
+      plan => new Set(plan.map(({ kind }) => kind)).size < plan.length,
+    );
+    t.true(overlaps.length > SEEDS.length / 2);
+    t.true(again.length > SEEDS.length / 2);
+  });
+
+  it('draws only from the kinds that it is given', t => {
+    const plan = planFaults(3, SECONDS, ['gateway-kill', 'store-away']);
+    t.true(plan.length > 0);
+    t.true(
+      plan.every(
+        ({ kind }) => kind === 'gateway-kill' || kind === 'store-away',
+      ),
+    );
+  });
+});
--- /dev/null
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -0,0 +1,221 @@
+import { describe } from '@jujubecroft/testing';
+
+import type { Evidence } from '../../src/evidence.js';
+import { ALL_PROMISES } from '../../src/promises/allPromises.js';
+import { EvidenceIndex } from '../../src/promises/EvidenceIndex.js';
+import {
+  answerOf,
+  evidenceOf,
+  faultOf,
+  runOf,
+  sentOf,
+} from './evidenceFixture.js';
+
+/** Names of the promises that some evidence breaks. */
+function brokenBy(evidence: Evidence): readonly string[] {
+  const index = new EvidenceIndex(evidence);
+  return ALL_PROMISES.filter(
+    // A few requests are no measure of recovery.
+    ({ name }) => name !== 'serves-again',
+  )
+    .filter(({ check }) => check(evidence, index).length > 0)
+    .map(({ name }) => name);
+}
+
+const safe = sentOf('q-1', 'safe');
+const unsafe = sentOf('q-2', 'unsafe');
+const stream = sentOf('q-3', 'resumable');
+const gateway0 = { what: 'gateway', index: 0 } as const;
+
+interface Case {
+  readonly title: string;
+  readonly seen: Parameters<typeof evidenceOf>[0];
+  readonly broken: readonly string[];
+}
+
+const CASES: readonly Case[] = [
+  {
+    title: 'keep everything when each request has its answer',
+    seen: {
+      sent: [safe, unsafe, stream],
+      notes: [runOf(safe, 'r-1'), runOf(unsafe, 'r-1'), runOf(stream, 'r-2')],
+      answers: [
+        answerOf(safe, 'r-1'),
+        answerOf(unsafe, 'r-1'),
+        answerOf(stream, 'r-2'),
+      ],
+    },
+    broken: [],
+  },
+  {
+    title: 'notice an unsafe request that ran twice',
+    seen: {
+      sent: [unsafe],
+      notes: [runOf(unsafe, 'r-1'), runOf(unsafe, 'r-2')],
+    },
+    broken: ['at-most-once'],
+  },
+  {
+    title: 'notice a refusal of what ran',
+    seen: {
+      sent: [unsafe],
+      notes: [runOf(unsafe, 'r-1')],
+      answers: [answerOf(unsafe, 'r-1', { status: 503, body: '', mark: null })],
+    },
+    broken: ['true-refusals'],
+  },
+  {
+    title: 'notice an answer that ends early and looks whole',
+    seen: {
+      sent: [stream],
+      notes: [runOf(stream, 'r-1')],
+      answers: [answerOf(stream, 'r-1', { body: 'id: 1\ndata: q-3 1\n\n' })],
+    },
+    broken: ['whole-own-answers'],
+  },
+  {
+    title: 'let an answer that is visibly cut pass',
+    seen: {
+      sent: [stream],
+      notes: [runOf(stream, 'r-1')],
+      answers: [
+        answerOf(stream, 'r-1', {
+          body: 'id: 1\ndata: q-3 1\n\n',
+          whole: false,
+        }),
+      ],
+    },
+    broken: [],
+  },
+  {
+    title: 'notice the answer of another run',
+    seen: {
+      sent: [safe],
+      notes: [runOf(safe, 'r-1')],
+      answers: [answerOf(safe, 'r-9')],
+    },
+    broken: ['whole-own-answers'],
+  },
+  {
+    title: 'notice a changed body and a foreign organisation',
+    seen: {
+      sent: [safe],
+      notes: [runOf(safe, 'r-1', { organisation: 'org-2' })],
+    },
+    broken: ['unchanged-requests'],
+  },
+  {
+    title: 'notice a request that nobody sent',
+    seen: { notes: [runOf(safe, 'r-1')] },
+    broken: ['unchanged-requests'],
+  },
+  {
+    title: 'notice more attempts than allowed, and repeats beyond the budget',
+    seen: {
+      sent: [safe],
+      notes: [1, 2, 3, 4].map(number => runOf(safe, `r-${number}`)),
+    },
+    broken: ['bounded-attempts', 'bounded-retries'],
+  },
+  {
+    title: 'notice requests to a replica long after it began to leave',
+    seen: {
+      sent: [safe],
+      notes: [runOf(safe, 'r-1')],
+      leaving: [{ replica: 'r-1', ackedMs: 7000 }],
+    },
+    broken: ['leaving-replicas'],
+  },
+  {
+    title: 'excuse a gateway that was paused meanwhile',
+    seen: {
+      sent: [safe],
+      notes: [runOf(safe, 'r-1')],
+      leaving: [{ replica: 'r-1', ackedMs: 7000 }],
+      faults: [
+        faultOf('gateway-pause', gateway0, { fromMs: 7500, toMs: 9500 }),
+      ],
+    },
+    broken: [],
+  },
+  {
+    title: 'notice an answer that a planned stop cuts',
+    seen: {
+      sent: [safe],
+      notes: [runOf(safe, 'r-1')],
+      answers: [
+        answerOf(safe, 'r-1', { whole: false, status: null, body: '' }),
+      ],
+      faults: [faultOf('gateway-stop', gateway0, { planned: true })],
+    },
+    broken: ['graceful-stops'],
+  },
+  {
+    title: 'notice a configuration that is not in force in time',
+    seen: {
+      sent: [sentOf('q-4', 'probe', { version: 5 })],
+      answers: [answerOf(sentOf('q-4', 'probe'), '', { status: 404 })],
+      configured: [{ version: 5, ackedMs: 7000, droppedMs: Infinity }],
+    },
+    broken: ['configuration-in-force'],
+  },
+  {
+    title: 'notice a configuration that a process forgets',
+    seen: {
+      sent: [
+        sentOf('q-5', 'probe', { version: 5, sentMs: 9800 }),
+        sentOf('q-6', 'probe', { version: 5, sentMs: 11_000 }),
+      ],
+      notes: [],
+      answers: [
+        { ...answerOf(sentOf('q-5', 'safe'), 'r-1'), endedMs: 9900 },
+        answerOf(sentOf('q-6', 'probe'), '', { status: 404 }),
+      ],
+      configured: [{ version: 5, ackedMs: 9700, droppedMs: Infinity }],
+    },
+    broken: ['configuration-in-force', 'whole-own-answers'],
+  },
+];
+
+describe('promises of the soak', ({ it }) => {
+  CASES.forEach(({ title, seen, broken }) => {
+    it(title, t => {
+      t.deepEqual(brokenBy(evidenceOf(seen)), broken);
+    });
+  });
+
+  it('notice work for callers that left', t => {
+    const left = Array.from({ length: 10 }, (_, index) =>
+      sentOf(`l-${index}`, 'safe'),
+    );
+    const evidence = evidenceOf({
+      sent: left,
+      notes: left.map(sent => runOf(sent, 'r-1', { endsMs: 15_000 })),
+      answers: left.map(sent =>
+        answerOf(sent, '', { status: null, whole: false, leftMs: 10_100 }),
+      ),
+    });
+    t.deepEqual(brokenBy(evidence), ['cancelled-work']);
+  });
+
+  it('notice a system that does not serve again', t => {
+    const late = Array.from({ length: 30 }, (_, index) =>
+      sentOf(`s-${index}`, 'safe', { sentMs: 20_000 }),
+    );
+    const evidence = evidenceOf({
+      sent: late,
+      answers: late.map(sent =>
+        answerOf(sent, '', { status: 503, body: '', mark: null }),
+      ),
+      calmFromMs: 12_000,
+    });
+    const index = new EvidenceIndex(evidence);
+    const broken = ALL_PROMISES.filter(
+      ({ check }) => check(evidence, index).length > 0,
+    );
+    t.deepEqual(
+      broken.map(({ name }) => name),
+      ['serves-again'],
+    );
+  });
+});
