fix(platform): leave out entries that can't be read

Cause: one entry of an unforeseen shape threw in the decoder and failed the whole read, again at every try, so no instance learnt of any later change. Change: such an entry counts as removed and is logged as entryUnreadable. Ruled out: keeping what was known of it, which may be long out of date.

--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -92,6 +92,11 @@
     summary:
       'This instance begins or ceases to give a backend server probes only.',
   },
+  entryUnreadable: {
+    number: 305,
+    level: 'error',
+    summary: 'The entry of a backend server could not be read; it is not used.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
