perf(gateway): keep control cheap in large fleets

Twelve calls out and as many in a second cost 4 ms each, every piece of news went to eight peers from every instance, and choosing among 78 replicas hashed and joined names a thousand times a request. Exchanges then timed out, views aged, and all instances read the store (12,800 calls in the first 17 s). Change: one call a round above twelve peers; news gathered for 40 ms and told to four; a peer that fails is asked again at once instead of seconds later; sums of peers' work scaled up by how many were heard of; readers' thresholds follow the deployment's own bounds; hash order, paths and lengths taken once a request.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -41,30 +41,77 @@
   cut: number;
 }
 
-const INSTANCES = 6;
-const REPLICAS = 8;
+/** How instances learn of each other's work. */
+export type ReplayExchange =
+  /** Each hears of everybody once in a round. */
+  | { readonly kind: 'everyone'; readonly delayMs: number }
+  /** Each calls some others in a round; both sides tell what they have. */
+  | { readonly kind: 'few'; readonly fanout: number };
+
+/** Size of the fleet that a load is played on. */
+export interface ReplayShape {
+  readonly instances: number;
+  readonly replicas: number;
+  readonly slots: number;
+  /** Load and things that it is about, against those of the small fleet. */
+  readonly scale: number;
+  readonly exchange: ReplayExchange;
+}
+
+/** Instances tell each other of their work this often. */
+const EXCHANGE_MS = 250;
+
+/** A fleet of the size that users run today. */
+export const SMALL_FLEET: ReplayShape = {
+  instances: 6,
+  replicas: 8,
+  slots: BURST_ENGINE.slots,
+  scale: 1,
+  exchange: { kind: 'everyone', delayMs: EXCHANGE_MS },
+};
+
+/** A fleet several times as large, with smaller engines. */
+export const LARGE_FLEET: ReplayShape = {
+  instances: 60,
+  replicas: 42,
+  slots: 32,
+  scale: 5.2,
+  exchange: { kind: 'everyone', delayMs: 2 * EXCHANGE_MS },
+};
+
 const SECONDS = 24;
 const BURST_FROM_S = 6;
 const BURST_TO_S = 14;
 const DRAIN_S = 20;
-/** Instances tell each other of their work this often, and it takes as long to get around. */
-const EXCHANGE_MS = 250;
 const NETWORK_MS = 1;
 const MS_PER_SECOND = 1000;
 const DOMAINS = ['a', 'b', 'c'];
 
-function replicaOf(index: number): Replica {
+function replicaOf(index: number, slots: number): Replica {
   return {
     id: brand<BackendServerId>(`engine-${index}`),
     service: PROMPT_SERVICE,
     address: `engine-${index}`,
     failureDomain: brand<FailureDomainId>(DOMAINS[index % 3] ?? 'a'),
-    slots: BURST_ENGINE.slots,
+    slots,
     leaving: false,
     coldMs: 0,
   };
 }
 
+/** What one instance tells the others. */
+interface Told {
+  readonly instance: InstanceId;
+  readonly work: PeerWork;
+}
+
+function workOf({ board, ownUses }: GatewayRouter): Told {
+  return {
+    instance: board.instance,
+    work: { uses: ownUses, demands: board.demand.own },
+  };
+}
+
 /** Plays one load on several instances of the gateway, on virtual time. */
 export class GatewayReplay {
   readonly #events = new EventQueue();
@@ -77,6 +124,7 @@
   constructor(
     private readonly createPolicies: GatewayPolicyFactory,
     private readonly seed: number,
+    private readonly shape: ReplayShape = SMALL_FLEET,
   ) {
     this.#random = createRandom(seed);
   }
@@ -91,13 +139,15 @@
 
   /** @returns one result for each kind of request */
   run(): readonly KindResult[] {
-    const replicas = Array.from({ length: REPLICAS }, (_, index) =>
-      replicaOf(index),
+    const { slots } = this.shape;
+    const replicas = Array.from({ length: this.shape.replicas }, (_, index) =>
+      replicaOf(index, slots),
     );
+    const engine = { ...BURST_ENGINE, slots };
     replicas.forEach(({ id }) => {
-      this.#engines.set(id, new PromptEngine(this.#events, BURST_ENGINE));
+      this.#engines.set(id, new PromptEngine(this.#events, engine));
     });
-    Array.from({ length: INSTANCES }).forEach((_, index) => {
+    Array.from({ length: this.shape.instances }).forEach((_, index) => {
       this.#startRouter(index, replicas);
     });
     this.#events.every(EXCHANGE_MS, EXCHANGE_MS, () => {
@@ -121,7 +171,7 @@
   #startRouter(index: number, replicas: readonly Replica[]): void {
     const board = createGatewayBoard({
       clock: () => this.#events.nowMs,
-      random: createRandom(this.seed * INSTANCES + index),
+      random: createRandom(this.seed * this.shape.instances + index),
       instance: brand<InstanceId>(`entry-${index}`),
       failureDomain: brand<FailureDomainId>(DOMAINS[index % 3] ?? 'a'),
       retryBudget: { ratio: 0.2, extra: 50, windowMs: 10_000 },
@@ -135,7 +185,7 @@
           id: PROMPT_SERVICE,
           maxConnections: 1000,
           engine: {
-            slots: BURST_ENGINE.slots,
+            slots: this.shape.slots,
             kvCapacityTokens: 700_000,
             tokensPerEvent: BURST_ENGINE.tokensPerEvent,
           },
@@ -155,36 +205,49 @@
       0,
     );
     router.syncReplicas();
-    const instances = Array.from({ length: INSTANCES }, (_, other) =>
+    const instances = Array.from({ length: this.shape.instances }, (_, other) =>
       brand<InstanceId>(`entry-${other}`),
     );
     router.onInstances(instances);
     this.#routers.push(router);
   }
 
-  /** What instances told is an exchange old when it counts. */
   #exchange(): void {
-    const told = this.#routers.map(
-      ({ board, ownUses }): readonly [InstanceId, PeerWork] => [
-        board.instance,
-        { uses: ownUses, demands: board.demand.own },
-      ],
-    );
-    this.#events.after(EXCHANGE_MS, () => {
+    const { exchange } = this.shape;
+    const told = this.#routers.map(router => workOf(router));
+    if (exchange.kind === 'few') {
+      this.#exchangeFew(told, exchange.fanout);
+      return;
+    }
+    this.#events.after(exchange.delayMs, () => {
       this.#routers.forEach(router => {
         told
-          .filter(([instance]) => instance !== router.board.instance)
-          .forEach(([instance, work]) => {
+          .filter(({ instance }) => instance !== router.board.instance)
+          .forEach(({ instance, work }) => {
             router.onPeerWork(instance, work);
           });
       });
     });
   }
 
+  #exchangeFew(told: readonly Told[], fanout: number): void {
+    this.#routers.forEach((router, caller) => {
+      Array.from({ length: fanout }).forEach(() => {
+        const drawn = Math.floor(this.#random() * (this.#routers.length - 1));
+        const called = drawn >= caller ? drawn + 1 : drawn;
+        const [own, other] = [told[caller], told[called]];
+        if (own && other) {
+          router.onPeerWork(other.instance, other.work);
+          this.#routers[called]?.onPeerWork(own.instance, own.work);
+        }
+      });
+    });
+  }
+
   #scheduleNext(kind: BurstKind): void {
     const nowS = this.#events.nowMs / MS_PER_SECOND;
     const inBurst = nowS >= BURST_FROM_S && nowS < BURST_TO_S;
-    const perS = kind.perS * (inBurst ? kind.burst : 1);
+    const perS = this.shape.scale * kind.perS * (inBurst ? kind.burst : 1);
     const waitMs = (-Math.log(1 - this.#random()) * MS_PER_SECOND) / perS;
     if (this.#events.nowMs + waitMs > SECONDS * MS_PER_SECOND) {
       return;
@@ -199,7 +262,7 @@
     const { route, sharedTokens, things, ownTokens } = kind;
     const nowMs = this.#events.nowMs;
     this.#requests += 1;
-    const thing = Math.floor(this.#random() * things);
+    const thing = Math.floor(this.#random() * things * this.shape.scale);
     const own = this.#drawOwn(ownTokens);
     return {
       id: brand<RequestId>(`q-${this.#requests}`),
@@ -233,7 +296,7 @@
   }
 
   #arrive(kind: BurstKind): void {
-    const at = Math.floor(this.#random() * INSTANCES);
+    const at = Math.floor(this.#random() * this.shape.instances);
     const router = assertDefined(this.#routers[at], 'drawn below the count');
     const result = assertDefined(
       this.#results.get(kind.route.id),
@@ -277,7 +340,8 @@
         if (firstMs === null) {
           firstMs = nowMs;
           const { running, waiting } = engine;
-          router.onReported(attempt, { running, waiting, slots: 64 });
+          const { slots } = this.shape;
+          router.onReported(attempt, { running, waiting, slots });
         } else {
           longestPauseMs = Math.max(longestPauseMs, nowMs - lastMs);
         }
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -1,3 +1,4 @@
+import murmurhash from 'murmurhash';
 import type {
   OrganisationId,
   PromptFacts,
@@ -91,6 +92,8 @@
   readonly attempts = new Set<GatewayAttempt>();
   readonly health: ReplicaHealth;
   readonly memory: PromptMemory;
+  /** Place in the order of hashes; computed once, as it is compared all the time. */
+  readonly hash: number;
   replica: Replica;
   peers: PeerUse = NO_PEER_USE;
   /** Took against predicted time, smoothed; 1 is usual for the service. */
@@ -109,6 +112,7 @@
     private readonly clock: Clock,
   ) {
     this.replica = replica;
+    this.hash = murmurhash.v3(replica.id);
     this.health = new ReplicaHealth(clock);
     this.memory = new PromptMemory(
       service?.engine?.kvCapacityTokens ?? DEFAULT_CACHE_TOKENS,
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -381,22 +381,39 @@
     this.#sumPeers();
   }
 
+  /**
+   * Sums up what the others run.
+   *
+   * In a large fleet only some of them are heard of in time. Callers pick
+   * instances at random, so those few stand for all: sums are scaled up by how
+   * many there are. Left out, demand seems a fifth of what it is at sixty
+   * instances, and replicas are split and filled for that fifth.
+   */
   #sumPeers(): void {
     const oldestMs = this.board.clock() - PEER_USE_MAX_AGE_MS;
-    const sums = new Map<BackendServerId, PeerUse>();
     const reports = [...this.#peerReports.values()].filter(
       ({ atMs }) => atMs >= oldestMs,
     );
-    this.board.demand.onPeers(reports.flatMap(({ demands }) => demands));
+    const scale = (this.board.instances - 1) / Math.max(1, reports.length);
+    const sums = new Map<BackendServerId, PeerUse>();
     reports
       .flatMap(({ uses }) => uses)
       .forEach(({ id, inFlight, unreadTokens }) => {
         const sum = sums.get(id) ?? NO_PEER_USE;
         sums.set(id, {
-          inFlight: sum.inFlight + inFlight,
-          unreadTokens: sum.unreadTokens + unreadTokens,
+          inFlight: sum.inFlight + scale * inFlight,
+          unreadTokens: sum.unreadTokens + scale * unreadTokens,
         });
       });
+    this.board.demand.onPeers(
+      reports
+        .flatMap(({ demands }) => demands)
+        .map(({ route, tokensPerS, inFlight }) => ({
+          route,
+          tokensPerS: scale * tokensPerS,
+          inFlight: scale * inFlight,
+        })),
+    );
     this.board.backends.forEach((load, id) => {
       load.peers = sums.get(id) ?? NO_PEER_USE;
     });
--- a/packages/decisions/src/gateway/PromptMemory.ts
+++ b/packages/decisions/src/gateway/PromptMemory.ts
@@ -23,9 +23,15 @@
     this.#maxTokens = COUNTED_SHARE * capacityTokens;
   }
 
-  /** @returns tokens at the front of a prompt that need not be read again */
-  cachedTokens(parts: readonly PromptPart[]): number {
-    const paths = pathsOf(parts);
+  /**
+   * @param parts - of a prompt
+   * @param paths - of the same parts; taken once for all replicas
+   * @returns tokens at the front of the prompt that need not be read again
+   */
+  cachedTokens(
+    parts: readonly PromptPart[],
+    paths: readonly string[] = pathsOf(parts),
+  ): number {
     const missing = paths.findIndex(path => !this.#parts.has(path));
     const kept = missing === -1 ? parts : parts.slice(0, missing);
     return kept.reduce((sum, { tokens }) => sum + tokens, 0);
@@ -57,7 +63,8 @@
   }
 }
 
-function pathsOf(parts: readonly PromptPart[]): readonly string[] {
+/** Names of parts that tell what stands before them as well. */
+export function pathsOf(parts: readonly PromptPart[]): readonly string[] {
   return parts.map((_, index) =>
     parts
       .slice(0, index + 1)
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -3,10 +3,10 @@
 import type { PromptPart } from '@jujubecroft/types';
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
-import { byHash } from '../../util/byHash.js';
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
+import { pathsOf } from '../PromptMemory.js';
 import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
 import { splitReplicas } from './splitReplicas.js';
 import type { ToleranceGroup } from './toleranceGroups.js';
@@ -65,6 +65,22 @@
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
+/** The order of hashes, which all instances share; equal ones go by name. */
+function byHashOf(a: BackendLoad, b: BackendLoad): number {
+  return a.hash - b.hash || (a.replica.id < b.replica.id ? -1 : 1);
+}
+
+/** What is the same for all replicas that a request may go to. */
+interface Prepared {
+  readonly parts: readonly PromptPart[];
+  readonly paths: readonly string[];
+  readonly promptTokens: number;
+  readonly sharedTokens: number;
+  /** Pieces that the answer should have. */
+  readonly pieces: number;
+  readonly home: BackendLoad | undefined;
+}
+
 /** Where a request may go: its own group's replicas and those of groups behind it. */
 interface Segments {
   readonly own: readonly BackendLoad[];
@@ -116,32 +132,46 @@
     return { own: ranked.slice(start, end), behind: ranked.slice(end) };
   };
 
+  const prepare = (
+    request: GatewayRequest,
+    loads: readonly BackendLoad[],
+  ): Prepared => {
+    const { prompt, route, service } = request;
+    const parts = prompt?.parts ?? [];
+    const shared = sharedParts(request);
+    const last = shared.at(-1);
+    return {
+      parts,
+      paths: pathsOf(parts),
+      promptTokens: prompt?.promptTokens ?? 0,
+      sharedTokens: tokensOf(shared),
+      pieces: board.lengths.expect(route.id, prompt, service),
+      home: last && homeOf(last, loads),
+    };
+  };
+
   const judge = (
     request: GatewayRequest,
     load: BackendLoad,
-    home: BackendLoad | undefined,
+    prepared: Prepared,
   ): PlacedCandidate => {
+    const { parts, paths, promptTokens, sharedTokens, pieces } = prepared;
     const { engine } = learningOf(board, request.service.id);
-    const total = request.prompt?.promptTokens ?? 0;
-    const shared = tokensOf(sharedParts(request));
-    const cached = load.memory.cachedTokens(request.prompt?.parts ?? []);
-    const hoped =
-      load === home ? Math.max(cached, options.homeChance * shared) : cached;
-    const unreadTokens = Math.max(0, total - hoped);
+    const isHome = load === prepared.home;
+    const cached = load.memory.cachedTokens(parts, paths);
+    const hoped = isHome
+      ? Math.max(cached, options.homeChance * sharedTokens)
+      : cached;
+    const unreadTokens = Math.max(0, promptTokens - hoped);
     const aheadMs = (load.unreadTokens + unreadTokens) / engine.tokensPerMs;
     const predictedMs = engine.baseMs + load.slowness * aheadMs;
     const rereadMs =
-      load === home || cached >= shared
+      isHome || cached >= sharedTokens
         ? 0
-        : ((shared - cached) / engine.tokensPerMs) * options.rereadWeight;
+        : ((sharedTokens - cached) / engine.tokensPerMs) * options.rereadWeight;
     const slots = request.service.engine?.slots ?? Infinity;
     const taken = load.totalInFlight / slots;
     const isRemote = load.replica.failureDomain !== board.failureDomain;
-    const pieces = board.lengths.expect(
-      request.route.id,
-      request.prompt,
-      request.service,
-    );
     const streamMs = pieces * load.paceMs;
     const cost =
       predictedMs +
@@ -159,16 +189,13 @@
   };
 
   return (request, candidates) => {
-    const ranked = [...candidates].sort((a, b) =>
-      byHash(a.replica.id, b.replica.id),
-    );
+    const ranked = [...candidates].sort((a, b) => byHashOf(a, b));
     const { own, behind } = segmentsFor(request, ranked);
-    const shared = sharedParts(request).at(-1);
     const base = own.length > 0 ? own : ranked;
-    const home = shared && homeOf(shared, base);
-    const placed = base.map(load => judge(request, load, home));
+    const prepared = prepare(request, base);
+    const placed = base.map(load => judge(request, load, prepared));
     const mixed = (own.length > 0 ? behind : []).map(load => {
-      const candidate = judge(request, load, home);
+      const candidate = judge(request, load, prepared);
       return { ...candidate, cost: candidate.cost + options.mixingMs };
     });
     return [...placed, ...mixed].sort((a, b) => a.cost - b.cost);
--- a/packages/decisions/src/gateway/readDuty.ts
+++ b/packages/decisions/src/gateway/readDuty.ts
@@ -5,13 +5,14 @@
 /** Instances that read the store all the time; the second covers the first. */
 const READERS = 2;
 /**
- * Age of the view from which others read the store too. With the time of a
- * read it stays below the two seconds in which changes must be in force.
+ * Age of the view from which others read the store too, as a share of the time
+ * in which changes must be in force.
  */
-const STALE_MS = 900;
+const STALE_SHARE = 0.45;
 /** Each further instance waits this much longer, so that few of them read at once. */
 const STAGGER_MS = 60;
-const MAX_STAGGER_MS = 400;
+/** Most that an instance waits longer, as a share of the same time. */
+const MAX_STAGGER_SHARE = 0.2;
 
 /**
  * Places the instances in an order that all of them agree on without talking.
@@ -33,12 +34,20 @@
  *
  * @param rank - place of this instance, 0 first
  * @param ageMs - how long ago its view was known to be current
+ * @param boundMs - time in which a change must be in force
  * @returns whether to read
  */
-export function shouldRead(rank: number, ageMs: number): boolean {
+export function shouldRead(
+  rank: number,
+  ageMs: number,
+  boundMs: number,
+): boolean {
   if (rank < READERS) {
     return true;
   }
-  const staggerMs = Math.min(MAX_STAGGER_MS, (rank - READERS) * STAGGER_MS);
-  return ageMs > STALE_MS + staggerMs;
+  const staggerMs = Math.min(
+    MAX_STAGGER_SHARE * boundMs,
+    (rank - READERS) * STAGGER_MS,
+  );
+  return ageMs > STALE_SHARE * boundMs + staggerMs;
 }
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -27,8 +27,12 @@
 }
 
 export interface MembershipOptions {
-  /** Members that get a heartbeat in each period, however large the fleet. */
-  readonly fanout: number;
+  /**
+   * Members that get a heartbeat in each period.
+   *
+   * @param members - how many are known
+   */
+  readonly fanout: (members: number) => number;
   readonly periodMs: number;
   readonly suspectMs: number;
   /** News items carried by one heartbeat. */
@@ -43,7 +47,7 @@
 }
 
 export const DEFAULT_MEMBERSHIP: MembershipOptions = {
-  fanout: 2,
+  fanout: () => 2,
   periodMs: 1000,
   suspectMs: 4000,
   maxFacts: 12,
@@ -158,9 +162,9 @@
    */
   targets(): readonly Member[] {
     const chosen: Member[] = [];
-    while (
-      chosen.length < Math.min(this.options.fanout, this.#probeable().length)
-    ) {
+    const probeable = this.#probeable().length;
+    const wanted = Math.min(this.options.fanout(this.#members.size), probeable);
+    while (chosen.length < wanted) {
       const next = this.#next();
       if (next && !chosen.includes(next)) {
         chosen.push(next);
--- a/packages/decisions/tests/gateway/GatewayRouter.test.ts
+++ b/packages/decisions/tests/gateway/GatewayRouter.test.ts
@@ -255,11 +255,37 @@
     );
   });
 
+  // Sixty instances hear of some ten others in time. Chefs' answers stop while
+  // invoices are read, since each instance sees a fifth of the demand and splits
+  // the replicas for that.
+  it('takes the instances that it hears of for all of them', t => {
+    const { router, board } = gatewayFixture([CALL], PLAINS);
+    const fleet = Array.from({ length: 61 }, (_, index) =>
+      brand<InstanceId>(`e-${index}`),
+    );
+    router.onInstances(fleet);
+    fleet.slice(0, 12).forEach(peer => {
+      router.onPeerWork(peer, {
+        uses: [
+          {
+            id: brand<BackendServerId>('p-1'),
+            inFlight: 2,
+            unreadTokens: 100,
+          },
+        ],
+        demands: [{ route: CALL.id, tokensPerS: 10, inFlight: 1 }],
+      });
+    });
+    const load = board.backends.get(brand<BackendServerId>('p-1'));
+    t.is(Math.round(load?.peers.inFlight ?? 0), 120);
+    t.is(Math.round(board.demand.total([CALL.id]).tokensPerS), 600);
+  });
+
   it('lets a few read, and all others once their view is old', t => {
     // The instances that read die or lose the store; the others must notice
     // before a change is due everywhere.
-    const fresh = ids.filter(id => shouldRead(rankOf(id, ids), 300));
-    const stale = ids.filter(id => shouldRead(rankOf(id, ids), 1400));
+    const fresh = ids.filter(id => shouldRead(rankOf(id, ids), 300, 2000));
+    const stale = ids.filter(id => shouldRead(rankOf(id, ids), 1400, 2000));
     t.is(fresh.length, 2);
     t.is(stale.length, ids.length);
   });
--- /dev/null
+++ b/packages/decisions/tests/gateway/readDuty.test.ts
@@ -0,0 +1,44 @@
+import type { InstanceId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+import { describe } from '@jujubecroft/testing';
+
+import { rankOf, shouldRead } from '../../src/gateway/readDuty.js';
+
+const BOUND_MS = 3000;
+const FLEET = Array.from({ length: 60 }, (_, index) =>
+  brand<InstanceId>(`entry-${index}`),
+);
+
+describe('readDuty', ({ it }) => {
+  it('gives every instance a place of its own', t => {
+    const ranks = FLEET.map(id => rankOf(id, FLEET)).sort((a, b) => a - b);
+    t.deepEqual(
+      ranks,
+      FLEET.map((_, index) => index),
+    );
+  });
+
+  it('lets only the first two read while the view is young', t => {
+    const reading = FLEET.filter(id =>
+      shouldRead(rankOf(id, FLEET), 500, BOUND_MS),
+    );
+    t.is(reading.length, 2);
+  });
+
+  // In a fleet of sixty, news that nothing has changed takes a second or more
+  // to get around. If everybody read the store at that age, each would call it
+  // several times a second, the more the busier they are.
+  it('does not let a large fleet read at the usual age of its view', t => {
+    const reading = FLEET.filter(id =>
+      shouldRead(rankOf(id, FLEET), 1300, BOUND_MS),
+    );
+    t.is(reading.length, 2);
+  });
+
+  it('lets everybody read before the time is up', t => {
+    const reading = FLEET.filter(id =>
+      shouldRead(rankOf(id, FLEET), 0.66 * BOUND_MS, BOUND_MS),
+    );
+    t.is(reading.length, FLEET.length);
+  });
+});
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -24,6 +24,8 @@
   /** Other instances that may be tried first; may be stale. */
   readonly seeds: readonly string[];
   readonly retryBudget: RetryBudgetRules;
+  /** Time in which changes of configuration and replicas must be in force. */
+  readonly freshWithinMs: number;
   /** Time from a request to stop until the process is ended, in milliseconds. */
   readonly graceMs: number;
   /** Longest time for which callers may keep addresses, in milliseconds. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -26,6 +26,7 @@
 import { listenRaw } from './side/listenRaw.js';
 import { FleetView } from './state/FleetView.js';
 import { PEER_PERIOD_MS, PeerLoop } from './state/PeerLoop.js';
+import { peerFanout } from './state/peerFanout.js';
 import { StoreReader } from './state/StoreReader.js';
 import { createWakeUpWatch } from './wakeUpWatch.js';
 
@@ -46,8 +47,6 @@
   readonly kill: () => Promise<void>;
 }
 
-/** Members that get an exchange in each round. */
-const PEER_FANOUT = 3;
 /** Time that a suspected member has to answer, in milliseconds. */
 const SUSPECT_MS = 1200;
 const HOUSEKEEPING_MS = 100;
@@ -86,7 +85,7 @@
     random,
     {
       ...DEFAULT_MEMBERSHIP,
-      fanout: PEER_FANOUT,
+      fanout: peerFanout,
       periodMs: PEER_PERIOD_MS,
       suspectMs: SUSPECT_MS,
       // Wall time grows from run to run; a step back is refuted by heartbeats.
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { handleUnaryCall, ServiceError } from '@grpc/grpc-js';
 import { Server, ServerCredentials, status } from '@grpc/grpc-js';
 import type { Member, MemberState } from '@jujubecroft/decisions';
@@ -33,8 +34,13 @@
 ];
 /** Exchanges that fail in a row until a peer is suspected. */
 const FAILURES_TO_SUSPECT = 2;
-/** Peers that get urgent news at once; they pass it on. */
-const URGENT_FANOUT = 8;
+/**
+ * Peers that get urgent news at once; they pass it on. Three steps reach sixty
+ * instances; those that are missed learn it with the next rounds.
+ */
+const URGENT_FANOUT = 4;
+/** News that come within this time are told together. */
+const URGENT_PAUSE_MS = 40;
 /** Rounds between tries of seeds that are not known as members. */
 const SEED_EVERY_ROUNDS = 4;
 
@@ -47,6 +53,7 @@
   readonly #pulling = new Set<string>();
   #timer: NodeJS.Timeout | null = null;
   #round = 0;
+  #spreading: Promise<void> | null = null;
 
   constructor(
     private readonly context: GatewayContext,
@@ -96,12 +103,25 @@
     this.#server.forceShutdown();
   }
 
-  /** Tells some members at once; each passes on what is new to it. */
+  /**
+   * Tells some members at once; each passes on what is new to it.
+   *
+   * News often comes in bursts, as when many entries lapse together. What comes
+   * while a telling is due goes with it: told one by one, a hundred changes in
+   * sixty instances would take seconds of every processor.
+   */
   async spread(): Promise<void> {
+    this.#spreading ??= this.#spreadSoon();
+    await this.#spreading;
+  }
+
+  async #spreadSoon(): Promise<void> {
+    await sleep(URGENT_PAUSE_MS);
+    // What is learnt from now on may miss these exchanges.
+    this.#spreading = null;
     const { membership, router } = this.context;
-    const { serving } = membership;
     await Promise.all(
-      rotated(serving, router.board.random)
+      rotated(membership.serving, router.board.random)
         .slice(0, URGENT_FANOUT)
         .map(member => this.#exchange(member.peerAddress, member)),
     );
@@ -171,7 +191,11 @@
     this.#failures.set(member.id, failures);
     if (failures >= FAILURES_TO_SUSPECT) {
       this.context.membership.onUnreachable(member.id);
+      return;
     }
+    // The channel may have gone silent alone; asked again at once over a new
+    // one. In a large fleet its turn would come again only after many seconds.
+    void this.#exchange(member.peerAddress, member);
   }
 
   /** What this instance says; with what the other side lacks where its state is known. */
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -68,6 +68,11 @@
     return rankOf(membership.self.instance, membership.instances);
   }
 
+  #isDue(ageMs: number): boolean {
+    const { freshWithinMs } = this.context.settings;
+    return shouldRead(this.#rank, ageMs, freshWithinMs);
+  }
+
   get #failedPauseMs(): number {
     const pauseMs = FAILED_PAUSE_MS + this.#rank * RANK_PAUSE_MS;
     return Math.min(MAX_FAILED_PAUSE_MS, pauseMs);
@@ -76,7 +81,7 @@
   async #stepConfiguration(): Promise<number> {
     const { board } = this.context.router;
     const ageMs = this.context.clock() - board.configurationAsOfMs;
-    if (board.table && !shouldRead(this.#rank, ageMs)) {
+    if (board.table && !this.#isDue(ageMs)) {
       return IDLE_CHECK_MS;
     }
     const done = await this.#call('configuration', () =>
@@ -88,7 +93,7 @@
   async #stepReplicas(): Promise<number> {
     const { replicas } = this.context.router.board;
     const isKnown = replicas.version > 0;
-    if (isKnown && !shouldRead(this.#rank, replicas.ageMs)) {
+    if (isKnown && !this.#isDue(replicas.ageMs)) {
       return IDLE_CHECK_MS;
     }
     const done = await this.#call('replicas', () => this.#readReplicas());
--- a/packages/soak/src/processes/SoakProcess.ts
+++ b/packages/soak/src/processes/SoakProcess.ts
@@ -38,6 +38,11 @@
     return this.#child !== null;
   }
 
+  /** Process id; undefined while it is down. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   start(): void {
     if (this.#child) {
       return;
