feat(events): sample successes sooner than failures and count what is left out by cause

Cause: successes and failures had the same bound, and lines beyond it were only counted, so a burst hid the rarer reasons of refusals. Change: 100 lines a second for informing events, 300 for warnings; counts by code, reason, kind or status in linesLeftOut. Ruled out: one line a success instead of two; an instance that is killed would leave no trace of what it ran.

--- a/packages/events/src/createBoundedLog.ts
+++ b/packages/events/src/createBoundedLog.ts
@@ -16,23 +16,56 @@
 }
 
 /**
- * Lines of one event per second; above it lines are counted. Ten times the
- * lines of a busy instance of the fleets of today.
+ * Lines of one event per second; above it lines are counted by cause.
+ *
+ * A busy instance of the fleets of today takes some 20 requests a second.
+ * Successes are sampled above five times that; warnings, which on-call engineers
+ * look for one by one, are told whole up to fifteen times.
  */
-const MAX_LINES_PER_S = 300;
+const MAX_LINES_PER_S: Readonly<Record<LogLevel, number>> = {
+  debug: 100,
+  info: 100,
+  warn: 300,
+  error: 300,
+};
+/** Causes that are counted apart; the rest counts as one. */
+const MAX_CAUSES = 20;
+const OTHER_CAUSES = 'other';
 const SECOND_MS = 1000;
 
 interface EventCount {
-  sinceMs: number;
+  readonly sinceMs: number;
   lines: number;
   left: number;
+  /** Lines left out by what caused them. */
+  readonly leftByCause: Map<string, number>;
+}
+
+/** What a line says of its cause, whatever the event calls it. */
+function causeOf(fields: Readonly<Record<string, unknown>>): string {
+  const cause = fields.code ?? fields.reason ?? fields.kind ?? fields.status;
+  return typeof cause === 'string' || typeof cause === 'number'
+    ? String(cause)
+    : OTHER_CAUSES;
+}
+
+function leaveOut(
+  count: EventCount,
+  fields: Readonly<Record<string, unknown>>,
+): void {
+  const { leftByCause } = count;
+  const cause = causeOf(fields);
+  const isKnown = leftByCause.has(cause) || leftByCause.size < MAX_CAUSES;
+  const key = isKnown ? cause : OTHER_CAUSES;
+  count.left += 1;
+  leftByCause.set(key, (leftByCause.get(key) ?? 0) + 1);
 }
 
 /**
  * Creates a log whose volume is bounded and which never waits for its reader.
  *
  * Each event has a bound of lines a second. What goes beyond it, or beyond what
- * the reader takes, is told by one line with the counts.
+ * the reader takes, is told by one line with the counts by cause.
  *
  * @param options - name, level and clock
  * @returns the log
@@ -75,9 +108,19 @@
     }
     const dropped = writer.takeDropped();
     if ((known?.left ?? 0) > 0 || dropped > 0) {
-      emit('linesLeftOut', { of: id, left: known?.left ?? 0, dropped });
+      emit('linesLeftOut', {
+        of: id,
+        left: known?.left ?? 0,
+        causes: Object.fromEntries(known?.leftByCause ?? []),
+        dropped,
+      });
     }
-    const fresh = { sinceMs: nowMs, lines: 0, left: 0 };
+    const fresh: EventCount = {
+      sinceMs: nowMs,
+      lines: 0,
+      left: 0,
+      leftByCause: new Map(),
+    };
     counts.set(id, fresh);
     return fresh;
   };
@@ -85,8 +128,8 @@
   return {
     write: (id, fields) => {
       const count = countOf(id);
-      if (count.lines >= MAX_LINES_PER_S) {
-        count.left += 1;
+      if (count.lines >= MAX_LINES_PER_S[LOG_EVENTS[id].level]) {
+        leaveOut(count, fields);
         return;
       }
       count.lines += 1;
--- a/packages/events/tests/LineWriter.test.ts
+++ b/packages/events/tests/LineWriter.test.ts
@@ -75,4 +75,21 @@
     t.is(left?.fields.of, 'requestRefused');
     t.is(left?.fields.left, 700);
   });
+
+  // A burst refuses hundreds of requests a second for two reasons. The lines of
+  // the rarer one are left out like the others; its count must still be told.
+  it('tells what it left out by cause, and samples successes sooner', t => {
+    let nowMs = 0;
+    const { log, lines } = logOf(() => nowMs);
+    Array.from({ length: 1000 }, (_, index) => index).forEach(request => {
+      const code = request % 10 === 0 ? 'instanceLeaving' : 'overloaded';
+      log.write('requestRefused', { request, code });
+      log.write('requestAnswered', { request, status: 200 });
+    });
+    t.is(lines().filter(({ id }) => id === 'requestAnswered').length, 100);
+    nowMs = 1500;
+    log.write('requestRefused', { request: 'later', code: 'overloaded' });
+    const [left] = lines().filter(({ id }) => id === 'linesLeftOut');
+    t.deepEqual(left?.fields.causes, { instanceLeaving: 70, overloaded: 630 });
+  });
 });
