--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -4,8 +4,6 @@
   ResultCodeId,
   Route,
   RouteId,
-  RoutedOrganisation,
-  RoutedService,
   RoutingConfiguration,
 } from '@jujubecroft/types';
 
@@ -16,12 +14,15 @@
 import type {
   GatewayAttempt,
   GatewayRequest,
-  PeerUse,
   ReportedLoad,
 } from './BackendLoad.js';
-import { BackendLoad, NO_PEER_USE } from './BackendLoad.js';
+import { BackendLoad } from './BackendLoad.js';
 import type { GatewayBoard } from './GatewayBoard.js';
 import { candidatesOf, learningOf } from './GatewayBoard.js';
+import type { Match } from './matchRequest.js';
+import { matchRequest } from './matchRequest.js';
+import type { OwnUse, PeerWork } from './PeerWorkBook.js';
+import { PeerWorkBook } from './PeerWorkBook.js';
 import type {
   PlacedCandidate,
   PlacementPolicy,
@@ -30,7 +31,6 @@
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
 import { isOvertaken, isSilent, usableCandidates } from './usableCandidates.js';
-import type { RouteDemand } from './RouteDemand.js';
 import { RoutingTable } from './RoutingTable.js';
 
 /** The policies of the gateway. */
@@ -43,16 +43,6 @@
   readonly admitCall: GatewayAdmission;
 }
 
-/** Who a request is for, or why it is turned away. */
-export type Match =
-  | {
-      readonly kind: 'matched';
-      readonly route: Route;
-      readonly service: RoutedService;
-      readonly organisation: RoutedOrganisation | null;
-    }
-  | { readonly kind: 'refused'; readonly code: ResultCodeId };
-
 /** Where a request goes, or why it is turned away. */
 export type PlacementDecision =
   | {
@@ -69,30 +59,13 @@
       readonly candidates: number;
     };
 
-/** What one instance tells the others of its use of a replica. */
-export interface OwnUse extends PeerUse {
-  readonly id: BackendServerId;
-}
-
 /** Told when no replica can be used; replicas mostly return within a second. */
 const NO_BACKEND_RETRY_MS = 600;
-/** What other instances told counts no longer than this without news. */
-const PEER_USE_MAX_AGE_MS = 1500;
 /** Share of the longest waiting time seen below which a try is not the first. */
 const CAME_BACK_SHARE = 0.97;
 /** Weight of the newest answer in the mean time of a plain service. */
 const ANSWER_WEIGHT = 0.05;
 
-/** What another instance told of its work. */
-export interface PeerWork {
-  readonly uses: readonly OwnUse[];
-  readonly demands: readonly RouteDemand[];
-}
-
-interface PeerReport extends PeerWork {
-  readonly atMs: number;
-}
-
 /**
  * The decision logic of the gateway on its blackboard.
  *
@@ -101,12 +74,14 @@
  */
 export class GatewayRouter {
   readonly #longestWaits = new Map<RouteId, number>();
-  readonly #peerReports = new Map<InstanceId, PeerReport>();
+  readonly #peerWork: PeerWorkBook;
 
   constructor(
     readonly board: GatewayBoard,
     private readonly policies: GatewayPolicies,
-  ) {}
+  ) {
+    this.#peerWork = new PeerWorkBook(board);
+  }
 
   /**
    * Puts a configuration in force unless a newer one is.
@@ -150,24 +125,7 @@
    * @param key - the caller's key; null where there is none
    */
   match(host: string, path: string, key: string | null): Match {
-    const { table } = this.board;
-    if (!table) {
-      return { kind: 'refused', code: 'noRoutingKnown' };
-    }
-    const route = table.find(host, path);
-    if (!route) {
-      return { kind: 'refused', code: 'unknownRoute' };
-    }
-    const organisation = key === null ? undefined : table.organisationOf(key);
-    if (table.needsKeys && !route.isPublic && !organisation) {
-      return { kind: 'refused', code: 'unknownKey' };
-    }
-    const service = this.#chooseService(route, table);
-    if (!service) {
-      return { kind: 'refused', code: 'noBackendServer' };
-    }
-    const holder = route.isPublic ? null : (organisation ?? null);
-    return { kind: 'matched', route, service, organisation: holder };
+    return matchRequest(this.board, host, path, key);
   }
 
   /**
@@ -367,67 +325,14 @@
 
   /** Takes in what another instance runs. */
   onPeerWork(peer: InstanceId, work: PeerWork): void {
-    this.#peerReports.set(peer, { atMs: this.board.clock(), ...work });
-    this.#sumPeers();
+    this.#peerWork.onWork(peer, work);
   }
 
   /** Tells how many instances live. */
   onInstances(live: readonly InstanceId[]): void {
     this.board.instances = Math.max(1, live.length);
     this.board.budget.onInstances(this.board.instances);
-    [...this.#peerReports.keys()]
-      .filter(peer => !live.includes(peer))
-      .forEach(peer => this.#peerReports.delete(peer));
-    this.#sumPeers();
-  }
-
-  /**
-   * Sums up what the others run.
-   *
-   * In a large fleet only some of them are heard of in time. Callers pick
-   * instances at random, so those few stand for all: sums are scaled up by how
-   * many there are. Left out, demand seems a fifth of what it is at sixty
-   * instances, and replicas are split and filled for that fifth.
-   */
-  #sumPeers(): void {
-    const oldestMs = this.board.clock() - PEER_USE_MAX_AGE_MS;
-    const reports = [...this.#peerReports.values()].filter(
-      ({ atMs }) => atMs >= oldestMs,
-    );
-    const scale = (this.board.instances - 1) / Math.max(1, reports.length);
-    const sums = new Map<BackendServerId, PeerUse>();
-    reports
-      .flatMap(({ uses }) => uses)
-      .forEach(({ id, inFlight, unreadTokens }) => {
-        const sum = sums.get(id) ?? NO_PEER_USE;
-        sums.set(id, {
-          inFlight: sum.inFlight + scale * inFlight,
-          unreadTokens: sum.unreadTokens + scale * unreadTokens,
-        });
-      });
-    this.board.demand.onPeers(
-      reports
-        .flatMap(({ demands }) => demands)
-        .map(({ route, tokensPerS, inFlight }) => ({
-          route,
-          tokensPerS: scale * tokensPerS,
-          inFlight: scale * inFlight,
-        })),
-    );
-    this.board.backends.forEach((load, id) => {
-      load.peers = sums.get(id) ?? NO_PEER_USE;
-    });
-  }
-
-  #chooseService(route: Route, table: RoutingTable): RoutedService | undefined {
-    const total = route.shares.reduce((sum, { weight }) => sum + weight, 0);
-    let drawn = this.board.random() * total;
-    const share = route.shares.find(({ weight }) => {
-      drawn -= weight;
-      return drawn < 0;
-    });
-    const chosen = share ?? route.shares.at(-1);
-    return chosen && table.service(chosen.service);
+    this.#peerWork.keepOnly(live);
   }
 
   #judge(attempt: GatewayAttempt, result: AttemptResult): void {
--- /dev/null
+++ b/packages/decisions/src/gateway/PeerWorkBook.ts
@@ -0,0 +1,85 @@
+import type { BackendServerId, InstanceId } from '@jujubecroft/types';
+
+import type { PeerUse } from './BackendLoad.js';
+import { NO_PEER_USE } from './BackendLoad.js';
+import type { GatewayBoard } from './GatewayBoard.js';
+import type { RouteDemand } from './RouteDemand.js';
+
+/** What one instance tells the others of its use of a replica. */
+export interface OwnUse extends PeerUse {
+  readonly id: BackendServerId;
+}
+
+/** What another instance told of its work. */
+export interface PeerWork {
+  readonly uses: readonly OwnUse[];
+  readonly demands: readonly RouteDemand[];
+}
+
+interface PeerReport extends PeerWork {
+  readonly atMs: number;
+}
+
+/** What other instances told counts no longer than this without news. */
+const MAX_AGE_MS = 1500;
+
+/** Keeps what other instances run, and puts the sums on the blackboard. */
+export class PeerWorkBook {
+  readonly #reports = new Map<InstanceId, PeerReport>();
+
+  constructor(private readonly board: GatewayBoard) {}
+
+  /** Takes in what another instance runs. */
+  onWork(peer: InstanceId, work: PeerWork): void {
+    this.#reports.set(peer, { atMs: this.board.clock(), ...work });
+    this.#sumUp();
+  }
+
+  /** Forgets instances that live no longer. */
+  keepOnly(live: readonly InstanceId[]): void {
+    const alive = new Set(live);
+    [...this.#reports.keys()]
+      .filter(peer => !alive.has(peer))
+      .forEach(peer => this.#reports.delete(peer));
+    this.#sumUp();
+  }
+
+  /**
+   * Sums up what the others run.
+   *
+   * In a large fleet only some of them are heard of in time. Callers pick
+   * instances at random, so those few stand for all: sums are scaled up by how
+   * many there are. Left out, demand seems a fifth of what it is at sixty
+   * instances, and replicas are split and filled for that fifth.
+   */
+  #sumUp(): void {
+    const { board } = this;
+    const oldestMs = board.clock() - MAX_AGE_MS;
+    const reports = [...this.#reports.values()].filter(
+      ({ atMs }) => atMs >= oldestMs,
+    );
+    const scale = (board.instances - 1) / Math.max(1, reports.length);
+    const sums = new Map<BackendServerId, PeerUse>();
+    reports
+      .flatMap(({ uses }) => uses)
+      .forEach(({ id, inFlight, unreadTokens }) => {
+        const sum = sums.get(id) ?? NO_PEER_USE;
+        sums.set(id, {
+          inFlight: sum.inFlight + scale * inFlight,
+          unreadTokens: sum.unreadTokens + scale * unreadTokens,
+        });
+      });
+    board.demand.onPeers(
+      reports
+        .flatMap(({ demands }) => demands)
+        .map(({ route, tokensPerS, inFlight }) => ({
+          route,
+          tokensPerS: scale * tokensPerS,
+          inFlight: scale * inFlight,
+        })),
+    );
+    board.backends.forEach((load, id) => {
+      load.peers = sums.get(id) ?? NO_PEER_USE;
+    });
+  }
+}
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -12,14 +12,10 @@
 export { defaultGatewayPolicies } from './defaultGatewayPolicies.js';
 export type { GatewayBoard, GatewayBoardOptions } from './GatewayBoard.js';
 export { createGatewayBoard } from './GatewayBoard.js';
-export type {
-  GatewayPolicies,
-  Match,
-  OwnUse,
-  PeerWork,
-  PlacementDecision,
-} from './GatewayRouter.js';
+export type { GatewayPolicies, PlacementDecision } from './GatewayRouter.js';
 export { GatewayRouter } from './GatewayRouter.js';
+export type { Match } from './matchRequest.js';
+export type { OwnUse, PeerWork } from './PeerWorkBook.js';
 export { rankOf, shouldRead } from './readDuty.js';
 export { leastBusy } from './placement/least-busy.js';
 export type { PlacedCandidate } from './placement/PlacementPolicy.js';
--- /dev/null
+++ b/packages/decisions/src/gateway/matchRequest.ts
@@ -0,0 +1,69 @@
+import type {
+  ResultCodeId,
+  Route,
+  RoutedOrganisation,
+  RoutedService,
+} from '@jujubecroft/types';
+
+import type { GatewayBoard } from './GatewayBoard.js';
+import type { RoutingTable } from './RoutingTable.js';
+
+/** Who a request is for, or why it is turned away. */
+export type Match =
+  | {
+      readonly kind: 'matched';
+      readonly route: Route;
+      readonly service: RoutedService;
+      readonly organisation: RoutedOrganisation | null;
+    }
+  | { readonly kind: 'refused'; readonly code: ResultCodeId };
+
+/** Draws one of the services that a route's traffic is split among. */
+function chooseService(
+  { shares }: Route,
+  table: RoutingTable,
+  random: () => number,
+): RoutedService | undefined {
+  const total = shares.reduce((sum, { weight }) => sum + weight, 0);
+  let drawn = random() * total;
+  const share = shares.find(({ weight }) => {
+    drawn -= weight;
+    return drawn < 0;
+  });
+  const chosen = share ?? shares.at(-1);
+  return chosen && table.service(chosen.service);
+}
+
+/**
+ * Finds route, service and organisation of a request.
+ *
+ * @param board - holds the configuration in force, if any
+ * @param host - host that the caller named
+ * @param path - without query
+ * @param key - the caller's key; null where there is none
+ * @returns the match, or the code with which the request is turned away
+ */
+export function matchRequest(
+  { table, random }: GatewayBoard,
+  host: string,
+  path: string,
+  key: string | null,
+): Match {
+  if (!table) {
+    return { kind: 'refused', code: 'noRoutingKnown' };
+  }
+  const route = table.find(host, path);
+  if (!route) {
+    return { kind: 'refused', code: 'unknownRoute' };
+  }
+  const organisation = key === null ? undefined : table.organisationOf(key);
+  if (table.needsKeys && !route.isPublic && !organisation) {
+    return { kind: 'refused', code: 'unknownKey' };
+  }
+  const service = chooseService(route, table, random);
+  if (!service) {
+    return { kind: 'refused', code: 'noBackendServer' };
+  }
+  const holder = route.isPublic ? null : (organisation ?? null);
+  return { kind: 'matched', route, service, organisation: holder };
+}
