fix(events): no field may take the place of a line's own

Cause: changes of replicas were logged with a field id, which overwrote the event's, so these lines said "id":"r-2-1" and no search for replicaChanged found them. Change: the fields are named backendServer and change; reserved names no longer compile.

--- a/packages/events/src/EventLog.ts
+++ b/packages/events/src/EventLog.ts
@@ -3,12 +3,22 @@
 import type { LogEvent, LogEventId, LogLevel } from './logEvents.js';
 import { LOG_EVENTS } from './logEvents.js';
 
+/**
+ * What a line tells beside what every line has. Those names are taken: a field
+ * `id` once hid which event its line was.
+ */
+export type EventFields = Readonly<Record<string, unknown>> & {
+  readonly atMs?: never;
+  readonly event?: never;
+  readonly id?: never;
+  readonly instance?: never;
+  readonly level?: never;
+  readonly time?: never;
+};
+
 /** Writes numbered events. */
 export interface EventLog {
-  readonly write: (
-    id: LogEventId,
-    fields: Readonly<Record<string, unknown>>,
-  ) => void;
+  readonly write: (id: LogEventId, fields: EventFields) => void;
 }
 
 export const MIN_LEVEL: Readonly<Record<LogLevel, number>> = {
--- a/packages/events/src/createBoundedLog.ts
+++ b/packages/events/src/createBoundedLog.ts
@@ -1,6 +1,6 @@
 import { Logger } from 'tslog';
 
-import type { EventLog } from './EventLog.js';
+import type { EventFields, EventLog } from './EventLog.js';
 import { MIN_LEVEL } from './EventLog.js';
 import { LineWriter } from './LineWriter.js';
 import type { LogEvent, LogEventId, LogLevel } from './logEvents.js';
@@ -84,10 +84,7 @@
   });
   const counts = new Map<LogEventId, EventCount>();
 
-  const emit = (
-    id: LogEventId,
-    fields: Readonly<Record<string, unknown>>,
-  ): void => {
+  const emit = (id: LogEventId, fields: EventFields): void => {
     const event: LogEvent = LOG_EVENTS[id];
     const atMs = Math.round(clock());
     logger[event.level]({
--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -71,8 +71,9 @@
     const { router, log, connections } = this.context;
     router.syncReplicas();
     connections.keepOnly(new Set(router.board.backends.keys()));
-    changes.forEach(change => {
-      log.write('replicaChanged', { ...change, source });
+    changes.forEach(({ id, kind, rowVersion }) => {
+      const fields = { backendServer: id, change: kind, rowVersion, source };
+      log.write('replicaChanged', fields);
     });
     if (changes.some(({ kind }) => URGENT.includes(kind))) {
       this.#tell();
