--- a/packages/cli/src/commands/soakCommands.ts
+++ b/packages/cli/src/commands/soakCommands.ts
@@ -12,7 +12,8 @@
 const MAX_PRINTED = 5;
 
 function lines(result: SoakResult): readonly string[] {
-  const { seed, sent, served, refused, faults, verdicts, kept } = result;
+  const { seed, sent, served, refused, storeCalls, faults, verdicts, kept } =
+    result;
   const kinds = [...new Set(faults.map(({ kind }) => kind))].sort();
   const broken = verdicts.flatMap(({ promise, breaches }) =>
     breaches
@@ -23,7 +24,7 @@
       ),
   );
   return [
-    `seed ${seed}: ${kept ? 'kept' : 'BROKEN'}; ${sent} requests, ${served} served, ${refused} refused; ${faults.length} faults: ${kinds.join(', ')}`,
+    `seed ${seed}: ${kept ? 'kept' : 'BROKEN'}; ${sent} requests, ${served} served, ${refused} refused; ${storeCalls} calls of the store; ${faults.length} faults: ${kinds.join(', ')}`,
     ...broken,
   ];
 }
--- a/packages/soak/src/SoakGround.ts
+++ b/packages/soak/src/SoakGround.ts
@@ -32,6 +32,8 @@
   readonly port: number;
   readonly setMood: (mood: StoreMood) => void;
   readonly forgetHistory: () => void;
+  /** Calls that were made so far. */
+  readonly calls: () => number;
   /** Writes a configuration; it is acknowledged when this returns. */
   readonly configure: (cfg: SoakConfiguration) => void;
   /** Told when the entry of a replica begins to say that it leaves, or goes. */
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -52,6 +52,8 @@
   readonly sent: number;
   readonly served: number;
   readonly refused: number;
+  /** Calls of the store, heartbeats of replicas too. */
+  readonly storeCalls: number;
   readonly verdicts: readonly PromiseVerdict[];
   readonly kept: boolean;
 }
@@ -423,6 +425,7 @@
         .length,
       refused: answers.filter(({ status }) => REFUSED.includes(status ?? 0))
         .length,
+      storeCalls: fleet.store.calls(),
       verdicts,
       kept: verdicts.every(({ breaches }) => breaches.length === 0),
     };
