fix(soak): links keep bytes in order when a delay ends

Change: each direction of a connection writes in turn. The new test hangs before. Ruled out: the gateway (the order was lost before it; other replicas' answers were whole).

--- a/packages/soak/src/faults/FaultLink.ts
+++ b/packages/soak/src/faults/FaultLink.ts
@@ -1,5 +1,6 @@
 import type { Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 /** How a link treats what goes over it. */
 export type LinkMode =
@@ -121,23 +122,27 @@
   }
 
   #carry(from: Socket, to: Socket): void {
-    from.on('data', (chunk: Buffer) => {
+    // One after the other: bytes that were delayed must not be overtaken by
+    // those that come when the delay is over.
+    let before = Promise.resolve();
+    const inTurn = (step: () => void): void => {
       const ms = this.#mode.kind === 'delay' ? this.#mode.ms : 0;
-      const write = (): void => {
+      const due = ms > 0 ? sleep(ms) : null;
+      before = before.then(async () => {
+        await due;
+        step();
+      });
+    };
+    from.on('data', (chunk: Buffer) => {
+      inTurn(() => {
         if (to.writable && !to.write(chunk)) {
           from.pause();
           to.once('drain', () => from.resume());
         }
-      };
-      if (ms === 0) {
-        write();
-        return;
-      }
-      setTimeout(write, ms);
+      });
     });
     from.on('end', () => {
-      const ms = this.#mode.kind === 'delay' ? this.#mode.ms : 0;
-      setTimeout(() => to.end(), ms);
+      inTurn(() => to.end());
     });
   }
 
--- a/packages/soak/tests/faults/FaultLink.test.ts
+++ b/packages/soak/tests/faults/FaultLink.test.ts
@@ -102,6 +102,19 @@
     });
   });
 
+  it('keeps bytes in order when a delay ends', async t => {
+    await withEcho(async (link, open) => {
+      const caller = await open();
+      link.set({ kind: 'delay', ms: MOMENT_MS });
+      caller.socket.write('first ');
+      await new Promise(resolve => setTimeout(resolve, MOMENT_MS / 2));
+      link.set({ kind: 'well' });
+      caller.socket.write('second');
+      await caller.until('first second');
+      t.is(caller.text, 'first second');
+    });
+  });
+
   it('silences open connections for good while new ones work', async t => {
     await withEcho(async (link, open) => {
       const old = await open();
