feat(decisions): know loads and paces of replicas in large fleets; split by offered demand

An instance has a stream on few of the replicas and takes one slow stream's pace in with a weight that needs 13 s, so it took idle paces for granted; and it has a report of a given replica every few seconds. Change: pauses count by their length, and a route's pace stands in where a replica's own is old; the newest load that each replica told is handed on with the exchanges and counts alone where peers are a sample; refused requests count as demand when replicas are split.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -105,10 +105,14 @@
   readonly work: PeerWork;
 }
 
-function workOf({ board, ownUses }: GatewayRouter): Told {
+function workOf({ board, ownUses, heardReports }: GatewayRouter): Told {
   return {
     instance: board.instance,
-    work: { uses: ownUses, demands: board.demand.own },
+    work: {
+      uses: ownUses,
+      demands: board.demand.own,
+      reports: heardReports,
+    },
   };
 }
 
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -11,6 +11,7 @@
 import type { Clock } from '../blackboard/Blackboard.js';
 import { PromptMemory } from './PromptMemory.js';
 import { ReplicaHealth } from './ReplicaHealth.js';
+import { PRIOR_PACE_MS, withPause } from './RoutePaces.js';
 
 /** What decisions need to know of one caller's request. */
 export interface GatewayRequest {
@@ -67,10 +68,10 @@
   readonly slots: number;
 }
 
-/** A load report with what this instance had there at the time. */
-interface TimedReport {
+/** A load report with the time at which the replica told it, on the local clock. */
+export interface TimedReport {
+  /** Requests that run or wait at the replica, of all instances. */
   readonly total: number;
-  readonly ownInFlight: number;
   readonly atMs: number;
 }
 
@@ -78,10 +79,8 @@
 const REPORT_MAX_AGE_MS = 1000;
 /** Weight of the newest sample of a replica's slowness. */
 const SLOWNESS_WEIGHT = 0.15;
-/** Weight of the newest pause in the pace of a replica's streams. */
-const PACE_WEIGHT = 0.03;
-/** Pause between pieces assumed before any came, in milliseconds. */
-const PRIOR_PACE_MS = 30;
+/** Time in which what was seen of a replica's pace loses two thirds of its weight. */
+const PACE_MEMORY_MS = 1500;
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 8;
 /** Cache size assumed where the configuration doesn't tell one, in tokens. */
@@ -96,14 +95,13 @@
   readonly hash: number;
   replica: Replica;
   peers: PeerUse = NO_PEER_USE;
+  /** Whether that is scaled up from a few instances that were heard of. */
+  peersAreSample = false;
   /** Took against predicted time, smoothed; 1 is usual for the service. */
   slowness = 1;
-  /**
-   * Pause between pieces of a stream, smoothed, in milliseconds. It grows many
-   * times over while a replica reads prompts without a break.
-   */
-  paceMs = PRIOR_PACE_MS;
   lastByteMs = -Infinity;
+  #paceMs = PRIOR_PACE_MS;
+  #paceAtMs = -Infinity;
   #report: TimedReport | null = null;
 
   constructor(
@@ -129,18 +127,35 @@
    *
    * Guards against crowding a replica whose other users this instance doesn't
    * hear of, as when instances are cut off from each other: the replica's own
-   * report counts them all, though it is only as fresh as the last answer.
+   * report counts them all, though it is only as fresh as the last answer that
+   * any instance got there. Where peers are a sample, the report alone counts: a
+   * few instances scaled up say little of one replica.
    */
   get totalInFlight(): number {
-    return this.inFlight + Math.max(this.peers.inFlight, this.#reportedOthers);
+    const report = this.freshReport;
+    if (!report) {
+      return this.inFlight + this.peers.inFlight;
+    }
+    const reported = this.#reportedOthers(report);
+    const others = this.peersAreSample
+      ? reported
+      : Math.max(this.peers.inFlight, reported);
+    return this.inFlight + others;
+  }
+
+  #reportedOthers(report: TimedReport): number {
+    const ownThen = [...this.attempts].filter(
+      ({ sentMs }) => sentMs <= report.atMs,
+    );
+    return Math.max(0, report.total - ownThen.length);
   }
 
-  get #reportedOthers(): number {
+  /** The newest report, for other instances; null once it says nothing more. */
+  get freshReport(): TimedReport | null {
     const report = this.#report;
-    if (!report || this.clock() - report.atMs > REPORT_MAX_AGE_MS) {
-      return 0;
-    }
-    return Math.max(0, report.total - report.ownInFlight);
+    const isFresh =
+      report !== null && this.clock() - report.atMs <= REPORT_MAX_AGE_MS;
+    return isFresh ? report : null;
   }
 
   /** Prompt tokens that this instance sent and that are not read yet. */
@@ -157,11 +172,14 @@
 
   /** Takes in the load that the replica told with an answer. */
   onReported({ running, waiting }: ReportedLoad): void {
-    this.#report = {
-      total: running + waiting,
-      ownInFlight: this.inFlight,
-      atMs: this.clock(),
-    };
+    this.#report = { total: running + waiting, atMs: this.clock() };
+  }
+
+  /** Takes in what the replica told another instance, if that is newer. */
+  onPeerReport(report: TimedReport): void {
+    if (report.atMs > (this.#report?.atMs ?? -Infinity)) {
+      this.#report = report;
+    }
   }
 
   /** Notes the first byte of an attempt, for those that were sent before it. */
@@ -180,7 +198,20 @@
 
   /** Takes in the time between two pieces of one stream. */
   onPause(pauseMs: number): void {
-    this.paceMs += PACE_WEIGHT * (pauseMs - this.paceMs);
+    this.#paceMs = withPause(this.#paceMs, pauseMs);
+    this.#paceAtMs = this.clock();
+  }
+
+  /**
+   * Pause between pieces of a stream here, in milliseconds. It grows many times
+   * over while a replica reads prompts without a break.
+   *
+   * @param elsewhereMs - the same on other replicas, for want of fresh news
+   */
+  paceMs(elsewhereMs: number): number {
+    const ageMs = this.clock() - this.#paceAtMs;
+    const weight = Math.exp(-ageMs / PACE_MEMORY_MS);
+    return elsewhereMs + weight * (this.#paceMs - elsewhereMs);
   }
 
   /** Takes in how long something took against what was predicted. */
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -14,6 +14,7 @@
 import type { RetryBudgetRules } from './RetryBudget.js';
 import { RetryBudget } from './RetryBudget.js';
 import { DemandBook } from './RouteDemand.js';
+import { RoutePaces } from './RoutePaces.js';
 import type { RoutingTable } from './RoutingTable.js';
 
 /** What is fixed for one instance of the gateway. */
@@ -41,6 +42,7 @@
   readonly budget: RetryBudget;
   readonly demand: DemandBook;
   readonly lengths: AnswerLengths;
+  readonly paces: RoutePaces;
   readonly retryGain: RetryGain;
   readonly replicas: ReplicaRegistry;
   /** Replicas that are used or still have attempts. */
@@ -73,6 +75,7 @@
     budget: new RetryBudget(retryBudget, clock),
     demand: new DemandBook(clock),
     lengths: new AnswerLengths(),
+    paces: new RoutePaces(),
     retryGain: new RetryGain(),
     replicas: new ReplicaRegistry(clock),
     backends: new Map(),
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -21,7 +21,7 @@
 import { candidatesOf, learningOf } from './GatewayBoard.js';
 import type { Match } from './matchRequest.js';
 import { matchRequest } from './matchRequest.js';
-import type { OwnUse, PeerWork } from './PeerWorkBook.js';
+import type { HeardReport, OwnUse, PeerWork } from './PeerWorkBook.js';
 import { PeerWorkBook } from './PeerWorkBook.js';
 import type {
   PlacedCandidate,
@@ -182,6 +182,9 @@
     // A request that runs already is not turned away half-way.
     const verdict = tried.size > 0 ? null : admit(request, best);
     if (verdict && !verdict.admit) {
+      if (isPrompt) {
+        this.board.demand.onRefused(request.route.id, best.unreadTokens);
+      }
       return {
         kind: 'refuse',
         code: 'overloaded',
@@ -236,7 +239,9 @@
     const nowMs = this.board.clock();
     attempt.load.lastByteMs = nowMs;
     if (attempt.lastByteMs !== null) {
-      attempt.load.onPause(nowMs - attempt.lastByteMs);
+      const pauseMs = nowMs - attempt.lastByteMs;
+      attempt.load.onPause(pauseMs);
+      this.board.paces.onPause(attempt.request.route.id, pauseMs);
     }
     attempt.lastByteMs = nowMs;
     attempt.pieces += 1;
@@ -323,7 +328,25 @@
       }));
   }
 
-  /** Takes in what another instance runs. */
+  /**
+   * The newest loads that replicas told, for the others.
+   *
+   * In a large fleet an instance has an answer from a given replica every few
+   * seconds; all of them together have one several times a second. Handed on,
+   * everybody knows how full each replica is within a second.
+   */
+  get heardReports(): readonly HeardReport[] {
+    const nowMs = this.board.clock();
+    return [...this.board.backends.values()].flatMap(load => {
+      const report = load.freshReport;
+      const { id } = load.replica;
+      return report
+        ? [{ id, total: report.total, ageMs: nowMs - report.atMs }]
+        : [];
+    });
+  }
+
+  /** Takes in what another instance runs and has heard. */
   onPeerWork(peer: InstanceId, work: PeerWork): void {
     this.#peerWork.onWork(peer, work);
   }
--- a/packages/decisions/src/gateway/PeerWorkBook.ts
+++ b/packages/decisions/src/gateway/PeerWorkBook.ts
@@ -10,8 +10,17 @@
   readonly id: BackendServerId;
 }
 
+/** Load that a replica told, as one instance hands it on. */
+export interface HeardReport {
+  readonly id: BackendServerId;
+  readonly total: number;
+  readonly ageMs: number;
+}
+
 /** What another instance told of its work. */
 export interface PeerWork {
+  /** The newest report of each replica that it knows of, its own or another's. */
+  readonly reports: readonly HeardReport[];
   readonly uses: readonly OwnUse[];
   readonly demands: readonly RouteDemand[];
 }
@@ -23,14 +32,21 @@
 /** What other instances told counts no longer than this without news. */
 const MAX_AGE_MS = 1500;
 
+/** Factor up to which the instances that were heard of are nearly all. */
+const MAX_WHOLE_SCALE = 1.5;
+
 /** Keeps what other instances run, and puts the sums on the blackboard. */
 export class PeerWorkBook {
   readonly #reports = new Map<InstanceId, PeerReport>();
 
   constructor(private readonly board: GatewayBoard) {}
 
-  /** Takes in what another instance runs. */
+  /** Takes in what another instance runs and has heard. */
   onWork(peer: InstanceId, work: PeerWork): void {
+    work.reports.forEach(({ id, total, ageMs }) => {
+      const atMs = this.board.clock() - ageMs;
+      this.board.backends.get(id)?.onPeerReport({ total, atMs });
+    });
     this.#reports.set(peer, { atMs: this.board.clock(), ...work });
     this.#sumUp();
   }
@@ -80,6 +96,7 @@
     );
     board.backends.forEach((load, id) => {
       load.peers = sums.get(id) ?? NO_PEER_USE;
+      load.peersAreSample = scale > MAX_WHOLE_SCALE;
     });
   }
 }
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -15,7 +15,7 @@
 export type { GatewayPolicies, PlacementDecision } from './GatewayRouter.js';
 export { GatewayRouter } from './GatewayRouter.js';
 export type { Match } from './matchRequest.js';
-export type { OwnUse, PeerWork } from './PeerWorkBook.js';
+export type { HeardReport, OwnUse, PeerWork } from './PeerWorkBook.js';
 export { rankOf, shouldRead } from './readDuty.js';
 export { leastBusy } from './placement/least-busy.js';
 export type { PlacedCandidate } from './placement/PlacementPolicy.js';
--- a/packages/decisions/tests/gateway/GatewayRouter.test.ts
+++ b/packages/decisions/tests/gateway/GatewayRouter.test.ts
@@ -274,6 +274,7 @@
           },
         ],
         demands: [{ route: CALL.id, tokensPerS: 10, inFlight: 1 }],
+        reports: [],
       });
     });
     const load = board.backends.get(brand<BackendServerId>('p-1'));
@@ -281,6 +282,27 @@
     t.is(Math.round(board.demand.total([CALL.id]).tokensPerS), 600);
   });
 
+  // One instance of sixty sends requests to a replica whose queue others have
+  // filled: it has not had an answer there for seconds. What the replica told
+  // any of them must count, and an old word must not replace a newer one.
+  it('knows how full a replica is from what it told others', t => {
+    const { router, board } = gatewayFixture([CALL], PLAINS);
+    const id = brand<BackendServerId>('p-1');
+    const told = (total: number, ageMs: number): void => {
+      router.onPeerWork(brand<InstanceId>('e-1'), {
+        uses: [],
+        demands: [],
+        reports: [{ id, total, ageMs }],
+      });
+    };
+    told(9, 200);
+    told(2, 700);
+    t.is(board.backends.get(id)?.totalInFlight, 9);
+    t.deepEqual(router.heardReports, [{ id, total: 9, ageMs: 200 }]);
+    told(4, 100);
+    t.is(board.backends.get(id)?.totalInFlight, 4);
+  });
+
   it('lets a few read, and all others once their view is old', t => {
     // The instances that read die or lose the store; the others must notice
     // before a change is due everywhere.
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -20,6 +20,7 @@
   fromReplicaFields,
   fromWork,
   toReplicaFields,
+  toReports,
   toUses,
 } from './gatewayState.js';
 import { PeerClients } from './PeerClients.js';
@@ -224,6 +225,7 @@
       configurationAgeMs: finite(nowMs - board.configurationAsOfMs),
       uses: toUses(router.ownUses),
       demands: [...board.demand.own],
+      reports: toReports(router.heardReports),
       configurationJson: isAhead ? JSON.stringify(board.table?.cfg) : '',
       ...toReplicaFields(changes, nowMs),
       replicasChangedAt: board.replicas.changedAt,
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -1,4 +1,5 @@
 import type {
+  HeardReport,
   OwnUse,
   PeerWork,
   ReplicaChanges,
@@ -111,9 +112,29 @@
   }));
 }
 
-/** @returns what another instance runs */
-export function fromWork({ uses, demands }: proto.GatewayState): PeerWork {
+/** @returns the message fields of what replicas told */
+export function toReports(
+  reports: readonly HeardReport[],
+): proto.BackendReport[] {
+  return reports.map(({ id, total, ageMs }) => ({
+    backendServer: id,
+    total,
+    ageMs,
+  }));
+}
+
+/** @returns what another instance runs and has heard */
+export function fromWork({
+  uses,
+  demands,
+  reports,
+}: proto.GatewayState): PeerWork {
   return {
+    reports: reports.map(({ backendServer, total, ageMs }) => ({
+      id: brand<BackendServerId>(backendServer),
+      total,
+      ageMs,
+    })),
     uses: uses.map(({ backendServer, inFlight, unreadTokens }) => ({
       id: brand<BackendServerId>(backendServer),
       inFlight,
