--- a/packages/cli/src/commands/soakCommands.ts
+++ b/packages/cli/src/commands/soakCommands.ts
@@ -68,7 +68,7 @@
 
   async execute(): Promise<number> {
     const { FAULT_KINDS, runSoak } = await import('@jujubecroft/soak');
-    const { soakGround } = await import('@jujubecroft/platform/stand-in');
+    const { soakEnvironment } = await import('@jujubecroft/platform/stand-in');
     const named = this.kinds?.split(',') ?? [];
     const unknown = named.filter(
       name => !FAULT_KINDS.some(kind => kind === name),
@@ -81,7 +81,7 @@
     let kept = true;
     for (let run = 0; run < this.runs; run += 1) {
       const seed = this.seed + run;
-      const result = await runSoak(soakGround, {
+      const result = await runSoak(soakEnvironment, {
         seed,
         seconds: this.seconds,
         processes: this.processes,
--- a/packages/soak/src/SoakGround.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -1,10 +1,10 @@
 import type { SoakBounds, SoakKind } from './evidence.js';
 
 /** How the store misbehaves towards everybody. */
-export type StoreMood = 'away' | 'losesReplies' | 'slow' | 'well';
+export type StoreFault = 'away' | 'losesReplies' | 'slow' | 'well';
 
 /** How a replica misbehaves. */
-export type ReplicaMood =
+export type ReplicaFault =
   'garbles' | 'grey' | 'losesAnswers' | 'truncates' | 'well';
 
 /** A route that the operator declares for the soak. */
@@ -30,7 +30,7 @@
 export interface SoakStore {
   readonly host: string;
   readonly port: number;
-  readonly setMood: (mood: StoreMood) => void;
+  readonly setFault: (fault: StoreFault) => void;
   readonly forgetHistory: () => void;
   /** Calls that were made so far. */
   readonly calls: () => number;
@@ -102,7 +102,7 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
-/** How replicas speak on the ground. */
+/** How replicas speak in the environment. */
 export interface SoakReplicaDialect {
   readonly readHead: (headers: Headers) => SoakRequestHead;
   readonly answerHeaders: (
@@ -123,10 +123,10 @@
 /**
  * The surroundings in which the soak runs the programs.
  *
- * The soak knows promises and faults; the ground knows how the surroundings
+ * The soak knows promises and faults; the environment knows how the surroundings
  * spell things.
  */
-export interface SoakGround {
+export interface SoakEnvironment {
   readonly startStore: () => Promise<SoakStore>;
   /** Content of a gateway's settings file; `note` changes nothing that matters. */
   readonly settingsOf: (
--- a/packages/soak/src/SoakFleet.ts
+++ b/packages/soak/src/SoakFleet.ts
@@ -6,10 +6,10 @@
 import type { ReplicaNote, SoakBounds } from './evidence.js';
 import type {
   SoakGatewayPorts,
-  SoakGround,
+  SoakEnvironment,
   SoakReplicaPlace,
   SoakStore,
-} from './SoakGround.js';
+} from './SoakEnvironment.js';
 
 /** How many processes of each kind, and where. */
 export interface SoakSize {
@@ -61,20 +61,20 @@
 
   private constructor(
     readonly store: SoakStore,
-    private readonly ground: SoakGround,
+    private readonly environment: SoakEnvironment,
     private readonly size: SoakSize,
     private readonly bounds: SoakBounds,
   ) {}
 
   static async start(
-    ground: SoakGround,
+    environment: SoakEnvironment,
     size: SoakSize,
     bounds: SoakBounds,
   ): Promise<SoakFleet> {
     mkdirSync(size.folder, { recursive: true });
     const fleet = new SoakFleet(
-      await ground.startStore(),
-      ground,
+      await environment.startStore(),
+      environment,
       size,
       bounds,
     );
@@ -100,8 +100,8 @@
   urlOf({ host }: SoakGateway, what: 'directory' | 'readiness'): string {
     const path_ =
       what === 'directory'
-        ? this.ground.addressesPath
-        : this.ground.readinessPath;
+        ? this.environment.addressesPath
+        : this.environment.readinessPath;
     return `http://${host}:${PORTS[what]}${path_}`;
   }
 
@@ -142,19 +142,19 @@
     const notesFile = this.#file(`replica-${index}.notes`);
     writeFileSync(notesFile, '');
     this.#noteFiles = [...this.#noteFiles, notesFile];
-    const nameOf = (life: number): string => `r-${index}-${life}`;
-    const program = new SoakProcess(life => {
+    const nameOf = (incarnation: number): string => `r-${index}-${incarnation}`;
+    const program = new SoakProcess(incarnation => {
       const place: SoakReplicaPlace = {
-        replica: nameOf(life),
+        replica: nameOf(incarnation),
         // Addresses are used again by replicas of other services.
-        service: SERVICES[(index + life) % SERVICES.length] ?? '',
+        service: SERVICES[(index + incarnation) % SERVICES.length] ?? '',
         host,
         port,
         entryAddress: `${STORE_HOST}:${linkPort}`,
         storeUrl: `http://${this.store.host}:${this.store.port}`,
         failureDomain: `domain-${index % DOMAINS}`,
         notesFile,
-        seed: this.size.seed + 31 * index + life,
+        seed: this.size.seed + 31 * index + incarnation,
       };
       const file = this.#file(`replica-${index}.json`);
       writeFileSync(file, JSON.stringify(place));
@@ -167,7 +167,7 @@
       index,
       program,
       link,
-      replica: () => nameOf(program.life),
+      replica: () => nameOf(program.incarnation),
     });
     program.start();
   }
@@ -186,7 +186,7 @@
       note += 1;
       writeFileSync(
         file,
-        this.ground.settingsOf(
+        this.environment.settingsOf(
           {
             index,
             host,
--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -2,18 +2,18 @@
 
 import type { WorkOrder } from '../answers.js';
 import type { SeenAnswer, SentRequest, SoakKind } from '../evidence.js';
-import type { SoakGround } from '../SoakGround.js';
+import type { SoakEnvironment } from '../SoakEnvironment.js';
 
 /** A gateway as a caller finds it. */
 export interface SoakEntry {
   readonly address: string;
   readonly gateway: number;
-  readonly life: number;
+  readonly incarnation: number;
 }
 
 /** What callers share. */
 export interface CallerWorld {
-  readonly ground: SoakGround;
+  readonly environment: SoakEnvironment;
   readonly random: () => number;
   /** Chooses a gateway, as the newest answer of addresses says; null where there is none. */
   readonly chooseEntry: () => SoakEntry | null;
@@ -137,7 +137,7 @@
       id: nextId(),
       kind,
       gateway: entry.gateway,
-      life: entry.life,
+      incarnation: entry.incarnation,
       sentMs: soakNow(),
       timeLimitMs: Math.round(MIN_LIMIT_MS + LIMIT_SPAN_MS * random()),
       target: `/${kind}/x?n=${Math.floor(1000 * random())}`,
@@ -170,7 +170,7 @@
  */
 export async function exchange(
   client: Client,
-  world: Pick<CallerWorld, 'ground' | 'keyOf' | 'onSent'>,
+  world: Pick<CallerWorld, 'environment' | 'keyOf' | 'onSent'>,
   request: SentRequest,
   leaveMs: number,
 ): Promise<Exchanged> {
@@ -190,7 +190,7 @@
     const res = await client.request({
       path: request.target,
       method: request.body === '' ? 'GET' : 'POST',
-      headers: world.ground.callerHeaders({
+      headers: world.environment.callerHeaders({
         id: request.id,
         host: CALLER_HOST,
         key: world.keyOf(request.organisation),
@@ -200,7 +200,7 @@
       signal: abort.signal,
     });
     status = res.statusCode;
-    mark = world.ground.readMark(res.headers);
+    mark = world.environment.readMark(res.headers);
     for await (const chunk of res.body as AsyncIterable<Buffer>) {
       text += chunk.toString('utf8');
     }
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -16,7 +16,7 @@
   /** Gateway that the caller was connected to. */
   readonly gateway: number;
   /** Run of that gateway's process. */
-  readonly life: number;
+  readonly incarnation: number;
   readonly sentMs: number;
   readonly timeLimitMs: number;
   readonly target: string;
--- a/packages/soak/src/faults/FaultHands.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -4,7 +4,7 @@
 import { soakNow } from '../callers/SoakCaller.js';
 import type { DoneFault, FaultTarget, SoakBounds } from '../evidence.js';
 import type { SoakFleet, SoakGateway, SoakReplicaSlot } from '../SoakFleet.js';
-import type { ReplicaMood, StoreMood } from '../SoakGround.js';
+import type { ReplicaFault, StoreFault } from '../SoakEnvironment.js';
 import type { FaultLink, LinkMode } from './FaultLink.js';
 import type { FaultKind, PlannedFault } from './planFaults.js';
 
@@ -20,7 +20,7 @@
   readonly burst: (forMs: number) => void;
 }
 
-type Hand = (fault: PlannedFault, world: FaultWorld) => Promise<void>;
+type Injector = (fault: PlannedFault, world: FaultWorld) => Promise<void>;
 
 /** Pause before a process that ended is started again. */
 const RESTART_MS = 250;
@@ -78,7 +78,7 @@
 function onLink(
   linkOf: (world: FaultWorld, fault: PlannedFault) => FaultLink,
   modeOf: (fault: PlannedFault) => LinkMode,
-): Hand {
+): Injector {
   return async (fault, world) => {
     const link = linkOf(world, fault);
     link.set(modeOf(fault));
@@ -105,24 +105,24 @@
   ms: Math.round(MAX_DELAY_MS * strength),
 });
 
-function storeMood(mood: StoreMood): Hand {
+function storeFault(kind: StoreFault): Injector {
   return async ({ forMs }, { fleet }) => {
-    fleet.store.setMood(mood);
+    fleet.store.setFault(kind);
     await sleep(forMs);
-    fleet.store.setMood('well');
+    fleet.store.setFault('well');
   };
 }
 
-function replicaMood(mood: ReplicaMood): Hand {
+function replicaFault(kind: ReplicaFault): Injector {
   return async (fault, world) => {
     const { program } = replicaOf(world, fault);
-    program.tell({ order: 'mood', mood });
+    program.tell({ order: 'fault', fault: kind });
     await sleep(fault.forMs);
-    program.tell({ order: 'mood', mood: 'well' });
+    program.tell({ order: 'fault', fault: 'well' });
   };
 }
 
-const HANDS: Readonly<Record<FaultKind, Hand>> = {
+const INJECTORS: Readonly<Record<FaultKind, Injector>> = {
   burst: ({ forMs }, world) => {
     world.burst(forMs);
     return sleep(forMs);
@@ -203,8 +203,8 @@
       await sleep(fault.forMs / 3);
     }
   },
-  'replica-garbles': replicaMood('garbles'),
-  'replica-grey': replicaMood('grey'),
+  'replica-garbles': replicaFault('garbles'),
+  'replica-grey': replicaFault('grey'),
   'replica-kill': async (fault, world) => {
     const { program } = replicaOf(world, fault);
     await program.kill();
@@ -220,15 +220,15 @@
     replicaLinkOf(world, fault).silenceAll();
     return Promise.resolve();
   },
-  'replica-loses-answers': replicaMood('losesAnswers'),
+  'replica-loses-answers': replicaFault('losesAnswers'),
   'replica-pause': async (fault, world) => {
     const { program } = replicaOf(world, fault);
     program.pause();
     await sleep(fault.forMs);
     program.resume();
   },
-  'replica-truncates': replicaMood('truncates'),
-  'store-away': storeMood('away'),
+  'replica-truncates': replicaFault('truncates'),
+  'store-away': storeFault('away'),
   'store-forgets': (_, { fleet }) => {
     fleet.store.forgetHistory();
     return Promise.resolve();
@@ -242,8 +242,8 @@
     storeLinkOf(world, fault).silenceAll();
     return Promise.resolve();
   },
-  'store-loses-replies': storeMood('losesReplies'),
-  'store-slow': storeMood('slow'),
+  'store-loses-replies': storeFault('losesReplies'),
+  'store-slow': storeFault('slow'),
 };
 
 /** Changes that operators make on purpose and that must disturb nobody. */
@@ -285,7 +285,7 @@
  * @param world - to whom
  * @param onDone - gets the fault as done, at its start; its end is filled in later
  */
-export async function doFault(
+export async function injectFault(
   fault: PlannedFault,
   world: FaultWorld,
   onDone: (done: DoneFault) => void,
@@ -298,6 +298,6 @@
     planned: PLANNED.includes(fault.kind),
   };
   onDone(done);
-  await HANDS[fault.kind](fault, world);
+  await INJECTORS[fault.kind](fault, world);
   done.toMs = soakNow();
 }
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -5,4 +5,4 @@
 export { runSoakReplica } from './processes/runSoakReplica.js';
 export type { PromiseVerdict, SoakOptions, SoakResult } from './runSoak.js';
 export { runSoak } from './runSoak.js';
-export type * from './SoakGround.js';
+export type * from './SoakEnvironment.js';
--- a/packages/soak/src/processes/SoakProcess.ts
+++ b/packages/soak/src/processes/SoakProcess.ts
@@ -22,16 +22,20 @@
 export class SoakProcess {
   #child: ChildProcess | null = null;
   #paused = false;
-  #life = 0;
+  #incarnation = 0;
 
+  /**
+   * @param startOf - how a run of the program is started, by its number
+   * @param onExit - told of each end
+   */
   constructor(
-    private readonly start_: (life: number) => ProgramStart,
+    private readonly startOf: (incarnation: number) => ProgramStart,
     private readonly onExit: (code: number | null) => void = () => undefined,
   ) {}
 
   /** Number of the present run, 1 for the first. */
-  get life(): number {
-    return this.#life;
+  get incarnation(): number {
+    return this.#incarnation;
   }
 
   get isUp(): boolean {
@@ -43,12 +47,13 @@
     return this.#child?.pid;
   }
 
+  /** Starts the program unless it runs. */
   start(): void {
     if (this.#child) {
       return;
     }
-    this.#life += 1;
-    const { args, outFile } = this.start_(this.#life);
+    this.#incarnation += 1;
+    const { args, outFile } = this.startOf(this.#incarnation);
     const out = openSync(outFile, 'a');
     const child = spawn(process.execPath, [...ownCommand(), ...args], {
       stdio: ['ignore', out, out, 'ipc'],
@@ -64,6 +69,7 @@
     });
   }
 
+  /** Sends a signal to the present run, if there is one. */
   signal(name: 'SIGHUP' | 'SIGTERM'): void {
     this.#child?.kill(name);
   }
@@ -75,6 +81,7 @@
     }
   }
 
+  /** Suspends the process until it is resumed. */
   pause(): void {
     if (this.#child && !this.#paused) {
       this.#paused = true;
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -6,11 +6,11 @@
 import { eventText, plainBody } from '../answers.js';
 import type { ReplicaNote } from '../evidence.js';
 import type {
-  ReplicaMood,
+  ReplicaFault,
   SoakReplicaDialect,
   SoakReplicaPlace,
   SoakRequestHead,
-} from '../SoakGround.js';
+} from '../SoakEnvironment.js';
 import { workOf } from '../workOf.js';
 
 /** Told to a replica process by the soak. */
@@ -20,13 +20,13 @@
       readonly announces: boolean;
       readonly forMs: number;
     }
-  | { readonly order: 'mood'; readonly mood: ReplicaMood };
+  | { readonly order: 'fault'; readonly fault: ReplicaFault };
 
 const SLOTS = 12;
 /** Requests that may wait for a slot; more are turned away. */
 const QUEUE = 24;
 const HEARTBEAT_MS = 400;
-/** Share of the requests that a bad mood concerns. */
+/** Share of the requests that a bad fault concerns. */
 const BAD_SHARE = 0.5;
 const OK = 200;
 const MISDIRECTED = 421;
@@ -46,7 +46,7 @@
   readonly #notes: number;
   readonly #random: () => number;
   readonly #queue: (() => void)[] = [];
-  #mood: ReplicaMood = 'well';
+  #fault: ReplicaFault = 'well';
   #running = 0;
   #leaving = false;
   #sequence = 0;
@@ -80,8 +80,8 @@
   }
 
   #obey(order: ReplicaOrder): void {
-    if (order.order === 'mood') {
-      this.#mood = order.mood;
+    if (order.order === 'fault') {
+      this.#fault = order.fault;
       return;
     }
     this.#leaving = true;
@@ -183,7 +183,7 @@
     const work = workOf(body);
     const id = head.id ?? '';
     const mark = `${this.place.replica}/${id}`;
-    const isBad = this.#mood !== 'well' && this.#random() < BAD_SHARE;
+    const isBad = this.#fault !== 'well' && this.#random() < BAD_SHARE;
     await this.#pause(work.workMs, res);
     const load = {
       running: this.#running,
@@ -225,7 +225,7 @@
 
   /** Answers wrongly; returns whether it did. */
   #misbehave(headers: Record<string, string>, res: ServerResponse): boolean {
-    switch (this.#mood) {
+    switch (this.#fault) {
       case 'grey':
         res.writeHead(FAILED, headers);
         res.end('failed');
@@ -264,7 +264,7 @@
  * Runs one replica until its process ends.
  *
  * @param place - who it is and where
- * @param dialect - how replicas speak on this ground
+ * @param dialect - how replicas speak in this environment
  */
 export function runSoakReplica(
   place: SoakReplicaPlace,
--- a/packages/soak/src/promises/configuration-in-force.ts
+++ b/packages/soak/src/promises/configuration-in-force.ts
@@ -53,7 +53,7 @@
         probe.version !== null &&
         probe.version >= (late.version ?? Infinity) &&
         probe.gateway === late.gateway &&
-        probe.life === late.life &&
+        probe.incarnation === late.incarnation &&
         answers.get(probe.id)?.status === 200 &&
         (answers.get(probe.id)?.endedMs ?? Infinity) < late.sentMs,
     );
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -13,14 +13,18 @@
   SentRequest,
   SoakBounds,
 } from './evidence.js';
-import type { FaultWorld } from './faults/FaultHands.js';
-import { doFault } from './faults/FaultHands.js';
+import type { FaultWorld } from './faults/injectFault.js';
+import { injectFault } from './faults/injectFault.js';
 import type { FaultKind, PlannedFault } from './faults/planFaults.js';
 import { CALM_MS, planFaults } from './faults/planFaults.js';
 import { ALL_PROMISES } from './promises/allPromises.js';
 import { EvidenceIndex } from './promises/EvidenceIndex.js';
 import type { Breach } from './promises/SoakPromise.js';
-import type { SoakConfiguration, SoakGround, SoakRoute } from './SoakGround.js';
+import type {
+  SoakConfiguration,
+  SoakEnvironment,
+  SoakRoute,
+} from './SoakEnvironment.js';
 import type { SoakGateway } from './SoakFleet.js';
 import { SERVICES, SoakFleet } from './SoakFleet.js';
 
@@ -141,7 +145,7 @@
 
   constructor(
     private readonly fleet: SoakFleet,
-    private readonly ground: SoakGround,
+    private readonly environment: SoakEnvironment,
     private readonly options: SoakOptions,
   ) {
     this.#random = createRandom(options.seed ^ 0x5eed);
@@ -158,7 +162,7 @@
     const world = this.#faultWorld();
     const faults = plan.map(async fault => {
       await sleep(fault.atMs);
-      await doFault(fault, world, done => this.#faults.push(done));
+      await injectFault(fault, world, done => this.#faults.push(done));
     });
     await Promise.all(faults);
     // What the last faults began, as a slow stop, may last a little longer.
@@ -255,7 +259,7 @@
     const addresses = await request(this.fleet.urlOf(asked, 'directory'), {
       signal: AbortSignal.timeout(1000),
     }).then(
-      async res => this.ground.readAddresses(await res.body.text()),
+      async res => this.environment.readAddresses(await res.body.text()),
       (): readonly string[] => [],
     );
     // Callers keep what they know when they get no answer.
@@ -307,7 +311,7 @@
         id: this.#nextId(),
         kind: 'probe',
         gateway: gateway.index,
-        life: gateway.program.life,
+        incarnation: gateway.program.incarnation,
         sentMs: soakNow(),
         timeLimitMs: PROBE_LIMIT_MS,
         target: `/v${newest.version}/probe`,
@@ -328,7 +332,7 @@
 
   #callerWorld(): CallerWorld {
     return {
-      ground: this.ground,
+      environment: this.environment,
       random: this.#random,
       chooseEntry: () => this.#chooseEntry(),
       isListed: address => this.#addresses.includes(address),
@@ -346,7 +350,11 @@
     const gateway =
       address === undefined ? undefined : this.fleet.gatewayAt(address);
     return address !== undefined && gateway
-      ? { address, gateway: gateway.index, life: gateway.program.life }
+      ? {
+          address,
+          gateway: gateway.index,
+          incarnation: gateway.program.incarnation,
+        }
       : null;
   }
 
@@ -393,13 +401,13 @@
  * Runs the programs as processes, injects the faults of a seed and checks what
  * callers and replicas saw.
  *
- * @param ground - the surroundings
+ * @param environment - the surroundings
  * @param options - of this run
  * @returns the verdicts of all promises
  * @throws Error when the programs do not come up
  */
 export async function runSoak(
-  ground: SoakGround,
+  environment: SoakEnvironment,
   options: SoakOptions,
 ): Promise<SoakResult> {
   const gateways = Math.max(2, Math.floor(options.processes / 2));
@@ -410,9 +418,9 @@
     network: networkOf(),
     seed: options.seed,
   };
-  const fleet = await SoakFleet.start(ground, size, BOUNDS);
+  const fleet = await SoakFleet.start(environment, size, BOUNDS);
   try {
-    const soak = new Soak(fleet, ground, options);
+    const soak = new Soak(fleet, environment, options);
     const plan = planFaults(options.seed, options.seconds, options.kinds);
     const evidence = await soak.run(plan);
     const verdicts = verdictsOf(evidence, options.untimed);
--- a/packages/soak/tests/promises/evidenceFixture.ts
+++ b/packages/soak/tests/promises/evidenceFixture.ts
@@ -45,7 +45,7 @@
     id,
     kind,
     gateway: 0,
-    life: 1,
+    incarnation: 1,
     sentMs: SENT_MS,
     timeLimitMs: 4000,
     target: `/${kind}/x`,
