fix(gateway): open no channel to a peer after the stop

Cause: a call that ends with the closing of the channels is tried again at once since exchanges that fail are, and its new channel would keep the process alive until it is killed.

--- a/packages/gateway/src/state/PeerClients.ts
+++ b/packages/gateway/src/state/PeerClients.ts
@@ -1,4 +1,4 @@
-import { credentials, Metadata } from '@grpc/grpc-js';
+import { credentials, Metadata, status } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
 import { GatewayPeerClient, unary } from '@jujubecroft/operator';
 
@@ -11,12 +11,15 @@
 /** gRPC channels to other instances, opened at first use. */
 export class PeerClients {
   readonly #clients = new Map<string, GatewayPeerClient>();
+  #closed = false;
 
   /**
    * Exchanges states with another instance.
    *
    * Guards against channels that fall silent while new ones work: it shows as a
    * timeout, after which the channel is dropped and the next call opens another.
+   * Once closed nothing is opened any more: calls that end with the closing are
+   * tried again, and a channel of theirs would keep the process from ending.
    *
    * @param address - host and port of the other
    * @param state - what this instance says
@@ -27,6 +30,9 @@
     address: string,
     state: proto.GatewayState,
   ): Promise<proto.GatewayState> {
+    if (this.#closed) {
+      throw Object.assign(new Error('closed'), { code: status.CANCELLED });
+    }
     const client = this.#of(address);
     try {
       return await unary(
@@ -50,7 +56,9 @@
       });
   }
 
+  /** Closes all channels for good. */
   close(): void {
+    this.#closed = true;
     this.keepOnly(new Set());
   }
 
