--- a/packages/bench/src/gateway/gateway-burst.ts
+++ b/packages/bench/src/gateway/gateway-burst.ts
@@ -4,10 +4,16 @@
   leastBusy,
 } from '@jujubecroft/decisions';
 
-import type { GatewayPolicyFactory } from './GatewayReplay.js';
-import { GatewayReplay } from './GatewayReplay.js';
+import type { GatewayPolicyFactory, ReplayShape } from './GatewayReplay.js';
+import { GatewayReplay, LARGE_FLEET, SMALL_FLEET } from './GatewayReplay.js';
 import type { FleetExperiment } from '../fleet/FleetExperiment.js';
 
+/** Sixty instances that call one other in a round, as the gateway does. */
+const SIXTY: ReplayShape = {
+  ...LARGE_FLEET,
+  exchange: { kind: 'few', fanout: 1 },
+};
+
 /** Ways of deciding that are compared on the same load. */
 const ARMS: Readonly<Record<string, GatewayPolicyFactory>> = {
   jujubecroft: defaultGatewayPolicies,
@@ -31,8 +37,9 @@
   arm: string,
   createPolicies: GatewayPolicyFactory,
   seed: number,
+  shape: ReplayShape,
 ): readonly (readonly [string, number])[] {
-  const replay = new GatewayReplay(createPolicies, seed);
+  const replay = new GatewayReplay(createPolicies, seed, shape);
   const shares = replay
     .run()
     .flatMap(({ kind, asked, onTime, refused, cut }) => [
@@ -51,17 +58,18 @@
   meta: {
     name: 'gateway-burst',
     description:
-      'Six instances of the gateway before eight engines; long prompts come at 2.2 times and live ones at twice their rate for eight seconds; shares on time, refused and cut of each kind, on virtual time.',
+      'Six instances of the gateway before eight engines; long prompts come at 2.2 times and live ones at twice their rate for eight seconds; shares on time, refused and cut of each kind, on virtual time; the same once more at sixty instances.',
   },
   run: ({ seed }) =>
     Promise.resolve({
       experiment: 'gateway-burst',
       seed,
-      figures: Object.fromEntries(
-        Object.entries(ARMS).flatMap(([arm, createPolicies]) =>
-          figuresOf(arm, createPolicies, seed),
+      figures: Object.fromEntries([
+        ...Object.entries(ARMS).flatMap(([arm, createPolicies]) =>
+          figuresOf(arm, createPolicies, seed, SMALL_FLEET),
         ),
-      ),
+        ...figuresOf('sixty instances', defaultGatewayPolicies, seed, SIXTY),
+      ]),
       classes: [],
       brokenPromises: [],
     }),
