--- a/packages/cli/src/commands/soakCommands.ts
+++ b/packages/cli/src/commands/soakCommands.ts
@@ -67,7 +67,9 @@
   });
 
   async execute(): Promise<number> {
-    const { FAULT_KINDS, runSoak } = await import('@jujubecroft/soak');
+    const { endChildrenWithThis, FAULT_KINDS, runSoak } =
+      await import('@jujubecroft/soak');
+    endChildrenWithThis();
     const { soakEnvironment } = await import('@jujubecroft/platform/stand-in');
     const named = this.kinds?.split(',') ?? [];
     const unknown = named.filter(
--- a/packages/cli/tests/soak.test.ts
+++ b/packages/cli/tests/soak.test.ts
@@ -1,5 +1,5 @@
-import { execFile } from 'node:child_process';
-import { mkdtemp, rm } from 'node:fs/promises';
+import { execFile, spawn } from 'node:child_process';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { promisify } from 'node:util';
@@ -33,4 +33,44 @@
       await rm(folder, { recursive: true, force: true });
     }
   });
+
+  // Somebody interrupts a soak. Gateways that run on would hold their addresses
+  // and memory, and the next soak would meet them.
+  itAlone('leaves no process behind when it is interrupted', async t => {
+    const folder = await mkdtemp(path.join(tmpdir(), 'jujubecroft-soak-'));
+    const soak = spawn(
+      process.execPath,
+      [
+        '--import=tsx',
+        path.join(root, 'packages/cli/src/main.ts'),
+        ...['soak', '--seed', '1', '--processes', '6', '--folder', folder],
+      ],
+      { cwd: root, stdio: 'ignore' },
+    );
+    const ended = new Promise(resolve => soak.once('exit', resolve));
+    const children = async (): Promise<readonly number[]> => {
+      const file = `/proc/${soak.pid ?? 0}/task/${soak.pid ?? 0}/children`;
+      const text = await readFile(file, 'utf8');
+      return text.split(' ').filter(Boolean).map(Number);
+    };
+    let pids = await children();
+    while (pids.length < 6) {
+      await new Promise(resolve => setTimeout(resolve, 20));
+      pids = await children();
+    }
+    soak.kill('SIGINT');
+    await ended;
+    const isUp = (pid: number): boolean => {
+      try {
+        return process.kill(pid, 0);
+      } catch {
+        return false;
+      }
+    };
+    while (pids.some(isUp)) {
+      await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    t.false(pids.some(isUp));
+    await rm(folder, { recursive: true, force: true });
+  });
 });
--- a/packages/soak/src/processes/SoakProcess.ts
+++ b/packages/soak/src/processes/SoakProcess.ts
@@ -15,6 +15,24 @@
   return script === undefined ? [] : [...process.execArgv, script];
 }
 
+/** Every child that runs, so that none is left behind. */
+const RUNNING = new Set<ChildProcess>();
+
+/**
+ * Ends every child when this process ends, however it does.
+ *
+ * Guards against programs that run on, and keep their addresses, after a soak that
+ * was interrupted or failed; they don't notice that their parent is gone.
+ */
+export function endChildrenWithThis(): void {
+  process.once('exit', () => {
+    RUNNING.forEach(child => child.kill('SIGKILL'));
+  });
+  (['SIGINT', 'SIGTERM'] as const).forEach(signal => {
+    process.once(signal, () => process.exit(1));
+  });
+}
+
 /**
  * One program of a soak, as a process that is stopped, paused, killed and started
  * again. It ends only processes that it started, by their ids.
@@ -61,7 +79,9 @@
     closeSync(out);
     this.#child = child;
     this.#paused = false;
+    RUNNING.add(child);
     child.once('exit', code => {
+      RUNNING.delete(child);
       if (this.#child === child) {
         this.#child = null;
       }
