--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -36,8 +36,10 @@
   readonly calls: () => number;
   /** Writes a configuration; it is acknowledged when this returns. */
   readonly configure: (cfg: SoakConfiguration) => void;
-  /** Told when the entry of a replica begins to say that it leaves, or goes. */
-  readonly onLeaving: (listener: (replica: string) => void) => void;
+  /** Told of each change of a replica's entry; false where it leaves or is gone. */
+  readonly onEntry: (
+    listener: (replica: string, isReady: boolean) => void,
+  ) => void;
   readonly close: () => Promise<void>;
 }
 
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -96,6 +96,11 @@
 export interface Leaving {
   readonly replica: string;
   readonly ackedMs: number;
+  /**
+   * When its entry was back, as after a pause in which it ran out; Infinity where
+   * it left for good.
+   */
+  backMs: number;
 }
 
 /** A configuration, by the store's acknowledgement. */
--- a/packages/soak/src/promises/leaving-replicas.ts
+++ b/packages/soak/src/promises/leaving-replicas.ts
@@ -8,10 +8,11 @@
   timed: true,
   check: ({ leaving, notes, bounds }, index) => {
     const got = notes.filter(note => note.type === 'got');
-    return leaving.flatMap(({ replica, ackedMs }) => {
+    return leaving.flatMap(({ replica, ackedMs, backMs }) => {
       const boundMs = ackedMs + bounds.drainMs + bounds.slackMs;
       return got
-        .filter(note => note.replica === replica && note.atMs > boundMs)
+        .filter(note => note.replica === replica)
+        .filter(({ atMs }) => atMs > boundMs && atMs <= backMs)
         .filter(({ id, atMs }) => {
           const gateway = index.sent(id)?.gateway;
           return (
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -149,8 +149,8 @@
     private readonly options: SoakOptions,
   ) {
     this.#random = createRandom(options.seed ^ 0x5eed);
-    fleet.store.onLeaving(replica => {
-      this.#leaving.push({ replica, ackedMs: soakNow() });
+    fleet.store.onEntry((replica, isReady) => {
+      this.#onEntry(replica, isReady);
     });
   }
 
@@ -218,6 +218,19 @@
     });
   }
 
+  #onEntry(replica: string, isReady: boolean): void {
+    const nowMs = soakNow();
+    if (!isReady) {
+      this.#leaving.push({ replica, ackedMs: nowMs, backMs: Infinity });
+      return;
+    }
+    this.#leaving
+      .filter(left => left.replica === replica && left.backMs === Infinity)
+      .forEach(left => {
+        left.backMs = nowMs;
+      });
+  }
+
   /** Keys change hands in two steps, so that no caller has only an unknown one. */
   #changeKeys(): void {
     const name = this.#random() < 0.5 ? 'org-1' : 'org-2';
