refactor: one way to listen, to read a body and to start the program again

The stand-ins, the soak's links and four tests each waited for a server's port by themselves, three collected bodies chunk by chunk, and the soak and the measurements each had a way to start the program once more. listenOn and ownCommand serve them now, the runtime's own readers the bodies. Dropped as nobody used them: SoakProcess.pid, onExit and its paused state, EngineEstimator.predictMs, a default of cachedTokens, exports of the soak. Behaviour is otherwise the same.

--- a/packages/bench/src/measure/ProcessFleet.ts
+++ b/packages/bench/src/measure/ProcessFleet.ts
@@ -6,6 +6,7 @@
 import { request } from 'undici';
 import { applyDeployment, OperatorConnection } from '@jujubecroft/operator';
 import type { Deployment } from '@jujubecroft/settings';
+import { ownCommand } from '@jujubecroft/stand-ins/util';
 
 import { sha256 } from '../demo/demoDeployment.js';
 
@@ -26,13 +27,6 @@
 const wait = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
 
-/** The program as it runs now, from the sources or as a binary. */
-function ownCommand(): readonly string[] {
-  const script = process.argv[1];
-  const isScript = script?.endsWith('.ts') ?? false;
-  return isScript && script !== undefined ? [...process.execArgv, script] : [];
-}
-
 /**
  * Platform, engines, services and instances as processes of their own, for
  * measurements. Only experiments start processes; the product never does.
--- a/packages/decisions/src/gateway/EngineEstimator.ts
+++ b/packages/decisions/src/gateway/EngineEstimator.ts
@@ -32,11 +32,6 @@
     return this.#baseMs;
   }
 
-  /** @returns the predicted time to the first event, in milliseconds */
-  predictMs(tokens: number): number {
-    return this.#baseMs + tokens / this.#tokensPerMs;
-  }
-
   /**
    * Takes in one first event.
    *
--- a/packages/decisions/src/gateway/PromptMemory.ts
+++ b/packages/decisions/src/gateway/PromptMemory.ts
@@ -28,10 +28,7 @@
    * @param paths - of the same parts; taken once for all replicas
    * @returns tokens at the front of the prompt that need not be read again
    */
-  cachedTokens(
-    parts: readonly PromptPart[],
-    paths: readonly string[] = pathsOf(parts),
-  ): number {
+  cachedTokens(parts: readonly PromptPart[], paths: readonly string[]): number {
     const missing = paths.findIndex(path => !this.#parts.has(path));
     const kept = missing === -1 ? parts : parts.slice(0, missing);
     return kept.reduce((sum, { tokens }) => sum + tokens, 0);
--- a/packages/soak/src/faults/FaultLink.ts
+++ b/packages/soak/src/faults/FaultLink.ts
@@ -1,6 +1,7 @@
 import type { Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { listenOn } from '@jujubecroft/stand-ins/util';
 
 /** How a link treats what goes over it. */
 export type LinkMode =
@@ -44,14 +45,9 @@
     });
   }
 
-  /** Listens; port 0 takes any. Returns the port. */
-  async listen(host: string, port = 0): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    const address = this.#server.address();
-    return typeof address === 'object' ? (address?.port ?? 0) : 0;
+  /** Listens on any free port, and returns it. */
+  async listen(host: string): Promise<number> {
+    return listenOn(this.#server, host);
   }
 
   /** Changes how the link treats all connections, open ones too. */
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,7 +1,4 @@
-export { plainBody, streamBody } from './answers.js';
-export type * from './evidence.js';
 export { FAULT_KINDS } from './faults/planFaults.js';
-export type { FaultKind } from './faults/planFaults.js';
 export { endChildrenWithThis } from './processes/SoakProcess.js';
 export { runSoakReplica } from './processes/runSoakReplica.js';
 export type { PromiseVerdict, SoakOptions, SoakResult } from './runSoak.js';
--- a/packages/soak/src/processes/SoakProcess.ts
+++ b/packages/soak/src/processes/SoakProcess.ts
@@ -1,6 +1,8 @@
 import type { ChildProcess } from 'node:child_process';
 import { spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { closeSync, openSync } from 'node:fs';
+import { ownCommand } from '@jujubecroft/stand-ins/util';
 
 /** How one program is started. */
 export interface ProgramStart {
@@ -9,12 +11,6 @@
   readonly outFile: string;
 }
 
-/** The program as it runs now, from the sources or as a bundle. */
-function ownCommand(): readonly string[] {
-  const [, script] = process.argv;
-  return script === undefined ? [] : [...process.execArgv, script];
-}
-
 /** Every child that runs, so that none is left behind. */
 const RUNNING = new Set<ChildProcess>();
 
@@ -39,16 +35,11 @@
  */
 export class SoakProcess {
   #child: ChildProcess | null = null;
-  #paused = false;
   #incarnation = 0;
 
-  /**
-   * @param startOf - how a run of the program is started, by its number
-   * @param onExit - told of each end
-   */
+  /** @param startOf - how a run of the program is started, by its number */
   constructor(
     private readonly startOf: (incarnation: number) => ProgramStart,
-    private readonly onExit: (code: number | null) => void = () => undefined,
   ) {}
 
   /** Number of the present run, 1 for the first. */
@@ -60,11 +51,6 @@
     return this.#child !== null;
   }
 
-  /** Process id; undefined while it is down. */
-  get pid(): number | undefined {
-    return this.#child?.pid;
-  }
-
   /** Starts the program unless it runs. */
   start(): void {
     if (this.#child) {
@@ -78,14 +64,10 @@
     });
     closeSync(out);
     this.#child = child;
-    this.#paused = false;
     RUNNING.add(child);
-    child.once('exit', code => {
+    child.once('exit', () => {
       RUNNING.delete(child);
-      if (this.#child === child) {
-        this.#child = null;
-      }
-      this.onExit(code);
+      this.#child = null;
     });
   }
 
@@ -103,47 +85,30 @@
 
   /** Suspends the process until it is resumed. */
   pause(): void {
-    if (this.#child && !this.#paused) {
-      this.#paused = true;
-      this.#child.kill('SIGSTOP');
-    }
+    this.#child?.kill('SIGSTOP');
   }
 
   resume(): void {
-    if (this.#child && this.#paused) {
-      this.#paused = false;
-      this.#child.kill('SIGCONT');
-    }
+    this.#child?.kill('SIGCONT');
   }
 
   /** Ends the process at once and waits until it is gone. */
   async kill(): Promise<void> {
-    const child = this.#child;
-    if (!child) {
-      return;
-    }
-    const gone = new Promise<void>(resolve => {
-      child.once('exit', () => {
-        resolve();
-      });
-    });
-    child.kill('SIGKILL');
-    await gone;
+    this.#child?.kill('SIGKILL');
+    await this.#gone();
   }
 
   /** Waits until the process has ended by itself, or kills it when the time is up. */
   async ended(withinMs: number): Promise<void> {
     const child = this.#child;
-    if (!child) {
-      return;
-    }
-    const gone = new Promise<void>(resolve => {
-      child.once('exit', () => {
-        resolve();
-      });
-    });
-    const timer = setTimeout(() => child.kill('SIGKILL'), withinMs);
-    await gone;
+    const timer = setTimeout(() => child?.kill('SIGKILL'), withinMs);
+    await this.#gone();
     clearTimeout(timer);
   }
+
+  async #gone(): Promise<void> {
+    if (this.#child) {
+      await once(this.#child, 'exit');
+    }
+  }
 }
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -1,6 +1,7 @@
 import { openSync, writeSync } from 'node:fs';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import { text as readText } from 'node:stream/consumers';
 import { createRandom } from '@jujubecroft/types';
 
 import { eventText, plainBody } from '../answers.js';
@@ -33,14 +34,6 @@
 const FAILED = 500;
 const FULL = 503;
 
-async function readText(req: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
-
 /** A backend server that writes down what reaches it, for checks afterwards. */
 class SoakReplica {
   readonly #notes: number;
--- a/packages/soak/tests/faults/FaultLink.test.ts
+++ b/packages/soak/tests/faults/FaultLink.test.ts
@@ -1,5 +1,6 @@
-import type { Server, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
+import { listenOn } from '@jujubecroft/stand-ins/util';
 import { describe } from '@jujubecroft/testing';
 
 import { FaultLink } from '../../src/faults/FaultLink.js';
@@ -10,14 +11,6 @@
 const moment = (): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, MOMENT_MS));
 
-async function listen(server: Server): Promise<number> {
-  await new Promise<void>(resolve => {
-    server.listen(0, HOST, resolve);
-  });
-  const address = server.address();
-  return typeof address === 'object' ? (address?.port ?? 0) : 0;
-}
-
 /** An echo behind a link, and a caller's end of a connection to it. */
 async function withEcho(
   body: (link: FaultLink, open: () => Promise<Caller>) => Promise<void>,
@@ -29,7 +22,7 @@
     socket.on('error', () => undefined);
     socket.pipe(socket);
   });
-  const link = new FaultLink(HOST, await listen(server));
+  const link = new FaultLink(HOST, await listenOn(server, HOST));
   const port = await link.listen(HOST);
   const callers: Caller[] = [];
   try {
--- /dev/null
+++ b/packages/stand-ins/src/util/index.ts
@@ -0,0 +1,2 @@
+export { listenOn } from './listenOn.js';
+export { ownCommand } from './ownCommand.js';
