refactor(decisions): the order of hashes stands in one place

The placement had written the order once more to keep hashes; byHash is built on the kept form now, tie-break and all. The large fleet of the replay calls one other in itself instead of in its two users.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -70,13 +70,13 @@
   exchange: { kind: 'everyone', delayMs: EXCHANGE_MS },
 };
 
-/** A fleet several times as large, with smaller engines. */
+/** A fleet several times as large, with smaller engines; each calls one other. */
 export const LARGE_FLEET: ReplayShape = {
   instances: 60,
   replicas: 42,
   slots: 32,
   scale: 5.2,
-  exchange: { kind: 'everyone', delayMs: 2 * EXCHANGE_MS },
+  exchange: { kind: 'few', fanout: 1 },
 };
 
 const SECONDS = 24;
--- a/packages/bench/src/gateway/gateway-burst.ts
+++ b/packages/bench/src/gateway/gateway-burst.ts
@@ -8,12 +8,6 @@
 import { GatewayReplay, LARGE_FLEET, SMALL_FLEET } from './GatewayReplay.js';
 import type { FleetExperiment } from '../fleet/FleetExperiment.js';
 
-/** Sixty instances that call one other in a round, as the gateway does. */
-const SIXTY: ReplayShape = {
-  ...LARGE_FLEET,
-  exchange: { kind: 'few', fanout: 1 },
-};
-
 /** Ways of deciding that are compared on the same load. */
 const ARMS: Readonly<Record<string, GatewayPolicyFactory>> = {
   jujubecroft: defaultGatewayPolicies,
@@ -68,7 +62,12 @@
         ...Object.entries(ARMS).flatMap(([arm, createPolicies]) =>
           figuresOf(arm, createPolicies, seed, SMALL_FLEET),
         ),
-        ...figuresOf('sixty instances', defaultGatewayPolicies, seed, SIXTY),
+        ...figuresOf(
+          'sixty instances',
+          defaultGatewayPolicies,
+          seed,
+          LARGE_FLEET,
+        ),
       ]),
       classes: [],
       brokenPromises: [],
--- a/packages/bench/tests/largeFleetReplay.test.ts
+++ b/packages/bench/tests/largeFleetReplay.test.ts
@@ -10,10 +10,7 @@
   // knows a fifth of the work; taken for all of it, replicas are split for a
   // fifth of the demand, and under half of the live answers are on time.
   it('keeps live answers on time', t => {
-    const replay = new GatewayReplay(defaultGatewayPolicies, SEED, {
-      ...LARGE_FLEET,
-      exchange: { kind: 'few', fanout: 1 },
-    });
+    const replay = new GatewayReplay(defaultGatewayPolicies, SEED, LARGE_FLEET);
     const results = replay.run();
     const live = results.find(({ kind }) => kind === 'live');
     t.true((live?.onTime ?? 0) > 0.85 * (live?.asked ?? Infinity));
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -1,4 +1,3 @@
-import murmurhash from 'murmurhash';
 import type {
   OrganisationId,
   PromptFacts,
@@ -9,6 +8,8 @@
 } from '@jujubecroft/types';
 
 import type { Clock } from '../blackboard/Blackboard.js';
+import type { HashedId } from '../util/byHash.js';
+import { hashed } from '../util/byHash.js';
 import { PromptMemory } from './PromptMemory.js';
 import { ReplicaHealth } from './ReplicaHealth.js';
 import { PRIOR_PACE_MS, withPause } from './RoutePaces.js';
@@ -91,8 +92,8 @@
   readonly attempts = new Set<GatewayAttempt>();
   readonly health: ReplicaHealth;
   readonly memory: PromptMemory;
-  /** Place in the order of hashes; computed once, as it is compared all the time. */
-  readonly hash: number;
+  /** Place in the order of hashes, which is compared for every request. */
+  readonly hashedId: HashedId;
   replica: Replica;
   peers: PeerUse = NO_PEER_USE;
   /** Whether that is scaled up from a few instances that were heard of. */
@@ -110,7 +111,7 @@
     private readonly clock: Clock,
   ) {
     this.replica = replica;
-    this.hash = murmurhash.v3(replica.id);
+    this.hashedId = hashed(replica.id);
     this.health = new ReplicaHealth(clock);
     this.memory = new PromptMemory(
       service?.engine?.kvCapacityTokens ?? DEFAULT_CACHE_TOKENS,
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -3,6 +3,7 @@
 import type { PromptPart } from '@jujubecroft/types';
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
+import { byHashed } from '../../util/byHash.js';
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
@@ -65,11 +66,6 @@
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
-/** The order of hashes, which all instances share; equal ones go by name. */
-function byHashOf(a: BackendLoad, b: BackendLoad): number {
-  return a.hash - b.hash || (a.replica.id < b.replica.id ? -1 : 1);
-}
-
 /** What is the same for all replicas that a request may go to. */
 interface Prepared {
   readonly parts: readonly PromptPart[];
@@ -192,7 +188,9 @@
   };
 
   return (request, candidates) => {
-    const ranked = [...candidates].sort((a, b) => byHashOf(a, b));
+    const ranked = [...candidates].sort((a, b) =>
+      byHashed(a.hashedId, b.hashedId),
+    );
     const { own, behind } = segmentsFor(request, ranked);
     const base = own.length > 0 ? own : ranked;
     const prepared = prepare(request, base);
