--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -3,6 +3,7 @@
 import type { WorkOrder } from '../answers.js';
 import type { SeenAnswer, SentRequest, SoakKind } from '../evidence.js';
 import type { SoakEnvironment } from '../SoakEnvironment.js';
+import { soakNow } from '../soakNow.js';
 
 /** A gateway as a caller finds it. */
 export interface SoakEntry {
@@ -39,11 +40,6 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const NO_ENTRY_PAUSE_MS = 150;
 
-/** Time of the machine's clock as all processes of a soak write it. */
-export function soakNow(): number {
-  return performance.timeOrigin + performance.now();
-}
-
 /** One caller with one kept connection, asking again and again. */
 export class SoakCaller {
   #client: Client | null = null;
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -1,10 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { assertDefined } from '@jujubecroft/types';
 
-import { soakNow } from '../callers/SoakCaller.js';
 import type { DoneFault, FaultTarget, SoakBounds } from '../evidence.js';
 import type { SoakFleet, SoakGateway, SoakReplicaSlot } from '../SoakFleet.js';
 import type { ReplicaFault, StoreFault } from '../SoakEnvironment.js';
+import { soakNow } from '../soakNow.js';
 import type { FaultLink, LinkMode } from './FaultLink.js';
 import type { FaultKind, PlannedFault } from './planFaults.js';
 
@@ -14,8 +14,8 @@
   readonly bounds: SoakBounds;
   /** Puts another configuration in force. */
   readonly changeConfiguration: () => void;
-  /** Takes the keys of an organisation away and gives it new ones. */
-  readonly changeKeys: () => void;
+  /** Gives an organisation another key. */
+  readonly addKey: () => void;
   /** Lets more callers come for a while. */
   readonly burst: (forMs: number) => void;
 }
@@ -175,8 +175,8 @@
       fleet.gateways.map(gateway => killGateway(gateway, forMs / 4)),
     );
   },
-  'key-revoked': (_, world) => {
-    world.changeKeys();
+  'key-added': (_, world) => {
+    world.addKey();
     return Promise.resolve();
   },
   'peer-link-cut': onLink(peerLinkOf, cutMode),
@@ -253,7 +253,7 @@
   'gateway-reload',
   'gateway-rolling-stop',
   'gateway-stop',
-  'key-revoked',
+  'key-added',
   'replica-drain',
 ];
 
@@ -264,7 +264,7 @@
   }
   if (
     kind.startsWith('configuration') ||
-    kind === 'key-revoked' ||
+    kind === 'key-added' ||
     kind === 'burst'
   ) {
     return { what: 'configuration', index: null };
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -12,7 +12,7 @@
   'gateway-rolling-stop',
   'gateway-stop',
   'gateways-kill-all',
-  'key-revoked',
+  'key-added',
   'peer-link-cut',
   'peer-link-delay',
   'peer-link-silent',
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,6 @@
 export { FAULT_KINDS } from './faults/planFaults.js';
 export { endChildrenWithThis } from './processes/SoakProcess.js';
 export { runSoakReplica } from './processes/runSoakReplica.js';
-export type { PromiseVerdict, SoakOptions, SoakResult } from './runSoak.js';
+export type { SoakResult } from './runSoak.js';
 export { runSoak } from './runSoak.js';
 export type * from './SoakEnvironment.js';
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -12,6 +12,7 @@
   SoakReplicaPlace,
   SoakRequestHead,
 } from '../SoakEnvironment.js';
+import { soakNow } from '../soakNow.js';
 import { workOf } from '../workOf.js';
 
 /** Told to a replica process by the soak. */
@@ -117,7 +118,7 @@
     const misdirected = head.expected !== null && head.expected !== replica;
     const full = this.#running >= SLOTS && this.#queue.length >= QUEUE;
     const ran = head.id !== null && !misdirected && !full;
-    const atMs = performance.now() + performance.timeOrigin;
+    const atMs = soakNow();
     const work = workOf(body);
     const events = Math.max(0, work.events - head.after);
     const lastsMs = work.workMs + events * work.gapMs;
@@ -148,7 +149,7 @@
         type: 'closed',
         id: head.id ?? '',
         replica,
-        atMs: performance.now() + performance.timeOrigin,
+        atMs: soakNow(),
         whole: res.writableFinished,
       });
     });
