--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -1,16 +1,12 @@
 import type {
   GatewayAttempt,
-  GatewayBoard,
-  GatewayPolicies,
   GatewayRequest,
+  GatewayRouter,
   PeerWork,
 } from '@jujubecroft/decisions';
-import { createGatewayBoard, GatewayRouter } from '@jujubecroft/decisions';
 import type {
   BackendServerId,
-  FailureDomainId,
   InstanceId,
-  Replica,
   RequestId,
 } from '@jujubecroft/types';
 import { assertDefined, brand, createRandom } from '@jujubecroft/types';
@@ -24,11 +20,12 @@
   OWN_SPREAD,
   PROMPT_SERVICE,
 } from './burstLoad.js';
+import type { GatewayPolicyFactory } from './createReplayRouter.js';
+import { createReplayRouter, replicaOf } from './createReplayRouter.js';
 import type { PromptJob } from './PromptEngine.js';
 import { PromptEngine } from './PromptEngine.js';
-
-/** Builds the policies that are compared. */
-export type GatewayPolicyFactory = (board: GatewayBoard) => GatewayPolicies;
+import type { ReplayShape } from './replayShapes.js';
+import { EXCHANGE_MS, SMALL_FLEET } from './replayShapes.js';
 
 /** What became of the requests of one kind. */
 export interface KindResult {
@@ -41,63 +38,12 @@
   cut: number;
 }
 
-/** How instances learn of each other's work. */
-export type ReplayExchange =
-  /** Each hears of everybody once in a round. */
-  | { readonly kind: 'everyone'; readonly delayMs: number }
-  /** Each calls some others in a round; both sides tell what they have. */
-  | { readonly kind: 'few'; readonly fanout: number };
-
-/** Size of the fleet that a load is played on. */
-export interface ReplayShape {
-  readonly instances: number;
-  readonly replicas: number;
-  readonly slots: number;
-  /** Load and things that it is about, against those of the small fleet. */
-  readonly scale: number;
-  readonly exchange: ReplayExchange;
-}
-
-/** Instances tell each other of their work this often. */
-const EXCHANGE_MS = 250;
-
-/** A fleet of the size that users run today. */
-export const SMALL_FLEET: ReplayShape = {
-  instances: 6,
-  replicas: 8,
-  slots: BURST_ENGINE.slots,
-  scale: 1,
-  exchange: { kind: 'everyone', delayMs: EXCHANGE_MS },
-};
-
-/** A fleet several times as large, with smaller engines; each calls one other. */
-export const LARGE_FLEET: ReplayShape = {
-  instances: 60,
-  replicas: 42,
-  slots: 32,
-  scale: 5.2,
-  exchange: { kind: 'few', fanout: 1 },
-};
-
 const SECONDS = 24;
 const BURST_FROM_S = 6;
 const BURST_TO_S = 14;
 const DRAIN_S = 20;
 const NETWORK_MS = 1;
 const MS_PER_SECOND = 1000;
-const DOMAINS = ['a', 'b', 'c'];
-
-function replicaOf(index: number, slots: number): Replica {
-  return {
-    id: brand<BackendServerId>(`engine-${index}`),
-    service: PROMPT_SERVICE,
-    address: `engine-${index}`,
-    failureDomain: brand<FailureDomainId>(DOMAINS[index % 3] ?? 'a'),
-    slots,
-    leaving: false,
-    coldMs: 0,
-  };
-}
 
 /** What one instance tells the others. */
 interface Told {
@@ -152,7 +98,18 @@
       this.#engines.set(id, new PromptEngine(this.#events, engine));
     });
     Array.from({ length: this.shape.instances }).forEach((_, index) => {
-      this.#startRouter(index, replicas);
+      this.#routers.push(
+        createReplayRouter(
+          {
+            clock: () => this.#events.nowMs,
+            createPolicies: this.createPolicies,
+            seed: this.seed,
+            shape: this.shape,
+          },
+          index,
+          replicas,
+        ),
+      );
     });
     this.#events.every(EXCHANGE_MS, EXCHANGE_MS, () => {
       this.#exchange();
@@ -172,50 +129,6 @@
     return [...this.#results.values()];
   }
 
-  #startRouter(index: number, replicas: readonly Replica[]): void {
-    const board = createGatewayBoard({
-      clock: () => this.#events.nowMs,
-      random: createRandom(this.seed * this.shape.instances + index),
-      instance: brand<InstanceId>(`entry-${index}`),
-      failureDomain: brand<FailureDomainId>(DOMAINS[index % 3] ?? 'a'),
-      retryBudget: { ratio: 0.2, extra: 50, windowMs: 10_000 },
-    });
-    const router = new GatewayRouter(board, this.createPolicies(board));
-    router.configure({
-      version: 1,
-      routes: BURST_KINDS.map(({ route }) => route),
-      services: [
-        {
-          id: PROMPT_SERVICE,
-          maxConnections: 1000,
-          engine: {
-            slots: this.shape.slots,
-            kvCapacityTokens: 700_000,
-            tokensPerEvent: BURST_ENGINE.tokensPerEvent,
-          },
-        },
-      ],
-      limits: {
-        maxHeaderBytes: 1,
-        maxBodyBytes: 1,
-        headerTimeoutMs: 1,
-        idleTimeoutMs: 1,
-      },
-      organisations: null,
-    });
-    board.replicas.applySnapshot(
-      replicas.map(replica => ({ id: replica.id, rowVersion: 1, replica })),
-      1,
-      0,
-    );
-    router.syncReplicas();
-    const instances = Array.from({ length: this.shape.instances }, (_, other) =>
-      brand<InstanceId>(`entry-${other}`),
-    );
-    router.onInstances(instances);
-    this.#routers.push(router);
-  }
-
   #exchange(): void {
     const { exchange } = this.shape;
     const told = this.#routers.map(router => workOf(router));
--- /dev/null
+++ b/packages/bench/src/gateway/createReplayRouter.ts
@@ -0,0 +1,98 @@
+import type { GatewayBoard, GatewayPolicies } from '@jujubecroft/decisions';
+import { createGatewayBoard, GatewayRouter } from '@jujubecroft/decisions';
+import type {
+  BackendServerId,
+  FailureDomainId,
+  InstanceId,
+  Replica,
+} from '@jujubecroft/types';
+import { brand, createRandom } from '@jujubecroft/types';
+
+import { BURST_ENGINE, BURST_KINDS, PROMPT_SERVICE } from './burstLoad.js';
+import type { ReplayShape } from './replayShapes.js';
+
+/** Builds the policies that are compared. */
+export type GatewayPolicyFactory = (board: GatewayBoard) => GatewayPolicies;
+
+/** What all instances of one replay share. */
+export interface ReplayWorld {
+  readonly clock: () => number;
+  readonly createPolicies: GatewayPolicyFactory;
+  readonly seed: number;
+  readonly shape: ReplayShape;
+}
+
+const DOMAINS = ['a', 'b', 'c'];
+
+function domainOf(index: number): FailureDomainId {
+  return brand<FailureDomainId>(DOMAINS[index % DOMAINS.length] ?? 'a');
+}
+
+/** One replica of the load's only service. */
+export function replicaOf(index: number, slots: number): Replica {
+  return {
+    id: brand<BackendServerId>(`engine-${index}`),
+    service: PROMPT_SERVICE,
+    address: `engine-${index}`,
+    failureDomain: domainOf(index),
+    slots,
+    leaving: false,
+    coldMs: 0,
+  };
+}
+
+/**
+ * Creates the decision logic of one instance, with everything known to it.
+ *
+ * @param world - what all instances share
+ * @param index - of the instance
+ * @param replicas - of the service
+ * @returns its router
+ */
+export function createReplayRouter(
+  { clock, createPolicies, seed, shape }: ReplayWorld,
+  index: number,
+  replicas: readonly Replica[],
+): GatewayRouter {
+  const board = createGatewayBoard({
+    clock,
+    random: createRandom(seed * shape.instances + index),
+    instance: brand<InstanceId>(`entry-${index}`),
+    failureDomain: domainOf(index),
+    retryBudget: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+  });
+  const router = new GatewayRouter(board, createPolicies(board));
+  router.configure({
+    version: 1,
+    routes: BURST_KINDS.map(({ route }) => route),
+    services: [
+      {
+        id: PROMPT_SERVICE,
+        maxConnections: 1000,
+        engine: {
+          slots: shape.slots,
+          kvCapacityTokens: 700_000,
+          tokensPerEvent: BURST_ENGINE.tokensPerEvent,
+        },
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    organisations: null,
+  });
+  board.replicas.applySnapshot(
+    replicas.map(replica => ({ id: replica.id, rowVersion: 1, replica })),
+    1,
+    0,
+  );
+  router.syncReplicas();
+  const instances = Array.from({ length: shape.instances }, (_, other) =>
+    brand<InstanceId>(`entry-${other}`),
+  );
+  router.onInstances(instances);
+  return router;
+}
--- a/packages/bench/src/gateway/gateway-burst.ts
+++ b/packages/bench/src/gateway/gateway-burst.ts
@@ -4,8 +4,10 @@
   leastBusy,
 } from '@jujubecroft/decisions';
 
-import type { GatewayPolicyFactory, ReplayShape } from './GatewayReplay.js';
-import { GatewayReplay, LARGE_FLEET, SMALL_FLEET } from './GatewayReplay.js';
+import type { GatewayPolicyFactory } from './createReplayRouter.js';
+import { GatewayReplay } from './GatewayReplay.js';
+import type { ReplayShape } from './replayShapes.js';
+import { LARGE_FLEET, SMALL_FLEET } from './replayShapes.js';
 import type { FleetExperiment } from '../fleet/FleetExperiment.js';
 
 /** Ways of deciding that are compared on the same load. */
--- /dev/null
+++ b/packages/bench/src/gateway/replayShapes.ts
@@ -0,0 +1,39 @@
+import { BURST_ENGINE } from './burstLoad.js';
+
+/** How instances learn of each other's work. */
+export type ReplayExchange =
+  /** Each hears of everybody once in a round. */
+  | { readonly kind: 'everyone'; readonly delayMs: number }
+  /** Each calls some others in a round; both sides tell what they have. */
+  | { readonly kind: 'few'; readonly fanout: number };
+
+/** Size of the fleet that a load is played on. */
+export interface ReplayShape {
+  readonly instances: number;
+  readonly replicas: number;
+  readonly slots: number;
+  /** Load and things that it is about, against those of the small fleet. */
+  readonly scale: number;
+  readonly exchange: ReplayExchange;
+}
+
+/** Instances tell each other of their work this often. */
+export const EXCHANGE_MS = 250;
+
+/** A fleet of the size that users run today. */
+export const SMALL_FLEET: ReplayShape = {
+  instances: 6,
+  replicas: 8,
+  slots: BURST_ENGINE.slots,
+  scale: 1,
+  exchange: { kind: 'everyone', delayMs: EXCHANGE_MS },
+};
+
+/** A fleet several times as large, with smaller engines; each calls one other. */
+export const LARGE_FLEET: ReplayShape = {
+  instances: 60,
+  replicas: 42,
+  slots: 32,
+  scale: 5.2,
+  exchange: { kind: 'few', fanout: 1 },
+};
--- a/packages/bench/tests/gatewayReplay.test.ts
+++ b/packages/bench/tests/gatewayReplay.test.ts
@@ -5,7 +5,7 @@
   leastBusy,
 } from '@jujubecroft/decisions';
 
-import type { GatewayPolicyFactory } from '../src/gateway/GatewayReplay.js';
+import type { GatewayPolicyFactory } from '../src/gateway/createReplayRouter.js';
 import { GatewayReplay } from '../src/gateway/GatewayReplay.js';
 
 const SEED = 1;
--- a/packages/bench/tests/largeFleetReplay.test.ts
+++ b/packages/bench/tests/largeFleetReplay.test.ts
@@ -1,7 +1,8 @@
 import { describe } from '@jujubecroft/testing';
 import { defaultGatewayPolicies } from '@jujubecroft/decisions';
 
-import { GatewayReplay, LARGE_FLEET } from '../src/gateway/GatewayReplay.js';
+import { GatewayReplay } from '../src/gateway/GatewayReplay.js';
+import { LARGE_FLEET } from '../src/gateway/replayShapes.js';
 
 const SEED = 1;
 
