refactor: one watch of members, one cache of clients, one way to bind a server

The gateway and the product's own interface each logged changes of members, kept gRPC clients by address and waited for a server's port by themselves. MemberStateWatch, ClientCache and bindServer serve both now.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -49,6 +49,7 @@
   MembershipOptions,
 } from './membership/Membership.js';
 export { DEFAULT_MEMBERSHIP, Membership } from './membership/Membership.js';
+export { MemberStateWatch } from './membership/MemberStateWatch.js';
 export type { AttemptFailure } from './policies/recovery/RecoveryPolicy.js';
 export { leastCost } from './policies/routing/least-cost.js';
 export { leastOutstanding } from './policies/routing/least-outstanding.js';
--- a/packages/gateway/src/state/PeerClients.ts
+++ b/packages/gateway/src/state/PeerClients.ts
@@ -1,6 +1,6 @@
 import { credentials, Metadata, status } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
-import { GatewayPeerClient, unary } from '@jujubecroft/operator';
+import { ClientCache, GatewayPeerClient, unary } from '@jujubecroft/operator';
 
 /** Bound on one exchange; peers are a few milliseconds away. */
 const CALL_TIMEOUT_MS = 500;
@@ -8,9 +8,24 @@
 const RECONNECT_MS = 200;
 const MAX_RECONNECT_MS = 800;
 
+function createClient(address: string): GatewayPeerClient {
+  return new GatewayPeerClient(
+    // The scheme keeps the library from looking names up.
+    `ipv4:${address}`,
+    credentials.createInsecure(),
+    {
+      // Without this a new client would get the old, silent connection.
+      'grpc.use_local_subchannel_pool': 1,
+      'grpc.initial_reconnect_backoff_ms': RECONNECT_MS,
+      'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
+      'grpc.enable_http_proxy': 0,
+    },
+  );
+}
+
 /** gRPC channels to other instances, opened at first use. */
 export class PeerClients {
-  readonly #clients = new Map<string, GatewayPeerClient>();
+  readonly #clients = new ClientCache(createClient);
   #closed = false;
 
   /**
@@ -33,7 +48,7 @@
     if (this.#closed) {
       throw Object.assign(new Error('closed'), { code: status.CANCELLED });
     }
-    const client = this.#of(address);
+    const client = this.#clients.of(address);
     try {
       return await unary(
         client.exchange.bind(client),
@@ -42,49 +57,14 @@
         CALL_TIMEOUT_MS,
       );
     } catch (err) {
-      this.#drop(address);
+      this.#clients.drop(address);
       throw err;
     }
   }
 
-  /** Closes channels to addresses that are no longer used. */
-  keepOnly(addresses: ReadonlySet<string>): void {
-    [...this.#clients.keys()]
-      .filter(address => !addresses.has(address))
-      .forEach(address => {
-        this.#drop(address);
-      });
-  }
-
   /** Closes all channels for good. */
   close(): void {
     this.#closed = true;
-    this.keepOnly(new Set());
-  }
-
-  #drop(address: string): void {
-    this.#clients.get(address)?.close();
-    this.#clients.delete(address);
-  }
-
-  #of(address: string): GatewayPeerClient {
-    const known = this.#clients.get(address);
-    if (known) {
-      return known;
-    }
-    const client = new GatewayPeerClient(
-      // The scheme keeps the library from looking names up.
-      `ipv4:${address}`,
-      credentials.createInsecure(),
-      {
-        // Without this a new client would get the old, silent connection.
-        'grpc.use_local_subchannel_pool': 1,
-        'grpc.initial_reconnect_backoff_ms': RECONNECT_MS,
-        'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
-        'grpc.enable_http_proxy': 0,
-      },
-    );
-    this.#clients.set(address, client);
-    return client;
+    this.#clients.close();
   }
 }
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -1,10 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { handleUnaryCall, ServiceError } from '@grpc/grpc-js';
 import { Server, ServerCredentials, status } from '@grpc/grpc-js';
-import type { Member, MemberState } from '@jujubecroft/decisions';
-import { rotated } from '@jujubecroft/decisions';
+import type { Member } from '@jujubecroft/decisions';
+import { MemberStateWatch, rotated } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator';
 import {
+  bindServer,
   fromHeartbeatMessage,
   GatewayPeerService,
   toHeartbeatMessage,
@@ -50,7 +51,7 @@
   readonly #clients = new PeerClients();
   readonly #server = new Server();
   readonly #failures = new Map<InstanceId, number>();
-  readonly #states = new Map<InstanceId, MemberState>();
+  readonly #watch = new MemberStateWatch();
   readonly #pulling = new Set<string>();
   #timer: NodeJS.Timeout | null = null;
   #round = 0;
@@ -77,19 +78,11 @@
       callback(null, reply);
     };
     this.#server.addService(GatewayPeerService, { exchange });
-    await new Promise<void>((resolve, reject) => {
-      this.#server.bindAsync(
-        `${host}:${port}`,
-        ServerCredentials.createInsecure(),
-        err => {
-          if (err) {
-            reject(err);
-            return;
-          }
-          resolve();
-        },
-      );
-    });
+    await bindServer(
+      this.#server,
+      `${host}:${port}`,
+      ServerCredentials.createInsecure(),
+    );
     this.#timer = setInterval(() => {
       this.#beat();
     }, PEER_PERIOD_MS);
@@ -307,12 +300,8 @@
 
   #noteStates(): void {
     const { membership, log } = this.context;
-    membership.members
-      .filter(({ id, state }) => this.#states.get(id) !== state)
-      .forEach(({ id, state }) => {
-        const before = this.#states.get(id) ?? 'unknown';
-        this.#states.set(id, state);
-        log.write('memberChanged', { member: id, before, state });
-      });
+    this.#watch.look(membership.members).forEach(change => {
+      log.write('memberChanged', { ...change });
+    });
   }
 }
--- a/packages/instance/src/control/startControlServer.ts
+++ b/packages/instance/src/control/startControlServer.ts
@@ -1,6 +1,10 @@
 import { readFileSync } from 'node:fs';
 import { Server, ServerCredentials } from '@grpc/grpc-js';
-import { OperatorService, PeerService } from '@jujubecroft/operator';
+import {
+  bindServer,
+  OperatorService,
+  PeerService,
+} from '@jujubecroft/operator';
 import type { InstanceSettings } from '@jujubecroft/settings';
 
 import type { InstanceContext } from '../InstanceContext.js';
@@ -40,15 +44,8 @@
   server.addService(OperatorService, operatorHandlers(context));
   server.addService(PeerService, peerHandlers(context));
   const creds = serverCredentials(controlTls);
-  const port = await new Promise<number>((resolve, reject) => {
-    server.bindAsync(`${control.host}:${control.port}`, creds, (err, taken) => {
-      if (err) {
-        reject(err);
-        return;
-      }
-      resolve(taken);
-    });
-  });
+  const address = `${control.host}:${control.port}`;
+  const port = await bindServer(server, address, creds);
   return {
     port,
     stop: () => {
--- a/packages/instance/src/state/MembershipLoop.ts
+++ b/packages/instance/src/state/MembershipLoop.ts
@@ -1,10 +1,10 @@
 import type { Member, Membership, MemberState } from '@jujubecroft/decisions';
+import { MemberStateWatch } from '@jujubecroft/decisions';
 import {
   fromHeartbeatMessage,
   toHeartbeatMessage,
 } from '@jujubecroft/operator';
 import type { InstanceList } from '@jujubecroft/stores';
-import type { InstanceId } from '@jujubecroft/types';
 
 import type { EventLog } from '@jujubecroft/events';
 import type { RouterHost } from '../host/RouterHost.js';
@@ -26,7 +26,7 @@
   #timer: NodeJS.Timeout | null = null;
   #period = 0;
   #placed = '';
-  readonly #states = new Map<InstanceId, MemberState>();
+  readonly #watch = new MemberStateWatch();
 
   constructor(
     private readonly membership: Membership,
@@ -145,12 +145,8 @@
       const count = members.filter(member => member.state === state).length;
       this.metrics.members.set({ state }, count);
     });
-    members
-      .filter(({ id, state }) => this.#states.get(id) !== state)
-      .forEach(({ id, state }) => {
-        const before = this.#states.get(id) ?? 'unknown';
-        this.#states.set(id, state);
-        this.log.write('memberChanged', { member: id, before, state });
-      });
+    this.#watch.look(members).forEach(change => {
+      this.log.write('memberChanged', { ...change });
+    });
   }
 }
--- a/packages/instance/src/state/PeerConnections.ts
+++ b/packages/instance/src/state/PeerConnections.ts
@@ -1,7 +1,7 @@
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import { Metadata } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
-import { PeerClient, unary } from '@jujubecroft/operator';
+import { ClientCache, PeerClient, unary } from '@jujubecroft/operator';
 import type { Row, TableWrite } from '@jujubecroft/stores';
 
 import type { WriteOutcome } from '../claims/WriteBatcher.js';
@@ -12,15 +12,19 @@
 
 /** Channels to other instances, opened at first use. */
 export class PeerConnections {
-  readonly #clients = new Map<string, PeerClient>();
+  readonly #clients: ClientCache<PeerClient>;
 
-  constructor(private readonly credentials: ChannelCredentials) {}
+  constructor(credentials: ChannelCredentials) {
+    this.#clients = new ClientCache(
+      address => new PeerClient(address, credentials),
+    );
+  }
 
   heartbeat(
     address: string,
     message: proto.HeartbeatMessage,
   ): Promise<proto.HeartbeatMessage> {
-    const client = this.#of(address);
+    const client = this.#clients.of(address);
     return unary(
       client.heartbeat.bind(client),
       message,
@@ -31,7 +35,7 @@
 
   /** Asks one instance to try another. */
   async probeFor(helper: string, target: string): Promise<boolean> {
-    const client = this.#of(helper);
+    const client = this.#clients.of(helper);
     const reply = await unary(
       client.probeFor.bind(client),
       { peerAddress: target },
@@ -45,7 +49,7 @@
     address: string,
     report: proto.DemandReport,
   ): Promise<proto.ShareReply> {
-    const client = this.#of(address);
+    const client = this.#clients.of(address);
     return unary(
       client.reportDemand.bind(client),
       report,
@@ -56,7 +60,7 @@
 
   /** Has a collector write a claim; it may have been written if this fails. */
   async recordClaim(address: string, write: TableWrite): Promise<WriteOutcome> {
-    const client = this.#of(address);
+    const client = this.#clients.of(address);
     const reply = await unary(
       client.recordClaim.bind(client),
       {
@@ -76,7 +80,7 @@
     address: string,
     afterRevision: number,
   ): Promise<proto.ConfigurationReply> {
-    const client = this.#of(address);
+    const client = this.#clients.of(address);
     return unary(
       client.configuration.bind(client),
       { afterRevision },
@@ -87,25 +91,10 @@
 
   /** Closes channels to instances that are no longer members. */
   keepOnly(addresses: ReadonlySet<string>): void {
-    [...this.#clients]
-      .filter(([address]) => !addresses.has(address))
-      .forEach(([address, client]) => {
-        client.close();
-        this.#clients.delete(address);
-      });
+    this.#clients.keepOnly(addresses);
   }
 
   close(): void {
-    this.keepOnly(new Set());
-  }
-
-  #of(address: string): PeerClient {
-    const known = this.#clients.get(address);
-    if (known) {
-      return known;
-    }
-    const client = new PeerClient(address, this.credentials);
-    this.#clients.set(address, client);
-    return client;
+    this.#clients.close();
   }
 }
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -18,6 +18,8 @@
   PeerService,
   ShareReply,
 } from './generated/jujubecroft.js';
+export { bindServer } from './bindServer.js';
+export { ClientCache } from './ClientCache.js';
 export type { UnaryMethod } from './unary.js';
 export { unary } from './unary.js';
 export type { DeploymentEntities } from './applyDeployment.js';
