--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -4,27 +4,14 @@
 import type { Member } from '@jujubecroft/decisions';
 import { MemberStateWatch, rotated } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator';
-import {
-  bindServer,
-  fromHeartbeatMessage,
-  GatewayPeerService,
-  toHeartbeatMessage,
-} from '@jujubecroft/operator';
-import type { InstanceId, RoutingConfiguration } from '@jujubecroft/types';
-import { brand } from '@jujubecroft/types';
+import { bindServer, GatewayPeerService } from '@jujubecroft/operator';
+import type { InstanceId } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
 import { isReady, ownAddress } from '../GatewayContext.js';
 import type { FleetView } from './FleetView.js';
-import {
-  finite,
-  fromReplicaFields,
-  fromWork,
-  toReplicaFields,
-  toReports,
-  toUses,
-} from './gatewayState.js';
 import { PeerClients } from './PeerClients.js';
+import { PeerState } from './PeerState.js';
 
 /** Time between rounds of exchanges. */
 export const PEER_PERIOD_MS = 250;
@@ -49,6 +36,7 @@
 /** Keeps instances in touch: membership, configuration, replicas and use. */
 export class PeerLoop {
   readonly #clients = new PeerClients();
+  readonly #state: PeerState;
   readonly #server = new Server();
   readonly #failures = new Map<InstanceId, number>();
   readonly #watch = new MemberStateWatch();
@@ -59,8 +47,11 @@
 
   constructor(
     private readonly context: GatewayContext,
-    private readonly view: FleetView,
+    view: FleetView,
   ) {
+    this.#state = new PeerState(context, view, state => {
+      this.#pull(state);
+    });
     view.onNews(() => {
       void this.spread();
     });
@@ -73,8 +64,8 @@
       call,
       callback,
     ) => {
-      const reply = this.#stateFor(call.request);
-      this.#take(call.request, false);
+      const reply = this.#state.tell(call.request);
+      this.#state.take(call.request, false);
       callback(null, reply);
     };
     this.#server.addService(GatewayPeerService, { exchange });
@@ -156,11 +147,14 @@
 
   async #exchange(address: string, member: Member | null): Promise<void> {
     try {
-      const reply = await this.#clients.exchange(address, this.#stateFor(null));
+      const reply = await this.#clients.exchange(
+        address,
+        this.#state.tell(null),
+      );
       if (member) {
         this.#failures.delete(member.id);
       }
-      this.#take(reply, true);
+      this.#state.take(reply, true);
     } catch (err) {
       this.#noteFailure(address, err);
       this.#onFailure(member);
@@ -192,100 +186,6 @@
     void this.#exchange(member.peerAddress, member);
   }
 
-  /** What this instance says; with what the other side lacks where its state is known. */
-  #stateFor(theirs: proto.GatewayState | null): proto.GatewayState {
-    const { router, membership, clock } = this.context;
-    const { board } = router;
-    const nowMs = clock();
-    const version = board.table?.cfg.version ?? 0;
-    const isAhead = theirs !== null && version > theirs.configurationVersion;
-    const heartbeat = membership.message({
-      revision: version,
-      inFlight: router.inFlight,
-    });
-    const changes =
-      theirs && theirs.replicasVersion < board.replicas.version
-        ? board.replicas.changesSince(theirs.replicasVersion)
-        : {
-            version: board.replicas.version,
-            ageMs: board.replicas.ageMs,
-            complete: false,
-            records: [],
-          };
-    return {
-      heartbeat: toHeartbeatMessage(heartbeat),
-      configurationVersion: version,
-      configurationAgeMs: finite(nowMs - board.configurationAsOfMs),
-      uses: toUses(router.ownUses),
-      demands: [...board.demand.own],
-      reports: toReports(router.heardReports),
-      configurationJson: isAhead ? JSON.stringify(board.table?.cfg) : '',
-      ...toReplicaFields(changes, nowMs),
-      replicasChangedAt: board.replicas.changedAt,
-    };
-  }
-
-  /**
-   * Takes in what another instance says, and asks for what it didn't send.
-   *
-   * @param state - of the other
-   * @param isReply - whether it holds all that this instance lacks
-   */
-  #take(state: proto.GatewayState, isReply: boolean): void {
-    const { heartbeat } = state;
-    if (!heartbeat) {
-      return;
-    }
-    const { membership, router } = this.context;
-    membership.onMessage(fromHeartbeatMessage(heartbeat));
-    const peer = brand<InstanceId>(heartbeat.instance);
-    router.onPeerWork(peer, fromWork(state));
-    this.#takeConfiguration(state, peer);
-    this.#takeReplicas(state, peer, isReply);
-  }
-
-  #takeConfiguration(state: proto.GatewayState, peer: InstanceId): void {
-    const { board } = this.context.router;
-    const known = board.table?.cfg.version ?? 0;
-    if (state.configurationJson !== '') {
-      const cfg = JSON.parse(state.configurationJson) as RoutingConfiguration;
-      this.view.onConfiguration(cfg, state.configurationAgeMs, peer);
-      return;
-    }
-    if (state.configurationVersion > known) {
-      this.#pull(state);
-      return;
-    }
-    if (state.configurationVersion === known && board.table) {
-      this.view.onConfiguration(null, state.configurationAgeMs, peer);
-    }
-  }
-
-  #takeReplicas(
-    state: proto.GatewayState,
-    peer: InstanceId,
-    isReply: boolean,
-  ): void {
-    const { router, clock } = this.context;
-    const { replicas } = router.board;
-    if (state.replicasVersion <= replicas.version) {
-      return;
-    }
-    if (isReply) {
-      const changes = replicas.merge(fromReplicaFields(state, clock()));
-      this.view.onReplicas(changes, peer);
-      return;
-    }
-    if (state.replicasChangedAt > replicas.version) {
-      this.#pull(state);
-      return;
-    }
-    // Nothing has changed since; only the view is known to be younger.
-    if (replicas.version > 0) {
-      replicas.confirm(state.replicasVersion, state.replicasAgeMs);
-    }
-  }
-
   /** Asks a peer that is ahead for what this instance lacks. */
   #pull({ heartbeat }: proto.GatewayState): void {
     const address = heartbeat?.peerAddress ?? '';
