--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -30,7 +30,8 @@
 import type { AttemptResult, Recovery } from './recovery/AttemptResult.js';
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
-import { isOvertaken, isSilent, usableCandidates } from './usableCandidates.js';
+import { judgeReplica } from './judgeReplica.js';
+import { isSilent, usableCandidates } from './usableCandidates.js';
 import { RoutingTable } from './RoutingTable.js';
 
 /** The policies of the gateway. */
@@ -274,7 +275,7 @@
     if (result.kind === 'answered') {
       this.board.lengths.onEnded(request.route.id, attempt.pieces);
     }
-    this.#judge(attempt, result);
+    judgeReplica(this.board, attempt, result);
     if (attempt.number > 1 && result.kind !== 'withdrawn') {
       const answered = result.kind === 'answered';
       this.board.retryGain.onRetried(request.route.id, answered);
@@ -357,39 +358,4 @@
     this.board.budget.onInstances(this.board.instances);
     this.#peerWork.keepOnly(live);
   }
-
-  #judge(attempt: GatewayAttempt, result: AttemptResult): void {
-    const { load } = attempt;
-    switch (result.kind) {
-      case 'answered':
-        load.health.onSuccess();
-        return;
-      case 'failed':
-      case 'lost':
-      case 'notRun':
-      case 'unsent':
-        load.health.onFailure(this.#usualFailures(load));
-        return;
-      case 'withdrawn':
-        // A caller that leaves says nothing of the replica, unless its answer
-        // was lost there.
-        if (
-          result.reason === 'callerLeft' &&
-          !isOvertaken(this.board, attempt)
-        ) {
-          load.health.onNeutral();
-        } else {
-          load.health.onFailure(this.#usualFailures(load));
-        }
-    }
-  }
-
-  /** The median share of failures among the other replicas of the service. */
-  #usualFailures({ replica }: BackendLoad): number {
-    const shares = candidatesOf(this.board, replica.service)
-      .filter(load => load.replica.id !== replica.id)
-      .map(({ health }) => health.failureShare)
-      .sort((a, b) => a - b);
-    return shares[Math.floor(shares.length / 2)] ?? 0;
-  }
 }
