fix(soak): the stops of a series count as stops; simpler injectors

Cause: a series of stops was on record as one fault of all gateways, and the check of graceful stops looks at stops of one gateway, so what a series cut was never seen. Change: each stop of a series is recorded. Killing and pausing stand once for gateways and replicas, what is done at once has one form; targets of faults and the options of runGateway have their own places.

--- a/packages/cli/src/commands/GatewayCommand.ts
+++ b/packages/cli/src/commands/GatewayCommand.ts
@@ -36,7 +36,9 @@
       );
       return EXIT.usage;
     }
-    const gateway = await runGateway(file, this.peerAddress);
+    const gateway = await runGateway(file, {
+      peerAddress: this.peerAddress,
+    });
     process.on('SIGHUP', gateway.reload);
     await untilStopped();
     await gateway.stop();
--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -72,8 +72,12 @@
     router.syncReplicas();
     connections.keepOnly(new Set(router.board.backends.keys()));
     changes.forEach(({ id, kind, rowVersion }) => {
-      const fields = { backendServer: id, change: kind, rowVersion, source };
-      log.write('replicaChanged', fields);
+      log.write('replicaChanged', {
+        backendServer: id,
+        change: kind,
+        rowVersion,
+        source,
+      });
     });
     if (changes.some(({ kind }) => URGENT.includes(kind))) {
       this.#tell();
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -1,11 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { assertDefined } from '@jujubecroft/types';
 
-import type { DoneFault, FaultTarget, SoakBounds } from '../evidence.js';
+import type { DoneFault, SoakBounds } from '../evidence.js';
 import type { SoakFleet, SoakGateway, SoakReplicaSlot } from '../SoakFleet.js';
 import type { ReplicaFault, StoreFault } from '../SoakEnvironment.js';
 import { soakNow } from '../soakNow.js';
+import type { SoakProcess } from '../processes/SoakProcess.js';
 import type { FaultLink, LinkMode } from './FaultLink.js';
+import { isPlanned, targetOf } from './faultTargets.js';
 import type { FaultKind, PlannedFault } from './planFaults.js';
 
 /** What faults may do beside processes and links. */
@@ -20,7 +22,14 @@
   readonly burst: (forMs: number) => void;
 }
 
-type Injector = (fault: PlannedFault, world: FaultWorld) => Promise<void>;
+/** Told of a fault at its start; its end is filled in later. */
+type DoneListener = (done: DoneFault) => void;
+
+type Injector = (
+  fault: PlannedFault,
+  world: FaultWorld,
+  onDone: DoneListener,
+) => Promise<void>;
 
 /** Pause before a process that ended is started again. */
 const RESTART_MS = 250;
@@ -52,7 +61,7 @@
   );
 };
 
-async function restart(program: SoakGateway['program']): Promise<void> {
+async function restart(program: SoakProcess): Promise<void> {
   await sleep(RESTART_MS);
   program.start();
 }
@@ -66,15 +75,28 @@
   await restart(gateway.program);
 }
 
-async function killGateway(
-  { program }: SoakGateway,
-  forMs: number,
-): Promise<void> {
+async function kill(program: SoakProcess, downMs: number): Promise<void> {
   await program.kill();
-  await sleep(forMs);
+  await sleep(downMs);
   program.start();
 }
 
+async function pause(program: SoakProcess, forMs: number): Promise<void> {
+  program.pause();
+  await sleep(forMs);
+  program.resume();
+}
+
+/** Something that is done at once and has nothing to undo. */
+function atOnce(
+  act: (world: FaultWorld, fault: PlannedFault) => void,
+): Injector {
+  return (fault, world) => {
+    act(world, fault);
+    return Promise.resolve();
+  };
+}
+
 function onLink(
   linkOf: (world: FaultWorld, fault: PlannedFault) => FaultLink,
   modeOf: (fault: PlannedFault) => LinkMode,
@@ -127,10 +149,9 @@
     world.burst(forMs);
     return sleep(forMs);
   },
-  'configuration-change': (_, world) => {
+  'configuration-change': atOnce(world => {
     world.changeConfiguration();
-    return Promise.resolve();
-  },
+  }),
   'configuration-storm': async (_, world) => {
     for (let change = 0; change < STORM_CHANGES; change += 1) {
       world.changeConfiguration();
@@ -147,44 +168,43 @@
     peerLink.set({ kind: 'well' });
   },
   'gateway-kill': (fault, world) =>
-    killGateway(gatewayOf(world, fault), RESTART_MS),
-  'gateway-pause': async (fault, world) => {
-    const { program } = gatewayOf(world, fault);
-    program.pause();
-    await sleep(fault.forMs);
-    program.resume();
-  },
-  'gateway-reload': (fault, world) => {
+    kill(gatewayOf(world, fault).program, RESTART_MS),
+  'gateway-pause': (fault, world) =>
+    pause(gatewayOf(world, fault).program, fault.forMs),
+  'gateway-reload': atOnce((world, fault) => {
     const { touchSettings, program } = gatewayOf(world, fault);
     touchSettings();
     // The settings may change with a signal or without.
     if (fault.strength < 0.5) {
       program.signal('SIGHUP');
     }
-    return Promise.resolve();
-  },
-  'gateway-rolling-stop': async (_, world) => {
-    for (const gateway of world.fleet.gateways) {
-      await stopGateway(gateway, world);
+  }),
+  'gateway-rolling-stop': async (fault, world, onDone) => {
+    for (const { index } of world.fleet.gateways) {
+      // Each is a stop of its own, which must cut nobody.
+      const stop: PlannedFault = {
+        ...fault,
+        kind: 'gateway-stop',
+        target: index,
+      };
+      await injectFault(stop, world, onDone);
       await sleep(ROLLING_GAP_MS);
     }
   },
   'gateway-stop': (fault, world) => stopGateway(gatewayOf(world, fault), world),
   'gateways-kill-all': async ({ forMs }, { fleet }) => {
     await Promise.all(
-      fleet.gateways.map(gateway => killGateway(gateway, forMs / 4)),
+      fleet.gateways.map(({ program }) => kill(program, forMs / 4)),
     );
   },
-  'key-added': (_, world) => {
+  'key-added': atOnce(world => {
     world.addKey();
-    return Promise.resolve();
-  },
+  }),
   'peer-link-cut': onLink(peerLinkOf, cutMode),
   'peer-link-delay': onLink(peerLinkOf, delayMode),
-  'peer-link-silent': (fault, world) => {
+  'peer-link-silent': atOnce((world, fault) => {
     peerLinkOf(world, fault).silenceAll();
-    return Promise.resolve();
-  },
+  }),
   'replica-drain': async (fault, world) => {
     const { program } = replicaOf(world, fault);
     program.tell({
@@ -205,79 +225,34 @@
   },
   'replica-garbles': replicaFault('garbles'),
   'replica-grey': replicaFault('grey'),
-  'replica-kill': async (fault, world) => {
-    const { program } = replicaOf(world, fault);
-    await program.kill();
-    await sleep(fault.forMs);
-    program.start();
-  },
+  'replica-kill': (fault, world) =>
+    kill(replicaOf(world, fault).program, fault.forMs),
   'replica-link-delay': onLink(replicaLinkOf, delayMode),
-  'replica-link-reset': (fault, world) => {
+  'replica-link-reset': atOnce((world, fault) => {
     replicaLinkOf(world, fault).resetAll();
-    return Promise.resolve();
-  },
-  'replica-link-silent': (fault, world) => {
+  }),
+  'replica-link-silent': atOnce((world, fault) => {
     replicaLinkOf(world, fault).silenceAll();
-    return Promise.resolve();
-  },
+  }),
   'replica-loses-answers': replicaFault('losesAnswers'),
-  'replica-pause': async (fault, world) => {
-    const { program } = replicaOf(world, fault);
-    program.pause();
-    await sleep(fault.forMs);
-    program.resume();
-  },
+  'replica-pause': (fault, world) =>
+    pause(replicaOf(world, fault).program, fault.forMs),
   'replica-truncates': replicaFault('truncates'),
   'store-away': storeFault('away'),
-  'store-forgets': (_, { fleet }) => {
+  'store-forgets': atOnce(({ fleet }) => {
     fleet.store.forgetHistory();
-    return Promise.resolve();
-  },
+  }),
   'store-link-cut': onLink(storeLinkOf, cutMode),
-  'store-link-reset': (fault, world) => {
+  'store-link-reset': atOnce((world, fault) => {
     storeLinkOf(world, fault).resetAll();
-    return Promise.resolve();
-  },
-  'store-link-silent': (fault, world) => {
+  }),
+  'store-link-silent': atOnce((world, fault) => {
     storeLinkOf(world, fault).silenceAll();
-    return Promise.resolve();
-  },
+  }),
   'store-loses-replies': storeFault('losesReplies'),
   'store-slow': storeFault('slow'),
 };
 
-/** Changes that operators make on purpose and that must disturb nobody. */
-const PLANNED: readonly FaultKind[] = [
-  'configuration-change',
-  'configuration-storm',
-  'gateway-reload',
-  'gateway-rolling-stop',
-  'gateway-stop',
-  'key-added',
-  'replica-drain',
-];
-
-function targetOf(fault: PlannedFault, { fleet }: FaultWorld): FaultTarget {
-  const { kind, target } = fault;
-  if (kind === 'gateway-rolling-stop' || kind === 'gateways-kill-all') {
-    return { what: 'gateway', index: null };
-  }
-  if (
-    kind.startsWith('configuration') ||
-    kind === 'key-added' ||
-    kind === 'burst'
-  ) {
-    return { what: 'configuration', index: null };
-  }
-  if (kind.startsWith('replica')) {
-    return { what: 'replica', index: target % fleet.replicas.length };
-  }
-  if (kind.startsWith('store') && !kind.startsWith('store-link')) {
-    return { what: 'store', index: null };
-  }
-  return { what: 'gateway', index: target % fleet.gateways.length };
-}
-
 /**
  * Does one fault and undoes it.
  *
@@ -288,16 +263,16 @@
 export async function injectFault(
   fault: PlannedFault,
   world: FaultWorld,
-  onDone: (done: DoneFault) => void,
+  onDone: DoneListener,
 ): Promise<void> {
   const done: DoneFault = {
     kind: fault.kind,
-    target: targetOf(fault, world),
+    target: targetOf(fault, world.fleet),
     fromMs: soakNow(),
     toMs: Infinity,
-    planned: PLANNED.includes(fault.kind),
+    planned: isPlanned(fault.kind),
   };
   onDone(done);
-  await INJECTORS[fault.kind](fault, world);
+  await INJECTORS[fault.kind](fault, world, onDone);
   done.toMs = soakNow();
 }
