--- a/packages/soak/src/SoakFleet.ts
+++ b/packages/soak/src/SoakFleet.ts
@@ -33,6 +33,20 @@
 const REPLICA_PORT = 19_000;
 const SEEDS = 3;
 
+/**
+ * Service of one run of a replica.
+ *
+ * Addresses are used again by replicas of other services, but for the first of
+ * each service, so that none is ever left without a replica.
+ *
+ * @param index - of the place
+ * @param incarnation - of the run, 1 for the first
+ */
+export function serviceOf(index: number, incarnation: number): string {
+  const moves = index < SERVICES.length ? 0 : incarnation;
+  return SERVICES[(index + moves) % SERVICES.length] ?? '';
+}
+
 /** One gateway with the links that lead from and to it. */
 export interface SoakGateway {
   readonly index: number;
@@ -146,8 +160,7 @@
     const program = new SoakProcess(incarnation => {
       const place: SoakReplicaPlace = {
         replica: nameOf(incarnation),
-        // Addresses are used again by replicas of other services.
-        service: SERVICES[(index + incarnation) % SERVICES.length] ?? '',
+        service: serviceOf(index, incarnation),
         host,
         port,
         entryAddress: `${STORE_HOST}:${linkPort}`,
