--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -12,7 +12,6 @@
 import { hashed } from '../util/byHash.js';
 import { PromptMemory } from './PromptMemory.js';
 import { ReplicaHealth } from './ReplicaHealth.js';
-import { PRIOR_PACE_MS, withPause } from './RoutePaces.js';
 
 /** What decisions need to know of one caller's request. */
 export interface GatewayRequest {
@@ -80,8 +79,10 @@
 const REPORT_MAX_AGE_MS = 1000;
 /** Weight of the newest sample of a replica's slowness. */
 const SLOWNESS_WEIGHT = 0.15;
-/** Time in which what was seen of a replica's pace loses two thirds of its weight. */
-const PACE_MEMORY_MS = 1500;
+/** Weight of the newest pause in the pace of a replica's streams. */
+const PACE_WEIGHT = 0.03;
+/** Pause between pieces assumed before any came, in milliseconds. */
+const PRIOR_PACE_MS = 30;
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 8;
 /** Cache size assumed where the configuration doesn't tell one, in tokens. */
@@ -100,9 +101,12 @@
   peersAreSample = false;
   /** Took against predicted time, smoothed; 1 is usual for the service. */
   slowness = 1;
+  /**
+   * Pause between pieces of a stream, smoothed, in milliseconds. It grows many
+   * times over while a replica reads prompts without a break.
+   */
+  paceMs = PRIOR_PACE_MS;
   lastByteMs = -Infinity;
-  #paceMs = PRIOR_PACE_MS;
-  #paceAtMs = -Infinity;
   #report: TimedReport | null = null;
 
   constructor(
@@ -199,20 +203,7 @@
 
   /** Takes in the time between two pieces of one stream. */
   onPause(pauseMs: number): void {
-    this.#paceMs = withPause(this.#paceMs, pauseMs);
-    this.#paceAtMs = this.clock();
-  }
-
-  /**
-   * Pause between pieces of a stream here, in milliseconds. It grows many times
-   * over while a replica reads prompts without a break.
-   *
-   * @param elsewhereMs - the same on other replicas, for want of fresh news
-   */
-  paceMs(elsewhereMs: number): number {
-    const ageMs = this.clock() - this.#paceAtMs;
-    const weight = Math.exp(-ageMs / PACE_MEMORY_MS);
-    return elsewhereMs + weight * (this.#paceMs - elsewhereMs);
+    this.paceMs += PACE_WEIGHT * (pauseMs - this.paceMs);
   }
 
   /** Takes in how long something took against what was predicted. */
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -14,7 +14,6 @@
 import type { RetryBudgetRules } from './RetryBudget.js';
 import { RetryBudget } from './RetryBudget.js';
 import { DemandBook } from './RouteDemand.js';
-import { RoutePaces } from './RoutePaces.js';
 import type { RoutingTable } from './RoutingTable.js';
 
 /** What is fixed for one instance of the gateway. */
@@ -42,7 +41,6 @@
   readonly budget: RetryBudget;
   readonly demand: DemandBook;
   readonly lengths: AnswerLengths;
-  readonly paces: RoutePaces;
   readonly retryGain: RetryGain;
   readonly replicas: ReplicaRegistry;
   /** Replicas that are used or still have attempts. */
@@ -75,7 +73,6 @@
     budget: new RetryBudget(retryBudget, clock),
     demand: new DemandBook(clock),
     lengths: new AnswerLengths(),
-    paces: new RoutePaces(),
     retryGain: new RetryGain(),
     replicas: new ReplicaRegistry(clock),
     backends: new Map(),
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -183,9 +183,6 @@
     // A request that runs already is not turned away half-way.
     const verdict = tried.size > 0 ? null : admit(request, best);
     if (verdict && !verdict.admit) {
-      if (isPrompt) {
-        this.board.demand.onRefused(request.route.id, best.unreadTokens);
-      }
       return {
         kind: 'refuse',
         code: 'overloaded',
@@ -240,9 +237,7 @@
     const nowMs = this.board.clock();
     attempt.load.lastByteMs = nowMs;
     if (attempt.lastByteMs !== null) {
-      const pauseMs = nowMs - attempt.lastByteMs;
-      attempt.load.onPause(pauseMs);
-      this.board.paces.onPause(attempt.request.route.id, pauseMs);
+      attempt.load.onPause(nowMs - attempt.lastByteMs);
     }
     attempt.lastByteMs = nowMs;
     attempt.pieces += 1;
--- a/packages/decisions/src/gateway/RouteDemand.ts
+++ b/packages/decisions/src/gateway/RouteDemand.ts
@@ -30,17 +30,6 @@
     this.#inFlight.set(route, (this.#inFlight.get(route) ?? 0) + 1);
   }
 
-  /**
-   * Notes a request that was turned away, with the tokens it would have brought.
-   *
-   * Replicas are split by demand. If only what is let in counted, a group that is
-   * too small would refuse, seem to need no more, and go on refusing while less
-   * urgent groups beside it have room.
-   */
-  onRefused(route: RouteId, tokens: number): void {
-    this.#rateOf(route).add(tokens);
-  }
-
   /** Notes that a request left its replica. */
   onEnded(route: RouteId): void {
     this.#inFlight.set(route, (this.#inFlight.get(route) ?? 1) - 1);
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -74,8 +74,6 @@
   readonly sharedTokens: number;
   /** Pieces that the answer should have. */
   readonly pieces: number;
-  /** Pause between pieces of the route's streams, in milliseconds. */
-  readonly paceMs: number;
   readonly home: BackendLoad | undefined;
 }
 
@@ -144,7 +142,6 @@
       promptTokens: prompt?.promptTokens ?? 0,
       sharedTokens: tokensOf(shared),
       pieces: board.lengths.expect(route.id, prompt, service),
-      paceMs: board.paces.paceMs(route.id),
       home: last && homeOf(last, loads),
     };
   };
@@ -171,7 +168,7 @@
     const slots = request.service.engine?.slots ?? Infinity;
     const taken = load.totalInFlight / slots;
     const isRemote = load.replica.failureDomain !== board.failureDomain;
-    const streamMs = pieces * load.paceMs(prepared.paceMs);
+    const streamMs = pieces * load.paceMs;
     const cost =
       predictedMs +
       rereadMs +
