--- a/packages/bench/src/gateway/createReplayRouter.ts
+++ b/packages/bench/src/gateway/createReplayRouter.ts
@@ -38,6 +38,7 @@
     slots,
     leaving: false,
     coldMs: 0,
+    bornMs: null,
   };
 }
 
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -45,6 +45,8 @@
   readonly replicas: ReplicaRegistry;
   /** Replicas that are used or still have attempts. */
   readonly backends: Map<BackendServerId, BackendLoad>;
+  /** Earlier runs of replicas that started again, until their attempts are taken. */
+  readonly earlierRuns: Set<BackendLoad>;
   readonly learning: Map<ServiceId, ServiceLearning>;
   /** Null until a configuration is known. */
   table: RoutingTable | null;
@@ -76,6 +78,7 @@
     retryGain: new RetryGain(),
     replicas: new ReplicaRegistry(clock),
     backends: new Map(),
+    earlierRuns: new Set(),
     learning: new Map(),
     table: null,
     configurationAsOfMs: -Infinity,
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -1,6 +1,7 @@
 import type {
   BackendServerId,
   InstanceId,
+  Replica,
   ResultCodeId,
   Route,
   RouteId,
@@ -31,6 +32,7 @@
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
 import { judgeReplica } from './judgeReplica.js';
+import { isLaterRun } from './replicaRuns.js';
 import { isSilent, usableCandidates } from './usableCandidates.js';
 import { RoutingTable } from './RoutingTable.js';
 
@@ -100,15 +102,9 @@
 
   /** Takes over the replicas of the registry. */
   syncReplicas(): void {
-    const { replicas, backends, table, clock } = this.board;
+    const { replicas, backends } = this.board;
     replicas.replicas.forEach(replica => {
-      const load = backends.get(replica.id);
-      if (load) {
-        load.replica = replica;
-        return;
-      }
-      const service = table?.service(replica.service);
-      backends.set(replica.id, new BackendLoad(replica, service, clock));
+      this.#syncReplica(replica);
     });
     [...backends.values()]
       .filter(
@@ -118,6 +114,27 @@
       .forEach(({ replica }) => backends.delete(replica.id));
   }
 
+  /**
+   * Takes over one replica; a run that started again begins with a load of its own.
+   *
+   * Guards against taking what is known of the run before for the new one's: it
+   * shows as prompts sent for a cache that is empty now, and as a sound replica
+   * that is avoided for the failures of its crash.
+   */
+  #syncReplica(replica: Replica): void {
+    const { backends, earlierRuns, table, clock } = this.board;
+    const load = backends.get(replica.id);
+    if (load && !isLaterRun(replica, load.replica)) {
+      load.replica = replica;
+      return;
+    }
+    if (load) {
+      earlierRuns.add(load);
+    }
+    const service = table?.service(replica.service);
+    backends.set(replica.id, new BackendLoad(replica, service, clock));
+  }
+
   /**
    * Finds route, service and organisation of a request.
    *
@@ -305,6 +322,19 @@
     );
   }
 
+  /**
+   * Attempts at runs of replicas that have ended since.
+   *
+   * Guards against waiting for an answer that can't come any more: a replica that
+   * crashed without a sign leaves its connections open, and answers others.
+   */
+  takeOrphans(): readonly GatewayAttempt[] {
+    const { earlierRuns } = this.board;
+    const orphans = [...earlierRuns].flatMap(({ attempts }) => [...attempts]);
+    earlierRuns.clear();
+    return orphans;
+  }
+
   /** Attempts of this instance that have not ended. */
   get inFlight(): number {
     return [...this.board.backends.values()].reduce(
@@ -319,6 +349,7 @@
       .filter(({ inFlight }) => inFlight > 0)
       .map(({ replica, inFlight, ownUnreadTokens }) => ({
         id: replica.id,
+        bornMs: replica.bornMs,
         inFlight,
         unreadTokens: ownUnreadTokens,
       }));
@@ -335,9 +366,9 @@
     const nowMs = this.board.clock();
     return [...this.board.backends.values()].flatMap(load => {
       const report = load.freshReport;
-      const { id } = load.replica;
+      const { id, bornMs } = load.replica;
       return report
-        ? [{ id, total: report.total, ageMs: nowMs - report.atMs }]
+        ? [{ id, bornMs, total: report.total, ageMs: nowMs - report.atMs }]
         : [];
     });
   }
--- a/packages/decisions/src/gateway/PeerWorkBook.ts
+++ b/packages/decisions/src/gateway/PeerWorkBook.ts
@@ -3,16 +3,21 @@
 import type { PeerUse } from './BackendLoad.js';
 import { NO_PEER_USE } from './BackendLoad.js';
 import type { GatewayBoard } from './GatewayBoard.js';
+import { isSameRun } from './replicaRuns.js';
 import type { RouteDemand } from './RouteDemand.js';
 
-/** What one instance tells the others of its use of a replica. */
-export interface OwnUse extends PeerUse {
+/** One run of a replica. */
+interface ReplicaRun {
   readonly id: BackendServerId;
+  /** Its start in Unix milliseconds; null where that is unknown. */
+  readonly bornMs: number | null;
 }
 
+/** What one instance tells the others of its use of a replica. */
+export interface OwnUse extends PeerUse, ReplicaRun {}
+
 /** Load that a replica told, as one instance hands it on. */
-export interface HeardReport {
-  readonly id: BackendServerId;
+export interface HeardReport extends ReplicaRun {
   readonly total: number;
   readonly ageMs: number;
 }
@@ -43,10 +48,12 @@
 
   /** Takes in what another instance runs and has heard. */
   onWork(peer: InstanceId, work: PeerWork): void {
-    work.reports.forEach(({ id, total, ageMs }) => {
-      const atMs = this.board.clock() - ageMs;
-      this.board.backends.get(id)?.onPeerReport({ total, atMs });
-    });
+    work.reports
+      .filter(report => this.#isOfThisRun(report))
+      .forEach(({ id, total, ageMs }) => {
+        const atMs = this.board.clock() - ageMs;
+        this.board.backends.get(id)?.onPeerReport({ total, atMs });
+      });
     this.#reports.set(peer, { atMs: this.board.clock(), ...work });
     this.#sumUp();
   }
@@ -60,6 +67,12 @@
     this.#sumUp();
   }
 
+  /** What was told of another run of a replica says nothing of the one known. */
+  #isOfThisRun(run: ReplicaRun): boolean {
+    const load = this.board.backends.get(run.id);
+    return load !== undefined && isSameRun(run, load.replica);
+  }
+
   /**
    * Sums up what the others run.
    *
@@ -78,6 +91,7 @@
     const sums = new Map<BackendServerId, PeerUse>();
     reports
       .flatMap(({ uses }) => uses)
+      .filter(use => this.#isOfThisRun(use))
       .forEach(({ id, inFlight, unreadTokens }) => {
         const sum = sums.get(id) ?? NO_PEER_USE;
         sums.set(id, {
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -1,47 +1,13 @@
 import type { BackendServerId, Replica } from '@jujubecroft/types';
 
 import type { Clock } from '../blackboard/Blackboard.js';
-
-/** What is known of one replica entry, with the store version that said so. */
-export interface ReplicaRecord {
-  readonly id: BackendServerId;
-  /** Null once the entry was removed. */
-  readonly replica: Replica | null;
-  /** Store version of the newest row seen. */
-  readonly rowVersion: number;
-  /** Store version at which the content last changed. */
-  readonly changedAt: number;
-  /**
-   * When a removed entry counts as gone, on the local clock; null while the
-   * entry stands. Until then the replica is still used.
-   */
-  readonly goneAtMs: number | null;
-}
-
-/** A row of the entries as the store or another instance tells it. */
-export interface ReplicaRow {
-  readonly id: BackendServerId;
-  readonly rowVersion: number;
-  /** Null for a removed entry. */
-  readonly replica: Replica | null;
-}
-
-/** Changes that one instance hands to another. */
-export interface ReplicaChanges {
-  readonly version: number;
-  /** How long ago the view was known to be current, in milliseconds. */
-  readonly ageMs: number;
-  /** Whether entries that are not listed don't exist. */
-  readonly complete: boolean;
-  readonly records: readonly ReplicaRecord[];
-}
-
-/** How a replica changed for those who place requests. */
-export interface ReplicaChange {
-  readonly kind: 'added' | 'gone' | 'leaving' | 'lapsed' | 'updated';
-  readonly id: BackendServerId;
-  readonly rowVersion: number;
-}
+import type {
+  ReplicaChange,
+  ReplicaChanges,
+  ReplicaRecord,
+  ReplicaRow,
+} from './ReplicaRecord.js';
+import { isEarlierRun, kindOf, newestBorn } from './replicaRuns.js';
 
 /**
  * Removed entries that are remembered, so that others can be told of them.
@@ -50,33 +16,6 @@
  */
 const MAX_REMOVED = 500;
 
-function sameContent(a: Replica | null, b: Replica | null): boolean {
-  if (!a || !b) {
-    return a === b;
-  }
-  // The time to warm up shrinks with each heartbeat; it is no news by itself.
-  return (
-    a.service === b.service &&
-    a.address === b.address &&
-    a.leaving === b.leaving &&
-    a.slots === b.slots &&
-    a.failureDomain === b.failureDomain
-  );
-}
-
-function kindOf(
-  before: ReplicaRecord | undefined,
-  after: Replica,
-): ReplicaChange['kind'] | null {
-  if (!before?.replica) {
-    return 'added';
-  }
-  if (sameContent(before.replica, after) && before.goneAtMs === null) {
-    return null;
-  }
-  return after.leaving && !before.replica.leaving ? 'leaving' : 'updated';
-}
-
 /**
  * The replicas of all services by their entries in the store.
  *
@@ -225,15 +164,35 @@
       : this.#remove(row, before);
   }
 
+  /**
+   * Takes over an entry, unless it speaks of an earlier run.
+   *
+   * Guards against the last report of a run that crashed: the store may carry it
+   * out seconds later, after the first report of the next run. It shows as a
+   * replica that is leaving or has another address though it has just started.
+   */
   #put(
     row: ReplicaRow,
     replica: Replica,
     before: ReplicaRecord | undefined,
   ): ReplicaChange | null {
     const { id, rowVersion } = row;
-    const kind = kindOf(before, replica);
+    if (before && isEarlierRun(replica, before)) {
+      this.#store({ ...before, rowVersion });
+      return null;
+    }
+    const bornMs = newestBorn(replica, before);
+    const known = { ...replica, bornMs };
+    const kind = kindOf(before, known);
     const changedAt = kind ? rowVersion : (before?.changedAt ?? rowVersion);
-    this.#store({ id, replica, rowVersion, changedAt, goneAtMs: null });
+    this.#store({
+      id,
+      rowVersion,
+      changedAt,
+      bornMs,
+      replica: known,
+      goneAtMs: null,
+    });
     return kind && { kind, id, rowVersion };
   }
 
@@ -248,6 +207,7 @@
       id,
       rowVersion,
       changedAt: rowVersion,
+      bornMs: before?.bornMs ?? null,
       replica: mayComeBack ? before.replica : null,
       goneAtMs: mayComeBack ? this.#lapsesUntilMs : nowMs,
     });
@@ -262,8 +222,12 @@
     if (before && record.rowVersion <= before.rowVersion) {
       return [];
     }
-    this.#store(record);
     const { id, rowVersion, replica } = record;
+    if (before && replica && isEarlierRun(replica, before)) {
+      this.#store({ ...before, rowVersion });
+      return [];
+    }
+    this.#store({ ...record, bornMs: newestBorn(record, before) });
     if (!replica) {
       return before?.replica ? [{ kind: 'gone', id, rowVersion }] : [];
     }
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -30,7 +30,7 @@
   ReplicaChanges,
   ReplicaRecord,
   ReplicaRow,
-} from './ReplicaRegistry.js';
+} from './ReplicaRecord.js';
 export { ReplicaRegistry } from './ReplicaRegistry.js';
 export type { HealthVerdict } from './ReplicaHealth.js';
 export type { RetryBudgetRules } from './RetryBudget.js';
--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -16,7 +16,8 @@
   | { readonly kind: 'withdrawn'; readonly reason: WithdrawReason };
 
 /** Why an attempt was withdrawn by this instance. */
-export type WithdrawReason = 'callerLeft' | 'silent' | 'timeLimit';
+export type WithdrawReason =
+  'callerLeft' | 'replicaRestarted' | 'silent' | 'timeLimit';
 
 /** What follows an attempt that did not answer the caller. */
 export type Recovery =
--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -109,6 +109,7 @@
       return { kind: 'answer', code: 'callerLeft', retryAfterMs: 0 };
     case 'timeLimit':
       return { kind: 'answer', code: 'backendTimeout', retryAfterMs: 0 };
+    case 'replicaRestarted':
     case 'silent':
       return isIdempotent(facts.route) && mayRepeat(facts)
         ? { kind: 'retry' }
--- a/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
+++ b/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
@@ -80,6 +80,56 @@
     });
   });
 
+  group('a replica that starts again under its id', ({ it: case_ }) => {
+    const run = (rowVersion: number, bornMs: number): ReplicaRow => ({
+      ...row('a', rowVersion),
+      replica: replica('a', { bornMs, address: `127.0.0.1:${bornMs}` }),
+    });
+    const bornOf = (registry: ReplicaRegistry): number | null | undefined =>
+      registry.find(brand<BackendServerId>('a'))?.bornMs;
+
+    case_('is told apart from a heartbeat', t => {
+      const registry = new ReplicaRegistry(manualClock().now);
+      registry.applyRows([run(1, 10)], 1, 0);
+      t.deepEqual(registry.applyRows([run(2, 10)], 2, 0), []);
+      const changes = registry.applyRows([run(3, 20)], 3, 0);
+      t.is(changes[0]?.kind, 'restarted');
+    });
+
+    // A replica crashes while its last report is on the way. The store carries
+    // that out seconds later, when the next run has reported: the old address
+    // would come back, and requests would go where nobody listens.
+    case_('is not replaced by a late report of the run before', t => {
+      const registry = new ReplicaRegistry(manualClock().now);
+      registry.applyRows([run(1, 10), run(2, 20)], 2, 0);
+      t.deepEqual(registry.applyRows([run(3, 10)], 3, 0), []);
+      t.is(bornOf(registry), 20);
+      registry.applyRows([removed('a', 4)], 4, 0);
+      registry.applyRows([run(5, 10)], 5, 0);
+      t.is(registry.find(brand<BackendServerId>('a')), undefined);
+    });
+
+    // Instance two has read a late report of the run before and hands it on.
+    case_('is not replaced by what another instance took for newer', t => {
+      const clock = manualClock();
+      const [one, two] = [
+        new ReplicaRegistry(clock.now),
+        new ReplicaRegistry(clock.now),
+      ];
+      one.applyRows([run(1, 10), run(2, 20)], 2, 0);
+      two.applyRows([run(3, 10)], 3, 0);
+      t.deepEqual(one.merge(two.changesSince(2)), []);
+      t.is(bornOf(one), 20);
+    });
+
+    case_('keeps its start when an entry does not say it', t => {
+      const registry = new ReplicaRegistry(manualClock().now);
+      registry.applyRows([run(1, 10), row('a', 2)], 2, 0);
+      t.is(bornOf(registry), 10);
+      t.is(registry.applyRows([run(3, 20)], 3, 0)[0]?.kind, 'restarted');
+    });
+  });
+
   it('takes entries that a full read lacks for removed', t => {
     const registry = new ReplicaRegistry(manualClock().now);
     registry.applySnapshot([row('a', 1), row('b', 2)], 2, 0);
--- a/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
+++ b/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
@@ -93,6 +93,7 @@
     slots: 64,
     leaving: false,
     coldMs: 0,
+    bornMs: null,
     ...overrides,
   };
 }
--- a/packages/gateway/src/backends/BackendConnections.ts
+++ b/packages/gateway/src/backends/BackendConnections.ts
@@ -1,5 +1,5 @@
 import { Pool } from 'undici';
-import type { BackendServerId, Replica } from '@jujubecroft/types';
+import type { Replica } from '@jujubecroft/types';
 
 import { connectWithin } from './connectWithin.js';
 
@@ -14,15 +14,20 @@
 /** Time that the last answers have when a replica is gone, in milliseconds. */
 const CLOSE_AFTER_MS = 30_000;
 
+/** Names one run of a replica at one address. */
+function runKey({ id, address, bornMs }: Replica): string {
+  return `${id} ${address} ${bornMs ?? ''}`;
+}
+
 /**
  * Connections to replicas, one pool for each run of a replica.
  *
- * A pool belongs to one replica id, so a connection is never used for another
- * replica that got the same address.
+ * A pool belongs to one run of one replica, so a connection is never used for
+ * another replica that got the same address, or for a replica that started again.
  */
 export class BackendConnections {
   #endsByReset = false;
-  readonly #pools = new Map<BackendServerId, Pool>();
+  readonly #pools = new Map<string, Pool>();
 
   /**
    * Whether the end that the HTTP client is telling of right now is a reset.
@@ -36,12 +41,13 @@
   }
 
   /** @returns the pool of a replica, opened at first use */
-  of({ id, address }: Replica, maxConnections: number): Pool {
-    const known = this.#pools.get(id);
+  of(replica: Replica, maxConnections: number): Pool {
+    const key = runKey(replica);
+    const known = this.#pools.get(key);
     if (known && !known.destroyed && !known.closed) {
       return known;
     }
-    const pool = new Pool(`http://${address}`, {
+    const pool = new Pool(`http://${replica.address}`, {
       connections: maxConnections,
       pipelining: 1,
       connect: connectWithin(CONNECT_TIMEOUT_MS, () => {
@@ -55,16 +61,17 @@
       bodyTimeout: 0,
       maxHeaderSize: MAX_HEAD_BYTES,
     });
-    this.#pools.set(id, pool);
+    this.#pools.set(key, pool);
     return pool;
   }
 
   /** Closes the pools of replicas that are no longer used. */
-  keepOnly(used: ReadonlySet<BackendServerId>): void {
+  keepOnly(replicas: readonly Replica[]): void {
+    const used = new Set(replicas.map(runKey));
     [...this.#pools]
-      .filter(([id]) => !used.has(id))
-      .forEach(([id, pool]) => {
-        this.#pools.delete(id);
+      .filter(([key]) => !used.has(key))
+      .forEach(([key, pool]) => {
+        this.#pools.delete(key);
         void pool.close();
         setTimeout(() => void pool.destroy(), CLOSE_AFTER_MS).unref();
       });
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -81,7 +81,7 @@
   /** Gives up the attempt that is under way. */
   withdraw(reason: WithdrawReason): void {
     // What ends the request for good is not overruled by what moves it.
-    if (this.#withdrawn !== null && reason === 'silent') {
+    if (this.#withdrawn !== null && movesOn(reason)) {
       return;
     }
     this.#withdrawn = reason;
@@ -241,9 +241,7 @@
         return result;
       }
       case 'aborted':
-        return this.#withdrawn === null
-          ? { kind: 'lost', reason: 'answer of another request' }
-          : { kind: 'withdrawn', reason: this.#withdrawn };
+        return this.#afterAbort(end.sent);
       case 'failed':
         return end.sent
           ? { kind: 'lost', reason: end.reason }
@@ -251,6 +249,17 @@
     }
   }
 
+  #afterAbort(sent: boolean): AttemptResult {
+    const reason = this.#withdrawn;
+    if (reason === null) {
+      return { kind: 'lost', reason: 'answer of another request' };
+    }
+    // Whatever waited for a connection to the earlier run never reached it.
+    return reason === 'replicaRestarted' && !sent
+      ? { kind: 'unsent', reason }
+      : { kind: 'withdrawn', reason };
+  }
+
   #count(result: AttemptResult, replica: BackendServerId): void {
     if (result.kind === 'unsent') {
       this.#unsent += 1;
@@ -265,7 +274,7 @@
   #follow(recovery: Recovery): boolean {
     switch (recovery.kind) {
       case 'retry':
-        if (this.#withdrawn === 'silent') {
+        if (this.#withdrawn !== null && movesOn(this.#withdrawn)) {
           this.#withdrawn = null;
         }
         if (this.#withdrawn !== null || this.#answer.isClosed) {
@@ -338,6 +347,11 @@
   }
 }
 
+/** Whether a request goes on elsewhere, where it may, after such a withdrawal. */
+function movesOn(reason: WithdrawReason): boolean {
+  return reason === 'silent' || reason === 'replicaRestarted';
+}
+
 function hostOf(headers: RawHeaders): string {
   const index = headers.findIndex(
     (text, place) => place % 2 === 0 && text.toLowerCase() === 'host',
--- a/packages/gateway/src/front/RequestsUnderWay.ts
+++ b/packages/gateway/src/front/RequestsUnderWay.ts
@@ -1,3 +1,5 @@
+import type { GatewayAttempt, WithdrawReason } from '@jujubecroft/decisions';
+
 import type { ForwardedRequest } from '../forward/ForwardedRequest.js';
 import type { GatewayContext } from '../GatewayContext.js';
 
@@ -28,7 +30,9 @@
   /** Starts to look for attempts that should go on elsewhere. */
   start(): void {
     this.#timer = setInterval(() => {
-      this.#moveSilent();
+      const { router } = this.context;
+      this.#withdraw(router.findSilent(), 'silent');
+      this.#withdraw(router.takeOrphans(), 'replicaRestarted');
     }, CHECK_EVERY_MS);
   }
 
@@ -38,13 +42,12 @@
     }
   }
 
-  #moveSilent(): void {
-    const silent = this.context.router.findSilent();
-    silent.forEach(attempt => {
+  #withdraw(attempts: readonly GatewayAttempt[], reason: WithdrawReason): void {
+    attempts.forEach(attempt => {
       [...this.#requests]
         .filter(request => request.runs(attempt))
         .forEach(request => {
-          request.withdraw('silent');
+          request.withdraw(reason);
         });
     });
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -17,3 +17,4 @@
 export { chooseAddresses } from './side/chooseAddresses.js';
 export type { GatewayPorts, RunningGateway } from './startGateway.js';
 export { startGateway } from './startGateway.js';
+export { fromReplicaFields, toReplicaFields } from './state/gatewayState.js';
--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -7,7 +7,12 @@
 export type NewsListener = () => void;
 
 /** Changes that others must act on; the rest spreads with the heartbeats. */
-const URGENT: readonly ReplicaChange['kind'][] = ['gone', 'leaving', 'added'];
+const URGENT: readonly ReplicaChange['kind'][] = [
+  'gone',
+  'leaving',
+  'added',
+  'restarted',
+];
 
 /**
  * What this instance knows of configuration and replicas, whoever told it.
@@ -70,7 +75,9 @@
     }
     const { router, log, connections } = this.context;
     router.syncReplicas();
-    connections.keepOnly(new Set(router.board.backends.keys()));
+    connections.keepOnly(
+      [...router.board.backends.values()].map(({ replica }) => replica),
+    );
     changes.forEach(({ id, kind, rowVersion }) => {
       log.write('replicaChanged', {
         backendServer: id,
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -17,6 +17,8 @@
 
 /** Told to others while an entry stands. */
 const STANDS = -1;
+/** Told where the start of a run is not known. */
+const UNKNOWN_START = 0;
 /** A removed entry; its other fields mean nothing. */
 const REMOVED = {
   exists: false,
@@ -28,6 +30,10 @@
   coldMs: 0,
 } as const;
 
+function startOf({ bornMs }: { readonly bornMs: number }): number | null {
+  return bornMs === UNKNOWN_START ? null : bornMs;
+}
+
 /**
  * Turns a replica record into its message.
  *
@@ -35,14 +41,22 @@
  * @param nowMs - on the local clock, for the time until it counts as gone
  */
 function toEntry(record: ReplicaRecord, nowMs: number): proto.ReplicaEntry {
-  const { id, replica, rowVersion, changedAt, goneAtMs } = record;
+  const { id, replica, rowVersion, changedAt, bornMs, goneAtMs } = record;
   const goneInMs = goneAtMs === null ? STANDS : Math.max(0, goneAtMs - nowMs);
   const content = replica ? { ...replica, exists: true } : REMOVED;
-  return { ...content, id, entryVersion: rowVersion, changedAt, goneInMs };
+  return {
+    ...content,
+    id,
+    entryVersion: rowVersion,
+    changedAt,
+    bornMs: bornMs ?? UNKNOWN_START,
+    goneInMs,
+  };
 }
 
 function fromEntry(entry: proto.ReplicaEntry, nowMs: number): ReplicaRecord {
   const id = brand<BackendServerId>(entry.id);
+  const bornMs = startOf(entry);
   const replica: Replica = {
     id,
     service: brand<ServiceId>(entry.service),
@@ -51,12 +65,14 @@
     slots: entry.slots,
     leaving: entry.leaving,
     coldMs: entry.coldMs,
+    bornMs,
   };
   return {
     id,
     replica: entry.exists ? replica : null,
     rowVersion: entry.entryVersion,
     changedAt: entry.changedAt,
+    bornMs,
     goneAtMs: entry.goneInMs < 0 ? null : nowMs + entry.goneInMs,
   };
 }
@@ -104,8 +120,9 @@
 
 /** @returns the message fields of what this instance runs */
 export function toUses(uses: readonly OwnUse[]): proto.BackendUse[] {
-  return uses.map(({ id, inFlight, unreadTokens }) => ({
+  return uses.map(({ id, bornMs, inFlight, unreadTokens }) => ({
     backendServer: id,
+    bornMs: bornMs ?? UNKNOWN_START,
     inFlight,
     // Expected cache hits make it a fraction, which the message can't hold.
     unreadTokens: Math.round(unreadTokens),
@@ -116,8 +133,9 @@
 export function toReports(
   reports: readonly HeardReport[],
 ): proto.BackendReport[] {
-  return reports.map(({ id, total, ageMs }) => ({
+  return reports.map(({ id, bornMs, total, ageMs }) => ({
     backendServer: id,
+    bornMs: bornMs ?? UNKNOWN_START,
     total,
     ageMs,
   }));
@@ -130,15 +148,17 @@
   reports,
 }: proto.GatewayState): PeerWork {
   return {
-    reports: reports.map(({ backendServer, total, ageMs }) => ({
-      id: brand<BackendServerId>(backendServer),
-      total,
-      ageMs,
+    reports: reports.map(report => ({
+      id: brand<BackendServerId>(report.backendServer),
+      bornMs: startOf(report),
+      total: report.total,
+      ageMs: report.ageMs,
     })),
-    uses: uses.map(({ backendServer, inFlight, unreadTokens }) => ({
-      id: brand<BackendServerId>(backendServer),
-      inFlight,
-      unreadTokens,
+    uses: uses.map(use => ({
+      id: brand<BackendServerId>(use.backendServer),
+      bornMs: startOf(use),
+      inFlight: use.inFlight,
+      unreadTokens: use.unreadTokens,
     })),
     demands: demands.map(demand => ({
       ...demand,
--- a/packages/gateway/tests/backends/VerdictWatch.test.ts
+++ b/packages/gateway/tests/backends/VerdictWatch.test.ts
@@ -33,6 +33,7 @@
       slots: 1,
       leaving: false,
       coldMs: 0,
+      bornMs: null,
     };
     board.replicas.applyRows(
       [{ id: replica.id, rowVersion: 1, replica }],
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -24,7 +24,9 @@
       heartbeat: undefined,
       configurationVersion: 3,
       configurationAgeMs: finite(Infinity),
-      uses: toUses([{ id, inFlight: 2, unreadTokens: 5888.5 }]),
+      uses: toUses([
+        { id, bornMs: 1_764_000_000_123, inFlight: 2, unreadTokens: 5888.5 },
+      ]),
       reports: [],
       demands: [{ route: brand<RouteId>('r'), tokensPerS: 10.25, inFlight: 2 }],
       configurationJson: '',
@@ -36,6 +38,7 @@
     });
     const work = fromWork(requestDeserialize(bytes));
     t.is(work.uses[0]?.unreadTokens, 5889);
+    t.is(work.uses[0]?.bornMs, 1_764_000_000_123);
     t.is(work.demands[0]?.tokensPerS, 10.25);
   });
 
@@ -48,15 +51,24 @@
       slots: 4,
       leaving: true,
       coldMs: 12.5,
+      bornMs: 1_764_000_000_123,
     };
+    const { bornMs } = replica;
     const changes = {
       version: 9,
       ageMs: 20,
       complete: false,
       records: [
-        { id, replica, rowVersion: 8, changedAt: 7, goneAtMs: null },
-        { id, replica: null, rowVersion: 9, changedAt: 9, goneAtMs: 100 },
-        { id, replica, rowVersion: 9, changedAt: 9, goneAtMs: 1500 },
+        { id, replica, bornMs, rowVersion: 8, changedAt: 7, goneAtMs: null },
+        {
+          id,
+          replica: null,
+          bornMs: null,
+          rowVersion: 9,
+          changedAt: 9,
+          goneAtMs: 100,
+        },
+        { id, replica, bornMs, rowVersion: 9, changedAt: 9, goneAtMs: 1500 },
       ],
     };
     const fields = toReplicaFields(changes, 1000);
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -101,6 +101,11 @@
   readonly leaving: boolean;
   /** How much longer the replica is slow after its start, in milliseconds. */
   readonly coldMs: number;
+  /**
+   * When this run started, in Unix milliseconds; null where the entry doesn't
+   * say. A server that starts again under its old id has a later one.
+   */
+  readonly bornMs: number | null;
 }
 
 /** One part of a prompt; requests with equal leading parts share cache. */
