--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -22,6 +22,7 @@
 import { ExplainCommand } from './commands/ExplainCommand.js';
 import { GatewayCommand } from './commands/GatewayCommand.js';
 import { LoadCommand } from './commands/LoadCommand.js';
+import { ReportCommand } from './commands/ReportCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
 import { SoakCommand, SoakReplicaCommand } from './commands/soakCommands.js';
 import { StandInCommand } from './commands/StandInCommand.js';
@@ -51,6 +52,7 @@
   ExplainCommand,
   GatewayCommand,
   LoadCommand,
+  ReportCommand,
   ServeCommand,
   SoakCommand,
   SoakReplicaCommand,
--- /dev/null
+++ b/packages/cli/src/report/dayTables.ts
@@ -0,0 +1,78 @@
+import Table from 'cli-table3';
+import type {
+  DaySummary,
+  ServerSummary,
+  WindowSummary,
+} from '@jujubecroft/events';
+
+const WINDOW_HEAD: readonly string[] = [
+  'route',
+  'from s',
+  'placed',
+  'refused',
+  'deferred',
+  'answered',
+  'late first',
+  'late pauses',
+  'cut',
+  'left',
+  'predicted ms',
+  'first ms',
+  'error p50',
+  'error p90',
+  'kept %',
+];
+const SERVER_HEAD: readonly string[] = [
+  'backend server',
+  'placed',
+  'tokens to read',
+];
+const PERCENT = 100;
+const ERROR_DIGITS = 2;
+
+function windowRow(row: WindowSummary): (number | string)[] {
+  return [
+    row.route,
+    row.fromS,
+    row.placed,
+    row.refused,
+    row.deferred,
+    row.answered,
+    row.lateFirst,
+    row.latePauses,
+    row.cut,
+    row.left,
+    Math.round(row.predictedMs),
+    Math.round(row.firstMs),
+    row.errorP50.toFixed(ERROR_DIGITS),
+    row.errorP90.toFixed(ERROR_DIGITS),
+    Math.round(PERCENT * row.kept),
+  ];
+}
+
+function serverRow(row: ServerSummary): (number | string)[] {
+  return [row.backendServer, row.placed, row.unreadTokens];
+}
+
+function toTable(
+  head: readonly string[],
+  rows: readonly (number | string)[][],
+): string {
+  const table = new Table({ head: [...head], style: { head: [], border: [] } });
+  table.push(...rows);
+  return table.toString();
+}
+
+/**
+ * Renders a summary as tables for a terminal.
+ *
+ * @param day - what the logs say
+ * @returns one table of windows and one of backend servers
+ */
+export function dayTables({ windows, servers }: DaySummary): string {
+  return [
+    toTable(WINDOW_HEAD, windows.map(windowRow)),
+    toTable(SERVER_HEAD, servers.map(serverRow)),
+    '',
+  ].join('\n');
+}
--- a/packages/cli/tests/commands.test.ts
+++ b/packages/cli/tests/commands.test.ts
@@ -1,4 +1,4 @@
-import { writeFileSync } from 'node:fs';
+import { readFileSync, writeFileSync } from 'node:fs';
 import { mkdtemp } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -11,6 +11,7 @@
 import { createGroupHelp } from '../src/commands/createGroupHelp.js';
 import { CtlStatusCommand } from '../src/commands/ctlViews.js';
 import { ExplainCommand } from '../src/commands/ExplainCommand.js';
+import { ReportCommand } from '../src/commands/ReportCommand.js';
 import { EXIT } from '../src/exitCodes.js';
 
 async function run(
@@ -25,6 +26,7 @@
     ConfigCheckCommand,
     CtlStatusCommand,
     ExplainCommand,
+    ReportCommand,
     createGroupHelp('ctl'),
   ].forEach(command => {
     cli.register(command);
@@ -71,6 +73,27 @@
     });
   });
 
+  group('report', ({ it }) => {
+    const LINES = [
+      '{"id":"requestPlaced","instance":"i","time":"2026-01-01T00:00:00Z","request":"q","route":"r-1","backendServer":"s-1","predictedMs":80,"promptTokens":10,"unreadTokens":10}',
+      '{"id":"requestAnswered","instance":"i","time":"2026-01-01T00:00:01Z","request":"q","firstMs":90,"targetMs":300}',
+    ].join('\n');
+
+    it('prints a table and draws a plot', async t => {
+      const folder = await mkdtemp(path.join(tmpdir(), 'report-'));
+      const file = path.join(folder, 'day.svg');
+      const { code, out } = await run(['report', '--plot', file], LINES);
+      t.is(code, EXIT.ok);
+      t.regex(out, /r-1 +│ 0 +│ 1 /);
+      t.regex(readFileSync(file, 'utf8'), /^<svg .*late pauses/s);
+    });
+
+    it('fails where no line tells of a request', async t => {
+      const { code } = await run(['report'], 'noise');
+      t.is(code, EXIT.failed);
+    });
+  });
+
   group('explain', ({ it }) => {
     it('says so when no line names the request', async t => {
       const { code, out } = await run(['explain', 'q-1'], 'noise\n{"a":1}\n');
--- a/packages/events/src/index.ts
+++ b/packages/events/src/index.ts
@@ -9,3 +9,9 @@
 export { explainRequest } from './explainRequest.js';
 export type { ParsedLine } from './readLogLines.js';
 export { readLogLines } from './readLogLines.js';
+export type {
+  DaySummary,
+  ServerSummary,
+  WindowSummary,
+} from './summariseLines.js';
+export { summariseLines } from './summariseLines.js';
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -84,7 +84,8 @@
   replicaChanged: {
     number: 303,
     level: 'info',
-    summary: 'A backend server was added, changed, is leaving or is gone.',
+    summary:
+      'A backend server was added, changed, started again, is leaving or is gone.',
   },
   backendAvoided: {
     number: 304,
--- /dev/null
+++ b/packages/events/tests/summariseLines.test.ts
@@ -0,0 +1,111 @@
+import { describe } from '@jujubecroft/testing';
+
+import type { ParsedLine } from '../src/index.js';
+import { summariseLines } from '../src/index.js';
+
+const START_MS = Date.parse('2026-01-01T00:00:00.000Z');
+
+function line(
+  id: string,
+  atS: number,
+  request: string,
+  fields: Readonly<Record<string, unknown>> = {},
+): ParsedLine {
+  return {
+    id,
+    instance: 'i-1',
+    time: new Date(START_MS + atS * 1000).toISOString(),
+    atMs: 0,
+    fields: { request, ...fields },
+  };
+}
+
+const placed = (
+  atS: number,
+  request: string,
+  fields: Readonly<Record<string, unknown>> = {},
+): ParsedLine =>
+  line('requestPlaced', atS, request, {
+    route: 'r-1',
+    backendServer: 's-1',
+    predictedMs: 100,
+    promptTokens: 1000,
+    unreadTokens: 400,
+    ...fields,
+  });
+
+const answered = (
+  atS: number,
+  request: string,
+  firstMs: number,
+  longestPauseMs = 0,
+): ParsedLine =>
+  line('requestAnswered', atS, request, {
+    firstMs,
+    targetMs: 300,
+    longestPauseMs,
+    pauseTargetMs: 120,
+  });
+
+describe('summariseLines', ({ it }) => {
+  it('tells late first events from late pauses, by the window of the arrival', t => {
+    const { windows } = summariseLines(
+      [
+        placed(0, 'a'),
+        answered(1, 'a', 90),
+        placed(1, 'b'),
+        answered(5, 'b', 400, 200),
+        placed(2, 'c', { deferred: true }),
+        answered(3, 'c', 200, 130),
+        placed(5, 'd'),
+      ],
+      4,
+    );
+    t.is(windows.length, 2);
+    const [first, second] = windows;
+    t.is(first?.placed, 3);
+    t.is(first?.answered, 3);
+    t.is(first?.lateFirst, 1);
+    t.is(first?.latePauses, 1);
+    t.is(first?.deferred, 1);
+    t.is(first?.errorP50, 2);
+    t.is(Math.round(100 * (first?.kept ?? 0)), 60);
+    t.is(second?.fromS, 4);
+    t.is(second?.answered, 0);
+  });
+
+  it('counts requests that were refused, cut or left, also without an attempt', t => {
+    const { windows } = summariseLines(
+      [
+        line('requestRefused', 0, 'a', { route: 'r-1' }),
+        placed(0, 'b'),
+        line('requestCut', 1, 'b', { route: 'r-1' }),
+        placed(0, 'c'),
+        line('callerLeft', 1, 'c', { route: 'r-1' }),
+        // Without a route: a path that no route has.
+        line('requestRefused', 0, 'd'),
+      ],
+      4,
+    );
+    t.is(windows.length, 1);
+    t.is(windows[0]?.refused, 1);
+    t.is(windows[0]?.cut, 1);
+    t.is(windows[0]?.left, 1);
+    t.is(windows[0]?.placed, 2);
+  });
+
+  it('lists backend servers by the tokens that they had to read', t => {
+    const { servers } = summariseLines(
+      [
+        placed(0, 'a'),
+        placed(0, 'b', { backendServer: 's-2', unreadTokens: 900 }),
+        placed(1, 'c'),
+      ],
+      4,
+    );
+    t.deepEqual(servers, [
+      { backendServer: 's-2', placed: 1, unreadTokens: 900 },
+      { backendServer: 's-1', placed: 2, unreadTokens: 800 },
+    ]);
+  });
+});
