perf(gateway): callers are held, not turned away, while an instance starts

Half of the time without anybody is the program being loaded. Change: the address is listened at before anything that could answer is loaded; connections wait and are handed to the server with the address.

--- a/packages/cli/src/commands/GatewayCommand.ts
+++ b/packages/cli/src/commands/GatewayCommand.ts
@@ -1,10 +1,18 @@
+import type { BaseContext } from 'clipanion';
 import { Command, Option } from 'clipanion';
+import type { HeldConnections } from '@jujubecroft/gateway/early';
 
 import { EXIT } from '../exitCodes.js';
 import { untilStopped } from '../untilStopped.js';
 
+/** What a program that starts the gateway at once hands to its command. */
+export interface GatewayCommandContext extends BaseContext {
+  /** Connections of callers that came while the program was loaded. */
+  readonly held?: HeldConnections | null;
+}
+
 /** Runs one instance of the gateway on the platform. */
-export class GatewayCommand extends Command {
+export class GatewayCommand extends Command<GatewayCommandContext> {
   static override paths = [['gateway']];
   static override usage = Command.Usage({
     description: 'run one instance of the gateway on the platform',
@@ -38,6 +46,7 @@
     }
     const gateway = await runGateway(file, {
       peerAddress: this.peerAddress,
+      held: this.context.held ?? null,
     });
     process.on('SIGHUP', gateway.reload);
     await untilStopped();
--- a/packages/cli/src/gatewayMain.ts
+++ b/packages/cli/src/gatewayMain.ts
@@ -1,16 +1,10 @@
-import { Cli } from 'clipanion';
-
-import { GatewayCommand } from './commands/GatewayCommand.js';
-import { VERSION } from './version.js';
-
 // The gateway alone. An instance that is killed serves again as soon as its
-// program is loaded, and the other commands would be a third of that.
-const cli = new Cli({
-  binaryLabel: 'jujubecroft gateway',
-  binaryName: 'jujubecroft',
-  binaryVersion: VERSION,
-});
+// program is loaded, and the other commands would be a third of that. The
+// connections of callers wait meanwhile.
+import { listenEarly } from '@jujubecroft/platform/early';
 
-cli.register(GatewayCommand);
+const held = listenEarly(process.env);
 
-void cli.runExit(process.argv.slice(2));
+void import('./runGatewayCli.js').then(({ runGatewayCli }) =>
+  runGatewayCli(held),
+);
--- /dev/null
+++ b/packages/cli/src/runGatewayCli.ts
@@ -0,0 +1,23 @@
+import { Cli } from 'clipanion';
+import type { HeldConnections } from '@jujubecroft/gateway/early';
+
+import type { GatewayCommandContext } from './commands/GatewayCommand.js';
+import { GatewayCommand } from './commands/GatewayCommand.js';
+import { VERSION } from './version.js';
+
+/**
+ * Runs the command line of a program that has the gateway alone.
+ *
+ * @param held - connections of callers that wait for the gateway; null for none
+ */
+export async function runGatewayCli(
+  held: HeldConnections | null,
+): Promise<void> {
+  const cli = new Cli<GatewayCommandContext>({
+    binaryLabel: 'jujubecroft gateway',
+    binaryName: 'jujubecroft',
+    binaryVersion: VERSION,
+  });
+  cli.register(GatewayCommand);
+  await cli.runExit(process.argv.slice(2), { ...Cli.defaultContext, held });
+}
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -14,11 +14,13 @@
 
 import { BackendConnections } from './backends/BackendConnections.js';
 import { VerdictWatch } from './backends/VerdictWatch.js';
+import type { Front } from './front/createFront.js';
 import { createFront } from './front/createFront.js';
+import type { HeldConnections } from './front/holdConnections.js';
 import { RequestsUnderWay } from './front/RequestsUnderWay.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { isReady } from './GatewayContext.js';
-import type { GatewaySettings } from './GatewaySettings.js';
+import type { GatewaySettings, ListenAddress } from './GatewaySettings.js';
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
 import type { DiscoveryStore } from './ports/DiscoveryStore.js';
@@ -106,6 +108,19 @@
   };
 }
 
+async function listenFront(
+  { app, server }: Front,
+  { host, port }: ListenAddress,
+  held: HeldConnections | null,
+): Promise<void> {
+  if (!held) {
+    await app.listen({ host, port });
+    return;
+  }
+  await app.ready();
+  await held.handTo(server);
+}
+
 async function listenSide(
   context: GatewayContext,
   ports: GatewayPorts,
@@ -158,12 +173,14 @@
  * @param settings - checked settings
  * @param ports - how the surroundings are spoken to
  * @param log - where events go
+ * @param held - connections of callers that wait for it; null for none
  * @returns the running instance
  */
 export async function startGateway(
   settings: GatewaySettings,
   ports: GatewayPorts,
   log: EventLog,
+  held: HeldConnections | null = null,
 ): Promise<RunningGateway> {
   const clock = (): number => performance.now();
   const context = createContext(settings, ports, log, clock);
@@ -197,10 +214,7 @@
 
   // Asked for first, configuration and replicas are there when the rest is up.
   reader.start();
-  await front.app.listen({
-    host: settings.callers.host,
-    port: settings.callers.port,
-  });
+  await listenFront(front, settings.callers, held);
   await peers.start();
   const sides = await listenSide(context, ports);
   void meetThroughStore(context, ports.store);
