--- /dev/null
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -0,0 +1,128 @@
+import type { GatewayAttempt, GatewayRequest } from './BackendLoad.js';
+import type { GatewayBoard } from './GatewayBoard.js';
+import { learningOf } from './GatewayBoard.js';
+import { judgeReplica } from './judgeReplica.js';
+import type { PlacedCandidate } from './placement/PlacementPolicy.js';
+import type { Urgency } from './placement/serviceRank.js';
+import { serviceRank } from './placement/serviceRank.js';
+import type { AttemptResult } from './recovery/AttemptResult.js';
+
+/** Weight of the newest answer in the mean time of a plain service. */
+const ANSWER_WEIGHT = 0.05;
+
+function urgencyOf(number: number, isDeferred: boolean): Urgency {
+  if (isDeferred) {
+    return 'deferred';
+  }
+  return number > 1 ? 'resumed' : 'new';
+}
+
+/**
+ * Notes that a request is being sent to a replica.
+ *
+ * @param board - the blackboard
+ * @param request - the request
+ * @param placed - where it goes
+ * @param numbers - of the attempt
+ */
+export function beginAttempt(
+  board: GatewayBoard,
+  request: GatewayRequest,
+  placed: PlacedCandidate,
+  { number, sentNumber }: Pick<GatewayAttempt, 'number' | 'sentNumber'>,
+): GatewayAttempt {
+  const { load, unreadTokens, fetch, isDeferred, predictedMs } = placed;
+  const attempt: GatewayAttempt = {
+    request,
+    load,
+    number,
+    sentNumber,
+    sentMs: board.clock(),
+    unreadTokens,
+    tokensAhead: load.unreadAhead(isDeferred) + unreadTokens,
+    isDeferred,
+    rank: serviceRank(request.priority, urgencyOf(number, isDeferred)),
+    fetch,
+    predictedMs,
+    pieces: 0,
+    overtaken: 0,
+    firstByteMs: null,
+    lastByteMs: null,
+  };
+  load.attempts.add(attempt);
+  load.health.onSent();
+  if (request.prompt) {
+    load.memory.onRead(request.prompt.parts);
+    board.demand.onRequest(request.route.id, unreadTokens);
+  }
+  return attempt;
+}
+
+/** How long a deferred request waits depends on what comes after it. */
+function learnDeferred(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+  tookMs: number,
+): void {
+  const { engine } = learningOf(board, attempt.request.service.id);
+  const aheadMs = attempt.tokensAhead / engine.queueTokensPerMs;
+  engine.onDeferred(tookMs, aheadMs + engine.baseMs);
+}
+
+/** Notes bytes of an answer, and learns from the first. */
+export function noteBytes(board: GatewayBoard, attempt: GatewayAttempt): void {
+  const nowMs = board.clock();
+  attempt.load.lastByteMs = nowMs;
+  if (attempt.lastByteMs !== null) {
+    attempt.load.onPause(nowMs - attempt.lastByteMs);
+  }
+  attempt.lastByteMs = nowMs;
+  attempt.pieces += 1;
+  if (attempt.firstByteMs !== null) {
+    return;
+  }
+  attempt.firstByteMs = nowMs;
+  attempt.load.onFirstByte(attempt);
+  const { request, load, predictedMs, tokensAhead, sentMs } = attempt;
+  const tookMs = nowMs - sentMs;
+  const copyMs = attempt.fetch?.tookMs ?? 0;
+  if (attempt.isDeferred) {
+    learnDeferred(board, attempt, tookMs);
+    return;
+  }
+  if (request.service.engine) {
+    const { engine } = learningOf(board, request.service.id);
+    engine.onFirstEvent(tokensAhead, tookMs - copyMs);
+    load.onDuration(tookMs, Math.max(predictedMs, engine.baseMs));
+  }
+}
+
+/** Notes how an attempt ended, and learns from it. */
+export function noteEnd(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+  result: AttemptResult,
+): void {
+  const { load, request } = attempt;
+  load.attempts.delete(attempt);
+  if (request.prompt) {
+    board.demand.onEnded(request.route.id);
+  }
+  if (result.kind === 'answered') {
+    board.lengths.onEnded(request.route.id, attempt.pieces);
+  }
+  if (attempt.isDeferred && attempt.firstByteMs === null) {
+    learnDeferred(board, attempt, board.clock() - attempt.sentMs);
+  }
+  judgeReplica(board, attempt, result);
+  if (attempt.number > 1 && result.kind !== 'withdrawn') {
+    const answered = result.kind === 'answered';
+    board.retryGain.onRetried(request.route.id, answered);
+  }
+  if (result.kind === 'answered' && !request.service.engine) {
+    const learning = learningOf(board, request.service.id);
+    const tookMs = board.clock() - attempt.sentMs;
+    learning.answerMs += ANSWER_WEIGHT * (tookMs - learning.answerMs);
+    load.onDuration(tookMs, learning.answerMs);
+  }
+}
--- a/packages/decisions/src/gateway/defaultGatewayPolicies.ts
+++ b/packages/decisions/src/gateway/defaultGatewayPolicies.ts
@@ -1,7 +1,7 @@
 import { admitAny } from './admission/admit-any.js';
 import { firstEventTarget } from './admission/first-event-target.js';
 import type { GatewayBoard } from './GatewayBoard.js';
-import type { GatewayPolicies } from './GatewayRouter.js';
+import type { GatewayPolicies } from './placeRequest.js';
 import { leastBusy } from './placement/least-busy.js';
 import { toleranceSplit } from './placement/tolerance-split.js';
 
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -13,7 +13,7 @@
 export { defaultGatewayPolicies } from './defaultGatewayPolicies.js';
 export type { GatewayBoard, GatewayBoardOptions } from './GatewayBoard.js';
 export { createGatewayBoard } from './GatewayBoard.js';
-export type { GatewayPolicies, PlacementDecision } from './GatewayRouter.js';
+export type { GatewayPolicies, PlacementDecision } from './placeRequest.js';
 export { GatewayRouter } from './GatewayRouter.js';
 export type { Match } from './matchRequest.js';
 export type { HeardReport, OwnUse, PeerWork } from './PeerWorkBook.js';
--- /dev/null
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -0,0 +1,107 @@
+import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
+
+import type {
+  GatewayAdmission,
+  GatewayVerdict,
+} from './admission/GatewayAdmission.js';
+import type { BackendLoad, GatewayRequest } from './BackendLoad.js';
+import type { GatewayBoard } from './GatewayBoard.js';
+import { candidatesOf } from './GatewayBoard.js';
+import type {
+  PlacedCandidate,
+  PlacementPolicy,
+} from './placement/PlacementPolicy.js';
+import { usableCandidates } from './usableCandidates.js';
+
+/** The policies of the gateway. */
+export interface GatewayPolicies {
+  /** For services of language models. */
+  readonly placePrompt: PlacementPolicy;
+  /** For plain services. */
+  readonly placeCall: PlacementPolicy;
+  readonly admitPrompt: GatewayAdmission;
+  readonly admitCall: GatewayAdmission;
+}
+
+/** Where a request goes, or why it is turned away. */
+export type PlacementDecision =
+  | {
+      readonly kind: 'send';
+      readonly placed: PlacedCandidate;
+      readonly candidates: number;
+    }
+  | {
+      readonly kind: 'refuse';
+      readonly code: ResultCodeId;
+      readonly retryAfterMs: number;
+      /** Null where there was no replica to judge. */
+      readonly verdict: GatewayVerdict | null;
+      readonly candidates: number;
+    };
+
+/** Told when no replica can be used; replicas mostly return within a second. */
+const NO_BACKEND_RETRY_MS = 600;
+/** Candidates for a request, once more as a deferred one where it is late anyway. */
+function rankCandidates(
+  board: GatewayBoard,
+  place: PlacementPolicy,
+  request: GatewayRequest,
+  usable: readonly BackendLoad[],
+): readonly PlacedCandidate[] {
+  const ranked = place(request, usable, false);
+  const [best] = ranked;
+  if (!best || !request.service.engine) {
+    return ranked;
+  }
+  const spentMs = board.clock() - request.arrivedMs;
+  const isLate = spentMs + best.predictedMs > request.route.latencyTargetMs;
+  return isLate ? place(request, usable, true) : ranked;
+}
+
+/**
+ * Decides where a request goes.
+ *
+ * @param board - the blackboard
+ * @param policies - that rank replicas and let requests in
+ * @param request - the request
+ * @param tried - replicas that it was sent to before
+ */
+export function placeRequest(
+  board: GatewayBoard,
+  policies: GatewayPolicies,
+  request: GatewayRequest,
+  tried: ReadonlySet<BackendServerId>,
+): PlacementDecision {
+  const all = candidatesOf(board, request.service.id);
+  const untried = all.filter(({ replica }) => !tried.has(replica.id));
+  const usable = usableCandidates(board, request, untried);
+  const isPrompt = request.service.engine !== null;
+  const place = isPrompt ? policies.placePrompt : policies.placeCall;
+  const isFirst = tried.size === 0;
+  const ranked = isFirst
+    ? rankCandidates(board, place, request, usable)
+    : place(request, usable, false);
+  const [best] = ranked;
+  if (!best) {
+    return {
+      kind: 'refuse',
+      code: 'noBackendServer',
+      retryAfterMs: NO_BACKEND_RETRY_MS,
+      verdict: null,
+      candidates: 0,
+    };
+  }
+  const admit = isPrompt ? policies.admitPrompt : policies.admitCall;
+  // A request that runs already is not turned away half-way.
+  const verdict = isFirst ? admit(request, best) : null;
+  if (verdict && !verdict.admit) {
+    return {
+      kind: 'refuse',
+      code: 'overloaded',
+      retryAfterMs: verdict.retryAfterMs,
+      verdict,
+      candidates: ranked.length,
+    };
+  }
+  return { kind: 'send', placed: best, candidates: ranked.length };
+}
