--- a/packages/decisions/src/gateway/placement/PlacementPolicy.ts
+++ b/packages/decisions/src/gateway/placement/PlacementPolicy.ts
@@ -8,6 +8,8 @@
   /** Tokens that are probably copied. */
   readonly tokens: number;
   readonly tookMs: number;
+  /** Whether this instance knows that they are there. */
+  readonly isKnown: boolean;
 }
 
 /** A replica with what is expected of it. */
--- a/packages/decisions/src/gateway/placement/cacheFetch.ts
+++ b/packages/decisions/src/gateway/placement/cacheFetch.ts
@@ -23,6 +23,8 @@
 export interface Holder {
   readonly load: BackendLoad;
   readonly tokens: number;
+  /** Whether this instance sent them there itself; else they are only hoped for. */
+  readonly isKnown: boolean;
 }
 
 /**
@@ -103,6 +105,6 @@
     return null;
   }
   return tookMs < tokens / tokensPerMs
-    ? { from: best.load.replica, tokens, tookMs }
+    ? { from: best.load.replica, tokens, tookMs, isKnown: best.isKnown }
     : null;
 }
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -134,7 +134,8 @@
     const holders = all.map(load => {
       const known = load.memory.cachedTokens(parts, paths);
       const hoped = load === home ? options.homeChance * sharedTokens : 0;
-      return { load, tokens: Math.max(hoped, Math.min(known, sharedTokens)) };
+      const kept = Math.min(known, sharedTokens);
+      return { load, tokens: Math.max(hoped, kept), isKnown: kept >= hoped };
     });
     return {
       parts,
@@ -175,7 +176,9 @@
     const stretch = isDeferred ? engine.deferredStretch : 1;
     const predictedMs =
       engine.baseMs + copyMs + load.slowness * stretch * aheadMs;
-    const missing = Math.max(0, sharedTokens - cached - fetched);
+    // What is only hoped for may have to be read after all.
+    const sure = fetch?.isKnown === true ? fetched : 0;
+    const missing = Math.max(0, sharedTokens - cached - sure);
     const rereadMs = isHome
       ? 0
       : (missing / engine.tokensPerMs) * options.rereadWeight +
