--- a/packages/bench/src/fleet/catalogue.ts
+++ b/packages/bench/src/fleet/catalogue.ts
@@ -1,5 +1,6 @@
 import { configSpread } from './config-spread.js';
 import type { FleetExperiment } from './FleetExperiment.js';
+import { gatewayAblation } from '../gateway/gateway-ablation.js';
 import { gatewayBurst } from '../gateway/gateway-burst.js';
 import { instanceCrash } from './instance-crash.js';
 import { rollingReplace } from './rolling-replace.js';
@@ -8,6 +9,7 @@
 /** Experiments with figures of their own, most of them over real sockets. */
 export const FLEET_EXPERIMENTS: readonly FleetExperiment[] = [
   configSpread,
+  gatewayAblation,
   gatewayBurst,
   instanceCrash,
   rollingReplace,
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -19,6 +19,7 @@
 export type { HeardReport, OwnUse, PeerWork } from './PeerWorkBook.js';
 export { rankOf, shouldRead } from './readDuty.js';
 export { leastBusy } from './placement/least-busy.js';
+export { toleranceSplit } from './placement/tolerance-split.js';
 export type { PlacedCandidate } from './placement/PlacementPolicy.js';
 export type {
   AttemptResult,
