--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -23,10 +23,20 @@
     : JSON.stringify(value ?? null);
 }
 
+/** What sets a placed request apart from others at its replica. */
+function orderOf({ deferred, fetchFrom }: Fields): string {
+  const behind = deferred === true ? '; late anyway, so behind the others' : '';
+  const copies =
+    fetchFrom === undefined
+      ? ''
+      : `; copies cached parts of ${show(fetchFrom)}`;
+  return `${behind}${copies}`;
+}
+
 /** How each kind of line reads; others are shown with all their fields. */
 const SENTENCES: Readonly<Record<string, (fields: Fields) => string>> = {
   requestPlaced: f =>
-    `attempt ${show(f.attempt)} goes to ${show(f.backendServer)}, the best of ${show(f.candidates)}: first byte expected after ${show(f.predictedMs)} ms with ${show(f.tokensAhead)} prompt tokens ahead and ${show(f.inFlight)} requests there; replicas as of version ${show(f.replicasVersion)}, ${show(f.replicasAgeMs)} ms old, configuration ${show(f.configuration)}; ${show(f.leftMs)} ms left`,
+    `attempt ${show(f.attempt)} goes to ${show(f.backendServer)}, the best of ${show(f.candidates)}: first byte expected after ${show(f.predictedMs)} ms with ${show(f.tokensAhead)} prompt tokens ahead and ${show(f.inFlight)} requests there; replicas as of version ${show(f.replicasVersion)}, ${show(f.replicasAgeMs)} ms old, configuration ${show(f.configuration)}; ${show(f.leftMs)} ms left${orderOf(f)}`,
   attemptFailed: f =>
     `the attempt ends: ${show(f.result)} (${show(f.reason ?? f.status)}); next: ${show(f.next)}; sent ${show(f.sent)} times, repeats left in the budget ${show(f.budgetLeft)}, idempotent ${show(f.idempotent)}`,
   requestAnswered: f =>
