--- a/packages/decisions/tests/gateway/readDuty.test.ts
+++ b/packages/decisions/tests/gateway/readDuty.test.ts
@@ -42,3 +42,26 @@
     t.is(reading.length, FLEET.length);
   });
 });
+
+describe('readDuty in a fleet of thirty', ({ it }) => {
+  const ids = Array.from({ length: 30 }, (_, index) =>
+    brand<InstanceId>(`n-${index}`),
+  );
+
+  it('gives every instance another rank', t => {
+    const ranks = ids.map(id => rankOf(id, ids)).sort((a, b) => a - b);
+    t.deepEqual(
+      ranks,
+      ids.map((_, index) => index),
+    );
+  });
+
+  it('lets a few read, and all others once their view is old', t => {
+    // The instances that read die or lose the store; the others must notice
+    // before a change is due everywhere.
+    const fresh = ids.filter(id => shouldRead(rankOf(id, ids), 300, 2000));
+    const stale = ids.filter(id => shouldRead(rankOf(id, ids), 1400, 2000));
+    t.is(fresh.length, 2);
+    t.is(stale.length, ids.length);
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -0,0 +1,84 @@
+import { describe } from '@jujubecroft/testing';
+import type { InstanceId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import type { BackendLoad, GatewayAttempt } from '../../src/index.js';
+import { pathsOf } from '../../src/gateway/PromptMemory.js';
+import type { GatewayFixture } from './helpers/gatewayFixture.js';
+import { gatewayFixture, replica, route } from './helpers/gatewayFixture.js';
+
+describe('GatewayRouter, when a replica starts again under its id', ({
+  it,
+}) => {
+  const STREAM = route();
+  const PARTS = [
+    { id: 'shared', tokens: 6000 },
+    { id: 'own', tokens: 500 },
+  ];
+  const first = replica('p-1', { bornMs: 10 });
+  const again = replica('p-1', { bornMs: 20 });
+  const restart = ({ board, router }: GatewayFixture): void => {
+    const rows = [{ id: again.id, rowVersion: 2, replica: again }];
+    board.replicas.applyRows(rows, 2, 0);
+    router.syncReplicas();
+  };
+  const loadOf = ({ board }: GatewayFixture): BackendLoad => {
+    const load = board.backends.get(first.id);
+    if (!load) {
+      throw new Error('the replica is not known');
+    }
+    return load;
+  };
+  const send = (fixture: GatewayFixture): GatewayAttempt => {
+    const { router, request } = fixture;
+    const decision = router.place(request(STREAM, PARTS), new Set());
+    if (decision.kind !== 'send') {
+      throw new Error('the request was refused');
+    }
+    return router.begin(request(STREAM, PARTS), decision.placed, 1);
+  };
+
+  // An engine crashes and is back within a second under the same id. Its cache
+  // is empty, and what failed in the crash says nothing of it.
+  it('knows nothing of its cache, its load and its failures', t => {
+    const fixture = gatewayFixture([STREAM], [first]);
+    const attempt = send(fixture);
+    fixture.router.onReported(attempt, { running: 60, waiting: 9, slots: 64 });
+    restart(fixture);
+    ['one', 'two', 'three'].forEach(reason => {
+      fixture.router.onEnded(attempt, { kind: 'lost', reason });
+    });
+    const load = loadOf(fixture);
+    t.is(load.memory.cachedTokens(PARTS, pathsOf(PARTS)), 0);
+    t.is(load.totalInFlight, 0);
+    t.is(load.health.verdict, 'good');
+    t.is(load.slowness, 1);
+  });
+
+  // The crash came without a sign, so the connections of the run before stay
+  // open. Its requests would wait for their time limit.
+  it('gives up the attempts at the run before, once', t => {
+    const fixture = gatewayFixture([STREAM], [first]);
+    const attempt = send(fixture);
+    t.deepEqual(fixture.router.takeOrphans(), []);
+    restart(fixture);
+    t.deepEqual(fixture.router.takeOrphans(), [attempt]);
+    t.deepEqual(fixture.router.takeOrphans(), []);
+  });
+
+  // A peer that has not heard of the restart tells of the load before it.
+  it('does not count what others tell of the run before', t => {
+    const fixture = gatewayFixture([STREAM], [first]);
+    restart(fixture);
+    const told = { id: first.id, bornMs: 10 };
+    fixture.router.onPeerWork(brand<InstanceId>('e-1'), {
+      uses: [
+        { ...told, inFlight: 30, unreadTokens: 90_000, deferredTokens: 9 },
+      ],
+      demands: [],
+      reports: [{ ...told, total: 70, ageMs: 10 }],
+    });
+    t.is(loadOf(fixture).totalInFlight, 0);
+    t.is(loadOf(fixture).unreadAhead(true), 0);
+  });
+});
