--- a/packages/bench/src/experiments/overload-2x.ts
+++ b/packages/bench/src/experiments/overload-2x.ts
@@ -1,4 +1,4 @@
-import { engineTokensPerSecond } from '../simulation/deployments.js';
+import { engineTokensPerSecond } from '../simulation/scenarioOf.js';
 import { overloadLowerTiers } from '../simulation/scaleScenario.js';
 import type { Experiment } from './Experiment.js';
 
--- a/packages/bench/src/experiments/runExperiment.ts
+++ b/packages/bench/src/experiments/runExperiment.ts
@@ -1,5 +1,6 @@
 import type { Arm } from '../simulation/Arm.js';
-import { qantara, trosakKuhinje } from '../simulation/deployments.js';
+import { qantara } from '../simulation/qantara.js';
+import { trosakKuhinje } from '../simulation/trosakKuhinje.js';
 import { drawArrivals } from '../simulation/drawArrivals.js';
 import { runArm } from '../simulation/runArm.js';
 import type { Scenario } from '../simulation/Scenario.js';
--- a/packages/bench/src/simulation/deployments.ts
+++ b/packages/bench/src/simulation/scenarioOf.ts
@@ -16,7 +16,7 @@
 import type { Scenario, SimStream } from './Scenario.js';
 
 /** Sizes of one deployment, as the brief gives them. */
-interface DeploymentSize {
+export interface DeploymentSize {
   readonly name: string;
   readonly instances: number;
   readonly engines: number;
@@ -26,7 +26,7 @@
 }
 
 /** What a class is, and its share of the engine capacity in ordinary load. */
-interface ClassSpec {
+export interface ClassSpec {
   readonly id: string;
   readonly tier: Tier;
   readonly target: 'engine' | 'service';
@@ -154,7 +154,13 @@
   });
 }
 
-function scenarioOf(
+/**
+ * Makes the scenario of a deployment in ordinary load.
+ *
+ * @param size - of the deployment
+ * @param specs - its classes of requests
+ */
+export function scenarioOf(
   size: DeploymentSize,
   specs: readonly ClassSpec[],
 ): Scenario {
@@ -178,7 +184,7 @@
 }
 
 /** Shape of a plain-service class. */
-const SERVICE_CALL = {
+export const SERVICE_CALL = {
   target: 'service' as const,
   betweenTokensTargetMs: 1000,
   guaranteedShare: 0.05,
@@ -188,160 +194,6 @@
   patienceMs: 20_000,
 };
 
-/** Trosak Kuhinje: food cost for restaurants; 8 engines and 3 services. */
-export function trosakKuhinje(): Scenario {
-  const size: DeploymentSize = {
-    name: 'trosak',
-    instances: 8,
-    engines: 8,
-    services: 3,
-    failureDomains: ['split-a', 'split-b', 'solin'],
-    callerMs: 1,
-  };
-  return scenarioOf(size, [
-    {
-      id: 'recipe-costing',
-      tier: 1,
-      target: 'engine',
-      idempotent: true,
-      firstTokenTargetMs: 410,
-      betweenTokensTargetMs: 79,
-      maxQueueMs: 3000,
-      guaranteedShare: 0,
-      promptTokens: 400,
-      prefixTokens: 200,
-      meanTokens: 150,
-      load: 0.25,
-      patienceMs: 60_000,
-    },
-    {
-      id: 'supplier-lookup',
-      tier: 2,
-      target: 'engine',
-      idempotent: true,
-      firstTokenTargetMs: 1000,
-      betweenTokensTargetMs: 100,
-      maxQueueMs: 1000,
-      guaranteedShare: 0.05,
-      promptTokens: 300,
-      prefixTokens: 150,
-      meanTokens: 120,
-      load: 0.2,
-      patienceMs: 45_000,
-    },
-    {
-      ...SERVICE_CALL,
-      id: 'menu-price-check',
-      tier: 2,
-      idempotent: false,
-      firstTokenTargetMs: 500,
-      maxQueueMs: 500,
-      load: 200,
-    },
-    {
-      ...SERVICE_CALL,
-      id: 'stock-snapshot',
-      tier: 3,
-      idempotent: true,
-      firstTokenTargetMs: 2000,
-      maxQueueMs: 2000,
-      load: 200,
-    },
-    {
-      id: 'invoice-reconciliation',
-      tier: 4,
-      target: 'engine',
-      idempotent: true,
-      firstTokenTargetMs: 20_000,
-      betweenTokensTargetMs: 200,
-      maxQueueMs: 20_000,
-      guaranteedShare: 0.05,
-      promptTokens: 1200,
-      prefixTokens: 300,
-      meanTokens: 300,
-      load: 0.2,
-      patienceMs: 120_000,
-    },
-  ]);
-}
-
-/** Qantara Bio Audit: farm inspections; 6 engines and 3 tablet servers. */
-export function qantara(): Scenario {
-  const size: DeploymentSize = {
-    name: 'qantara',
-    instances: 7,
-    engines: 6,
-    services: 3,
-    failureDomains: ['ma-central-a', 'ma-central-b', 'ma-central-c'],
-    callerMs: 3,
-  };
-  return scenarioOf(size, [
-    {
-      id: 'audit-draft',
-      tier: 1,
-      target: 'engine',
-      idempotent: true,
-      firstTokenTargetMs: 1500,
-      betweenTokensTargetMs: 79,
-      maxQueueMs: 6000,
-      guaranteedShare: 0,
-      promptTokens: 1500,
-      prefixTokens: 500,
-      meanTokens: 400,
-      load: 0.25,
-      patienceMs: 120_000,
-    },
-    {
-      id: 'rule-question',
-      tier: 2,
-      target: 'engine',
-      idempotent: true,
-      firstTokenTargetMs: 410,
-      betweenTokensTargetMs: 79,
-      maxQueueMs: 500,
-      guaranteedShare: 0.05,
-      promptTokens: 300,
-      prefixTokens: 200,
-      meanTokens: 80,
-      load: 0.2,
-      patienceMs: 30_000,
-    },
-    {
-      ...SERVICE_CALL,
-      id: 'visit-sync',
-      tier: 2,
-      idempotent: false,
-      firstTokenTargetMs: 1000,
-      maxQueueMs: 1000,
-      load: 150,
-    },
-    {
-      id: 'photo-tag',
-      tier: 3,
-      target: 'engine',
-      idempotent: true,
-      firstTokenTargetMs: 3000,
-      betweenTokensTargetMs: 150,
-      maxQueueMs: 3000,
-      guaranteedShare: 0.05,
-      promptTokens: 600,
-      prefixTokens: 100,
-      meanTokens: 30,
-      load: 0.15,
-      patienceMs: 30_000,
-    },
-    {
-      ...SERVICE_CALL,
-      id: 'evidence-upload',
-      tier: 4,
-      idempotent: true,
-      firstTokenTargetMs: 5000,
-      maxQueueMs: 10_000,
-      load: 250,
-    },
-  ]);
-}
-
 /** Tokens a second that all engines of a scenario can generate in time. */
 export function engineTokensPerSecond(scenario: Scenario): number {
   const engines = scenario.servers.filter(({ models }) => models.length > 0);
