perf(decisions): who keeps most of a prompt is found once, not for every candidate

Change: the two that keep most are found once a request; a candidate takes the first that isn't itself. Processor time on a large fleet was not measured.

--- a/packages/decisions/src/gateway/placement/cacheFetch.ts
+++ b/packages/decisions/src/gateway/placement/cacheFetch.ts
@@ -64,9 +64,27 @@
   return SETUP_MS + QUEUE_FACTOR * copyMs;
 }
 
+/**
+ * The replicas that probably keep most of a prompt, found once for all candidates.
+ *
+ * @param holders - what each replica keeps
+ * @returns the one that keeps most and the next, since a replica copies nothing
+ * from itself; fewer where there are fewer
+ */
+export function bestHolders(holders: readonly Holder[]): readonly Holder[] {
+  const most = (of: readonly Holder[]): Holder | undefined =>
+    of.reduce<Holder | undefined>(
+      (best, holder) => (holder.tokens > (best?.tokens ?? 0) ? holder : best),
+      undefined,
+    );
+  const first = most(holders);
+  const second = most(holders.filter(holder => holder !== first));
+  return [first, second].flatMap(holder => holder ?? []);
+}
+
 /** What decides on a fetch. */
 export interface FetchFacts {
-  /** Replicas that may keep shared parts, whichever group they serve. */
+  /** Those that keep most of the shared parts, best first, whichever group they serve. */
   readonly holders: readonly Holder[];
   /** Where the request would go. */
   readonly target: BackendLoad;
@@ -93,12 +111,7 @@
   tokensPerMs,
   spec,
 }: FetchFacts): CacheFetch | null {
-  const best = holders
-    .filter(({ load }) => load !== target)
-    .reduce<Holder | null>(
-      (most, holder) => (holder.tokens > (most?.tokens ?? 0) ? holder : most),
-      null,
-    );
+  const best = holders.find(({ load }) => load !== target);
   const tokens = (best?.tokens ?? 0) - ownTokens;
   const tookMs = fetchMs(tokens, spec);
   if (!best || tokens < MIN_FETCH_TOKENS || tookMs === null) {
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -8,7 +8,7 @@
 import { learningOf } from '../GatewayBoard.js';
 import { pathsOf } from '../PromptMemory.js';
 import type { Holder } from './cacheFetch.js';
-import { chooseFetch, homeOf } from './cacheFetch.js';
+import { bestHolders, chooseFetch, homeOf } from './cacheFetch.js';
 import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
 import { splitReplicas } from './splitReplicas.js';
 import type { ToleranceGroup } from './toleranceGroups.js';
@@ -64,7 +64,7 @@
   /** Pieces that the answer should have. */
   readonly pieces: number;
   readonly home: BackendLoad | undefined;
-  /** What each replica probably keeps of the shared parts. */
+  /** Replicas that probably keep most of the shared parts, best first. */
   readonly holders: readonly Holder[];
 }
 
@@ -144,7 +144,7 @@
       sharedTokens,
       pieces: board.lengths.expect(route.id, prompt, service),
       home,
-      holders,
+      holders: bestHolders(holders),
     };
   };
 
