feat(events): log lines tell at which rank a request goes, and what a refused one had before it

Cause: the record of price checks that were turned away doesn't tell whether they stood behind invoices, nor in which order replicas served either. Change: requestPlaced bears the rank, requestRefused the best replica, the tokens ahead there and those of less urgent routes; the priority of a request is worked out where its route is found. Tests of decisions, gateway, events and cli pass.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -198,6 +198,15 @@
     return isDeferred ? all : all - deferred;
   }
 
+  /**
+   * Prompt tokens of this instance's less urgent routes that wait to be read.
+   *
+   * @param priority - of the route that is compared with, 0 first
+   */
+  lessUrgentUnread(priority: number): number {
+    return this.#ownUnread(({ request }) => request.route.priority > priority);
+  }
+
   #ownUnread(counts: (attempt: GatewayAttempt) => boolean): number {
     return [...this.attempts]
       .filter(attempt => attempt.firstByteMs === null && counts(attempt))
--- a/packages/decisions/src/gateway/attemptNotes.ts
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -31,7 +31,8 @@
   placed: PlacedCandidate,
   { number, sentNumber }: Pick<GatewayAttempt, 'number' | 'sentNumber'>,
 ): GatewayAttempt {
-  const { load, unreadTokens, fetch, isDeferred, predictedMs } = placed;
+  const { load, unreadTokens, tokensAhead, fetch, isDeferred, predictedMs } =
+    placed;
   const attempt: GatewayAttempt = {
     request,
     load,
@@ -39,7 +40,7 @@
     sentNumber,
     sentMs: board.clock(),
     unreadTokens,
-    tokensAhead: load.unreadAhead(isDeferred) + unreadTokens,
+    tokensAhead,
     isDeferred,
     rank: serviceRank(request.priority, urgencyOf(number, isDeferred)),
     fetch,
--- a/packages/decisions/src/gateway/matchRequest.ts
+++ b/packages/decisions/src/gateway/matchRequest.ts
@@ -15,6 +15,8 @@
       readonly route: Route;
       readonly service: RoutedService;
       readonly organisation: RoutedOrganisation | null;
+      /** Rank after the organisation's own; 0 is served first. */
+      readonly priority: number;
     }
   | { readonly kind: 'refused'; readonly code: ResultCodeId };
 
@@ -65,5 +67,6 @@
     return { kind: 'refused', code: 'noBackendServer' };
   }
   const holder = route.isPublic ? null : (organisation ?? null);
-  return { kind: 'matched', route, service, organisation: holder };
+  const priority = holder?.priority ?? route.priority;
+  return { kind: 'matched', route, service, organisation: holder, priority };
 }
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -36,6 +36,8 @@
       readonly retryAfterMs: number;
       /** Null where there was no replica to judge. */
       readonly verdict: GatewayVerdict | null;
+      /** What would have been best; null where there was nothing. */
+      readonly best: PlacedCandidate | null;
       readonly candidates: number;
     };
 
@@ -88,6 +90,7 @@
       code: 'noBackendServer',
       retryAfterMs: NO_BACKEND_RETRY_MS,
       verdict: null,
+      best: null,
       candidates: 0,
     };
   }
@@ -100,6 +103,7 @@
       code: 'overloaded',
       retryAfterMs: verdict.retryAfterMs,
       verdict,
+      best,
       candidates: ranked.length,
     };
   }
--- a/packages/decisions/src/gateway/placement/PlacementPolicy.ts
+++ b/packages/decisions/src/gateway/placement/PlacementPolicy.ts
@@ -17,6 +17,8 @@
   readonly load: BackendLoad;
   /** Prompt tokens that it would have to read for the request. */
   readonly unreadTokens: number;
+  /** Prompt tokens to be read there up to the end of the request. */
+  readonly tokensAhead: number;
   /** Null where nothing is copied. */
   readonly fetch: CacheFetch | null;
   /** Whether it steps behind what can still be on time at the replica. */
--- a/packages/decisions/src/gateway/placement/least-busy.ts
+++ b/packages/decisions/src/gateway/placement/least-busy.ts
@@ -38,6 +38,7 @@
       return {
         load,
         unreadTokens: 0,
+        tokensAhead: 0,
         fetch: null,
         isDeferred,
         predictedMs,
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -196,6 +196,7 @@
     return {
       load,
       unreadTokens,
+      tokensAhead: ahead + unreadTokens,
       fetch,
       isDeferred,
       predictedMs,
--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -36,13 +36,13 @@
 /** How each kind of line reads; others are shown with all their fields. */
 const SENTENCES: Readonly<Record<string, (fields: Fields) => string>> = {
   requestPlaced: f =>
-    `attempt ${show(f.attempt)} goes to ${show(f.backendServer)}, the best of ${show(f.candidates)}: first byte expected after ${show(f.predictedMs)} ms with ${show(f.tokensAhead)} prompt tokens ahead and ${show(f.inFlight)} requests there; replicas as of version ${show(f.replicasVersion)}, ${show(f.replicasAgeMs)} ms old, configuration ${show(f.configuration)}; ${show(f.leftMs)} ms left${orderOf(f)}`,
+    `attempt ${show(f.attempt)} goes to ${show(f.backendServer)} at rank ${show(f.rank)}, the best of ${show(f.candidates)}: first byte expected after ${show(f.predictedMs)} ms with ${show(f.tokensAhead)} prompt tokens ahead and ${show(f.inFlight)} requests there; replicas as of version ${show(f.replicasVersion)}, ${show(f.replicasAgeMs)} ms old, configuration ${show(f.configuration)}; ${show(f.leftMs)} ms left${orderOf(f)}`,
   attemptFailed: f =>
     `the attempt ends: ${show(f.result)} (${show(f.reason ?? f.status)}); next: ${show(f.next)}; sent ${show(f.sent)} times, repeats left in the budget ${show(f.budgetLeft)}, idempotent ${show(f.idempotent)}`,
   requestAnswered: f =>
     `answered with ${show(f.status)} after ${show(f.wholeMs)} ms, first byte after ${show(f.firstMs)} ms against a target of ${show(f.targetMs)} ms`,
   requestRefused: f =>
-    `refused as ${show(f.code)} after ${show(f.afterMs)} ms: first byte predicted after ${show(f.predictedMs)} ms, allowed ${show(f.allowedMs)} ms; end predicted after ${show(f.predictedWholeMs)} ms, allowed ${show(f.allowedWholeMs)} ms; ${show(f.candidates)} candidates; told to come back after ${show(f.retryAfterMs)} ms`,
+    `refused as ${show(f.code)} after ${show(f.afterMs)} ms: first byte predicted after ${show(f.predictedMs)} ms, allowed ${show(f.allowedMs)} ms; end predicted after ${show(f.predictedWholeMs)} ms, allowed ${show(f.allowedWholeMs)} ms; ${show(f.tokensAhead)} prompt tokens ahead, ${show(f.lessUrgentTokens)} of less urgent routes sent by this instance; ${show(f.candidates)} candidates; told to come back after ${show(f.retryAfterMs)} ms`,
   requestCut: f =>
     `ended as ${show(f.code)} after ${show(f.afterMs)} ms and ${show(f.attempts)} attempts; the caller ${f.started === true ? 'had the beginning of an answer' : 'had nothing yet'}`,
   callerLeft: f =>
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -19,7 +19,7 @@
 import { EventCutter } from './EventCutter.js';
 import { ownAnswer } from './ownAnswer.js';
 import type { Facts, Progress } from './RequestNotes.js';
-import { RequestNotes, verdictFacts } from './RequestNotes.js';
+import { queueFacts, RequestNotes, verdictFacts } from './RequestNotes.js';
 
 /** A caller's request as it came. */
 export interface IncomingCall {
@@ -118,6 +118,7 @@
     if (decision.kind === 'refuse') {
       this.#finishWithout(decision.code, decision.retryAfterMs, {
         ...verdictFacts(decision.verdict),
+        ...queueFacts(decision.best, this.request),
         candidates: decision.candidates,
       });
       return false;
--- a/packages/gateway/src/forward/RequestNotes.ts
+++ b/packages/gateway/src/forward/RequestNotes.ts
@@ -3,6 +3,7 @@
   GatewayAttempt,
   GatewayRequest,
   GatewayVerdict,
+  PlacedCandidate,
   Recovery,
 } from '@jujubecroft/decisions';
 import { isIdempotent } from '@jujubecroft/decisions';
@@ -44,6 +45,29 @@
     : {};
 }
 
+/**
+ * What stands before a refused request at the replica that was best for it.
+ *
+ * @param best - null where there was none
+ * @param request - that was refused
+ * @returns the fields
+ */
+export function queueFacts(
+  best: PlacedCandidate | null,
+  { route }: GatewayRequest,
+): Facts {
+  return best
+    ? {
+        backendServer: best.load.replica.id,
+        tokensAhead: Math.round(best.tokensAhead),
+        lessUrgentTokens: Math.round(
+          best.load.lessUrgentUnread(route.priority),
+        ),
+        inFlight: best.load.totalInFlight,
+      }
+    : {};
+}
+
 /** Logs and counts what becomes of one request. */
 export class RequestNotes {
   readonly #labels: { readonly kind: string; readonly priority: string };
@@ -67,6 +91,7 @@
       route: request.route.id,
       kind: request.route.kind,
       priority: request.priority,
+      rank: attempt.rank,
       organisation: request.organisation,
       attempt: attempt.number,
       backendServer: attempt.load.replica.id,
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -50,7 +50,7 @@
   context: GatewayContext,
   head: CallerHead,
   id: RequestId,
-  { route, service, organisation }: Matched,
+  { route, service, organisation, priority }: Matched,
   arrivedMs: number,
 ): GatewayRequest {
   const timeLeftMs = head.timeLeftMs ?? route.timeoutMs;
@@ -59,7 +59,7 @@
     route,
     service,
     organisation: organisation?.id ?? null,
-    priority: organisation?.priority ?? route.priority,
+    priority,
     prompt: head.prompt,
     arrivedMs,
     deadlineMs: arrivedMs + Math.min(route.timeoutMs, timeLeftMs),
