fix(decisions): urgency reaches replicas whole, and what is predicted follows it

Cause: an organisation's priority took the place of the route's. Where all organisations have the same, replicas got one rank for all routes; predictions counted every prompt before a request, also those that it goes before.

Change: the organisation's priority goes before the route's and doesn't replace it (PriorityOrder); the ten ranks are dealt out among the priorities that a service has; unread tokens are told and summed by rank, and a request waits for those of its rank and more urgent ones.

Ruled out: that replicas don't keep ranks.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -21,7 +21,7 @@
   readonly service: RoutedService;
   /** Null on public routes. */
   readonly organisation: OrganisationId | null;
-  /** Rank after the organisation's own; 0 is served first. */
+  /** Place in the order of urgency of the service; 0 goes first. */
   readonly priority: number;
   /** Null where the request has no prompt. */
   readonly prompt: PromptFacts | null;
@@ -63,16 +63,11 @@
 /** What other instances run on a replica, summed over them. */
 export interface PeerUse {
   readonly inFlight: number;
-  readonly unreadTokens: number;
-  /** Those of them that belong to deferred requests. */
-  readonly deferredTokens: number;
+  /** Prompt tokens that are not read yet, by the rank of their requests. */
+  readonly unreadByRank: readonly number[];
 }
 
-export const NO_PEER_USE: PeerUse = {
-  inFlight: 0,
-  unreadTokens: 0,
-  deferredTokens: 0,
-};
+export const NO_PEER_USE: PeerUse = { inFlight: 0, unreadByRank: [] };
 
 /** Load that a replica told in an answer. */
 export interface ReportedLoad {
@@ -176,26 +171,31 @@
     return isFresh ? report : null;
   }
 
-  /** Prompt tokens that this instance sent and that are not read yet. */
-  get ownUnreadTokens(): number {
-    return this.#ownUnread(() => true);
-  }
-
-  /** Those of them that belong to deferred requests. */
-  get ownDeferredTokens(): number {
-    return this.#ownUnread(({ isDeferred }) => isDeferred);
+  /** Prompt tokens that this instance sent and that are not read yet, by rank. */
+  get ownUnreadByRank(): readonly number[] {
+    const ranks = this.#waiting.map(({ rank }) => rank);
+    return Array.from({ length: Math.max(-1, ...ranks) + 1 }, (_, rank) =>
+      this.#ownUnread(attempt => attempt.rank === rank),
+    );
   }
 
   /**
    * Prompt tokens that the replica reads before a new request's, over all
    * instances as far as known.
    *
-   * @param isDeferred - whether the request steps behind the others
+   * Less urgent ones are left out, since the replica lets the request go before
+   * them. Counted in, urgent requests would be turned away for a wait that they
+   * don't have, and whatever an instance doesn't know of less urgent work would
+   * mislead it about urgent requests too.
+   *
+   * @param rank - at which the request would go there
    */
-  unreadAhead(isDeferred: boolean): number {
-    const all = this.ownUnreadTokens + this.peers.unreadTokens;
-    const deferred = this.ownDeferredTokens + this.peers.deferredTokens;
-    return isDeferred ? all : all - deferred;
+  unreadAhead(rank: number): number {
+    const own = this.#ownUnread(attempt => attempt.rank <= rank);
+    const others = this.peers.unreadByRank
+      .slice(0, rank + 1)
+      .reduce((sum, tokens) => sum + tokens, 0);
+    return own + others;
   }
 
   /**
@@ -207,9 +207,13 @@
     return this.#ownUnread(({ request }) => request.route.priority > priority);
   }
 
+  get #waiting(): readonly GatewayAttempt[] {
+    return [...this.attempts].filter(({ firstByteMs }) => firstByteMs === null);
+  }
+
   #ownUnread(counts: (attempt: GatewayAttempt) => boolean): number {
-    return [...this.attempts]
-      .filter(attempt => attempt.firstByteMs === null && counts(attempt))
+    return this.#waiting
+      .filter(counts)
       .reduce((sum, { unreadTokens }) => sum + unreadTokens, 0);
   }
 
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -216,12 +216,11 @@
   get ownUses(): readonly OwnUse[] {
     return [...this.board.backends.values()]
       .filter(({ inFlight }) => inFlight > 0)
-      .map(({ replica, inFlight, ownUnreadTokens, ownDeferredTokens }) => ({
+      .map(({ replica, inFlight, ownUnreadByRank }) => ({
         id: replica.id,
         bornMs: replica.bornMs,
         inFlight,
-        unreadTokens: ownUnreadTokens,
-        deferredTokens: ownDeferredTokens,
+        unreadByRank: ownUnreadByRank,
       }));
   }
 
--- a/packages/decisions/src/gateway/PeerWorkBook.ts
+++ b/packages/decisions/src/gateway/PeerWorkBook.ts
@@ -40,6 +40,18 @@
 /** Factor up to which the instances that were heard of are nearly all. */
 const MAX_WHOLE_SCALE = 1.5;
 
+function addScaled(sum: PeerUse, use: PeerUse, scale: number): PeerUse {
+  const ranks = Math.max(sum.unreadByRank.length, use.unreadByRank.length);
+  return {
+    inFlight: sum.inFlight + scale * use.inFlight,
+    unreadByRank: Array.from(
+      { length: ranks },
+      (_, rank) =>
+        (sum.unreadByRank[rank] ?? 0) + scale * (use.unreadByRank[rank] ?? 0),
+    ),
+  };
+}
+
 /** Keeps what other instances run, and puts the sums on the blackboard. */
 export class PeerWorkBook {
   readonly #reports = new Map<InstanceId, PeerReport>();
@@ -92,13 +104,11 @@
     reports
       .flatMap(({ uses }) => uses)
       .filter(use => this.#isOfThisRun(use))
-      .forEach(({ id, inFlight, unreadTokens, deferredTokens }) => {
-        const sum = sums.get(id) ?? NO_PEER_USE;
-        sums.set(id, {
-          inFlight: sum.inFlight + scale * inFlight,
-          unreadTokens: sum.unreadTokens + scale * unreadTokens,
-          deferredTokens: sum.deferredTokens + scale * deferredTokens,
-        });
+      .forEach(use => {
+        sums.set(
+          use.id,
+          addScaled(sums.get(use.id) ?? NO_PEER_USE, use, scale),
+        );
       });
     board.demand.onPeers(
       reports
--- a/packages/decisions/src/gateway/RoutingTable.ts
+++ b/packages/decisions/src/gateway/RoutingTable.ts
@@ -6,6 +6,11 @@
   ServiceId,
 } from '@jujubecroft/types';
 
+import { PriorityOrder } from './PriorityOrder.js';
+
+/** The order of a service that no route leads to. */
+const NO_PRIORITIES = new PriorityOrder({ routes: [], organisations: null });
+
 /** Cuts a port off a host and lowers its case, since hosts compare that way. */
 function canonicalHost(host: string): string {
   return host.replace(/:\d+$/, '').toLowerCase();
@@ -31,6 +36,7 @@
   readonly #routes = new Map<string, Map<string, Route>>();
   readonly #organisations = new Map<string, RoutedOrganisation>();
   readonly #services = new Map<ServiceId, RoutedService>();
+  readonly #priorities = new Map<ServiceId, PriorityOrder>();
 
   /** @param cfg - the configuration to look things up in */
   constructor(readonly cfg: RoutingConfiguration) {
@@ -39,6 +45,7 @@
     });
     cfg.services.forEach(service => {
       this.#services.set(service.id, service);
+      this.#priorities.set(service.id, this.#priorityOrder(service.id));
     });
     cfg.organisations?.forEach(organisation => {
       organisation.keys.forEach(key => {
@@ -82,6 +89,21 @@
     return this.#services.get(id);
   }
 
+  /** @returns the order of urgency among a service's requests */
+  priorities(id: ServiceId): PriorityOrder {
+    return this.#priorities.get(id) ?? NO_PRIORITIES;
+  }
+
+  #priorityOrder(id: ServiceId): PriorityOrder {
+    const { routes, organisations } = this.cfg;
+    return new PriorityOrder({
+      routes: routes.filter(({ shares }) =>
+        shares.some(({ service }) => service === id),
+      ),
+      organisations,
+    });
+  }
+
   #addRoute(route: Route): void {
     const host = canonicalHost(route.host);
     const known = this.#routes.get(host);
--- a/packages/decisions/src/gateway/attemptNotes.ts
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -4,7 +4,7 @@
 import { judgeReplica } from './judgeReplica.js';
 import type { PlacedCandidate } from './placement/PlacementPolicy.js';
 import type { Urgency } from './placement/serviceRank.js';
-import { serviceRank } from './placement/serviceRank.js';
+import { requestRank } from './requestRank.js';
 import type { AttemptResult } from './recovery/AttemptResult.js';
 
 /** Weight of the newest answer in the mean time of a plain service. */
@@ -42,7 +42,7 @@
     unreadTokens,
     tokensAhead,
     isDeferred,
-    rank: serviceRank(request.priority, urgencyOf(number, isDeferred)),
+    rank: requestRank(board, request, urgencyOf(number, isDeferred)),
     fetch,
     predictedMs,
     pieces: 0,
--- a/packages/decisions/src/gateway/matchRequest.ts
+++ b/packages/decisions/src/gateway/matchRequest.ts
@@ -15,7 +15,7 @@
       readonly route: Route;
       readonly service: RoutedService;
       readonly organisation: RoutedOrganisation | null;
-      /** Rank after the organisation's own; 0 is served first. */
+      /** Place in the order of urgency of the service; 0 goes first. */
       readonly priority: number;
     }
   | { readonly kind: 'refused'; readonly code: ResultCodeId };
@@ -67,6 +67,6 @@
     return { kind: 'refused', code: 'noBackendServer' };
   }
   const holder = route.isPublic ? null : (organisation ?? null);
-  const priority = holder?.priority ?? route.priority;
+  const priority = table.priorities(service.id).placeOf(route, holder);
   return { kind: 'matched', route, service, organisation: holder, priority };
 }
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -7,6 +7,7 @@
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
 import { pathsOf } from '../PromptMemory.js';
+import { requestRank } from '../requestRank.js';
 import type { Holder } from './cacheFetch.js';
 import { bestHolders, chooseFetch, homeOf } from './cacheFetch.js';
 import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
@@ -171,7 +172,8 @@
     const fetched = fetch?.tokens ?? 0;
     const copyMs = fetch?.tookMs ?? 0;
     const unreadTokens = Math.max(0, promptTokens - hoped - fetched);
-    const ahead = load.unreadAhead(isDeferred);
+    const urgency = isDeferred ? 'deferred' : 'new';
+    const ahead = load.unreadAhead(requestRank(board, request, urgency));
     const aheadMs = (ahead + unreadTokens) / engine.queueTokensPerMs;
     const stretch = isDeferred ? engine.deferredStretch : 1;
     const predictedMs =
--- a/packages/decisions/tests/gateway/replicaRestart.test.ts
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -72,13 +72,11 @@
     restart(fixture);
     const told = { id: first.id, bornMs: 10 };
     fixture.router.onPeerWork(brand<InstanceId>('e-1'), {
-      uses: [
-        { ...told, inFlight: 30, unreadTokens: 90_000, deferredTokens: 9 },
-      ],
+      uses: [{ ...told, inFlight: 30, unreadByRank: [0, 90_000, 9] }],
       demands: [],
       reports: [{ ...told, total: 70, ageMs: 10 }],
     });
     t.is(loadOf(fixture).totalInFlight, 0);
-    t.is(loadOf(fixture).unreadAhead(true), 0);
+    t.is(loadOf(fixture).unreadAhead(9), 0);
   });
 });
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -120,13 +120,12 @@
 
 /** @returns the message fields of what this instance runs */
 export function toUses(uses: readonly OwnUse[]): proto.BackendUse[] {
-  return uses.map(({ id, bornMs, inFlight, unreadTokens, deferredTokens }) => ({
+  return uses.map(({ id, bornMs, inFlight, unreadByRank }) => ({
     backendServer: id,
     bornMs: bornMs ?? UNKNOWN_START,
     inFlight,
     // Expected cache hits make it a fraction, which the message can't hold.
-    unreadTokens: Math.round(unreadTokens),
-    deferredTokens: Math.round(deferredTokens),
+    unreadByRank: unreadByRank.map(Math.round),
   }));
 }
 
@@ -159,8 +158,7 @@
       id: brand<BackendServerId>(use.backendServer),
       bornMs: startOf(use),
       inFlight: use.inFlight,
-      unreadTokens: use.unreadTokens,
-      deferredTokens: use.deferredTokens,
+      unreadByRank: use.unreadByRank,
     })),
     demands: demands.map(demand => ({
       ...demand,
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -29,8 +29,7 @@
           id,
           bornMs: 1_764_000_000_123,
           inFlight: 2,
-          unreadTokens: 5888.5,
-          deferredTokens: 88.25,
+          unreadByRank: [0, 5888.5, 88.25],
         },
       ]),
       reports: [],
@@ -43,8 +42,7 @@
       ),
     });
     const work = fromWork(requestDeserialize(bytes));
-    t.is(work.uses[0]?.unreadTokens, 5889);
-    t.is(work.uses[0]?.deferredTokens, 88);
+    t.deepEqual(work.uses[0]?.unreadByRank, [0, 5889, 88]);
     t.is(work.uses[0]?.bornMs, 1_764_000_000_123);
     t.is(work.demands[0]?.tokensPerS, 10.25);
   });
