fix(decisions): the least urgent make room first, by the same order that replicas keep

Cause: admission looked at the routes' priorities, ranks at the organisations'; and where all have one priority, all passed for the most urgent, which are let in beyond their callers' patience. Change: both look at a request's place in the order of urgency of its service. Most urgent is only who has others behind.

--- a/packages/decisions/src/gateway/admission/first-event-target.ts
+++ b/packages/decisions/src/gateway/admission/first-event-target.ts
@@ -1,7 +1,5 @@
 import { z } from 'zod';
 
-import type { Route } from '@jujubecroft/types';
-
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
 import type { GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
@@ -26,53 +24,57 @@
   readonly maxRetryShare: number;
 }
 
-/**
- * Whether no other route of its service is less urgent.
- *
- * Guards against turning short, urgent requests away for an end that is a little
- * uncertain while long, less urgent ones begin: it shows as one in six of the
- * urgent ones that get nothing for seconds. The least urgent make room first.
- */
-function isLeastUrgent(board: GatewayBoard, route: Route): boolean {
-  const services = new Set(route.shares.map(({ service }) => service));
-  return !board.table?.cfg.routes.some(
-    other =>
-      other.kind === 'streaming' &&
-      other.priority > route.priority &&
-      other.shares.some(({ service }) => services.has(service)),
-  );
+/** Where a request stands among those of its service. */
+interface Standing {
+  /** Whether others are less urgent, and none more. */
+  readonly isMostUrgent: boolean;
+  /** Whether none is less urgent. */
+  readonly isLeastUrgent: boolean;
+}
+
+function standingOf(
+  { table }: GatewayBoard,
+  { service, priority }: GatewayRequest,
+): Standing {
+  const last = (table?.priorities(service.id).count ?? 1) - 1;
+  return {
+    isMostUrgent: priority === 0 && last > 0,
+    isLeastUrgent: priority >= last,
+  };
 }
 
 function createFirstEventTarget(
   board: GatewayBoard,
   options: FirstEventTargetOptions,
 ): GatewayAdmission {
-  // A caller that came back as told is not sent away again while it can be served
-  // at all, and the most urgent requests never are.
-  const isKept = ({ priority, cameBack }: GatewayRequest): boolean =>
-    priority === 0 || cameBack;
-
   // What is late steps behind the others at its replica, so it is let in as long
   // as its caller is likely to wait for it: turned away, it would come back and be
-  // late all the same.
-  const allowedFor = (request: GatewayRequest, leftMs: number): number => {
+  // late all the same. The most urgent are served late rather than not.
+  const allowedFor = (
+    { route }: GatewayRequest,
+    { isMostUrgent }: Standing,
+    leftMs: number,
+  ): number => {
     const withinMs = options.lateShare * leftMs;
-    const patienceMs = options.patienceShare * callerPatienceMs(request.route);
-    return request.priority === 0 ? withinMs : Math.min(withinMs, patienceMs);
+    const patienceMs = options.patienceShare * callerPatienceMs(route);
+    return isMostUrgent ? withinMs : Math.min(withinMs, patienceMs);
   };
 
   return (request, best) => {
     const nowMs = board.clock();
     const leftMs = request.deadlineMs - nowMs;
     const spentMs = nowMs - request.arrivedMs;
-    const allowedMs = allowedFor(request, leftMs);
+    const standing = standingOf(board, request);
+    const allowedMs = allowedFor(request, standing, leftMs);
     const predictedMs = spentMs + best.predictedMs;
     // A replica that reads prompts without a break starts new streams in time
-    // and finishes none: every token waits for the next part of a prompt.
-    const wholeShare =
-      isKept(request) || !isLeastUrgent(board, request.route)
-        ? options.lateWholeShare
-        : options.wholeShare;
+    // and finishes none: every token waits for the next part of a prompt. Where
+    // the end is uncertain the least urgent make room first, and a caller that came
+    // back as told is not sent away again.
+    const isFirstToYield = standing.isLeastUrgent && !request.cameBack;
+    const wholeShare = isFirstToYield
+      ? options.wholeShare
+      : options.lateWholeShare;
     const allowedWholeMs = wholeShare * leftMs;
     const finishes = best.predictedWholeMs <= allowedWholeMs;
     const overMs = finishes
--- a/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
+++ b/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
@@ -142,8 +142,9 @@
     router,
     request: (of, parts = [], overrides = {}) => {
       count += 1;
-      const service = board.table?.service(of.shares[0]?.service ?? SERVICE);
-      if (!service) {
+      const { table } = board;
+      const service = table?.service(of.shares[0]?.service ?? SERVICE);
+      if (!table || !service) {
         throw new Error('the route has no declared service');
       }
       return {
@@ -151,7 +152,7 @@
         route: of,
         service,
         organisation: null,
-        priority: of.priority,
+        priority: table.priorities(service.id).placeOf(of, null),
         prompt:
           parts.length === 0
             ? null
