fix(decisions): how long answers are is known from the first one on, and from the others

Cause: an instance that has just started took forty pieces for granted and moved by three in a hundred with each answer. Price checks have five; at the pace of a burst none seemed to end in its three seconds, so it refused them and saw none end.

Change: the mean of what was seen, from the first answer on; instances tell each other theirs; no answer is expected to be longer than its caller allows.

--- a/packages/decisions/src/gateway/AnswerLengths.ts
+++ b/packages/decisions/src/gateway/AnswerLengths.ts
@@ -1,25 +1,54 @@
 import type { PromptFacts, RouteId, RoutedService } from '@jujubecroft/types';
 
-/** Weight of the newest answer. */
-const LENGTH_WEIGHT = 0.03;
+/** Mean length of a route's answers, as one instance has seen them. */
+export interface SeenLength {
+  readonly route: RouteId;
+  /** Mean pieces of an answer. */
+  readonly pieces: number;
+  /** Answers that the mean stands for. */
+  readonly answers: number;
+}
+
+/** The newest answers count as much as if the mean were of so many. */
+const MAX_ANSWERS = 33;
 /** Pieces assumed before an answer of the route has ended. */
 const PRIOR_PIECES = 40;
 
 /** Learns how many pieces the streams of each route have. */
 export class AnswerLengths {
-  readonly #pieces = new Map<RouteId, number>();
+  readonly #seen = new Map<RouteId, SeenLength>();
+  #peers: readonly SeenLength[] = [];
+
+  /** What this instance has seen of a route, for the others. */
+  seen(route: RouteId): SeenLength {
+    return this.#seen.get(route) ?? { route, pieces: 0, answers: 0 };
+  }
 
   /** Takes in the length of a whole answer. */
   onEnded(route: RouteId, pieces: number): void {
-    const before = this.#pieces.get(route) ?? PRIOR_PIECES;
-    this.#pieces.set(route, before + LENGTH_WEIGHT * (pieces - before));
+    const before = this.seen(route);
+    const answers = Math.min(MAX_ANSWERS, before.answers + 1);
+    const mean = before.pieces + (pieces - before.pieces) / answers;
+    this.#seen.set(route, { route, pieces: mean, answers });
+  }
+
+  /** Takes in what the other instances have seen. */
+  onPeers(lengths: readonly SeenLength[]): void {
+    this.#peers = lengths;
   }
 
   /**
    * Says how many pieces an answer will have.
    *
    * A caller's guess is right in the middle and often far off, so it counts
-   * half against what the route's answers have on average.
+   * half against what the route's answers have on average. No answer is longer
+   * than its caller allows.
+   *
+   * Guards against an instance that has just started and takes short answers for
+   * long ones, ten times as long as they are: it turns urgent requests away since
+   * none of them seems to end in time, and so never sees one end. It shows as
+   * refusals with a short wait and a late end right after a start, and for as
+   * long as a day where sixty instances share a few short answers a second.
    *
    * @param route - of the request
    * @param prompt - what the request says of its answer
@@ -30,9 +59,30 @@
     prompt: PromptFacts | null,
     service: RoutedService,
   ): number {
-    const usual = this.#pieces.get(route) ?? PRIOR_PIECES;
+    const usual = this.usual(route);
     const perPiece = service.engine?.tokensPerEvent ?? 1;
     const guess = prompt?.expectedOutputTokens;
-    return guess ? (usual + guess / perPiece) / 2 : usual;
+    const expected = guess ? (usual + guess / perPiece) / 2 : usual;
+    const allowed = prompt?.maxOutputTokens ?? 0;
+    return allowed > 0
+      ? Math.min(expected, Math.ceil(allowed / perPiece))
+      : expected;
+  }
+
+  /**
+   * Mean pieces of a route's answers, over all instances that were heard of.
+   *
+   * @param route - of the answers
+   * @returns an assumed figure until any of them has seen one
+   */
+  usual(route: RouteId): number {
+    const heard = this.#peers.filter(length => length.route === route);
+    const all = [this.seen(route), ...heard];
+    const answers = all.reduce((sum, length) => sum + length.answers, 0);
+    const pieces = all.reduce(
+      (sum, length) => sum + length.answers * length.pieces,
+      0,
+    );
+    return answers > 0 ? pieces / answers : PRIOR_PIECES;
   }
 }
--- a/packages/decisions/src/gateway/PeerWorkBook.ts
+++ b/packages/decisions/src/gateway/PeerWorkBook.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, InstanceId } from '@jujubecroft/types';
 
+import type { SeenLength } from './AnswerLengths.js';
 import type { PeerUse } from './BackendLoad.js';
 import { NO_PEER_USE } from './BackendLoad.js';
 import type { GatewayBoard } from './GatewayBoard.js';
@@ -28,6 +29,7 @@
   readonly reports: readonly HeardReport[];
   readonly uses: readonly OwnUse[];
   readonly demands: readonly RouteDemand[];
+  readonly lengths: readonly SeenLength[];
 }
 
 interface PeerReport extends PeerWork {
@@ -119,6 +121,7 @@
           inFlight: scale * inFlight,
         })),
     );
+    board.lengths.onPeers(reports.flatMap(({ lengths }) => lengths));
     board.backends.forEach((load, id) => {
       load.peers = sums.get(id) ?? NO_PEER_USE;
       load.peersAreSample = scale > MAX_WHOLE_SCALE;
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -2,6 +2,7 @@
 export type { StopPlan } from './admission/outlastsStop.js';
 export { outlastsStop } from './admission/outlastsStop.js';
 export type { GatewayVerdict } from './admission/GatewayAdmission.js';
+export type { SeenLength } from './AnswerLengths.js';
 export type {
   BackendLoad,
   GatewayAttempt,
--- a/packages/decisions/tests/gateway/PeerWorkBook.test.ts
+++ b/packages/decisions/tests/gateway/PeerWorkBook.test.ts
@@ -42,6 +42,7 @@
           },
         ],
         demands: [{ route: CALL.id, tokensPerS: 10, inFlight: 1 }],
+        lengths: [],
         reports: [],
       });
     });
@@ -60,6 +61,7 @@
       router.onPeerWork(brand<InstanceId>('e-1'), {
         uses: [],
         demands: [],
+        lengths: [],
         reports: [{ id, bornMs: null, total, ageMs }],
       });
     };
--- a/packages/decisions/tests/gateway/replicaRestart.test.ts
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -74,6 +74,7 @@
     fixture.router.onPeerWork(brand<InstanceId>('e-1'), {
       uses: [{ ...told, inFlight: 30, unreadByRank: [0, 90_000, 9] }],
       demands: [],
+      lengths: [],
       reports: [{ ...told, total: 70, ageMs: 10 }],
     });
     t.is(loadOf(fixture).totalInFlight, 0);
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -4,6 +4,8 @@
   PeerWork,
   ReplicaChanges,
   ReplicaRecord,
+  RouteDemand,
+  SeenLength,
 } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator';
 import type {
@@ -141,6 +143,21 @@
   }));
 }
 
+/** @returns the message fields of what each route brings to this instance */
+export function toDemands(
+  demands: readonly RouteDemand[],
+  lengths: readonly SeenLength[],
+): proto.RouteDemand[] {
+  return demands.map(demand => {
+    const seen = lengths.find(({ route }) => route === demand.route);
+    return {
+      ...demand,
+      pieces: seen?.pieces ?? 0,
+      answers: seen?.answers ?? 0,
+    };
+  });
+}
+
 /** @returns what another instance runs and has heard */
 export function fromWork({
   uses,
@@ -160,9 +177,15 @@
       inFlight: use.inFlight,
       unreadByRank: use.unreadByRank,
     })),
-    demands: demands.map(demand => ({
-      ...demand,
-      route: brand<RouteId>(demand.route),
+    demands: demands.map(({ route, tokensPerS, inFlight }) => ({
+      route: brand<RouteId>(route),
+      tokensPerS,
+      inFlight,
+    })),
+    lengths: demands.map(({ route, pieces, answers }) => ({
+      route: brand<RouteId>(route),
+      pieces,
+      answers,
     })),
   };
 }
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -7,11 +7,13 @@
   finite,
   fromReplicaFields,
   fromWork,
+  toDemands,
   toReplicaFields,
   toUses,
 } from '../../src/state/gatewayState.js';
 
 const id = brand<BackendServerId>('s-1');
+const route = brand<RouteId>('r');
 
 describe('gatewayState', ({ it }) => {
   it('can be sent whatever the estimates are', t => {
@@ -33,7 +35,10 @@
         },
       ]),
       reports: [],
-      demands: [{ route: brand<RouteId>('r'), tokensPerS: 10.25, inFlight: 2 }],
+      demands: toDemands(
+        [{ route, tokensPerS: 10.25, inFlight: 2 }],
+        [{ route, pieces: 4.5, answers: 7 }],
+      ),
       configurationJson: '',
       replicasChangedAt: 4,
       ...toReplicaFields(
@@ -45,6 +50,7 @@
     t.deepEqual(work.uses[0]?.unreadByRank, [0, 5889, 88]);
     t.is(work.uses[0]?.bornMs, 1_764_000_000_123);
     t.is(work.demands[0]?.tokensPerS, 10.25);
+    t.deepEqual(work.lengths, [{ route, pieces: 4.5, answers: 7 }]);
   });
 
   it('carries entries, removed ones and those that may come back', t => {
