fix(decisions): what would be refused to an urgent request is refused to a larger, less urgent one

Cause: each route has bounds by its own targets, and admission judged one replica, the cheapest. Price checks wait two seconds and end in three, invoices wait eight; so where price checks were refused invoices were let in.

Change: a request is let in where every more urgent route with answers no longer than its own would be let in as well, with the time that a caller has left who was refused once; all replicas are asked, the cheapest first. It holds at every instance by itself.

--- a/packages/decisions/src/gateway/PriorityOrder.ts
+++ b/packages/decisions/src/gateway/PriorityOrder.ts
@@ -7,6 +7,12 @@
   readonly organisations: readonly RoutedOrganisation[] | null;
 }
 
+/** Requests of one route that have one place in the order. */
+export interface RouteClass {
+  readonly route: Route;
+  readonly place: number;
+}
+
 /** The organisation's priority, then the route's; 0 goes first in each. */
 type PriorityKey = readonly [organisation: number, route: number];
 
@@ -17,13 +23,17 @@
   return [organisation?.priority ?? route.priority, route.priority];
 }
 
-function keysOf({ routes, organisations }: PriorityScope): PriorityKey[] {
-  const callers = organisations ?? [];
-  return routes.flatMap(route =>
-    route.isPublic || callers.length === 0
-      ? [keyOf(route, null)]
-      : callers.map(organisation => keyOf(route, organisation)),
-  );
+/** Callers of a route that differ in priority; null for those without an organisation. */
+function callersOf(
+  route: Route,
+  organisations: readonly RoutedOrganisation[],
+): readonly (RoutedOrganisation | null)[] {
+  if (route.isPublic || organisations.length === 0) {
+    return [null];
+  }
+  return [
+    ...new Map(organisations.map(entry => [entry.priority, entry])).values(),
+  ];
 }
 
 /**
@@ -36,14 +46,25 @@
  */
 export class PriorityOrder {
   readonly #places: ReadonlyMap<string, number>;
+  readonly #classes: readonly RouteClass[];
 
   /** @param scope - routes of the service and who may call them */
-  constructor(scope: PriorityScope) {
-    const keys = new Map(keysOf(scope).map(key => [key.join(), key]));
+  constructor({ routes, organisations }: PriorityScope) {
+    const all = routes.flatMap(route =>
+      callersOf(route, organisations ?? []).map(caller => ({
+        route,
+        key: keyOf(route, caller),
+      })),
+    );
+    const keys = new Map(all.map(({ key }) => [key.join(), key]));
     const ordered = [...keys.values()].sort(
       (a, b) => a[0] - b[0] || a[1] - b[1],
     );
     this.#places = new Map(ordered.map((key, place) => [key.join(), place]));
+    this.#classes = all.map(({ route, key }) => ({
+      route,
+      place: this.#places.get(key.join()) ?? this.count,
+    }));
   }
 
   /** How many different priorities there are. */
@@ -51,6 +72,11 @@
     return this.#places.size;
   }
 
+  /** @returns what goes before a place, as routes with theirs */
+  before(place: number): readonly RouteClass[] {
+    return this.#classes.filter(entry => entry.place < place);
+  }
+
   /**
    * Finds the place of a request in the order.
    *
--- a/packages/decisions/src/gateway/RouteDemand.ts
+++ b/packages/decisions/src/gateway/RouteDemand.ts
@@ -15,21 +15,31 @@
 /** Time over which demand is smoothed; bursts of a few seconds should count. */
 const WINDOW_MS = 3000;
 const MS_PER_SECOND = 1000;
+/** Weight of the newest request in the mean size of a route's. */
+const SIZE_WEIGHT = 0.1;
 
 /** Demand of each route at this instance. */
 export class DemandBook {
   readonly #tokens = new Map<RouteId, DemandRate>();
   readonly #inFlight = new Map<RouteId, number>();
+  readonly #sizes = new Map<RouteId, number>();
   #peers: readonly RouteDemand[] = [];
 
   constructor(private readonly clock: Clock) {}
 
   /** Notes a request that goes to a replica, with the tokens to be read. */
   onRequest(route: RouteId, tokens: number): void {
+    const size = this.#sizes.get(route) ?? tokens;
+    this.#sizes.set(route, size + SIZE_WEIGHT * (tokens - size));
     this.#rateOf(route).add(tokens);
     this.#inFlight.set(route, (this.#inFlight.get(route) ?? 0) + 1);
   }
 
+  /** @returns mean tokens to be read of a request; 0 before there was one */
+  meanTokens(route: RouteId): number {
+    return this.#sizes.get(route) ?? 0;
+  }
+
   /** Notes that a request left its replica. */
   onEnded(route: RouteId): void {
     this.#inFlight.set(route, (this.#inFlight.get(route) ?? 1) - 1);
--- a/packages/decisions/src/gateway/admission/first-event-target.ts
+++ b/packages/decisions/src/gateway/admission/first-event-target.ts
@@ -1,9 +1,14 @@
 import { z } from 'zod';
 
+import type { RoutedService, Route } from '@jujubecroft/types';
+
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
-import type { GatewayRequest } from '../BackendLoad.js';
+import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
+import { learningOf } from '../GatewayBoard.js';
+import type { RouteClass } from '../PriorityOrder.js';
 import { callerPatienceMs } from '../callerPatience.js';
+import { requestRank } from '../requestRank.js';
 import type { GatewayAdmission } from './GatewayAdmission.js';
 
 interface FirstEventTargetOptions {
@@ -32,9 +37,12 @@
   readonly isLeastUrgent: boolean;
 }
 
+/** A request of which only its kind is known. */
+type UsualRequest = Pick<GatewayRequest, 'priority' | 'route' | 'service'>;
+
 function standingOf(
   { table }: GatewayBoard,
-  { service, priority }: GatewayRequest,
+  { service, priority }: Pick<GatewayRequest, 'priority' | 'service'>,
 ): Standing {
   const last = (table?.priorities(service.id).count ?? 1) - 1;
   return {
@@ -51,7 +59,7 @@
   // as its caller is likely to wait for it: turned away, it would come back and be
   // late all the same. The most urgent are served late rather than not.
   const allowedFor = (
-    { route }: GatewayRequest,
+    route: Route,
     { isMostUrgent }: Standing,
     leftMs: number,
   ): number => {
@@ -60,12 +68,61 @@
     return isMostUrgent ? withinMs : Math.min(withinMs, patienceMs);
   };
 
+  /** Expected wait for a first event at a replica, for a request of usual size. */
+  const waitAt = (
+    load: BackendLoad,
+    { route, service, priority }: UsualRequest,
+    urgency: 'deferred' | 'new',
+  ): number => {
+    const { engine } = learningOf(board, service.id);
+    const rank = requestRank(board, { service, priority }, urgency);
+    const tokens = load.unreadAhead(rank) + board.demand.meanTokens(route.id);
+    const stretch = urgency === 'deferred' ? engine.deferredStretch : 1;
+    const readMs = tokens / engine.queueTokensPerMs;
+    return engine.baseMs + load.slowness * stretch * readMs;
+  };
+
+  /** Whether a request that was refused once would be let in at a replica. */
+  const wouldServe = (
+    service: RoutedService,
+    { route, place }: RouteClass,
+    load: BackendLoad,
+  ): boolean => {
+    const urgent = { route, service, priority: place };
+    const newMs = waitAt(load, urgent, 'new');
+    const isLate = newMs > route.latencyTargetMs;
+    const waitMs = isLate ? waitAt(load, urgent, 'deferred') : newMs;
+    const leftMs = (1 - options.maxRetryShare) * route.timeoutMs;
+    const wholeMs = waitMs + board.lengths.usual(route.id) * load.paceMs;
+    return (
+      waitMs <= allowedFor(route, standingOf(board, urgent), leftMs) &&
+      wholeMs <= options.lateWholeShare * leftMs
+    );
+  };
+
+  // What would be refused to a request that is more urgent and asks for less is
+  // refused to this one too. Guards against short urgent requests that get nothing
+  // while long ones begin: each has bounds by its own targets, and those of the
+  // long ones are wider. It holds at every instance by itself, whatever
+  // it knows of the others.
+  const leavesRoom = (
+    { service, route, priority }: GatewayRequest,
+    load: BackendLoad,
+  ): boolean => {
+    const { lengths, table } = board;
+    const own = lengths.usual(route.id);
+    const moreUrgent = table?.priorities(service.id).before(priority) ?? [];
+    return moreUrgent
+      .filter(({ route: other }) => lengths.usual(other.id) <= own)
+      .every(other => wouldServe(service, other, load));
+  };
+
   return (request, best) => {
     const nowMs = board.clock();
     const leftMs = request.deadlineMs - nowMs;
     const spentMs = nowMs - request.arrivedMs;
     const standing = standingOf(board, request);
-    const allowedMs = allowedFor(request, standing, leftMs);
+    const allowedMs = allowedFor(request.route, standing, leftMs);
     const predictedMs = spentMs + best.predictedMs;
     // A replica that reads prompts without a break starts new streams in time
     // and finishes none: every token waits for the next part of a prompt. Where
@@ -88,7 +145,8 @@
       Math.max(options.minRetryAfterMs, spreadMs),
     );
     return {
-      admit: finishes && predictedMs <= allowedMs,
+      admit:
+        finishes && predictedMs <= allowedMs && leavesRoom(request, best.load),
       predictedMs,
       allowedMs,
       predictedWholeMs: best.predictedWholeMs,
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -94,18 +94,25 @@
       candidates: 0,
     };
   }
-  const admit = isPrompt ? policies.admitPrompt : policies.admitCall;
+  const candidates = ranked.length;
   // A request that runs already is not turned away half-way.
-  const verdict = isFirst ? admit(request, best) : null;
-  if (verdict && !verdict.admit) {
-    return {
-      kind: 'refuse',
-      code: 'overloaded',
-      retryAfterMs: verdict.retryAfterMs,
-      verdict,
-      best,
-      candidates: ranked.length,
-    };
+  if (!isFirst) {
+    return { kind: 'send', placed: best, candidates };
+  }
+  const admit = isPrompt ? policies.admitPrompt : policies.admitCall;
+  // The cheapest replica may be the one that would not finish; a request that
+  // another would serve is not turned away for it.
+  const placed = ranked.find(candidate => admit(request, candidate).admit);
+  if (placed) {
+    return { kind: 'send', placed, candidates };
   }
-  return { kind: 'send', placed: best, candidates: ranked.length };
+  const verdict = admit(request, best);
+  return {
+    kind: 'refuse',
+    code: 'overloaded',
+    retryAfterMs: verdict.retryAfterMs,
+    verdict,
+    best,
+    candidates,
+  };
 }
--- a/packages/decisions/tests/gateway/urgency.test.ts
+++ b/packages/decisions/tests/gateway/urgency.test.ts
@@ -24,8 +24,14 @@
   priority: 2,
 });
 
-function fixtureWith(priorities: readonly (number | null)[]): GatewayFixture {
-  const fixture = gatewayFixture([CHECK, INVOICE], [replica('s-1')]);
+function fixtureWith(
+  priorities: readonly (number | null)[],
+  replicas: readonly string[] = ['s-1'],
+): GatewayFixture {
+  const fixture = gatewayFixture(
+    [CHECK, INVOICE],
+    replicas.map(name => replica(name)),
+  );
   fixture.router.configure({
     ...configuration([CHECK, INVOICE], 2),
     organisations: priorities.map((priority, index) => ({
@@ -107,3 +113,50 @@
     t.is(invoice?.tokensAhead, 8 * 12_000 + 1000 + 100);
   });
 });
+
+/** Lets answers of the routes have few pieces, as short ones do. */
+function learnLengths({ board }: GatewayFixture): void {
+  board.lengths.onEnded(CHECK.id, 5);
+  board.lengths.onEnded(INVOICE.id, 70);
+}
+
+// Price checks wait no longer than two seconds for a first event, invoices eight. With
+// price checks queued for more than that they were refused, and invoices went on
+// being let in at the same replicas, since their own wait was still bearable.
+describe('the order of urgency in what is let in', ({ it }) => {
+  it('refuses a larger, less urgent request where a more urgent one is refused', t => {
+    const fixture = fixtureWith([1]);
+    learnLengths(fixture);
+    const checks = Array.from({ length: 200 }, () =>
+      send(fixture, CHECK, 'k-0', 2000),
+    );
+    t.true(checks.includes(null), 'some are refused');
+    t.is(send(fixture, INVOICE, 'k-0', 2000), null);
+  });
+
+  it('lets a less urgent request in where a more urgent one would be', t => {
+    const fixture = fixtureWith([1]);
+    learnLengths(fixture);
+    send(fixture, CHECK, 'k-0', 2000);
+    t.not(send(fixture, INVOICE, 'k-0', 2000), null);
+  });
+
+  // Streams of one replica had a piece each 0.7 s, since it read prompts without a
+  // break. It was the cheapest all the same, and the only one that was looked at.
+  it('refuses nothing that another replica would serve', t => {
+    const fixture = fixtureWith([1], ['s-1', 's-2']);
+    learnLengths(fixture);
+    const { board } = fixture;
+    const [slow, busy] = [...board.backends.values()];
+    if (!slow || !busy) {
+      t.fail('the fixture has two replicas');
+      return;
+    }
+    Array.from({ length: 300 }).forEach(() => {
+      slow.onPause(700);
+    });
+    busy.peers = { inFlight: 0, unreadByRank: [0, 20_000] };
+    const check = send(fixture, CHECK, 'k-0', 500);
+    t.is(check?.load, busy);
+  });
+});
