fix(decisions): urgent requests may use the replicas of a less urgent, more delicate group

Cause: replicas are split by the delay that routes bear, and only groups that bear more were open to others. Change: groups whose routes are all less urgent are open too, at the usual price of mixing. The test fails without it.

--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { PromptPart } from '@jujubecroft/types';
+import type { PromptPart, Route } from '@jujubecroft/types';
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
 import { byHashed } from '../../util/byHash.js';
@@ -7,6 +7,7 @@
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
 import { pathsOf } from '../PromptMemory.js';
+import type { RoutingTable } from '../RoutingTable.js';
 import { requestRank } from '../requestRank.js';
 import type { Holder } from './cacheFetch.js';
 import { bestHolders, chooseFetch, homeOf } from './cacheFetch.js';
@@ -69,10 +70,23 @@
   readonly holders: readonly Holder[];
 }
 
-/** Where a request may go: its own group's replicas and those of groups behind it. */
+/** Where a request may go: its own group's replicas and, at a price, those of others. */
 interface Segments {
   readonly own: readonly BackendLoad[];
-  readonly behind: readonly BackendLoad[];
+  readonly others: readonly BackendLoad[];
+}
+
+/** Whether all routes of a group are less urgent than one. */
+function isLessUrgent(
+  { routes }: ToleranceGroup,
+  { priority }: Route,
+  table: RoutingTable | null,
+): boolean {
+  return (
+    table?.cfg.routes
+      .filter(({ id }) => routes.includes(id))
+      .every(route => route.priority > priority) ?? false
+  );
 }
 
 function createToleranceSplit(
@@ -105,7 +119,7 @@
       routes.includes(request.route.id),
     );
     if (index === -1 || ranked.length < groups.length) {
-      return { own: ranked, behind: [] };
+      return { own: ranked, others: [] };
     }
     const sizes = splitReplicas(
       groups.map((group, place) => ({
@@ -115,9 +129,25 @@
       ranked.length,
       options.minLastShare,
     );
-    const start = sizes.slice(0, index).reduce((sum, size) => sum + size, 0);
-    const end = start + (sizes[index] ?? 0);
-    return { own: ranked.slice(start, end), behind: ranked.slice(end) };
+    const segments = sizes.map((size, place) => {
+      const before = sizes.slice(0, place);
+      const start = before.reduce((sum, other) => sum + other, 0);
+      return ranked.slice(start, start + size);
+    });
+    // A more delicate group keeps its replicas for itself unless it is less urgent:
+    // an urgent request is not turned away while it has room.
+    const mayUse = (group: ToleranceGroup, place: number): boolean =>
+      place > index ||
+      (place < index && isLessUrgent(group, request.route, board.table));
+    return {
+      own: segments[index] ?? [],
+      others: segments
+        .filter((_, place) => {
+          const group = groups[place];
+          return group !== undefined && mayUse(group, place);
+        })
+        .flat(),
+    };
   };
 
   const prepare = (
@@ -211,11 +241,11 @@
     const ranked = [...candidates].sort((a, b) =>
       byHashed(a.hashedId, b.hashedId),
     );
-    const { own, behind } = segmentsFor(request, ranked);
+    const { own, others } = segmentsFor(request, ranked);
     const base = own.length > 0 ? own : ranked;
     const prepared = prepare(request, base, ranked);
     const placed = base.map(load => judge(request, load, prepared, isDeferred));
-    const mixed = (own.length > 0 ? behind : []).map(load => {
+    const mixed = (own.length > 0 ? others : []).map(load => {
       const candidate = judge(request, load, prepared, isDeferred);
       return { ...candidate, cost: candidate.cost + options.mixingMs };
     });
--- a/packages/decisions/tests/gateway/urgency.test.ts
+++ b/packages/decisions/tests/gateway/urgency.test.ts
@@ -160,3 +160,45 @@
     t.is(check?.load, busy);
   });
 });
+
+// Chats bear pauses of 0.25 s, urgent orders four times that. Replicas were split for
+// the chats' sake only: orders found nothing but their own group's replicas, all of
+// them full, and were refused while chats that could wait began beside them.
+describe('the order of urgency in where requests may go', ({ it }) => {
+  const ORDER = route({
+    id: brand<RouteId>('order'),
+    prefix: '/order/',
+    priority: 0,
+    timeoutMs: 3000,
+  });
+  const CHAT = route({
+    id: brand<RouteId>('chat'),
+    prefix: '/chat/',
+    priority: 1,
+    latencyTargetMs: 300,
+    gapTargetMs: 250,
+  });
+  const names = ['s-1', 's-2', 's-3', 's-4'];
+
+  function usedBy(orders: number, routes: readonly Route[]) {
+    const fixture = gatewayFixture(
+      routes,
+      names.map(name => replica(name)),
+    );
+    const attempts = Array.from({ length: orders }, () =>
+      send(fixture, ORDER, '', 4000),
+    );
+    const used = attempts.flatMap(attempt => attempt?.load.replica.id ?? []);
+    return new Set(used);
+  }
+
+  it('lets urgent requests use the replicas of a less urgent, more delicate group', t => {
+    t.is(usedBy(80, [ORDER, CHAT]).size, names.length);
+  });
+
+  it('keeps them away from a more delicate group that is more urgent', t => {
+    const urgent = { ...CHAT, priority: 0 };
+    const patient = { ...ORDER, priority: 1 };
+    t.true(usedBy(20, [patient, urgent]).size < names.length);
+  });
+});
