fix(decisions): what less urgent requests wait is not learnt for urgent ones

Cause: a replica's slowness was one figure. Change: one figure for each priority; plain services keep one. A request yields only to more urgent routes with shorter answers, not to others of its own route.

Tests: organisations of two priorities, and instances that start again in the burst, at six and at sixty.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -10,7 +10,9 @@
 import type {
   BackendServerId,
   InstanceId,
+  Replica,
   RequestId,
+  RoutedOrganisation,
 } from '@jujubecroft/types';
 import { assertDefined, brand, createRandom } from '@jujubecroft/types';
 
@@ -119,18 +121,14 @@
       this.#engines.set(id, new PromptEngine(this.#events, engine));
     });
     Array.from({ length: this.shape.instances }).forEach((_, index) => {
-      this.#routers.push(
-        createReplayRouter(
-          {
-            clock: () => this.#events.nowMs,
-            createPolicies: this.createPolicies,
-            seed: this.seed,
-            shape: this.shape,
-          },
-          index,
-          replicas,
-        ),
-      );
+      this.#routers[index] = this.#startRouter(index, replicas);
+    });
+    this.shape.restarts?.forEach(({ atMs, instances }) => {
+      this.#events.at(atMs, () => {
+        Array.from({ length: instances }).forEach((_, index) => {
+          this.#routers[index] = this.#startRouter(index, replicas);
+        });
+      });
     });
     this.#events.every(EXCHANGE_MS, EXCHANGE_MS, () => {
       this.#exchange();
@@ -150,6 +148,16 @@
     return [...this.#results.values()];
   }
 
+  #startRouter(index: number, replicas: readonly Replica[]): GatewayRouter {
+    const world = {
+      clock: () => this.#events.nowMs,
+      createPolicies: this.createPolicies,
+      seed: this.seed,
+      shape: this.shape,
+    };
+    return createReplayRouter(world, index, replicas);
+  }
+
   #exchange(): void {
     const { exchange } = this.shape;
     const told = this.#routers.map(router => workOf(router));
@@ -228,8 +236,7 @@
   }
 
   #match({ route }: BurstKind, router: GatewayRouter): Matched {
-    const [caller] = this.shape.load.organisations ?? [];
-    const key = caller?.keys[0] ?? null;
+    const key = this.#drawCaller()?.keys[0] ?? null;
     const match = router.match(route.host, `${route.prefix}one`, key);
     if (match.kind === 'refused') {
       throw new Error(`the load's own route is refused: ${match.code}`);
@@ -237,6 +244,13 @@
     return match;
   }
 
+  #drawCaller(): RoutedOrganisation | undefined {
+    const callers = this.shape.load.organisations ?? [];
+    return callers.length > 1
+      ? callers[Math.floor(this.#random() * callers.length)]
+      : callers[0];
+  }
+
   #drawOwn(median: number): number {
     const radius = Math.sqrt(-2 * Math.log(1 - this.#random()));
     const normal = radius * Math.cos(2 * Math.PI * this.#random());
--- a/packages/bench/src/gateway/replayShapes.ts
+++ b/packages/bench/src/gateway/replayShapes.ts
@@ -18,6 +18,15 @@
   /** Load and things that it is about, against those of the small fleet. */
   readonly scale: number;
   readonly exchange: ReplayExchange;
+  /** Instances that start again and have learnt nothing then. */
+  readonly restarts?: readonly ReplayRestart[];
+}
+
+/** Some instances start again at one moment. */
+export interface ReplayRestart {
+  readonly atMs: number;
+  /** The first so many of them. */
+  readonly instances: number;
 }
 
 /** Instances tell each other of their work this often. */
--- a/packages/bench/tests/urgentFirst.test.ts
+++ b/packages/bench/tests/urgentFirst.test.ts
@@ -2,17 +2,24 @@
 import { defaultGatewayPolicies } from '@jujubecroft/decisions';
 
 import { GatewayReplay } from '../src/gateway/GatewayReplay.js';
+import type { ReplayLoad } from '../src/gateway/burstLoad.js';
 import type { ReplayShape } from '../src/gateway/replayShapes.js';
 import { LARGE_FLEET, SMALL_FLEET } from '../src/gateway/replayShapes.js';
-import { SHARED_RANK_LOAD } from '../src/gateway/sharedRankLoad.js';
+import {
+  SHARED_RANK_LOAD,
+  TWO_RANKS_LOAD,
+} from '../src/gateway/sharedRankLoad.js';
 
 const SEEDS = [1, 2];
 
-function overtakenOf(shape: ReplayShape): readonly string[] {
+function overtakenOf(
+  shape: ReplayShape,
+  load: ReplayLoad = SHARED_RANK_LOAD,
+): readonly string[] {
   return SEEDS.flatMap(seed => {
     const replay = new GatewayReplay(defaultGatewayPolicies, seed, {
       ...shape,
-      load: SHARED_RANK_LOAD,
+      load,
     });
     replay.run();
     return replay.overtakenUrgent.map(
@@ -38,4 +45,21 @@
   it('holds at sixty instances that hear of a few others', t => {
     t.deepEqual(overtakenOf(LARGE_FLEET), []);
   });
+
+  // Four of the six instances had just started again when most price checks were
+  // refused: they took answers of five pieces for answers of forty.
+  it('holds while instances start again', t => {
+    const restarts = [{ atMs: 8000, instances: 4 }];
+    t.deepEqual(overtakenOf({ ...SMALL_FLEET, restarts }), []);
+  });
+
+  it('holds while many of sixty instances start again', t => {
+    const restarts = [{ atMs: 8000, instances: 40 }];
+    t.deepEqual(overtakenOf({ ...LARGE_FLEET, restarts }), []);
+  });
+
+  it('holds among routes where some organisations go before others', t => {
+    t.deepEqual(overtakenOf(SMALL_FLEET, TWO_RANKS_LOAD), []);
+    t.deepEqual(overtakenOf(LARGE_FLEET, TWO_RANKS_LOAD), []);
+  });
 });
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -85,6 +85,8 @@
 
 /** Time for which a reported load says something of the present. */
 const REPORT_MAX_AGE_MS = 1000;
+/** Stands for all priorities where a replica serves in the order of arrival. */
+export const ONE_QUEUE = 0;
 /** Weight of the newest sample of a replica's slowness. */
 const SLOWNESS_WEIGHT = 0.15;
 /** Weight of the newest pause in the pace of a replica's streams. */
@@ -107,8 +109,6 @@
   peers: PeerUse = NO_PEER_USE;
   /** Whether that is scaled up from a few instances that were heard of. */
   peersAreSample = false;
-  /** Took against predicted time, smoothed; 1 is usual for the service. */
-  slowness = 1;
   /**
    * Pause between pieces of a stream, smoothed, in milliseconds. It grows many
    * times over while a replica reads prompts without a break.
@@ -116,6 +116,7 @@
   paceMs = PRIOR_PACE_MS;
   lastByteMs = -Infinity;
   #report: TimedReport | null = null;
+  readonly #slowness = new Map<number, number>();
 
   constructor(
     replica: Replica,
@@ -246,10 +247,30 @@
     this.paceMs += PACE_WEIGHT * (pauseMs - this.paceMs);
   }
 
-  /** Takes in how long something took against what was predicted. */
-  onDuration(tookMs: number, predictedMs: number): void {
+  /**
+   * Took against predicted time, smoothed; 1 is usual for the service.
+   *
+   * Each priority has its own: less urgent requests take longer than predicted
+   * since urgent ones overtake them, which says nothing of what urgent ones wait.
+   *
+   * @param priority - of the requests, 0 first
+   */
+  slownessFor(priority: number): number {
+    return this.#slowness.get(priority) ?? 1;
+  }
+
+  /**
+   * Takes in how long something took against what was predicted.
+   *
+   * @param priority - of the request
+   * @param tookMs - from sending
+   * @param predictedMs - the same as it was expected
+   */
+  onDuration(priority: number, tookMs: number, predictedMs: number): void {
     const ratio = tookMs / Math.max(1, predictedMs);
     const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
-    this.slowness += SLOWNESS_WEIGHT * (bounded - this.slowness);
+    const before = this.slownessFor(priority);
+    const after = before + SLOWNESS_WEIGHT * (bounded - before);
+    this.#slowness.set(priority, after);
   }
 }
--- a/packages/decisions/src/gateway/admission/first-event-target.ts
+++ b/packages/decisions/src/gateway/admission/first-event-target.ts
@@ -79,7 +79,7 @@
     const tokens = load.unreadAhead(rank) + board.demand.meanTokens(route.id);
     const stretch = urgency === 'deferred' ? engine.deferredStretch : 1;
     const readMs = tokens / engine.queueTokensPerMs;
-    return engine.baseMs + load.slowness * stretch * readMs;
+    return engine.baseMs + load.slownessFor(priority) * stretch * readMs;
   };
 
   /** Whether a request that was refused once would be let in at a replica. */
@@ -113,7 +113,7 @@
     const own = lengths.usual(route.id);
     const moreUrgent = table?.priorities(service.id).before(priority) ?? [];
     return moreUrgent
-      .filter(({ route: other }) => lengths.usual(other.id) <= own)
+      .filter(({ route: other }) => lengths.usual(other.id) < own)
       .every(other => wouldServe(service, other, load));
   };
 
--- a/packages/decisions/src/gateway/attemptNotes.ts
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -1,4 +1,5 @@
 import type { GatewayAttempt, GatewayRequest } from './BackendLoad.js';
+import { ONE_QUEUE } from './BackendLoad.js';
 import type { GatewayBoard } from './GatewayBoard.js';
 import { learningOf } from './GatewayBoard.js';
 import { judgeReplica } from './judgeReplica.js';
@@ -94,7 +95,8 @@
   if (request.service.engine) {
     const { engine } = learningOf(board, request.service.id);
     engine.onFirstEvent(tokensAhead, tookMs - copyMs);
-    load.onDuration(tookMs, Math.max(predictedMs, engine.baseMs));
+    const expectedMs = Math.max(predictedMs, engine.baseMs);
+    load.onDuration(request.priority, tookMs, expectedMs);
   }
 }
 
@@ -124,6 +126,6 @@
     const learning = learningOf(board, request.service.id);
     const tookMs = board.clock() - attempt.sentMs;
     learning.answerMs += ANSWER_WEIGHT * (tookMs - learning.answerMs);
-    load.onDuration(tookMs, learning.answerMs);
+    load.onDuration(ONE_QUEUE, tookMs, learning.answerMs);
   }
 }
--- a/packages/decisions/src/gateway/placement/least-busy.ts
+++ b/packages/decisions/src/gateway/placement/least-busy.ts
@@ -2,6 +2,7 @@
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
 import type { BackendLoad } from '../BackendLoad.js';
+import { ONE_QUEUE } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
 import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
@@ -27,7 +28,7 @@
     const judge = (load: BackendLoad): PlacedCandidate => {
       const slots = Math.max(1, load.replica.slots);
       const rounds = 1 + queueLength(load) / slots;
-      const predictedMs = answerMs * load.slowness * rounds;
+      const predictedMs = answerMs * load.slownessFor(ONE_QUEUE) * rounds;
       const remote = load.replica.failureDomain !== board.failureDomain;
       const busyMs = (answerMs * load.totalInFlight) / slots;
       const cost =
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -205,9 +205,9 @@
     const urgency = isDeferred ? 'deferred' : 'new';
     const ahead = load.unreadAhead(requestRank(board, request, urgency));
     const aheadMs = (ahead + unreadTokens) / engine.queueTokensPerMs;
+    const slowness = load.slownessFor(request.priority);
     const stretch = isDeferred ? engine.deferredStretch : 1;
-    const predictedMs =
-      engine.baseMs + copyMs + load.slowness * stretch * aheadMs;
+    const predictedMs = engine.baseMs + copyMs + slowness * stretch * aheadMs;
     // What is only hoped for may have to be read after all.
     const sure = fetch?.isKnown === true ? fetched : 0;
     const missing = Math.max(0, sharedTokens - cached - sure);
--- a/packages/decisions/tests/gateway/replicaRestart.test.ts
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -52,7 +52,7 @@
     t.is(load.memory.cachedTokens(PARTS, pathsOf(PARTS)), 0);
     t.is(load.totalInFlight, 0);
     t.is(load.health.verdict, 'good');
-    t.is(load.slowness, 1);
+    t.is(load.slownessFor(0), 1);
   });
 
   // The crash came without a sign, so the connections of the run before stay
--- a/packages/decisions/tests/gateway/urgency.test.ts
+++ b/packages/decisions/tests/gateway/urgency.test.ts
@@ -114,6 +114,20 @@
   });
 });
 
+// Invoices wait for what overtakes them. Learnt as slowness of the replica, their
+// waits made price checks look four times as slow as they were, and refused them.
+describe('the order of urgency in what is learnt', ({ it }) => {
+  it('keeps waits of less urgent requests from urgent ones', t => {
+    const fixture = fixtureWith([1]);
+    const [load] = [...fixture.board.backends.values()];
+    Array.from({ length: 20 }).forEach(() => {
+      load?.onDuration(1, 4000, 1000);
+    });
+    t.is(load?.slownessFor(0), 1);
+    t.true((load?.slownessFor(1) ?? 0) > 3);
+  });
+});
+
 /** Lets answers of the routes have few pieces, as short ones do. */
 function learnLengths({ board }: GatewayFixture): void {
   board.lengths.onEnded(CHECK.id, 5);
