fix(decisions): each priority learns its own queue; sums of peers' work grow in place

Cause: the rate at which queues empty was one figure for all priorities. Less urgent requests are overtaken, which made it 16 tokens a millisecond where urgent ones met 60; these passed for late, stepped behind others and were cut or refused (replay with restarts, 7 refused and 16 cut of 726). An instance of the replay that starts again ends what it carried, as a real one does; before, its requests ran on unseen by all, and the test broke for that.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -85,6 +85,8 @@
   readonly #routers: GatewayRouter[] = [];
   readonly #results = new Map<string, KindResult>();
   readonly #urgency: UrgencyWatch;
+  /** Ends what an instance carries, for when it starts again. */
+  readonly #carried = new Map<GatewayRouter, Set<() => void>>();
   readonly #random: () => number;
   #requests = 0;
 
@@ -125,7 +127,10 @@
     });
     this.shape.restarts?.forEach(({ atMs, instances }) => {
       this.#events.at(atMs, () => {
-        Array.from({ length: instances }).forEach((_, index) => {
+        this.#routers.slice(0, instances).forEach((router, index) => {
+          this.#carried.get(router)?.forEach(end => {
+            end();
+          });
           this.#routers[index] = this.#startRouter(index, replicas);
         });
       });
@@ -155,7 +160,9 @@
       seed: this.seed,
       shape: this.shape,
     };
-    return createReplayRouter(world, index, replicas);
+    const router = createReplayRouter(world, index, replicas);
+    this.#carried.set(router, new Set());
+    return router;
   }
 
   #exchange(): void {
@@ -295,6 +302,12 @@
     let firstMs: number | null = null;
     let longestPauseMs = 0;
     let ended = false;
+    const carried = this.#carried.get(router);
+    const onInstanceEnd = (): void => {
+      fate.isExcused = true;
+      giveUp('callerLeft');
+    };
+    carried?.add(onInstanceEnd);
     const job: PromptJob = {
       sharedPart: shared?.id ?? '',
       sharedTokens: shared?.tokens ?? 0,
@@ -318,6 +331,7 @@
       },
       onEnd: () => {
         ended = true;
+        carried?.delete(onInstanceEnd);
         fate.isServed = true;
         router.onEnded(attempt, { kind: 'answered', status: 200 });
         const { latencyTargetMs, gapTargetMs } = request.route;
@@ -329,13 +343,16 @@
     };
     const giveUp = (reason: WithdrawReason): void => {
       ended = true;
+      carried?.delete(onInstanceEnd);
       engine.cancel(job);
       router.onEnded(attempt, { kind: 'withdrawn', reason });
       result.cut += 1;
     };
     const copyMs = attempt.fetch?.tookMs ?? 0;
     this.#events.after(NETWORK_MS + copyMs, () => {
-      engine.submit(job);
+      if (!ended) {
+        engine.submit(job);
+      }
     });
     this.#events.at(request.arrivedMs + callerPatienceMs(request.route), () => {
       if (!ended && firstMs === null) {
--- a/packages/bench/src/gateway/UrgencyWatch.ts
+++ b/packages/bench/src/gateway/UrgencyWatch.ts
@@ -8,6 +8,8 @@
   beganMs: number | null;
   /** Whether the caller got the whole answer. */
   isServed: boolean;
+  /** Whether the instance that carried it ended, which no order helps against. */
+  isExcused: boolean;
 }
 
 /** A span in which urgent requests went without while less urgent ones began. */
@@ -47,7 +49,13 @@
 
   /** Notes a request; whoever carries it notes its fate. */
   onAsked(kind: BurstKind, askedMs: number): RequestFate {
-    const fate = { kind, askedMs, beganMs: null, isServed: false };
+    const fate = {
+      kind,
+      askedMs,
+      beganMs: null,
+      isServed: false,
+      isExcused: false,
+    };
     this.#fates.push(fate);
     return fate;
   }
@@ -84,7 +92,9 @@
       kind: kind.route.id,
       fromMs,
       asked: asked.length,
-      gotNothing: asked.filter(({ isServed }) => !isServed).length,
+      gotNothing: asked.filter(
+        ({ isServed, isExcused }) => !isServed && !isExcused,
+      ).length,
       lessUrgentBegan: began.length,
     };
   }
--- a/packages/decisions/src/gateway/AnswerLengths.ts
+++ b/packages/decisions/src/gateway/AnswerLengths.ts
@@ -9,6 +9,12 @@
   readonly answers: number;
 }
 
+/** Pieces of a number of answers. */
+interface LengthSum {
+  pieces: number;
+  answers: number;
+}
+
 /** The newest answers count as much as if the mean were of so many. */
 const MAX_ANSWERS = 33;
 /** Pieces assumed before an answer of the route has ended. */
@@ -17,7 +23,7 @@
 /** Learns how many pieces the streams of each route have. */
 export class AnswerLengths {
   readonly #seen = new Map<RouteId, SeenLength>();
-  #peers: readonly SeenLength[] = [];
+  #peers = new Map<RouteId, LengthSum>();
 
   /** What this instance has seen of a route, for the others. */
   seen(route: RouteId): SeenLength {
@@ -34,7 +40,13 @@
 
   /** Takes in what the other instances have seen. */
   onPeers(lengths: readonly SeenLength[]): void {
-    this.#peers = lengths;
+    this.#peers = new Map();
+    lengths.forEach(({ route, pieces, answers }) => {
+      const sum = this.#peers.get(route) ?? { pieces: 0, answers: 0 };
+      sum.pieces += answers * pieces;
+      sum.answers += answers;
+      this.#peers.set(route, sum);
+    });
   }
 
   /**
@@ -76,13 +88,10 @@
    * @returns an assumed figure until any of them has seen one
    */
   usual(route: RouteId): number {
-    const heard = this.#peers.filter(length => length.route === route);
-    const all = [this.seen(route), ...heard];
-    const answers = all.reduce((sum, length) => sum + length.answers, 0);
-    const pieces = all.reduce(
-      (sum, length) => sum + length.answers * length.pieces,
-      0,
-    );
+    const own = this.seen(route);
+    const heard = this.#peers.get(route);
+    const answers = own.answers + (heard?.answers ?? 0);
+    const pieces = own.answers * own.pieces + (heard?.pieces ?? 0);
     return answers > 0 ? pieces / answers : PRIOR_PIECES;
   }
 }
--- a/packages/decisions/src/gateway/EngineEstimator.ts
+++ b/packages/decisions/src/gateway/EngineEstimator.ts
@@ -18,6 +18,16 @@
 /** Samples with at most this many say something about the base. */
 const BASE_SAMPLE_TOKENS = 1000;
 
+/** What the queue of one priority has been like. */
+interface QueueHistory {
+  /** Tokens that requests had to wait for, their own included. */
+  tokens: number;
+  /** Time that they waited. */
+  ms: number;
+  /** Time that a deferred request took against what was ahead of it at first. */
+  deferredStretch: number;
+}
+
 /**
  * Learns how fast the engines of one service read prompts.
  *
@@ -27,10 +37,8 @@
  */
 export class EngineEstimator {
   #tokensPerMs = PRIOR_TOKENS_PER_MS;
-  #queueTokens = PRIOR_TOKENS_PER_MS * PRIOR_QUEUE_MS;
-  #queueMs = PRIOR_QUEUE_MS;
+  readonly #queues = new Map<number, QueueHistory>();
   #baseMs = PRIOR_BASE_MS;
-  #deferredStretch = 1;
 
   /** Prompt tokens that one engine reads in a millisecond. */
   get tokensPerMs(): number {
@@ -43,9 +51,16 @@
    * All tokens over all time, unlike the mean of rates above, in which the many
    * short waits of light load count as much as the few long ones: it was half as
    * high again as what requests then met in a burst.
+   *
+   * Each priority has its own: less urgent requests are overtaken while they wait,
+   * so the same tokens take them longer. In one figure their waits made urgent
+   * requests seem late that were not, which put them behind others or refused them.
+   *
+   * @param priority - of the requests that wait, 0 first
    */
-  get queueTokensPerMs(): number {
-    return this.#queueTokens / this.#queueMs;
+  queueTokensPerMs(priority: number): number {
+    const { tokens, ms } = this.#queueOf(priority);
+    return tokens / ms;
   }
 
   /** Time to a first event when nothing has to be read, in milliseconds. */
@@ -53,31 +68,38 @@
     return this.#baseMs;
   }
 
-  /** Time that a deferred request took against what was ahead of it at first. */
-  get deferredStretch(): number {
-    return this.#deferredStretch;
+  /**
+   * Time that a deferred request took against what was ahead of it at first.
+   *
+   * @param priority - of the request
+   */
+  deferredStretch(priority: number): number {
+    return this.#queueOf(priority).deferredStretch;
   }
 
   /**
    * Takes in how long a deferred request has waited for its first event, or until
    * it was given up.
    *
+   * @param priority - of the request
    * @param tookMs - from sending
    * @param aheadMs - that what was ahead of it would have taken
    */
-  onDeferred(tookMs: number, aheadMs: number): void {
+  onDeferred(priority: number, tookMs: number, aheadMs: number): void {
     const ratio = tookMs / Math.max(1, aheadMs);
     const bounded = Math.min(MAX_STRETCH, Math.max(1, ratio));
-    this.#deferredStretch += STRETCH_WEIGHT * (bounded - this.#deferredStretch);
+    const queue = this.#queueOf(priority);
+    queue.deferredStretch += STRETCH_WEIGHT * (bounded - queue.deferredStretch);
   }
 
   /**
    * Takes in one first event.
    *
+   * @param priority - of the request
    * @param tokens - that were to be read at the replica up to this request's end
    * @param tookMs - from sending to the first event
    */
-  onFirstEvent(tokens: number, tookMs: number): void {
+  onFirstEvent(priority: number, tokens: number, tookMs: number): void {
     if (tokens <= BASE_SAMPLE_TOKENS) {
       const baseMs = Math.max(0, tookMs - tokens / this.#tokensPerMs);
       this.#baseMs += SAMPLE_WEIGHT * (baseMs - this.#baseMs);
@@ -87,8 +109,9 @@
       return;
     }
     const readMs = Math.max(1, tookMs - this.#baseMs);
-    this.#queueTokens = QUEUE_KEPT * this.#queueTokens + tokens;
-    this.#queueMs = QUEUE_KEPT * this.#queueMs + readMs;
+    const queue = this.#queueOf(priority);
+    queue.tokens = QUEUE_KEPT * queue.tokens + tokens;
+    queue.ms = QUEUE_KEPT * queue.ms + readMs;
     const rate = tokens / readMs;
     const bounded = Math.min(
       MAX_TOKENS_PER_MS,
@@ -96,4 +119,18 @@
     );
     this.#tokensPerMs += SAMPLE_WEIGHT * (bounded - this.#tokensPerMs);
   }
+
+  #queueOf(priority: number): QueueHistory {
+    const known = this.#queues.get(priority);
+    if (known) {
+      return known;
+    }
+    const queue = {
+      tokens: PRIOR_TOKENS_PER_MS * PRIOR_QUEUE_MS,
+      ms: PRIOR_QUEUE_MS,
+      deferredStretch: 1,
+    };
+    this.#queues.set(priority, queue);
+    return queue;
+  }
 }
--- a/packages/decisions/src/gateway/PeerWorkBook.ts
+++ b/packages/decisions/src/gateway/PeerWorkBook.ts
@@ -42,16 +42,17 @@
 /** Factor up to which the instances that were heard of are nearly all. */
 const MAX_WHOLE_SCALE = 1.5;
 
-function addScaled(sum: PeerUse, use: PeerUse, scale: number): PeerUse {
-  const ranks = Math.max(sum.unreadByRank.length, use.unreadByRank.length);
-  return {
-    inFlight: sum.inFlight + scale * use.inFlight,
-    unreadByRank: Array.from(
-      { length: ranks },
-      (_, rank) =>
-        (sum.unreadByRank[rank] ?? 0) + scale * (use.unreadByRank[rank] ?? 0),
-    ),
-  };
+/** A sum that grows in place, since it is made anew with every exchange. */
+interface GrowingUse {
+  inFlight: number;
+  readonly unreadByRank: number[];
+}
+
+function addScaled(sum: GrowingUse, use: PeerUse, scale: number): void {
+  sum.inFlight += scale * use.inFlight;
+  use.unreadByRank.forEach((tokens, rank) => {
+    sum.unreadByRank[rank] = (sum.unreadByRank[rank] ?? 0) + scale * tokens;
+  });
 }
 
 /** Keeps what other instances run, and puts the sums on the blackboard. */
@@ -102,15 +103,14 @@
       ({ atMs }) => atMs >= oldestMs,
     );
     const scale = (board.instances - 1) / Math.max(1, reports.length);
-    const sums = new Map<BackendServerId, PeerUse>();
+    const sums = new Map<BackendServerId, GrowingUse>();
     reports
       .flatMap(({ uses }) => uses)
       .filter(use => this.#isOfThisRun(use))
       .forEach(use => {
-        sums.set(
-          use.id,
-          addScaled(sums.get(use.id) ?? NO_PEER_USE, use, scale),
-        );
+        const sum = sums.get(use.id) ?? { inFlight: 0, unreadByRank: [] };
+        sums.set(use.id, sum);
+        addScaled(sum, use, scale);
       });
     board.demand.onPeers(
       reports
--- a/packages/decisions/src/gateway/admission/first-event-target.ts
+++ b/packages/decisions/src/gateway/admission/first-event-target.ts
@@ -77,8 +77,9 @@
     const { engine } = learningOf(board, service.id);
     const rank = requestRank(board, { service, priority }, urgency);
     const tokens = load.unreadAhead(rank) + board.demand.meanTokens(route.id);
-    const stretch = urgency === 'deferred' ? engine.deferredStretch : 1;
-    const readMs = tokens / engine.queueTokensPerMs;
+    const stretch =
+      urgency === 'deferred' ? engine.deferredStretch(priority) : 1;
+    const readMs = tokens / engine.queueTokensPerMs(priority);
     return engine.baseMs + load.slownessFor(priority) * stretch * readMs;
   };
 
--- a/packages/decisions/src/gateway/attemptNotes.ts
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -66,9 +66,10 @@
   attempt: GatewayAttempt,
   tookMs: number,
 ): void {
-  const { engine } = learningOf(board, attempt.request.service.id);
-  const aheadMs = attempt.tokensAhead / engine.queueTokensPerMs;
-  engine.onDeferred(tookMs, aheadMs + engine.baseMs);
+  const { service, priority } = attempt.request;
+  const { engine } = learningOf(board, service.id);
+  const aheadMs = attempt.tokensAhead / engine.queueTokensPerMs(priority);
+  engine.onDeferred(priority, tookMs, aheadMs + engine.baseMs);
 }
 
 /** Notes bytes of an answer, and learns from the first. */
@@ -94,7 +95,7 @@
   }
   if (request.service.engine) {
     const { engine } = learningOf(board, request.service.id);
-    engine.onFirstEvent(tokensAhead, tookMs - copyMs);
+    engine.onFirstEvent(request.priority, tokensAhead, tookMs - copyMs);
     const expectedMs = Math.max(predictedMs, engine.baseMs);
     load.onDuration(request.priority, tookMs, expectedMs);
   }
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -204,9 +204,10 @@
     const unreadTokens = Math.max(0, promptTokens - hoped - fetched);
     const urgency = isDeferred ? 'deferred' : 'new';
     const ahead = load.unreadAhead(requestRank(board, request, urgency));
-    const aheadMs = (ahead + unreadTokens) / engine.queueTokensPerMs;
-    const slowness = load.slownessFor(request.priority);
-    const stretch = isDeferred ? engine.deferredStretch : 1;
+    const { priority } = request;
+    const aheadMs = (ahead + unreadTokens) / engine.queueTokensPerMs(priority);
+    const slowness = load.slownessFor(priority);
+    const stretch = isDeferred ? engine.deferredStretch(priority) : 1;
     const predictedMs = engine.baseMs + copyMs + slowness * stretch * aheadMs;
     // What is only hoped for may have to be read after all.
     const sure = fetch?.isKnown === true ? fetched : 0;
--- a/packages/decisions/tests/gateway/EngineEstimator.test.ts
+++ b/packages/decisions/tests/gateway/EngineEstimator.test.ts
@@ -11,22 +11,36 @@
     Array.from({ length: 200 }).forEach((_, index) => {
       const isQueued = index % 4 === 0;
       const [tokens, perMs] = isQueued ? [40_000, 27] : [4000, 60];
-      estimator.onFirstEvent(tokens, estimator.baseMs + tokens / perMs);
+      estimator.onFirstEvent(0, tokens, estimator.baseMs + tokens / perMs);
     });
-    t.true(estimator.queueTokensPerMs < 34, `${estimator.queueTokensPerMs}`);
+    t.true(estimator.queueTokensPerMs(0) < 34);
     t.true(estimator.tokensPerMs > 45, `${estimator.tokensPerMs}`);
   });
 
   it('learns how often deferred requests are overtaken, within bounds', t => {
     const estimator = new EngineEstimator();
-    t.is(estimator.deferredStretch, 1);
+    t.is(estimator.deferredStretch(0), 1);
     Array.from({ length: 60 }).forEach(() => {
-      estimator.onDeferred(3000, 1000);
+      estimator.onDeferred(0, 3000, 1000);
     });
-    t.true(Math.abs(estimator.deferredStretch - 3) < 0.1);
+    t.true(Math.abs(estimator.deferredStretch(0) - 3) < 0.1);
     Array.from({ length: 200 }).forEach(() => {
-      estimator.onDeferred(90_000, 100);
+      estimator.onDeferred(0, 90_000, 100);
     });
-    t.true(estimator.deferredStretch <= 6);
+    t.true(estimator.deferredStretch(0) <= 6);
+  });
+
+  // Invoices were overtaken by price checks and met 16 tokens a millisecond; price
+  // checks that met 60 were taken for late, put behind the others and left there.
+  it('keeps what less urgent requests meet from urgent ones', t => {
+    const estimator = new EngineEstimator();
+    const before = estimator.queueTokensPerMs(0);
+    Array.from({ length: 200 }).forEach(() => {
+      estimator.onFirstEvent(1, 16_000, 1000);
+      estimator.onDeferred(1, 3000, 1000);
+    });
+    t.is(estimator.queueTokensPerMs(0), before);
+    t.is(estimator.deferredStretch(0), 1);
+    t.true(estimator.queueTokensPerMs(1) < 18);
   });
 });
