--- a/packages/bench/tests/urgentFirst.test.ts
+++ b/packages/bench/tests/urgentFirst.test.ts
@@ -36,7 +36,9 @@
 // The routes have priorities 0, 1 and 2, the organisations all have 1, and theirs took
 // the place of the routes': every "requestPlaced" of all five routes read
 // "priority":1. Replicas therefore served in the order of arrival, and a price check
-// was judged by all prompts before it, up to 37,338 tokens of invoices for 1,350 of its own.
+// was judged by all prompts before it: up to 37,338 tokens, with 1,350 of its own at the
+// median. Instances that had just started took its five events for forty besides, and
+// refused 30 of 47 in the two seconds after.
 describe('the order of urgency in a burst of less urgent prompts', ({ it }) => {
   it('holds at six instances', t => {
     t.deepEqual(overtakenOf(SMALL_FLEET), []);
