fix(decisions): an older heartbeat doesn't undo a leave

Cause: any heartbeat of the same run of an instance counted as newer. A reply that was written before the leave and arrived after it made a stopping instance pass for live until its next heartbeat, up to a second later, and callers were sent there. The test fails without it. An instance that starts again has a higher incarnation and is taken back.

--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -195,7 +195,12 @@
     member.revision = message.revision;
     member.inFlight = message.inFlight;
     const state = message.leaving ? 'leaving' : 'live';
-    if (message.incarnation > member.incarnation || member.state !== 'failed') {
+    const isNewer = message.incarnation > member.incarnation;
+    // A heartbeat that was written before the leave may come after it. Taken for
+    // a return, callers are sent to an instance that is stopping; who really comes
+    // back has a higher incarnation.
+    const isOutdated = member.state === 'leaving' && state === 'live';
+    if (isNewer || (member.state !== 'failed' && !isOutdated)) {
       this.#change(member, state, message.incarnation);
     } else {
       // It does not know yet that others gave it up; the reply tells it.
--- a/packages/decisions/tests/membership/Membership.test.ts
+++ b/packages/decisions/tests/membership/Membership.test.ts
@@ -179,6 +179,36 @@
   });
 
   suite.describe('cost', ({ it }) => {
+    // Callers are still sent to an instance that is stopping. It has told of its leave,
+    // and then its reply to a heartbeat arrives that it wrote just before.
+    it('keeps a leave although an older heartbeat comes after it', t => {
+      const [staying, stopping] = ['a', 'b'].map(
+        name => new Membership(ownFacts(name), () => 0, createRandom(1)),
+      );
+      if (!staying || !stopping) {
+        t.fail('two were made');
+        return;
+      }
+      const before = stopping.message(STATE);
+      stopping.leave();
+      staying.onMessage(stopping.message(STATE));
+      staying.onMessage(before);
+      t.deepEqual(staying.serving, []);
+    });
+
+    it('takes an instance back that starts again after its leave', t => {
+      const staying = new Membership(ownFacts('a'), () => 0, createRandom(1));
+      const message = new Membership(
+        ownFacts('b'),
+        () => 0,
+        createRandom(2),
+      ).message(STATE);
+      staying.onMessage({ ...message, leaving: true });
+      const again = { ...message, incarnation: message.incarnation + 1 };
+      staying.onMessage(again);
+      t.is(staying.serving.length, 1);
+    });
+
     it('sends as many messages an instance in a large fleet as in a small one', t => {
       const perNode = [16, 64].map(count => {
         const fleet = new Fleet(names(count));
