--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { PromptPart, Route } from '@jujubecroft/types';
+import type { PromptPart } from '@jujubecroft/types';
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
 import { byHashed } from '../../util/byHash.js';
@@ -7,24 +7,14 @@
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
 import { pathsOf } from '../PromptMemory.js';
-import type { RoutingTable } from '../RoutingTable.js';
 import { requestRank } from '../requestRank.js';
 import type { Holder } from './cacheFetch.js';
 import { bestHolders, chooseFetch, homeOf } from './cacheFetch.js';
+import type { SegmentOptions } from './groupSegments.js';
+import { createGroupSegments } from './groupSegments.js';
 import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
-import { splitReplicas } from './splitReplicas.js';
-import type { ToleranceGroup } from './toleranceGroups.js';
-import { toleranceGroups } from './toleranceGroups.js';
 
-interface ToleranceSplitOptions {
-  /** Share of the time for which replicas of the most delicate group may read prompts. */
-  readonly delicateUse: number;
-  /** The same for the groups between the first and the last. */
-  readonly middleUse: number;
-  /** Share of a replica's slots that a group should fill. */
-  readonly slotUse: number;
-  /** Share of the replicas that the most tolerant group keeps in any case. */
-  readonly minLastShare: number;
+interface ToleranceSplitOptions extends SegmentOptions {
   /** What a replica of a more tolerant group costs, in milliseconds. */
   readonly mixingMs: number;
   /**
@@ -34,8 +24,6 @@
   readonly crowdMs: number;
   /** Weight of the time from first event to last against that to the first. */
   readonly streamWeight: number;
-  /** Share of the replicas that the most delicate group keeps in any case. */
-  readonly minDelicateShare: number;
   /** What another failure domain costs, in milliseconds; about a round trip. */
   readonly domainMs: number;
   /** Weight of tokens that would be read again, against the time to read them. */
@@ -46,8 +34,6 @@
   readonly homeChance: number;
 }
 
-const MS_PER_SECOND = 1000;
-
 /** Parts that other requests can share; the last of all is the request's own. */
 function sharedParts({ prompt }: GatewayRequest): readonly PromptPart[] {
   return prompt?.parts.slice(0, -1) ?? [];
@@ -70,85 +56,11 @@
   readonly holders: readonly Holder[];
 }
 
-/** Where a request may go: its own group's replicas and, at a price, those of others. */
-interface Segments {
-  readonly own: readonly BackendLoad[];
-  readonly others: readonly BackendLoad[];
-}
-
-/** Whether all routes of a group are less urgent than one. */
-function isLessUrgent(
-  { routes }: ToleranceGroup,
-  { priority }: Route,
-  table: RoutingTable | null,
-): boolean {
-  return (
-    table?.cfg.routes
-      .filter(({ id }) => routes.includes(id))
-      .every(route => route.priority > priority) ?? false
-  );
-}
-
 function createToleranceSplit(
   board: GatewayBoard,
   options: ToleranceSplitOptions,
 ): PlacementPolicy {
-  /** Replicas that a group needs so that prompts and slots leave it enough room. */
-  const needOf = (
-    { routes }: ToleranceGroup,
-    index: number,
-    request: GatewayRequest,
-  ): number => {
-    const { service } = request;
-    const { engine } = learningOf(board, service.id);
-    const { tokensPerS, inFlight } = board.demand.total(routes);
-    const use = index === 0 ? options.delicateUse : options.middleUse;
-    const byTokens = tokensPerS / MS_PER_SECOND / engine.tokensPerMs / use;
-    const slots = service.engine?.slots ?? 1;
-    return Math.max(byTokens, inFlight / (slots * options.slotUse));
-  };
-
-  const segmentsFor = (
-    request: GatewayRequest,
-    ranked: readonly BackendLoad[],
-  ): Segments => {
-    const groups = board.table
-      ? toleranceGroups(board.table, request.service.id)
-      : [];
-    const index = groups.findIndex(({ routes }) =>
-      routes.includes(request.route.id),
-    );
-    if (index === -1 || ranked.length < groups.length) {
-      return { own: ranked, others: [] };
-    }
-    const sizes = splitReplicas(
-      groups.map((group, place) => ({
-        replicas: needOf(group, place, request),
-        least: place === 0 ? options.minDelicateShare * ranked.length : 1,
-      })),
-      ranked.length,
-      options.minLastShare,
-    );
-    const segments = sizes.map((size, place) => {
-      const before = sizes.slice(0, place);
-      const start = before.reduce((sum, other) => sum + other, 0);
-      return ranked.slice(start, start + size);
-    });
-    // A more delicate group keeps its replicas for itself unless it is less urgent:
-    // an urgent request is not turned away while it has room.
-    const mayUse = (group: ToleranceGroup, place: number): boolean =>
-      place > index ||
-      (place < index && isLessUrgent(group, request.route, board.table));
-    return {
-      own: segments[index] ?? [],
-      others: segments
-        .filter((_, place) => {
-          const group = groups[place];
-          return group !== undefined && mayUse(group, place);
-        })
-        .flat(),
-    };
-  };
+  const segmentsFor = createGroupSegments(board, options);
 
   const prepare = (
     request: GatewayRequest,
