--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -276,7 +276,8 @@
     );
     const request = this.#requestOf(kind, router);
     result.asked += 1;
-    const fate = this.#urgency.onAsked(kind, this.#events.nowMs);
+    const { priority } = request;
+    const fate = this.#urgency.onAsked(kind, priority, this.#events.nowMs);
     const decision = router.place(request, new Set());
     if (decision.kind === 'refuse') {
       result.refused += 1;
