refactor(decisions): one formula of waits, figures of a request worked out once, no second list of lengths

Cause: the wait for a first event stood twice, in placement and in the room for urgent requests; rank and cached tokens were worked out for each replica again, cached tokens twice; the demand of all routes was worked out a second time in every exchange to list lengths. Change: firstEventMs, Prepared holds what is the same for a request, unread tokens by rank in one pass, lengths looked up by route.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -55,19 +55,14 @@
   readonly work: PeerWork;
 }
 
-function workOf({
-  board,
-  ownUses,
-  heardReports,
-  seenLengths,
-}: GatewayRouter): Told {
+function workOf({ board, ownUses, heardReports }: GatewayRouter): Told {
   return {
     instance: board.instance,
     work: {
       uses: ownUses,
       demands: board.demand.own,
       reports: heardReports,
-      lengths: seenLengths,
+      lengths: board.lengths.own,
     },
   };
 }
--- a/packages/decisions/src/gateway/AnswerLengths.ts
+++ b/packages/decisions/src/gateway/AnswerLengths.ts
@@ -25,6 +25,11 @@
   readonly #seen = new Map<RouteId, SeenLength>();
   #peers = new Map<RouteId, LengthSum>();
 
+  /** What this instance has seen of all routes. */
+  get own(): readonly SeenLength[] {
+    return [...this.#seen.values()];
+  }
+
   /** What this instance has seen of a route, for the others. */
   seen(route: RouteId): SeenLength {
     return this.#seen.get(route) ?? { route, pieces: 0, answers: 0 };
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -174,10 +174,11 @@
 
   /** Prompt tokens that this instance sent and that are not read yet, by rank. */
   get ownUnreadByRank(): readonly number[] {
-    const ranks = this.#waiting.map(({ rank }) => rank);
-    return Array.from({ length: Math.max(-1, ...ranks) + 1 }, (_, rank) =>
-      this.#ownUnread(attempt => attempt.rank === rank),
-    );
+    const byRank: (number | undefined)[] = [];
+    this.#waiting.forEach(({ rank, unreadTokens }) => {
+      byRank[rank] = (byRank[rank] ?? 0) + unreadTokens;
+    });
+    return Array.from(byRank, tokens => tokens ?? 0);
   }
 
   /**
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -7,7 +7,6 @@
   RoutingConfiguration,
 } from '@jujubecroft/types';
 
-import type { SeenLength } from './AnswerLengths.js';
 import { beginAttempt, noteBytes, noteEnd } from './attemptNotes.js';
 import type {
   GatewayAttempt,
@@ -243,12 +242,6 @@
     });
   }
 
-  /** How long the answers were that this instance has seen, for the others. */
-  get seenLengths(): readonly SeenLength[] {
-    const { demand, lengths } = this.board;
-    return demand.own.map(({ route }) => lengths.seen(route));
-  }
-
   /** Takes in what another instance runs and has heard. */
   onPeerWork(peer: InstanceId, work: PeerWork): void {
     this.#peerWork.onWork(peer, work);
--- a/packages/decisions/src/gateway/admission/leavesRoom.ts
+++ b/packages/decisions/src/gateway/admission/leavesRoom.ts
@@ -4,6 +4,7 @@
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
 import type { RouteClass } from '../PriorityOrder.js';
+import { firstEventMs } from '../firstEventMs.js';
 import { requestRank } from '../requestRank.js';
 import type { UrgencyOptions, UsualRequest } from './urgencyBounds.js';
 import { urgencyBounds } from './urgencyBounds.js';
@@ -32,9 +33,8 @@
   const { engine } = learningOf(board, service.id);
   const rank = requestRank(board, { service, priority }, urgency);
   const tokens = load.unreadAhead(rank) + board.demand.meanTokens(route.id);
-  const stretch = urgency === 'deferred' ? engine.deferredStretch(priority) : 1;
-  const readMs = tokens / engine.queueTokensPerMs(priority);
-  return engine.baseMs + load.slownessFor(priority) * stretch * readMs;
+  const isDeferred = urgency === 'deferred';
+  return firstEventMs(engine, load, { priority, isDeferred, tokens });
 }
 
 /**
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -6,6 +6,7 @@
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
+import { firstEventMs } from '../firstEventMs.js';
 import { pathsOf } from '../PromptMemory.js';
 import { requestRank } from '../requestRank.js';
 import type { Holder } from './cacheFetch.js';
@@ -45,8 +46,6 @@
 
 /** What is the same for all replicas that a request may go to. */
 interface Prepared {
-  readonly parts: readonly PromptPart[];
-  readonly paths: readonly string[];
   readonly promptTokens: number;
   readonly sharedTokens: number;
   /** Pieces that the answer should have. */
@@ -54,6 +53,11 @@
   readonly home: BackendLoad | undefined;
   /** Replicas that probably keep most of the shared parts, best first. */
   readonly holders: readonly Holder[];
+  /** Prompt tokens that each replica keeps, as far as this instance knows. */
+  readonly cached: ReadonlyMap<BackendLoad, number>;
+  /** At which the request would be served. */
+  readonly rank: number;
+  readonly isDeferred: boolean;
 }
 
 function createToleranceSplit(
@@ -66,6 +70,7 @@
     request: GatewayRequest,
     loads: readonly BackendLoad[],
     all: readonly BackendLoad[],
+    isDeferred: boolean,
   ): Prepared => {
     const { prompt, route, service } = request;
     const parts = prompt?.parts ?? [];
@@ -74,20 +79,24 @@
     const home = last && homeOf(last, loads);
     const paths = pathsOf(parts);
     const sharedTokens = tokensOf(shared);
-    const holders = all.map(load => {
-      const known = load.memory.cachedTokens(parts, paths);
+    const cached = new Map(
+      all.map(load => [load, load.memory.cachedTokens(parts, paths)]),
+    );
+    const holders = [...cached].map(([load, known]) => {
       const hoped = load === home ? options.homeChance * sharedTokens : 0;
       const kept = Math.min(known, sharedTokens);
       return { load, tokens: Math.max(hoped, kept), isKnown: kept >= hoped };
     });
+    const urgency = isDeferred ? 'deferred' : 'new';
     return {
-      parts,
-      paths,
       promptTokens: prompt?.promptTokens ?? 0,
       sharedTokens,
       pieces: board.lengths.expect(route.id, prompt, service),
       home,
       holders: bestHolders(holders),
+      cached,
+      rank: requestRank(board, request, urgency),
+      isDeferred,
     };
   };
 
@@ -95,12 +104,11 @@
     request: GatewayRequest,
     load: BackendLoad,
     prepared: Prepared,
-    isDeferred: boolean,
   ): PlacedCandidate => {
-    const { parts, paths, promptTokens, sharedTokens, pieces } = prepared;
+    const { promptTokens, sharedTokens, pieces, isDeferred } = prepared;
     const { engine } = learningOf(board, request.service.id);
     const isHome = load === prepared.home;
-    const cached = load.memory.cachedTokens(parts, paths);
+    const cached = prepared.cached.get(load) ?? 0;
     const hoped = isHome
       ? Math.max(cached, options.homeChance * sharedTokens)
       : cached;
@@ -114,13 +122,11 @@
     const fetched = fetch?.tokens ?? 0;
     const copyMs = fetch?.tookMs ?? 0;
     const unreadTokens = Math.max(0, promptTokens - hoped - fetched);
-    const urgency = isDeferred ? 'deferred' : 'new';
-    const ahead = load.unreadAhead(requestRank(board, request, urgency));
+    const tokensAhead = load.unreadAhead(prepared.rank) + unreadTokens;
     const { priority } = request;
-    const aheadMs = (ahead + unreadTokens) / engine.queueTokensPerMs(priority);
-    const slowness = load.slownessFor(priority);
-    const stretch = isDeferred ? engine.deferredStretch(priority) : 1;
-    const predictedMs = engine.baseMs + copyMs + slowness * stretch * aheadMs;
+    const predictedMs =
+      copyMs +
+      firstEventMs(engine, load, { priority, isDeferred, tokens: tokensAhead });
     // What is only hoped for may have to be read after all.
     const sure = fetch?.isKnown === true ? fetched : 0;
     const missing = Math.max(0, sharedTokens - cached - sure);
@@ -141,7 +147,7 @@
     return {
       load,
       unreadTokens,
-      tokensAhead: ahead + unreadTokens,
+      tokensAhead,
       fetch,
       isDeferred,
       predictedMs,
@@ -156,10 +162,10 @@
     );
     const { own, others } = segmentsFor(request, ranked);
     const base = own.length > 0 ? own : ranked;
-    const prepared = prepare(request, base, ranked);
-    const placed = base.map(load => judge(request, load, prepared, isDeferred));
+    const prepared = prepare(request, base, ranked, isDeferred);
+    const placed = base.map(load => judge(request, load, prepared));
     const mixed = (own.length > 0 ? others : []).map(load => {
-      const candidate = judge(request, load, prepared, isDeferred);
+      const candidate = judge(request, load, prepared);
       return { ...candidate, cost: candidate.cost + options.mixingMs };
     });
     return [...placed, ...mixed].sort((a, b) => a.cost - b.cost);
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -59,7 +59,7 @@
       configurationVersion: version,
       configurationAgeMs: finite(nowMs - board.configurationAsOfMs),
       uses: toUses(router.ownUses),
-      demands: toDemands(board.demand.own, router.seenLengths),
+      demands: toDemands(board.demand.own, route => board.lengths.seen(route)),
       reports: toReports(router.heardReports),
       configurationJson: isAhead ? JSON.stringify(board.table?.cfg) : '',
       ...toReplicaFields(changes, nowMs),
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -146,16 +146,9 @@
 /** @returns the message fields of what each route brings to this instance */
 export function toDemands(
   demands: readonly RouteDemand[],
-  lengths: readonly SeenLength[],
+  lengthOf: (route: RouteId) => SeenLength,
 ): proto.RouteDemand[] {
-  return demands.map(demand => {
-    const seen = lengths.find(({ route }) => route === demand.route);
-    return {
-      ...demand,
-      pieces: seen?.pieces ?? 0,
-      answers: seen?.answers ?? 0,
-    };
-  });
+  return demands.map(demand => ({ ...demand, ...lengthOf(demand.route) }));
 }
 
 /** @returns what another instance runs and has heard */
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -35,10 +35,11 @@
         },
       ]),
       reports: [],
-      demands: toDemands(
-        [{ route, tokensPerS: 10.25, inFlight: 2 }],
-        [{ route, pieces: 4.5, answers: 7 }],
-      ),
+      demands: toDemands([{ route, tokensPerS: 10.25, inFlight: 2 }], () => ({
+        route,
+        pieces: 4.5,
+        answers: 7,
+      })),
       configurationJson: '',
       replicasChangedAt: 4,
       ...toReplicaFields(
