fix(decisions): no room is kept for routes that nobody calls; urgency is asked of the order alone

Cause: room for urgent requests counted every declared route, those without any answer yet with forty assumed pieces, and looked them all up for every replica. Two places compared priorities of routes where the order of the service decides: groups of delicate routes and the tokens of less urgent requests in the log.

Change: routes whose answers nobody has seen keep nobody out; what goes before a place is worked out with the configuration; both comparisons ask the order.

--- a/packages/decisions/src/gateway/AnswerLengths.ts
+++ b/packages/decisions/src/gateway/AnswerLengths.ts
@@ -90,13 +90,18 @@
    * Mean pieces of a route's answers, over all instances that were heard of.
    *
    * @param route - of the answers
-   * @returns an assumed figure until any of them has seen one
+   * @returns the mean; null until any of them has seen an answer
    */
-  usual(route: RouteId): number {
+  known(route: RouteId): number | null {
     const own = this.seen(route);
     const heard = this.#peers.get(route);
     const answers = own.answers + (heard?.answers ?? 0);
     const pieces = own.answers * own.pieces + (heard?.pieces ?? 0);
-    return answers > 0 ? pieces / answers : PRIOR_PIECES;
+    return answers > 0 ? pieces / answers : null;
+  }
+
+  /** @returns the same; an assumed figure until any of them has seen one */
+  usual(route: RouteId): number {
+    return this.known(route) ?? PRIOR_PIECES;
   }
 }
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -201,12 +201,12 @@
   }
 
   /**
-   * Prompt tokens of this instance's less urgent routes that wait to be read.
+   * Prompt tokens of this instance's less urgent requests that wait to be read.
    *
-   * @param priority - of the route that is compared with, 0 first
+   * @param priority - of the request that is compared with, 0 first
    */
   lessUrgentUnread(priority: number): number {
-    return this.#ownUnread(({ request }) => request.route.priority > priority);
+    return this.#ownUnread(({ request }) => request.priority > priority);
   }
 
   get #waiting(): readonly GatewayAttempt[] {
--- a/packages/decisions/src/gateway/PriorityOrder.ts
+++ b/packages/decisions/src/gateway/PriorityOrder.ts
@@ -46,7 +46,8 @@
  */
 export class PriorityOrder {
   readonly #places: ReadonlyMap<string, number>;
-  readonly #classes: readonly RouteClass[];
+  /** What goes before each place. */
+  readonly #before: readonly (readonly RouteClass[])[];
 
   /** @param scope - routes of the service and who may call them */
   constructor({ routes, organisations }: PriorityScope) {
@@ -61,10 +62,13 @@
       (a, b) => a[0] - b[0] || a[1] - b[1],
     );
     this.#places = new Map(ordered.map((key, place) => [key.join(), place]));
-    this.#classes = all.map(({ route, key }) => ({
+    const classes = all.map(({ route, key }) => ({
       route,
       place: this.#places.get(key.join()) ?? this.count,
     }));
+    this.#before = Array.from({ length: ordered.length + 1 }, (_, place) =>
+      classes.filter(entry => entry.place < place),
+    );
   }
 
   /** How many different priorities there are. */
@@ -72,9 +76,14 @@
     return this.#places.size;
   }
 
-  /** @returns what goes before a place, as routes with theirs */
+  /**
+   * Tells what goes before a place.
+   *
+   * @param place - up to the number of places, for all there is
+   * @returns routes with their places
+   */
   before(place: number): readonly RouteClass[] {
-    return this.#classes.filter(entry => entry.place < place);
+    return this.#before[place] ?? [];
   }
 
   /**
--- a/packages/decisions/src/gateway/admission/leavesRoom.ts
+++ b/packages/decisions/src/gateway/admission/leavesRoom.ts
@@ -60,6 +60,7 @@
   const wouldServe = (
     service: RoutedService,
     { route, place }: RouteClass,
+    pieces: number,
     load: BackendLoad,
   ): boolean => {
     const urgent = { route, service, priority: place };
@@ -67,10 +68,9 @@
     const isLate = newMs > route.latencyTargetMs;
     const waitMs = isLate ? waitAt(board, load, urgent, 'deferred') : newMs;
     const leftMs = (1 - options.maxRetryShare) * route.timeoutMs;
-    const wholeMs = waitMs + board.lengths.usual(route.id) * load.paceMs;
     return (
       waitMs <= bounds(urgent, leftMs).allowedMs &&
-      wholeMs <= options.lateWholeShare * leftMs
+      waitMs + pieces * load.paceMs <= options.lateWholeShare * leftMs
     );
   };
 
@@ -78,8 +78,14 @@
     const { lengths, table } = board;
     const own = lengths.usual(route.id);
     const moreUrgent = table?.priorities(service.id).before(priority) ?? [];
-    return moreUrgent
-      .filter(({ route: other }) => lengths.usual(other.id) < own)
-      .every(other => wouldServe(service, other, load));
+    // Routes that nobody calls keep nobody out.
+    return moreUrgent.every(other => {
+      const pieces = lengths.known(other.route.id);
+      return (
+        pieces === null ||
+        pieces >= own ||
+        wouldServe(service, other, pieces, load)
+      );
+    });
   };
 }
--- a/packages/decisions/src/gateway/placement/groupSegments.ts
+++ b/packages/decisions/src/gateway/placement/groupSegments.ts
@@ -1,9 +1,6 @@
-import type { Route } from '@jujubecroft/types';
-
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { learningOf } from '../GatewayBoard.js';
-import type { RoutingTable } from '../RoutingTable.js';
 import { splitReplicas } from './splitReplicas.js';
 import type { ToleranceGroup } from './toleranceGroups.js';
 import { toleranceGroups } from './toleranceGroups.js';
@@ -28,17 +25,14 @@
   readonly others: readonly BackendLoad[];
 }
 
-/** Whether all routes of a group are less urgent than one. */
+/** Whether all requests of a group's routes are less urgent than one. */
 function isLessUrgent(
+  { table }: GatewayBoard,
   { routes }: ToleranceGroup,
-  { priority }: Route,
-  table: RoutingTable | null,
+  { service, priority }: GatewayRequest,
 ): boolean {
-  return (
-    table?.cfg.routes
-      .filter(({ id }) => routes.includes(id))
-      .every(route => route.priority > priority) ?? false
-  );
+  const others = table?.priorities(service.id).before(priority + 1) ?? [];
+  return !others.some(({ route }) => routes.includes(route.id));
 }
 
 /** Finds the replicas of a request's group, and of those that it may use as well. */
@@ -98,11 +92,10 @@
       const start = before.reduce((sum, other) => sum + other, 0);
       return ranked.slice(start, start + size);
     });
-    // A more delicate group keeps its replicas for itself unless it is less urgent:
-    // an urgent request is not turned away while it has room.
+    // A more delicate group keeps its replicas for itself unless all that is its own
+    // is less urgent: an urgent request is not turned away while it has room.
     const mayUse = (group: ToleranceGroup, place: number): boolean =>
-      place > index ||
-      (place < index && isLessUrgent(group, request.route, board.table));
+      place > index || (place < index && isLessUrgent(board, group, request));
     return {
       own: segments[index] ?? [],
       others: segments
--- a/packages/decisions/tests/gateway/urgency.test.ts
+++ b/packages/decisions/tests/gateway/urgency.test.ts
@@ -155,6 +155,19 @@
     t.not(send(fixture, INVOICE, 'k-0', 2000), null);
   });
 
+  // An operator added hundreds of urgent routes that nobody called yet. Their answers were
+  // assumed to have forty pieces, too many for the pace of a replica, and invoices were
+  // refused for requests that never came.
+  it('keeps no room for routes whose answers nobody has seen', t => {
+    const fixture = fixtureWith([1]);
+    fixture.board.lengths.onEnded(INVOICE.id, 70);
+    const [load] = [...fixture.board.backends.values()];
+    Array.from({ length: 300 }).forEach(() => {
+      load?.onPause(100);
+    });
+    t.not(send(fixture, INVOICE, 'k-0', 2000), null);
+  });
+
   // Streams of one replica had a piece each 0.7 s, since it read prompts without a
   // break. It was the cheapest all the same, and the only one that was looked at.
   it('refuses nothing that another replica would serve', t => {
--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -42,7 +42,7 @@
   requestAnswered: f =>
     `answered with ${show(f.status)} after ${show(f.wholeMs)} ms, first byte after ${show(f.firstMs)} ms against a target of ${show(f.targetMs)} ms`,
   requestRefused: f =>
-    `refused as ${show(f.code)} after ${show(f.afterMs)} ms: first byte predicted after ${show(f.predictedMs)} ms, allowed ${show(f.allowedMs)} ms; end predicted after ${show(f.predictedWholeMs)} ms, allowed ${show(f.allowedWholeMs)} ms; ${show(f.tokensAhead)} prompt tokens ahead, ${show(f.lessUrgentTokens)} of less urgent routes sent by this instance; ${show(f.candidates)} candidates; told to come back after ${show(f.retryAfterMs)} ms`,
+    `refused as ${show(f.code)} after ${show(f.afterMs)} ms: first byte predicted after ${show(f.predictedMs)} ms, allowed ${show(f.allowedMs)} ms; end predicted after ${show(f.predictedWholeMs)} ms, allowed ${show(f.allowedWholeMs)} ms; ${show(f.tokensAhead)} prompt tokens ahead, ${show(f.lessUrgentTokens)} of less urgent requests of this instance; ${show(f.candidates)} candidates; told to come back after ${show(f.retryAfterMs)} ms`,
   requestCut: f =>
     `ended as ${show(f.code)} after ${show(f.afterMs)} ms and ${show(f.attempts)} attempts; the caller ${f.started === true ? 'had the beginning of an answer' : 'had nothing yet'}`,
   callerLeft: f =>
--- a/packages/gateway/src/forward/RequestNotes.ts
+++ b/packages/gateway/src/forward/RequestNotes.ts
@@ -54,15 +54,13 @@
  */
 export function queueFacts(
   best: PlacedCandidate | null,
-  { route }: GatewayRequest,
+  { priority }: GatewayRequest,
 ): Facts {
   return best
     ? {
         backendServer: best.load.replica.id,
         tokensAhead: Math.round(best.tokensAhead),
-        lessUrgentTokens: Math.round(
-          best.load.lessUrgentUnread(route.priority),
-        ),
+        lessUrgentTokens: Math.round(best.load.lessUrgentUnread(priority)),
         inFlight: best.load.totalInFlight,
       }
     : {};
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -83,7 +83,7 @@
 export interface RoutedOrganisation {
   readonly id: OrganisationId;
   readonly keys: readonly string[];
-  /** Overrides the priority of the route; null where it does not. */
+  /** Goes before the priority of the route; null where it has none. */
   readonly priority: number | null;
 }
 
