--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -1,28 +1,20 @@
 import { callerPatienceMs } from '@jujubecroft/decisions';
 import type {
   GatewayAttempt,
-  GatewayRequest,
   GatewayRouter,
-  Match,
   PeerWork,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import type {
-  BackendServerId,
-  InstanceId,
-  Replica,
-  RequestId,
-  RoutedOrganisation,
-} from '@jujubecroft/types';
+import type { BackendServerId, InstanceId, Replica } from '@jujubecroft/types';
 import { assertDefined, brand, createRandom } from '@jujubecroft/types';
 
 import { EventQueue } from '../simulation/EventQueue.js';
 import type { BurstKind } from './burstLoad.js';
-import { MAX_OWN_TOKENS } from './burstLoad.js';
 import type { GatewayPolicyFactory } from './createReplayRouter.js';
 import { createReplayRouter, replicaOf } from './createReplayRouter.js';
 import type { PromptJob } from './PromptEngine.js';
 import { PromptEngine } from './PromptEngine.js';
+import { ReplayCallers } from './ReplayCallers.js';
 import type { ReplayShape } from './replayShapes.js';
 import { EXCHANGE_MS, SMALL_FLEET } from './replayShapes.js';
 import type { OvertakenUrgent, RequestFate } from './UrgencyWatch.js';
@@ -47,8 +39,6 @@
 const NO_ENGINE = brand<BackendServerId>('');
 const MS_PER_SECOND = 1000;
 
-type Matched = Extract<Match, { kind: 'matched' }>;
-
 /** What one instance tells the others. */
 interface Told {
   readonly instance: InstanceId;
@@ -83,7 +73,7 @@
   /** Ends what an instance carries, for when it starts again. */
   readonly #carried = new Map<GatewayRouter, Set<() => void>>();
   readonly #random: () => number;
-  #requests = 0;
+  readonly #callers: ReplayCallers;
 
   constructor(
     private readonly createPolicies: GatewayPolicyFactory,
@@ -91,6 +81,7 @@
     private readonly shape: ReplayShape = SMALL_FLEET,
   ) {
     this.#random = createRandom(seed);
+    this.#callers = new ReplayCallers(shape, this.#random);
     this.#urgency = new UrgencyWatch(shape.load.kinds);
   }
 
@@ -206,62 +197,6 @@
     });
   }
 
-  #requestOf(kind: BurstKind, router: GatewayRouter): GatewayRequest {
-    const { sharedTokens, things, ownTokens } = kind;
-    const { route, service, organisation, priority } = this.#match(
-      kind,
-      router,
-    );
-    const nowMs = this.#events.nowMs;
-    this.#requests += 1;
-    const thing = Math.floor(this.#random() * things * this.shape.scale);
-    const own = this.#drawOwn(ownTokens);
-    return {
-      id: brand<RequestId>(`q-${this.#requests}`),
-      route,
-      service,
-      organisation: organisation?.id ?? null,
-      priority,
-      prompt: {
-        promptTokens: sharedTokens + own,
-        maxOutputTokens: kind.outputTokens,
-        parts: [
-          { id: `${route.id}-${thing}`, tokens: sharedTokens },
-          { id: `own-${this.#requests}`, tokens: own },
-        ],
-        expectedOutputTokens: null,
-      },
-      arrivedMs: nowMs,
-      deadlineMs: nowMs + route.timeoutMs,
-      cameBack: false,
-    };
-  }
-
-  #match({ route }: BurstKind, router: GatewayRouter): Matched {
-    const key = this.#drawCaller()?.keys[0] ?? null;
-    const match = router.match(route.host, `${route.prefix}one`, key);
-    if (match.kind === 'refused') {
-      throw new Error(`the load's own route is refused: ${match.code}`);
-    }
-    return match;
-  }
-
-  #drawCaller(): RoutedOrganisation | undefined {
-    const callers = this.shape.load.organisations ?? [];
-    return callers.length > 1
-      ? callers[Math.floor(this.#random() * callers.length)]
-      : callers[0];
-  }
-
-  #drawOwn(median: number): number {
-    const radius = Math.sqrt(-2 * Math.log(1 - this.#random()));
-    const normal = radius * Math.cos(2 * Math.PI * this.#random());
-    const drawn = Math.ceil(
-      median * Math.exp(this.shape.load.ownSpread * normal),
-    );
-    return Math.min(MAX_OWN_TOKENS, drawn);
-  }
-
   #arrive(kind: BurstKind): void {
     const at = Math.floor(this.#random() * this.shape.instances);
     const router = assertDefined(this.#routers[at], 'drawn below the count');
@@ -269,7 +204,7 @@
       this.#results.get(kind.route.id),
       'every kind has one',
     );
-    const request = this.#requestOf(kind, router);
+    const request = this.#callers.requestOf(kind, router, this.#events.nowMs);
     result.asked += 1;
     const { priority } = request;
     const fate = this.#urgency.onAsked(kind, priority, this.#events.nowMs);
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -100,13 +100,15 @@
     return { kind: 'send', placed: best, candidates };
   }
   const admit = isPrompt ? policies.admitPrompt : policies.admitCall;
+  const verdict = admit(request, best);
   // The cheapest replica may be the one that would not finish; a request that
   // another would serve is not turned away for it.
-  const placed = ranked.find(candidate => admit(request, candidate).admit);
+  const placed = verdict.admit
+    ? best
+    : ranked.slice(1).find(other => admit(request, other).admit);
   if (placed) {
     return { kind: 'send', placed, candidates };
   }
-  const verdict = admit(request, best);
   return {
     kind: 'refuse',
     code: 'overloaded',
