perf(gateway): instances ask each other by datagrams

Cause: half of what an idle instance spends is opening a connection to whoever the round drew and calling over it (49 of 100 samples of a profile, one of thirty idle instances, garbage not counted); memory grows with every member met. Change: rounds, answers and urgent news are datagrams with the same message; changes of replicas go with them where they are few, a configuration is pulled over HTTP, one pull at a time. PeerProbes tells lost and late answers from members that are gone: three misses in a row, time in which an instance was held up itself doesn't count, late answers are signs of life, and a suspect is asked once more with the suspicion. The time to refute grows with the logarithm of the fleet. Readiness, addresses and metrics are plain fastify: Nest does not fit these machines. Ruled out: fixed partners over kept connections would leave the calls themselves.

--- a/packages/decisions/src/gateway/ReplicaRecord.ts
+++ b/packages/decisions/src/gateway/ReplicaRecord.ts
@@ -36,6 +36,8 @@
   readonly ageMs: number;
   /** Whether entries that are not listed don't exist. */
   readonly complete: boolean;
+  /** Store version after which every change is listed. */
+  readonly from: number;
   readonly records: readonly ReplicaRecord[];
 }
 
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -118,7 +118,50 @@
       record =>
         (complete && record.replica !== null) || record.changedAt > version,
     );
-    return { version: this.#version, ageMs: this.ageMs, complete, records };
+    return this.#changes(version, records, complete);
+  }
+
+  /**
+   * The same as long as it is little.
+   *
+   * @param version - store version that the other's view is complete for
+   * @param limit - most changes that are listed
+   * @returns the changes since then, or the newest ones where there are more
+   */
+  changesWithin(version: number, limit: number): ReplicaChanges {
+    const changes = this.changesSince(version);
+    return changes.records.length > limit ? this.newestChanges(limit) : changes;
+  }
+
+  /**
+   * The newest changes, for others whose views are nearly as new.
+   *
+   * @param limit - most changes that are listed
+   */
+  newestChanges(limit: number): ReplicaChanges {
+    const newestFirst = [...this.#records.values()].sort(
+      (a, b) => b.changedAt - a.changedAt,
+    );
+    const from = newestFirst[limit]?.changedAt ?? 0;
+    return this.#changes(
+      Math.max(from, this.#prunedVersion),
+      newestFirst.slice(0, limit).filter(({ changedAt }) => changedAt > from),
+      false,
+    );
+  }
+
+  #changes(
+    from: number,
+    records: readonly ReplicaRecord[],
+    complete: boolean,
+  ): ReplicaChanges {
+    return {
+      version: this.#version,
+      ageMs: this.ageMs,
+      complete,
+      from,
+      records,
+    };
   }
 
   /** Takes over the changes of another instance. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -49,6 +49,11 @@
   MembershipOptions,
 } from './membership/Membership.js';
 export { DEFAULT_MEMBERSHIP, Membership } from './membership/Membership.js';
+export type {
+  OpenQuestion,
+  PeerProbeOptions,
+} from './membership/PeerProbes.js';
+export { PeerProbes } from './membership/PeerProbes.js';
 export { MemberStateWatch } from './membership/MemberStateWatch.js';
 export type { AttemptFailure } from './policies/recovery/RecoveryPolicy.js';
 export { leastCost } from './policies/routing/least-cost.js';
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -35,7 +35,12 @@
    */
   readonly fanout: (members: number) => number;
   readonly periodMs: number;
-  readonly suspectMs: number;
+  /**
+   * Time that a suspect has to refute the suspicion.
+   *
+   * @param members - how many are known
+   */
+  readonly suspectMs: (members: number) => number;
   /** News items carried by one heartbeat. */
   readonly maxFacts: number;
   /** Failed instances that the list no longer names are forgotten after this. */
@@ -50,7 +55,7 @@
 export const DEFAULT_MEMBERSHIP: MembershipOptions = {
   fanout: () => 2,
   periodMs: 1000,
-  suspectMs: 4000,
+  suspectMs: () => 4000,
   maxFacts: 12,
   forgetMs: 60_000,
   incarnation: 1,
@@ -228,7 +233,8 @@
   /** Periodic work: suspects that were not refuted fail; old failures go. */
   tick(): void {
     const nowMs = this.clock();
-    const { suspectMs, forgetMs } = this.options;
+    const { forgetMs } = this.options;
+    const suspectMs = this.options.suspectMs(this.#members.size);
     this.#lastTickMs = nowMs;
     this.members.forEach(member => {
       const ageMs = nowMs - member.sinceMs;
--- /dev/null
+++ b/packages/decisions/src/membership/PeerProbes.ts
@@ -0,0 +1,116 @@
+import type { InstanceId } from '@jujubecroft/types';
+
+import type { Clock } from '../blackboard/Blackboard.js';
+import type { Member } from './Member.js';
+import type { Membership } from './Membership.js';
+
+/** A question to another instance that has no answer yet. */
+export interface OpenQuestion {
+  readonly address: string;
+  /** Null where it isn't known as a member, as a seed. */
+  readonly member: Member | null;
+  askedMs: number;
+}
+
+export interface PeerProbeOptions {
+  /** Time between rounds, in milliseconds. */
+  readonly periodMs: number;
+  /** Time that an answer may take, in milliseconds. */
+  readonly answerMs: number;
+  /** Questions in a row without an answer until a member is suspected. */
+  readonly missesToSuspect: number;
+}
+
+/**
+ * Tells members that are gone from those whose answers are late or lost.
+ *
+ * Questions and answers travel as datagrams, so that asking a member which was
+ * never asked before costs no connection. Single ones get lost, and a member
+ * with little processor answers late; only several misses in a row without any
+ * sign of life make it a suspect.
+ */
+export class PeerProbes {
+  readonly #open = new Map<number, OpenQuestion>();
+  readonly #misses = new Map<InstanceId, number>();
+  #number = 0;
+  #roundMs: number;
+
+  constructor(
+    private readonly membership: Membership,
+    private readonly clock: Clock,
+    private readonly options: PeerProbeOptions,
+  ) {
+    this.#roundMs = clock();
+  }
+
+  /**
+   * Notes a question.
+   *
+   * @param address - that it is sent to
+   * @param member - null where it isn't known as a member
+   * @returns the number that its answer repeats
+   */
+  ask(address: string, member: Member | null): number {
+    // Zero stands for no question on the wire.
+    this.#number += 1;
+    this.#open.set(this.#number, { address, member, askedMs: this.clock() });
+    return this.#number;
+  }
+
+  /** Whether an answer from this address is still awaited. */
+  awaits(address: string): boolean {
+    return [...this.#open.values()].some(
+      question => question.address === address,
+    );
+  }
+
+  /**
+   * Notes a message of any kind.
+   *
+   * An answer that comes too late is a sign of life all the same.
+   *
+   * @param from - instance that sent it
+   * @param answerTo - question that it answers; 0 for none
+   */
+  onHeard(from: InstanceId, answerTo: number): void {
+    this.#open.delete(answerTo);
+    this.#misses.delete(from);
+  }
+
+  /**
+   * Begins a round: judges questions whose answers are overdue.
+   *
+   * Must come before the membership's own round. Guards against suspicion by an
+   * instance that was held up itself: answers wait unread behind its timers then,
+   * and time in which it did not run doesn't count against the others.
+   *
+   * @returns members to ask once more at once; in a large fleet their turn would
+   *   come again only after many seconds
+   */
+  beginRound(): readonly Member[] {
+    const nowMs = this.clock();
+    const { periodMs, answerMs } = this.options;
+    const heldUpMs = Math.max(0, nowMs - this.#roundMs - periodMs);
+    this.#roundMs = nowMs;
+    const overdue = [...this.#open].filter(([, question]) => {
+      question.askedMs += heldUpMs;
+      return nowMs - question.askedMs > answerMs;
+    });
+    return overdue.flatMap(([number, { member }]) => {
+      this.#open.delete(number);
+      return member ? this.#onMiss(member) : [];
+    });
+  }
+
+  #onMiss(member: Member): readonly Member[] {
+    const misses = (this.#misses.get(member.id) ?? 0) + 1;
+    if (misses < this.options.missesToSuspect) {
+      this.#misses.set(member.id, misses);
+      return [member];
+    }
+    this.#misses.delete(member.id);
+    this.membership.onUnreachable(member.id);
+    // The next question carries the suspicion, which the suspect can refute.
+    return member.state === 'suspect' ? [member] : [];
+  }
+}
--- /dev/null
+++ b/packages/decisions/tests/membership/PeerProbes.test.ts
@@ -0,0 +1,242 @@
+import { describe } from '@jujubecroft/testing';
+import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
+import { brand, createRandom } from '@jujubecroft/types';
+
+import { DEFAULT_MEMBERSHIP, Membership, PeerProbes } from '../../src/index.js';
+
+const PERIOD_MS = 250;
+const STEP_MS = 10;
+const OPTIONS = { periodMs: PERIOD_MS, answerMs: 400, missesToSuspect: 3 };
+const STATE = { revision: 1, inFlight: 0 };
+
+const factsOf = (name: string) => ({
+  instance: brand<InstanceId>(name),
+  failureDomain: brand<FailureDomainId>('domain-a'),
+  callerAddress: `http://${name}`,
+  peerAddress: name,
+});
+
+interface Datagram {
+  readonly from: string;
+  readonly to: string;
+  readonly atMs: number;
+  readonly question: number;
+  readonly answerTo: number;
+  readonly heartbeat: ReturnType<Membership['message']>;
+}
+
+interface Node {
+  readonly membership: Membership;
+  readonly probes: PeerProbes;
+  /** Until when the process is busy or has no processor. */
+  heldUpUntilMs: number;
+  nextRoundMs: number;
+  /** Datagrams that nobody has read yet. */
+  readonly inbox: Datagram[];
+}
+
+interface Conditions {
+  /** Part of the datagrams that get lost. */
+  readonly loss: number;
+  /** Time that an instance is held up, each time; 0 for never. */
+  readonly heldUpMs: number;
+  /** Time between two such times. */
+  readonly everyMs: number;
+}
+
+/** Instances on one virtual clock that ask each other by datagrams. */
+class ProbedFleet {
+  nowMs = 0;
+  readonly #nodes = new Map<string, Node>();
+  readonly #down = new Set<string>();
+  #flying: Datagram[] = [];
+  readonly #random = createRandom(7);
+  suspicions = 0;
+  failures = 0;
+
+  constructor(
+    size: number,
+    private readonly conditions: Conditions,
+  ) {
+    const names = Array.from({ length: size }, (_, index) => `node-${index}`);
+    names.forEach((name, index) => {
+      const clock = (): number => this.nowMs;
+      const membership = new Membership(
+        factsOf(name),
+        clock,
+        createRandom(index + 1),
+        {
+          ...DEFAULT_MEMBERSHIP,
+          fanout: members => (members <= 12 ? 3 : 1),
+          periodMs: PERIOD_MS,
+          suspectMs: members => 400 * Math.log2(Math.max(8, members)),
+        },
+      );
+      membership.onList(
+        names.map(other => ({
+          ...factsOf(other),
+          id: brand<InstanceId>(other),
+          state: 'live' as const,
+        })),
+      );
+      this.#nodes.set(name, {
+        membership,
+        probes: new PeerProbes(membership, clock, OPTIONS),
+        heldUpUntilMs: 0,
+        nextRoundMs: this.#random() * PERIOD_MS,
+        inbox: [],
+      });
+    });
+  }
+
+  kill(name: string): void {
+    this.#down.add(name);
+  }
+
+  statesOf(name: string): readonly string[] {
+    return [...this.#nodes]
+      .filter(([other]) => other !== name && !this.#down.has(other))
+      .map(
+        ([, { membership }]) =>
+          membership.members.find(({ id }) => id === name)?.state ?? 'unknown',
+      );
+  }
+
+  run(ms: number): void {
+    const untilMs = this.nowMs + ms;
+    while (this.nowMs < untilMs) {
+      this.nowMs += STEP_MS;
+      this.#carry();
+      this.#nodes.forEach((node, name) => {
+        if (!this.#down.has(name)) {
+          this.#step(name, node);
+        }
+      });
+    }
+  }
+
+  #carry(): void {
+    const arrived = this.#flying.filter(({ atMs }) => atMs <= this.nowMs);
+    this.#flying = this.#flying.filter(({ atMs }) => atMs > this.nowMs);
+    arrived.forEach(datagram => {
+      this.#nodes.get(datagram.to)?.inbox.push(datagram);
+    });
+  }
+
+  #step(name: string, node: Node): void {
+    const { heldUpMs, everyMs } = this.conditions;
+    if (heldUpMs > 0 && this.#random() < STEP_MS / everyMs) {
+      node.heldUpUntilMs = this.nowMs + heldUpMs;
+    }
+    if (this.nowMs < node.heldUpUntilMs) {
+      return;
+    }
+    // Timers come before what has arrived, as in the event loop.
+    if (this.nowMs >= node.nextRoundMs) {
+      node.nextRoundMs = this.nowMs + PERIOD_MS;
+      this.#round(name, node);
+    }
+    node.inbox.splice(0).forEach(datagram => {
+      this.#take(name, node, datagram);
+    });
+  }
+
+  #round(name: string, { membership, probes }: Node): void {
+    const before = this.#accused(membership);
+    const again = probes.beginRound();
+    this.suspicions += this.#accused(membership) - before;
+    membership.tick();
+    [...again, ...membership.targets()].forEach(member => {
+      const question = probes.ask(member.peerAddress, member);
+      this.#send(name, member.peerAddress, question, 0);
+    });
+    this.failures += membership.members.filter(
+      ({ state, id, sinceMs }) =>
+        state === 'failed' && sinceMs === this.nowMs && !this.#down.has(id),
+    ).length;
+  }
+
+  #accused(membership: Membership): number {
+    return membership.members.filter(
+      ({ id, state }) => state === 'suspect' && !this.#down.has(id),
+    ).length;
+  }
+
+  #take(name: string, { membership, probes }: Node, datagram: Datagram): void {
+    const { from, question, answerTo, heartbeat } = datagram;
+    probes.onHeard(brand<InstanceId>(from), answerTo);
+    if (question !== 0) {
+      this.#send(name, from, 0, question);
+    }
+    membership.onMessage(heartbeat);
+  }
+
+  #send(from: string, to: string, question: number, answerTo: number): void {
+    const node = this.#nodes.get(from);
+    if (!node || this.#down.has(to) || this.#random() < this.conditions.loss) {
+      return;
+    }
+    this.#flying.push({
+      from,
+      to,
+      atMs: this.nowMs + STEP_MS,
+      question,
+      answerTo,
+      heartbeat: node.membership.message(STATE),
+    });
+  }
+}
+
+const CALM: Conditions = { loss: 0, heldUpMs: 0, everyMs: 0 };
+
+describe('PeerProbes', ({ describe: group }) => {
+  group('instances that are short of processor', ({ it }) => {
+    // A storm of configurations takes every instance's processor for most of a
+    // second, again and again. Answers wait behind the work, and questions look
+    // unanswered though nobody is gone. Callers are told fewer addresses, and
+    // every accusation and its withdrawal costs more of the same processor.
+    [8, 60, 195].forEach(size => {
+      it(`does not suspect them, ${size} instances`, t => {
+        const fleet = new ProbedFleet(size, {
+          loss: 0,
+          heldUpMs: 600,
+          everyMs: 1500,
+        });
+        fleet.run(8000);
+        t.is(fleet.failures, 0);
+        t.true(
+          fleet.suspicions <= Math.ceil(size / 10),
+          `${fleet.suspicions} suspicions of live instances`,
+        );
+      });
+    });
+  });
+
+  group('datagrams that get lost', ({ it }) => {
+    it('suspects nobody for a few of a hundred', t => {
+      const fleet = new ProbedFleet(60, { ...CALM, loss: 0.03 });
+      fleet.run(20_000);
+      t.true(
+        fleet.suspicions <= 3,
+        `${fleet.suspicions} suspicions of live instances`,
+      );
+      t.is(fleet.failures, 0);
+    });
+  });
+
+  group('an instance that is gone', ({ it }) => {
+    [8, 60].forEach(size => {
+      it(`is known everywhere within six seconds, ${size} instances`, t => {
+        const fleet = new ProbedFleet(size, CALM);
+        fleet.run(2000);
+        fleet.kill('node-1');
+        fleet.run(6000);
+        const states = fleet.statesOf('node-1');
+        t.true(
+          states.every(state => state === 'failed'),
+          states.join(' '),
+        );
+      });
+    });
+  });
+});
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -103,6 +103,12 @@
     level: 'info',
     summary: 'Another instance changed state.',
   },
+  pullFailed: {
+    number: 402,
+    level: 'warn',
+    summary:
+      'Another instance that knows more could not be asked for it; the next that tells is.',
+  },
   requestFailed: {
     number: 501,
     level: 'warn',
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -27,9 +27,6 @@
   stopPlan: StopPlan | null;
 }
 
-/** Injection token of the context. */
-export const GATEWAY_CONTEXT = Symbol('GatewayContext');
-
 /**
  * Whether an instance can serve callers.
  *
--- a/packages/gateway/src/front/createFront.ts
+++ b/packages/gateway/src/front/createFront.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:http';
 import type { FastifyInstance } from 'fastify';
-import { fastify } from 'fastify';
 import type { CallerLimits } from '@jujubecroft/types';
 
+import { createApp } from '../createApp.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { handleRequest } from './handleRequest.js';
 import type { RequestsUnderWay } from './RequestsUnderWay.js';
@@ -41,7 +41,7 @@
   context: GatewayContext,
   underWay: RequestsUnderWay,
 ): Front {
-  const app = fastify({
+  const app = createApp({
     keepAliveTimeout: DEFAULT_IDLE_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     http: {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,5 @@
 export type { GatewayContext } from './GatewayContext.js';
-export { GATEWAY_CONTEXT, isReady } from './GatewayContext.js';
+export { isReady } from './GatewayContext.js';
 export type { GatewaySettings, ListenAddress } from './GatewaySettings.js';
 export type {
   AnswerHead,
@@ -14,6 +14,7 @@
   ReplicaRead,
 } from './ports/DiscoveryStore.js';
 export { HISTORY_GONE } from './ports/DiscoveryStore.js';
+export type { SideRoutes } from './side/createSideApp.js';
 export { chooseAddresses } from './side/chooseAddresses.js';
 export type { GatewayPorts, RunningGateway } from './startGateway.js';
 export { startGateway } from './startGateway.js';
--- a/packages/gateway/src/side/createSideApp.ts
+++ b/packages/gateway/src/side/createSideApp.ts
@@ -1,50 +1,30 @@
-import 'reflect-metadata';
-
-import type { DynamicModule, Type } from '@nestjs/common';
-import { Module } from '@nestjs/common';
-import { NestFactory } from '@nestjs/core';
-import type { NestFastifyApplication } from '@nestjs/platform-fastify';
-import { FastifyAdapter } from '@nestjs/platform-fastify';
+import type { FastifyInstance } from 'fastify';
 
+import { createApp } from '../createApp.js';
 import type { GatewayContext } from '../GatewayContext.js';
-import { GATEWAY_CONTEXT } from '../GatewayContext.js';
-import { MetricsController } from './MetricsController.js';
+import { serveMetrics } from './serveMetrics.js';
 
-@Module({})
-class SideModule {
-  static with(
-    context: GatewayContext,
-    controllers: readonly Type[],
-  ): DynamicModule {
-    return {
-      module: SideModule,
-      controllers: [MetricsController, ...controllers],
-      providers: [{ provide: GATEWAY_CONTEXT, useValue: context }],
-    };
-  }
-}
+/** Adds routes that speak as the deployment's callers expect. */
+export type SideRoutes = (
+  app: FastifyInstance,
+  context: GatewayContext,
+) => void;
 
 /**
  * Creates the web application beside the callers' traffic: readiness, addresses
  * and metrics.
  *
  * @param context - of the instance
- * @param controllers - that speak as the deployment's callers expect
- * @returns the application, initialised and not listening
+ * @param addRoutes - adds what the deployment asks for
+ * @returns the application, not listening
  */
 export async function createSideApp(
   context: GatewayContext,
-  controllers: readonly Type[],
-): Promise<NestFastifyApplication> {
-  const adapter = new FastifyAdapter({ forceCloseConnections: true });
-  const app = await NestFactory.create<NestFastifyApplication>(
-    SideModule.with(context, controllers),
-    adapter,
-    // Nest declares its options as a class, yet takes plain objects.
-    // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-    { bodyParser: false, logger: false, abortOnError: false },
-  );
-  await app.init();
-  await adapter.getInstance().ready();
+  addRoutes: SideRoutes,
+): Promise<FastifyInstance> {
+  const app = createApp({ forceCloseConnections: true });
+  serveMetrics(app, context);
+  addRoutes(app, context);
+  await app.ready();
   return app;
 }
--- /dev/null
+++ b/packages/gateway/src/side/serveMetrics.ts
@@ -0,0 +1,40 @@
+import type { FastifyInstance } from 'fastify';
+
+import type { GatewayContext } from '../GatewayContext.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Gauges are set when somebody reads them. */
+function refresh({ router, metrics, clock }: GatewayContext): void {
+  const { board } = router;
+  metrics.viewAge.set(
+    { view: 'replicas' },
+    board.replicas.ageMs / MS_PER_SECOND,
+  );
+  metrics.viewAge.set(
+    { view: 'configuration' },
+    (clock() - board.configurationAsOfMs) / MS_PER_SECOND,
+  );
+  metrics.inFlight.set(router.inFlight);
+  metrics.backends.reset();
+  board.backends.forEach(({ replica, health }) => {
+    const verdict = replica.leaving ? 'leaving' : health.verdict;
+    metrics.backends.inc({ service: replica.service, verdict });
+  });
+  board.table?.cfg.services.forEach(({ id }) => {
+    metrics.budgetLeft.set({ service: id }, board.budget.left(id));
+  });
+}
+
+/** Serves the metrics of the instance as text. */
+export function serveMetrics(
+  app: FastifyInstance,
+  context: GatewayContext,
+): void {
+  app.get('/metrics', async (_req, reply) => {
+    refresh(context);
+    await reply
+      .type(context.metrics.registry.contentType)
+      .send(await context.metrics.registry.metrics());
+  });
+}
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,6 +1,5 @@
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { Type } from '@nestjs/common';
 import murmurhash from 'murmurhash';
 import {
   createGatewayBoard,
@@ -24,11 +23,13 @@
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
 import type { DiscoveryStore } from './ports/DiscoveryStore.js';
+import type { SideRoutes } from './side/createSideApp.js';
 import { createSideApp } from './side/createSideApp.js';
 import { listenRaw } from './side/listenRaw.js';
 import { FleetView } from './state/FleetView.js';
 import { PEER_PERIOD_MS, PeerLoop } from './state/PeerLoop.js';
 import { peerFanout } from './state/peerFanout.js';
+import { refutationMs } from './state/refutationMs.js';
 import { StoreReader } from './state/StoreReader.js';
 import { createWakeUpWatch } from './wakeUpWatch.js';
 
@@ -36,8 +37,8 @@
 export interface GatewayPorts {
   readonly dialect: CallerDialect;
   readonly store: DiscoveryStore;
-  /** Controllers for readiness and addresses, as callers expect them. */
-  readonly controllers: readonly Type[];
+  /** Adds readiness and addresses, as callers expect them. */
+  readonly sideRoutes: SideRoutes;
 }
 
 /** An instance of the gateway that was started. */
@@ -49,8 +50,6 @@
   readonly kill: () => Promise<void>;
 }
 
-/** Time that a suspected member has to answer, in milliseconds. */
-const SUSPECT_MS = 1200;
 const HOUSEKEEPING_MS = 100;
 /** Part of the grace period in which callers learn to stay away. */
 const SPREAD_SHARE = 0.55;
@@ -89,7 +88,7 @@
       ...DEFAULT_MEMBERSHIP,
       fanout: peerFanout,
       periodMs: PEER_PERIOD_MS,
-      suspectMs: SUSPECT_MS,
+      suspectMs: refutationMs,
       // Wall time grows from run to run; a step back is refuted by heartbeats.
       incarnation: Date.now(),
     },
@@ -126,15 +125,14 @@
   ports: GatewayPorts,
 ): Promise<readonly Server[]> {
   const { readiness, directory, metrics } = context.settings;
-  const app = await createSideApp(context, ports.controllers);
-  const fastify = app.getHttpAdapter().getInstance();
+  const app = await createSideApp(context, ports.sideRoutes);
   const addresses = [readiness, directory, metrics].flatMap(
     address => address ?? [],
   );
   return Promise.all(
     addresses.map(address =>
       listenRaw((req, res) => {
-        fastify.routing(req, res);
+        app.routing(req, res);
       }, address),
     ),
   );
@@ -201,7 +199,7 @@
     if (stillMs > 0) {
       log.write('wokeUp', { stoodStillMs: Math.round(stillMs) });
       void reader.refresh();
-      void peers.spread();
+      peers.askAround();
     }
     if (!wasReady && isReady(context)) {
       wasReady = true;
@@ -225,7 +223,7 @@
   const close = async (): Promise<void> => {
     clearInterval(housekeeping);
     reader.stop();
-    peers.stop();
+    await peers.stop();
     underWay.stop();
     sides.forEach(side => {
       side.close();
@@ -244,7 +242,7 @@
     context.stopPlan = { strictFromMs, untilMs: lastMs };
     context.membership.leave();
     log.write('instanceStopping', { inFlight: underWay.count });
-    await peers.spread();
+    peers.spread();
     // Callers keep addresses for a while, and go on using open connections
     // until an answer closes them.
     await sleep(SPREAD_SHARE * settings.graceMs);
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -1,30 +1,34 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-import type { handleUnaryCall, ServiceError } from '@grpc/grpc-js';
-import { Server, ServerCredentials, status } from '@grpc/grpc-js';
+import type { FastifyInstance } from 'fastify';
 import type { Member } from '@jujubecroft/decisions';
-import { MemberStateWatch, rotated } from '@jujubecroft/decisions';
-import type { proto } from '@jujubecroft/operator';
-import { bindServer, GatewayPeerService } from '@jujubecroft/operator';
+import { MemberStateWatch, PeerProbes, rotated } from '@jujubecroft/decisions';
+import { GatewayState } from '@jujubecroft/operator/peers';
 import type { InstanceId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
 import { isReady, ownAddress } from '../GatewayContext.js';
+import { createPeerServer } from './createPeerServer.js';
 import type { FleetView } from './FleetView.js';
-import { PeerClients } from './PeerClients.js';
-import { PeerState } from './PeerState.js';
+import { PeerSocket } from './PeerSocket.js';
+import type { CatchUp, DatagramNumbers } from './PeerState.js';
+import { PeerState, TELLING } from './PeerState.js';
+import { pullState } from './pullState.js';
 
-/** Time between rounds of exchanges. */
+/** Time between rounds of questions. */
 export const PEER_PERIOD_MS = 250;
-/** What a call to an instance that is down, cut off or slow ends with. */
-const UNREACHABLE: readonly status[] = [
-  status.CANCELLED,
-  status.DEADLINE_EXCEEDED,
-  status.UNAVAILABLE,
-];
-/** Exchanges that fail in a row until a peer is suspected. */
-const FAILURES_TO_SUSPECT = 2;
 /**
- * Peers that get urgent news at once; they pass it on. Three steps reach sixty
+ * Time that an answer may take. Other instances are a few milliseconds away, but one
+ * with a tenth of a core is busy for some hundred at a time after a change.
+ */
+const ANSWER_MS = 400;
+/**
+ * Questions in a row without a sign of life until a peer is suspected. Where a
+ * hundredth of all datagrams gets lost, 195 instances that ask four times a second
+ * suspect a sound one every three minutes.
+ */
+const MISSES_TO_SUSPECT = 3;
+/**
+ * Peers that get urgent news at once; they pass it on. Four steps reach two hundred
  * instances; those that are missed learn it with the next rounds.
  */
 const URGENT_FANOUT = 4;
@@ -35,80 +39,97 @@
 
 /** Keeps instances in touch: membership, configuration, replicas and use. */
 export class PeerLoop {
-  readonly #clients = new PeerClients();
+  readonly #socket: PeerSocket;
   readonly #state: PeerState;
-  readonly #server = new Server();
-  readonly #failures = new Map<InstanceId, number>();
+  readonly #server: FastifyInstance;
+  readonly #probes: PeerProbes;
   readonly #watch = new MemberStateWatch();
-  readonly #pulling = new Set<string>();
+  #pulling = false;
   #timer: NodeJS.Timeout | null = null;
+  #newsTimer: NodeJS.Timeout | null = null;
   #round = 0;
-  #spreading: Promise<void> | null = null;
 
   constructor(
     private readonly context: GatewayContext,
     view: FleetView,
   ) {
-    this.#state = new PeerState(context, view, state => {
-      this.#pull(state);
+    this.#state = new PeerState(context, view, (address, how) => {
+      this.#catchUp(address, how);
+    });
+    this.#server = createPeerServer(theirs => {
+      const reply = this.#state.tellAll(theirs);
+      this.#state.take(theirs);
+      return reply;
+    });
+    this.#socket = new PeerSocket(
+      (bytes, from) => {
+        this.#onDatagram(bytes, from);
+      },
+      (to, err) => {
+        this.#noteFault(to, err);
+      },
+    );
+    this.#probes = new PeerProbes(context.membership, context.clock, {
+      periodMs: PEER_PERIOD_MS,
+      answerMs: ANSWER_MS,
+      missesToSuspect: MISSES_TO_SUSPECT,
     });
     view.onNews(() => {
-      void this.spread();
+      this.spread();
     });
   }
 
-  /** Listens for other instances and starts to call them. */
+  /** Listens for other instances and starts to ask them. */
   async start(): Promise<void> {
-    const { host, port } = this.context.settings.peers;
-    const exchange: handleUnaryCall<proto.GatewayState, proto.GatewayState> = (
-      call,
-      callback,
-    ) => {
-      const reply = this.#state.tell(call.request);
-      this.#state.take(call.request, false);
-      callback(null, reply);
-    };
-    this.#server.addService(GatewayPeerService, { exchange });
-    await bindServer(
-      this.#server,
-      `${host}:${port}`,
-      ServerCredentials.createInsecure(),
-    );
+    const { peers } = this.context.settings;
+    await this.#server.listen({ host: peers.host, port: peers.port });
+    await this.#socket.listen(peers);
     this.#timer = setInterval(() => {
       this.#beat();
     }, PEER_PERIOD_MS);
     this.#beat();
   }
 
-  stop(): void {
+  async stop(): Promise<void> {
     if (this.#timer) {
       clearInterval(this.#timer);
     }
-    this.#clients.close();
-    this.#server.forceShutdown();
+    if (this.#newsTimer) {
+      clearTimeout(this.#newsTimer);
+    }
+    this.#socket.close();
+    await this.#server.close();
   }
 
   /**
-   * Tells some members at once; each passes on what is new to it.
+   * Tells some members soon; each passes on what is new to it.
    *
    * News often comes in bursts, as when many entries lapse together. What comes
    * while a telling is due goes with it: told one by one, a hundred changes in
    * sixty instances would take seconds of every processor.
    */
-  async spread(): Promise<void> {
-    this.#spreading ??= this.#spreadSoon();
-    await this.#spreading;
+  spread(): void {
+    this.#newsTimer ??= setTimeout(() => {
+      // What is learnt from now on may miss this telling.
+      this.#newsTimer = null;
+      this.#someMembers().forEach(({ peerAddress }) => {
+        this.#send(peerAddress, TELLING, null);
+      });
+    }, URGENT_PAUSE_MS);
   }
 
-  async #spreadSoon(): Promise<void> {
-    await sleep(URGENT_PAUSE_MS);
-    // What is learnt from now on may miss these exchanges.
-    this.#spreading = null;
+  /** Asks some members for what they know, for a process that stood still. */
+  askAround(): void {
+    this.#someMembers().forEach(member => {
+      this.#ask(member.peerAddress, member);
+    });
+  }
+
+  #someMembers(): readonly Member[] {
     const { membership, router } = this.context;
-    await Promise.all(
-      rotated(membership.serving, router.board.random)
-        .slice(0, URGENT_FANOUT)
-        .map(member => this.#exchange(member.peerAddress, member)),
+    return rotated(membership.serving, router.board.random).slice(
+      0,
+      URGENT_FANOUT,
     );
   }
 
@@ -119,9 +140,10 @@
       isReady(this.context) ? ownAddress(this.context) : '',
       membership.self.peerAddress,
     );
+    const again = this.#probes.beginRound();
     membership.tick();
-    membership.targets().forEach(member => {
-      void this.#exchange(member.peerAddress, member);
+    [...again, ...membership.targets()].forEach(member => {
+      this.#ask(member.peerAddress, member);
     });
     this.#trySeeds();
     router.onInstances(membership.instances);
@@ -141,61 +163,81 @@
     settings.seeds
       .filter(seed => !known.has(seed) && seed !== membership.self.peerAddress)
       .forEach(seed => {
-        void this.#exchange(seed, null);
+        this.#ask(seed, null);
       });
   }
 
-  async #exchange(address: string, member: Member | null): Promise<void> {
+  #ask(address: string, member: Member | null): void {
+    const question = this.#probes.ask(address, member);
+    // What the other knows is not known here; its answer tells what it lacks.
+    this.#send(address, { question, answerTo: 0 }, null);
+  }
+
+  #send(address: string, numbers: DatagramNumbers, since: number | null): void {
+    const state = this.#state.tell(numbers, since);
+    this.#socket.send(GatewayState.encode(state).finish(), address);
+  }
+
+  #onDatagram(bytes: Uint8Array, from: string): void {
+    const state = this.#decode(bytes, from);
+    if (!state?.heartbeat) {
+      return;
+    }
+    const { question, answerTo, replicasVersion, heartbeat } = state;
+    this.#probes.onHeard(brand<InstanceId>(heartbeat.instance), answerTo);
+    if (question !== 0) {
+      this.#send(from, { question: 0, answerTo: question }, replicasVersion);
+    }
+    this.#state.take(state);
+  }
+
+  #decode(bytes: Uint8Array, from: string): GatewayState | null {
     try {
-      const reply = await this.#clients.exchange(
-        address,
-        this.#state.tell(null),
-      );
-      if (member) {
-        this.#failures.delete(member.id);
-      }
-      this.#state.take(reply, true);
+      return GatewayState.decode(bytes);
     } catch (err) {
-      this.#noteFailure(address, err);
-      this.#onFailure(member);
+      this.#noteFault(from, err);
+      return null;
     }
   }
 
-  /** A peer out of reach is the membership's matter; anything else is a fault of ours. */
-  #noteFailure(address: string, err: unknown): void {
-    const code = (err as Partial<ServiceError>).code;
-    if (code !== undefined && UNREACHABLE.includes(code)) {
+  #catchUp(address: string, how: CatchUp): void {
+    if (how === 'ask') {
+      if (!this.#probes.awaits(address)) {
+        this.#ask(address, null);
+      }
       return;
     }
-    const error = err instanceof Error ? err.message : String(err);
-    this.context.log.write('unexpectedError', { peer: address, error });
+    void this.#pull(address);
   }
 
-  #onFailure(member: Member | null): void {
-    if (!member) {
+  /**
+   * Pulls all that is lacking from a peer that is ahead.
+   *
+   * One at a time: after a change everybody who tells of it is ahead, and the
+   * same configuration would come several times.
+   */
+  async #pull(address: string): Promise<void> {
+    if (this.#pulling) {
       return;
     }
-    const failures = (this.#failures.get(member.id) ?? 0) + 1;
-    this.#failures.set(member.id, failures);
-    if (failures >= FAILURES_TO_SUSPECT) {
-      this.context.membership.onUnreachable(member.id);
-      return;
+    this.#pulling = true;
+    try {
+      const state = this.#state.tell(TELLING, null);
+      this.#state.take(await pullState(address, state));
+    } catch (err) {
+      // Whoever tells next of the change is asked next.
+      this.context.log.write('pullFailed', {
+        peer: address,
+        error: err instanceof Error ? err.message : String(err),
+      });
+    } finally {
+      this.#pulling = false;
     }
-    // The channel may have gone silent alone; asked again at once over a new
-    // one. In a large fleet its turn would come again only after many seconds.
-    void this.#exchange(member.peerAddress, member);
   }
 
-  /** Asks a peer that is ahead for what this instance lacks. */
-  #pull({ heartbeat }: proto.GatewayState): void {
-    const address = heartbeat?.peerAddress ?? '';
-    if (address === '' || this.#pulling.has(address)) {
-      return;
-    }
-    this.#pulling.add(address);
-    void this.#exchange(address, null).finally(() => {
-      this.#pulling.delete(address);
-    });
+  #noteFault(address: string, err: unknown): void {
+    const error = err instanceof Error ? err.message : String(err);
+    this.context.log.write('unexpectedError', { peer: address, error });
   }
 
   #noteStates(): void {
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -1,8 +1,9 @@
-import type { proto } from '@jujubecroft/operator';
+import type { ReplicaChanges } from '@jujubecroft/decisions';
+import type { proto } from '@jujubecroft/operator/peers';
 import {
   fromHeartbeatMessage,
   toHeartbeatMessage,
-} from '@jujubecroft/operator';
+} from '@jujubecroft/operator/peers';
 import type { InstanceId, RoutingConfiguration } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
@@ -18,42 +19,79 @@
   toUses,
 } from './gatewayState.js';
 
+/**
+ * Changes of replicas that a datagram carries, at most. Some 90 bytes each, so that
+ * a datagram stays far below what the network takes.
+ */
+const MAX_CHANGES = 24;
+
+/** How an instance catches up with one that knows more. */
+export type CatchUp = 'ask' | 'pull';
+
+/** What a datagram is about beside the state. */
+export interface DatagramNumbers {
+  /** Number of the question that is asked; 0 for none. */
+  readonly question: number;
+  /** Number of the question that is answered; 0 for none. */
+  readonly answerTo: number;
+}
+
+/** A datagram that tells, without a question or an answer. */
+export const TELLING: DatagramNumbers = { question: 0, answerTo: 0 };
+
 /** What one instance says to others, and takes in of what they say. */
 export class PeerState {
   /**
    * @param context - of the instance
    * @param view - takes in configuration and replicas
-   * @param onAhead - told of a peer that knows more than it said
+   * @param onAhead - told of a peer that knows more than it said, and how to
+   *   catch up with it
    */
   constructor(
     private readonly context: GatewayContext,
     private readonly view: FleetView,
-    private readonly onAhead: (state: proto.GatewayState) => void,
+    private readonly onAhead: (address: string, how: CatchUp) => void,
   ) {}
 
   /**
-   * @param theirs - state of the other side, where it is known
-   * @returns what this instance says, with what the other side lacks
+   * What this instance says in a datagram.
+   *
+   * @param numbers - of question and answer
+   * @param since - store version that the other's view of replicas is complete
+   *   for; null where it isn't known, and the newest changes are told
    */
-  tell(theirs: proto.GatewayState | null): proto.GatewayState {
+  tell(numbers: DatagramNumbers, since: number | null): proto.GatewayState {
+    const { replicas } = this.context.router.board;
+    return {
+      ...this.#state(
+        since === null
+          ? replicas.newestChanges(MAX_CHANGES)
+          : replicas.changesWithin(since, MAX_CHANGES),
+      ),
+      ...numbers,
+    };
+  }
+
+  /** All that another instance lacks, which may be too much for a datagram. */
+  tellAll(theirs: proto.GatewayState): proto.GatewayState {
+    const { board } = this.context.router;
+    const version = board.table?.cfg.version ?? 0;
+    const isAhead = version > theirs.configurationVersion;
+    return {
+      ...this.#state(board.replicas.changesSince(theirs.replicasVersion)),
+      configurationJson: isAhead ? JSON.stringify(board.table?.cfg) : '',
+    };
+  }
+
+  #state(changes: ReplicaChanges): proto.GatewayState {
     const { router, membership, clock } = this.context;
     const { board } = router;
     const nowMs = clock();
     const version = board.table?.cfg.version ?? 0;
-    const isAhead = theirs !== null && version > theirs.configurationVersion;
     const heartbeat = membership.message({
       revision: version,
       inFlight: router.inFlight,
     });
-    const changes =
-      theirs && theirs.replicasVersion < board.replicas.version
-        ? board.replicas.changesSince(theirs.replicasVersion)
-        : {
-            version: board.replicas.version,
-            ageMs: board.replicas.ageMs,
-            complete: false,
-            records: [],
-          };
     return {
       heartbeat: toHeartbeatMessage(heartbeat),
       configurationVersion: version,
@@ -61,9 +99,10 @@
       uses: toUses(router.ownUses),
       demands: toDemands(board.demand.own, route => board.lengths.seen(route)),
       reports: toReports(router.heardReports),
-      configurationJson: isAhead ? JSON.stringify(board.table?.cfg) : '',
+      configurationJson: '',
       ...toReplicaFields(changes, nowMs),
       replicasChangedAt: board.replicas.changedAt,
+      ...TELLING,
     };
   }
 
@@ -71,9 +110,8 @@
    * Takes in what another instance says, and asks for what it didn't send.
    *
    * @param state - of the other
-   * @param isReply - whether it holds all that this instance lacks
    */
-  take(state: proto.GatewayState, isReply: boolean): void {
+  take(state: proto.GatewayState): void {
     const { heartbeat } = state;
     if (!heartbeat) {
       return;
@@ -83,7 +121,7 @@
     const peer = brand<InstanceId>(heartbeat.instance);
     router.onPeerWork(peer, fromWork(state));
     this.#takeConfiguration(state, peer);
-    this.#takeReplicas(state, peer, isReply);
+    this.#takeReplicas(state, peer);
   }
 
   #takeConfiguration(state: proto.GatewayState, peer: InstanceId): void {
@@ -95,7 +133,7 @@
       return;
     }
     if (state.configurationVersion > known) {
-      this.onAhead(state);
+      this.#catchUp(state, 'pull');
       return;
     }
     if (state.configurationVersion === known && board.table) {
@@ -103,28 +141,31 @@
     }
   }
 
-  #takeReplicas(
-    state: proto.GatewayState,
-    peer: InstanceId,
-    isReply: boolean,
-  ): void {
+  #takeReplicas(state: proto.GatewayState, peer: InstanceId): void {
     const { router, clock } = this.context;
     const { replicas } = router.board;
-    if (state.replicasVersion <= replicas.version) {
+    const known = replicas.version;
+    if (state.replicasVersion <= known) {
       return;
     }
-    if (isReply) {
-      const changes = replicas.merge(fromReplicaFields(state, clock()));
-      this.view.onReplicas(changes, peer);
+    if (known > 0 && known >= state.replicasChangedAt) {
+      // Nothing has changed since; only the view is known to be younger.
+      replicas.confirm(state.replicasVersion, state.replicasAgeMs);
       return;
     }
-    if (state.replicasChangedAt > replicas.version) {
-      this.onAhead(state);
+    if (state.replicasComplete || (known > 0 && known >= state.replicasFrom)) {
+      const changes = replicas.merge(fromReplicaFields(state, clock()));
+      this.view.onReplicas(changes, peer);
       return;
     }
-    // Nothing has changed since; only the view is known to be younger.
-    if (replicas.version > 0) {
-      replicas.confirm(state.replicasVersion, state.replicasAgeMs);
+    // An answer holds what was lacking, if a datagram can.
+    this.#catchUp(state, state.answerTo === 0 ? 'ask' : 'pull');
+  }
+
+  #catchUp({ heartbeat }: proto.GatewayState, how: CatchUp): void {
+    const address = heartbeat?.peerAddress ?? '';
+    if (address !== '') {
+      this.onAhead(address, how);
     }
   }
 }
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -7,7 +7,7 @@
   RouteDemand,
   SeenLength,
 } from '@jujubecroft/decisions';
-import type { proto } from '@jujubecroft/operator';
+import type { proto } from '@jujubecroft/operator/peers';
 import type {
   BackendServerId,
   FailureDomainId,
@@ -91,12 +91,17 @@
   nowMs: number,
 ): Pick<
   proto.GatewayState,
-  'replicas' | 'replicasAgeMs' | 'replicasComplete' | 'replicasVersion'
+  | 'replicas'
+  | 'replicasAgeMs'
+  | 'replicasComplete'
+  | 'replicasFrom'
+  | 'replicasVersion'
 > {
   return {
     replicasVersion: changes.version,
     replicasAgeMs: finite(changes.ageMs),
     replicasComplete: changes.complete,
+    replicasFrom: changes.from,
     replicas: changes.records.map(record => toEntry(record, nowMs)),
   };
 }
@@ -116,6 +121,7 @@
     version: state.replicasVersion,
     ageMs: state.replicasAgeMs,
     complete: state.replicasComplete,
+    from: state.replicasFrom,
     records: state.replicas.map(entry => fromEntry(entry, nowMs)),
   };
 }
@@ -139,7 +145,7 @@
     backendServer: id,
     bornMs: bornMs ?? UNKNOWN_START,
     total,
-    ageMs,
+    ageMs: Math.round(ageMs),
   }));
 }
 
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@jujubecroft/testing';
-import { GatewayPeerService, GatewayState } from '@jujubecroft/operator';
+import { GatewayState } from '@jujubecroft/operator/peers';
 import type { BackendServerId, RouteId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
@@ -20,9 +20,7 @@
     // Instances suspect each other all the time and place prompts blindly as
     // soon as there is load: expected cache hits make the tokens still to be
     // read a fraction, which the message cannot hold, so no exchange goes out.
-    const { requestSerialize, requestDeserialize } =
-      GatewayPeerService.exchange;
-    const bytes = requestSerialize({
+    const message = GatewayState.encode({
       heartbeat: undefined,
       configurationVersion: 3,
       configurationAgeMs: finite(Infinity),
@@ -43,11 +41,19 @@
       configurationJson: '',
       replicasChangedAt: 4,
       ...toReplicaFields(
-        { version: 9, ageMs: Infinity, complete: true, records: [] },
+        {
+          version: 9,
+          ageMs: Infinity,
+          complete: true,
+          from: 0,
+          records: [],
+        },
         0,
       ),
+      question: 1,
+      answerTo: 0,
     });
-    const work = fromWork(requestDeserialize(bytes));
+    const work = fromWork(GatewayState.decode(message.finish()));
     t.deepEqual(work.uses[0]?.unreadByRank, [0, 5889, 88]);
     t.is(work.uses[0]?.bornMs, 1_764_000_000_123);
     t.is(work.demands[0]?.tokensPerS, 10.25);
@@ -70,6 +76,7 @@
       version: 9,
       ageMs: 20,
       complete: false,
+      from: 6,
       records: [
         { id, replica, bornMs, rowVersion: 8, changedAt: 7, goneAtMs: null },
         {
--- a/packages/instance/src/control/peerHandlers.ts
+++ b/packages/instance/src/control/peerHandlers.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import type { handleUnaryCall } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
+import type { proto as peers } from '@jujubecroft/operator/peers';
 import {
   fromHeartbeatMessage,
   toHeartbeatMessage,
@@ -44,8 +45,8 @@
   const { host, membership } = context;
 
   const heartbeat: handleUnaryCall<
-    proto.HeartbeatMessage,
-    proto.HeartbeatMessage
+    peers.HeartbeatMessage,
+    peers.HeartbeatMessage
   > = (call, callback) => {
     membership.onMessage(fromHeartbeatMessage(call.request));
     const reply = membership.message({
--- a/packages/instance/src/state/PeerConnections.ts
+++ b/packages/instance/src/state/PeerConnections.ts
@@ -1,6 +1,7 @@
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import { Metadata } from '@grpc/grpc-js';
 import type { proto } from '@jujubecroft/operator';
+import type { proto as peers } from '@jujubecroft/operator/peers';
 import { ClientCache, PeerClient, unary } from '@jujubecroft/operator';
 import type { Row, TableWrite } from '@jujubecroft/stores';
 
@@ -22,8 +23,8 @@
 
   heartbeat(
     address: string,
-    message: proto.HeartbeatMessage,
-  ): Promise<proto.HeartbeatMessage> {
+    message: peers.HeartbeatMessage,
+  ): Promise<peers.HeartbeatMessage> {
     const client = this.#clients.of(address);
     return unary(
       client.heartbeat.bind(client),
--- a/packages/operator/src/heartbeatMessages.ts
+++ b/packages/operator/src/heartbeatMessages.ts
@@ -2,7 +2,7 @@
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
-import type * as proto from './generated/jujubecroft.js';
+import type * as proto from './generated/peers.js';
 
 const STATES: readonly MemberState[] = ['live', 'suspect', 'leaving', 'failed'];
 
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -6,13 +6,10 @@
   toProtoKind,
 } from './entityMessages.js';
 export type * as proto from './generated/jujubecroft.js';
+export { HeartbeatMessage } from './generated/peers.js';
 export {
   DemandReport,
   EntityKind as ProtoEntityKind,
-  GatewayPeerClient,
-  GatewayPeerService,
-  GatewayState,
-  HeartbeatMessage,
   OperatorClient,
   OperatorService,
   PeerClient,
--- /dev/null
+++ b/packages/operator/src/peers.ts
@@ -0,0 +1,6 @@
+export type * as proto from './generated/peers.js';
+export { GatewayState, HeartbeatMessage } from './generated/peers.js';
+export {
+  fromHeartbeatMessage,
+  toHeartbeatMessage,
+} from './heartbeatMessages.js';
--- a/packages/soak/src/SoakFleet.ts
+++ b/packages/soak/src/SoakFleet.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 
 import { FaultLink } from './faults/FaultLink.js';
+import { PeerLink } from './faults/PeerLink.js';
 import { SoakProcess } from './processes/SoakProcess.js';
 import type { ReplicaNote, SoakBounds } from './evidence.js';
 import type {
@@ -53,7 +54,7 @@
   readonly host: string;
   readonly program: SoakProcess;
   readonly storeLink: FaultLink;
-  readonly peerLink: FaultLink;
+  readonly peerLink: PeerLink;
   /** Writes the settings file anew, with something that changes nothing. */
   readonly touchSettings: () => void;
 }
@@ -189,7 +190,7 @@
     const host = this.#host(index + 1);
     const storeLink = new FaultLink(this.store.host, this.store.port);
     const storePort = await storeLink.listen(STORE_HOST);
-    const peerLink = new FaultLink(host, PORTS.peers);
+    const peerLink = new PeerLink(host, PORTS.peers);
     const peerPort = await peerLink.listen(host);
     const peerAddress = `${host}:${peerPort}`;
     const seeds = this.gateways.slice(0, SEEDS).map(other => `${other.host}:1`);
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -7,6 +7,7 @@
 import { soakNow } from '../soakNow.js';
 import type { SoakProcess } from '../processes/SoakProcess.js';
 import type { FaultLink, LinkMode } from './FaultLink.js';
+import type { PeerLink } from './PeerLink.js';
 import { isPlanned, targetOf } from './faultTargets.js';
 import type { FaultKind, PlannedFault } from './planFaults.js';
 
@@ -98,7 +99,7 @@
 }
 
 function onLink(
-  linkOf: (world: FaultWorld, fault: PlannedFault) => FaultLink,
+  linkOf: (world: FaultWorld, fault: PlannedFault) => FaultLink | PeerLink,
   modeOf: (fault: PlannedFault) => LinkMode,
 ): Injector {
   return async (fault, world) => {
@@ -111,7 +112,7 @@
 
 const storeLinkOf = (world: FaultWorld, fault: PlannedFault): FaultLink =>
   gatewayOf(world, fault).storeLink;
-const peerLinkOf = (world: FaultWorld, fault: PlannedFault): FaultLink =>
+const peerLinkOf = (world: FaultWorld, fault: PlannedFault): PeerLink =>
   gatewayOf(world, fault).peerLink;
 const replicaLinkOf = (world: FaultWorld, fault: PlannedFault): FaultLink =>
   replicaOf(world, fault).link;
