perf(gateway): views are asked of readers before the store is; nothing looks where nothing is due

Cause: with 195 instances views are older than 1.8 s now and then, and each such instance read the store: 3,071 calls in 31 s, half of them beyond two readers and the starts. All instances named callers the same 64 of 195, in the order of the store's list. An idle instance woke up 55 times a second. Change: an instance whose view ages asks one of the readers, whom all agree on, by a datagram; how often they read follows the time in which a change must be in force. An instance that finds its own note in the store writes none. Addresses of others begin at a random place. Ruled out: a higher age before others read leaves too little time before a change must be in force.

--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -18,7 +18,7 @@
 export { GatewayRouter } from './GatewayRouter.js';
 export type { Match } from './matchRequest.js';
 export type { HeardReport, OwnUse, PeerWork } from './PeerWorkBook.js';
-export { rankOf, shouldRead } from './readDuty.js';
+export { rankOf, readAtAgeMs, readersOf, shouldAskReader } from './readDuty.js';
 export { leastBusy } from './placement/least-busy.js';
 export { toleranceSplit } from './placement/tolerance-split.js';
 export type { PlacedCandidate } from './placement/PlacementPolicy.js';
--- a/packages/decisions/src/gateway/readDuty.ts
+++ b/packages/decisions/src/gateway/readDuty.ts
@@ -1,9 +1,11 @@
 import type { InstanceId } from '@jujubecroft/types';
 
-import { byHash } from '../util/byHash.js';
+import { byHash, byHashed, hashed } from '../util/byHash.js';
 
 /** Instances that read the store all the time; the second covers the first. */
 const READERS = 2;
+/** Age of the view from which others ask a reader, as a share of that time. */
+const ASK_SHARE = 0.3;
 /**
  * Age of the view from which others read the store too, as a share of the time
  * in which changes must be in force.
@@ -26,28 +28,57 @@
 }
 
 /**
- * Says whether this instance should read the store itself now.
+ * The instances that read the store all the time, as all of them agree.
  *
- * A few instances read and tell the others. Guards against readers that die,
- * freeze or lose the store: it shows as an ageing view at the others, who then
- * read for themselves, one after the other.
+ * @param live - live instances
+ * @returns the readers, first one first
+ */
+export function readersOf(live: readonly InstanceId[]): readonly InstanceId[] {
+  return live
+    .map(id => ({ ...hashed(id), instance: id }))
+    .sort(byHashed)
+    .slice(0, READERS)
+    .map(({ instance }) => instance);
+}
+
+/**
+ * Says whether this instance should ask a reader for its view now.
+ *
+ * In a fleet of two hundred it takes two seconds or more until everybody has heard
+ * that nothing changed. A question to a reader costs the store nothing, and those
+ * who got an answer need not read themselves.
  *
  * @param rank - place of this instance, 0 first
  * @param ageMs - how long ago its view was known to be current
  * @param boundMs - time in which a change must be in force
- * @returns whether to read
+ * @returns whether to ask
  */
-export function shouldRead(
+export function shouldAskReader(
   rank: number,
   ageMs: number,
   boundMs: number,
 ): boolean {
+  return rank >= READERS && ageMs > ASK_SHARE * boundMs;
+}
+
+/**
+ * Age of the view from which an instance reads the store itself.
+ *
+ * A few instances read and tell the others. Guards against readers that die,
+ * freeze or lose the store: it shows as an ageing view at the others, who then
+ * read for themselves, one after the other.
+ *
+ * @param rank - place of the instance, 0 first
+ * @param boundMs - time in which a change must be in force
+ * @returns milliseconds; 0 for those that read all the time
+ */
+export function readAtAgeMs(rank: number, boundMs: number): number {
   if (rank < READERS) {
-    return true;
+    return 0;
   }
   const staggerMs = Math.min(
     MAX_STAGGER_SHARE * boundMs,
     (rank - READERS) * STAGGER_MS,
   );
-  return ageMs > STALE_SHARE * boundMs + staggerMs;
+  return STALE_SHARE * boundMs + staggerMs;
 }
--- a/packages/decisions/tests/gateway/readDuty.test.ts
+++ b/packages/decisions/tests/gateway/readDuty.test.ts
@@ -2,14 +2,37 @@
 import { brand } from '@jujubecroft/types';
 import { describe } from '@jujubecroft/testing';
 
-import { rankOf, shouldRead } from '../../src/gateway/readDuty.js';
+import {
+  rankOf,
+  readAtAgeMs,
+  readersOf,
+  shouldAskReader,
+} from '../../src/gateway/readDuty.js';
 
 const BOUND_MS = 3000;
 const FLEET = Array.from({ length: 60 }, (_, index) =>
   brand<InstanceId>(`entry-${index}`),
 );
 
+const shouldRead = (rank: number, ageMs: number, boundMs: number): boolean =>
+  ageMs >= readAtAgeMs(rank, boundMs);
+
 describe('readDuty', ({ it }) => {
+  // With two hundred instances most views were older than two seconds now and
+  // then, and each of those instances read the store: three thousand calls in half
+  // a minute, half of them for what any reader could have told.
+  it('names the same readers everywhere, whom others ask before they read', t => {
+    const readers = readersOf(FLEET);
+    t.deepEqual(readersOf([...FLEET].reverse()), readers);
+    FLEET.forEach(id => {
+      const rank = rankOf(id, FLEET);
+      t.is(readers.includes(id), readAtAgeMs(rank, BOUND_MS) === 0);
+      const askAtMs = 0.31 * BOUND_MS;
+      t.is(shouldAskReader(rank, askAtMs, BOUND_MS), !readers.includes(id));
+      t.false(!readers.includes(id) && shouldRead(rank, askAtMs, BOUND_MS));
+    });
+  });
+
   it('gives every instance a place of its own', t => {
     const ranks = FLEET.map(id => rankOf(id, FLEET)).sort((a, b) => a - b);
     t.deepEqual(
--- a/packages/gateway/src/side/chooseAddresses.ts
+++ b/packages/gateway/src/side/chooseAddresses.ts
@@ -1,3 +1,5 @@
+import { rotated } from '@jujubecroft/decisions';
+
 import type { GatewayContext } from '../GatewayContext.js';
 import { isReady, ownAddress } from '../GatewayContext.js';
 
@@ -10,7 +12,8 @@
 /**
  * Chooses the addresses that a caller may connect to.
  *
- * Suspects come last, and not at all while most of the fleet is sound: a caller
+ * Others begin at a random place, or of two hundred instances the same sixty would
+ * get all callers. Suspects come last, and not at all while most of the fleet is sound: a caller
  * that picks a dead one waits a second for its connection. Where most are suspects,
  * this instance is rather cut off itself, and names them all.
  *
@@ -26,8 +29,9 @@
   const live = serving.filter(({ state }) => state === 'live');
   const suspects = serving.filter(({ state }) => state === 'suspect');
   const isSound = live.length >= SOUND_SHARE * serving.length;
-  const others = [...live, ...(isSound ? [] : suspects)].map(
-    ({ callerAddress }) => callerAddress,
-  );
+  const others = [
+    ...rotated(live, context.router.board.random),
+    ...(isSound ? [] : suspects),
+  ].map(({ callerAddress }) => callerAddress);
   return [...own, ...others].slice(0, MAX_ADDRESSES);
 }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -138,7 +138,12 @@
   );
 }
 
-/** Meets other instances by the notes that they left in the store. */
+/**
+ * Meets other instances by the notes that they left in the store.
+ *
+ * An instance that starts again finds its own there, and writes none: two hundred
+ * that come back from a loss of power would press a store that all of them need.
+ */
 async function meetThroughStore(
   context: GatewayContext,
   store: DiscoveryStore,
@@ -146,14 +151,21 @@
   const { membership, log, settings } = context;
   const { self } = membership;
   try {
-    await store.announce({
-      id: self.instance,
-      failureDomain: self.failureDomain,
-      callerAddress: '',
-      peerAddress: self.peerAddress,
-      state: 'live',
-    });
-    membership.onList(await store.listInstances());
+    const listed = await store.listInstances();
+    membership.onList(listed);
+    const isAnnounced = listed.some(
+      ({ id, peerAddress }) =>
+        id === self.instance && peerAddress === self.peerAddress,
+    );
+    if (!isAnnounced) {
+      await store.announce({
+        id: self.instance,
+        failureDomain: self.failureDomain,
+        callerAddress: '',
+        peerAddress: self.peerAddress,
+        state: 'live',
+      });
+    }
   } catch (err) {
     // Seeds and heartbeats bring the instances together without the store.
     const error = err instanceof Error ? err.message : String(err);
@@ -216,7 +228,6 @@
   await peers.start();
   const sides = await listenSide(context, ports);
   void meetThroughStore(context, ports.store);
-  underWay.start();
   const housekeeping = setInterval(keepHouse, HOUSEKEEPING_MS);
   log.write('instanceStarted', { settings });
 
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -1,6 +1,13 @@
 import type { FastifyInstance } from 'fastify';
 import type { Member } from '@jujubecroft/decisions';
-import { MemberStateWatch, PeerProbes, rotated } from '@jujubecroft/decisions';
+import {
+  MemberStateWatch,
+  PeerProbes,
+  rankOf,
+  readersOf,
+  rotated,
+  shouldAskReader,
+} from '@jujubecroft/decisions';
 import { GatewayState } from '@jujubecroft/operator/peers';
 import type { InstanceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
@@ -146,6 +153,7 @@
       this.#ask(member.peerAddress, member);
     });
     this.#trySeeds();
+    this.#askReader();
     router.onInstances(membership.instances);
     metrics.members.set(membership.instances.length);
     this.#noteStates();
@@ -167,6 +175,28 @@
       });
   }
 
+  /** Asks an instance that reads the store, before this one has to read itself. */
+  #askReader(): void {
+    const { membership, router, settings, clock } = this.context;
+    const { board } = router;
+    const live = membership.instances;
+    const ageMs = Math.max(
+      board.replicas.ageMs,
+      clock() - board.configurationAsOfMs,
+    );
+    const rank = rankOf(membership.self.instance, live);
+    if (!shouldAskReader(rank, ageMs, settings.freshWithinMs)) {
+      return;
+    }
+    const readers = readersOf(live);
+    const reader = membership.serving
+      .filter(({ id }) => readers.includes(id))
+      .find(({ peerAddress }) => !this.#probes.awaits(peerAddress));
+    if (reader) {
+      this.#ask(reader.peerAddress, reader);
+    }
+  }
+
   #ask(address: string, member: Member | null): void {
     const question = this.#probes.ask(address, member);
     // What the other knows is not known here; its answer tells what it lacks.
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { rankOf, shouldRead } from '@jujubecroft/decisions';
+import { rankOf, readAtAgeMs } from '@jujubecroft/decisions';
 
 import type { GatewayContext } from '../GatewayContext.js';
 import type {
@@ -15,10 +15,16 @@
  * silent costs at most this, and the view must not be older than two seconds.
  */
 const WATCH_MS = 900;
-/** Time between reads of the replicas; entries change several times a second. */
-const REPLICAS_EVERY_MS = 550;
-/** Time between looks whether this instance has to read. */
-const IDLE_CHECK_MS = 100;
+/**
+ * Time between reads of the replicas, whose entries change several times a second,
+ * as a share of the time in which a change must be in force.
+ */
+const REPLICAS_EVERY_SHARE = 0.275;
+/** The longest such time; what leaves must be known while callers wait for it. */
+const MAX_REPLICAS_EVERY_MS = 1100;
+/** Bounds on the time until the next look whether this instance has to read. */
+const MIN_IDLE_MS = 50;
+const MAX_IDLE_MS = 500;
 /** Pause after a failed call; grows with the rank, so that few press a store that is away. */
 const FAILED_PAUSE_MS = 250;
 const RANK_PAUSE_MS = 50;
@@ -28,6 +34,14 @@
 /** Time in which live replicas are back after an outage; the platform says about two seconds. */
 const LAPSE_MS = 2500;
 
+/**
+ * Time until the next look. A view only ages, so nothing is due before; somebody
+ * who reads may be gone meanwhile, which is noticed at the next look.
+ */
+function pauseUntil(dueInMs: number): number {
+  return Math.min(MAX_IDLE_MS, Math.max(MIN_IDLE_MS, dueInMs));
+}
+
 type StoreCall = 'configuration' | 'replicas';
 
 /** Reads configuration and replicas from the store, when it is this instance's turn. */
@@ -68,9 +82,18 @@
     return rankOf(membership.self.instance, membership.instances);
   }
 
-  #isDue(ageMs: number): boolean {
+  /** Time until a view of this age is to be read anew; 0 where that is due. */
+  #dueInMs(ageMs: number): number {
     const { freshWithinMs } = this.context.settings;
-    return shouldRead(this.#rank, ageMs, freshWithinMs);
+    return Math.max(0, readAtAgeMs(this.#rank, freshWithinMs) - ageMs);
+  }
+
+  get #replicasEveryMs(): number {
+    const { freshWithinMs } = this.context.settings;
+    return Math.min(
+      MAX_REPLICAS_EVERY_MS,
+      REPLICAS_EVERY_SHARE * freshWithinMs,
+    );
   }
 
   get #failedPauseMs(): number {
@@ -81,8 +104,9 @@
   async #stepConfiguration(): Promise<number> {
     const { board } = this.context.router;
     const ageMs = this.context.clock() - board.configurationAsOfMs;
-    if (board.table && !this.#isDue(ageMs)) {
-      return IDLE_CHECK_MS;
+    const dueInMs = board.table ? this.#dueInMs(ageMs) : 0;
+    if (dueInMs > 0) {
+      return pauseUntil(dueInMs);
     }
     const done = await this.#call('configuration', () =>
       this.#readConfiguration(),
@@ -92,12 +116,12 @@
 
   async #stepReplicas(): Promise<number> {
     const { replicas } = this.context.router.board;
-    const isKnown = replicas.version > 0;
-    if (isKnown && !this.#isDue(replicas.ageMs)) {
-      return IDLE_CHECK_MS;
+    const dueInMs = replicas.version > 0 ? this.#dueInMs(replicas.ageMs) : 0;
+    if (dueInMs > 0) {
+      return pauseUntil(dueInMs);
     }
     const done = await this.#call('replicas', () => this.#readReplicas());
-    return done ? REPLICAS_EVERY_MS : this.#failedPauseMs;
+    return done ? this.#replicasEveryMs : this.#failedPauseMs;
   }
 
   async #readConfiguration(): Promise<void> {
