fix(gateway): a fleet that waits for its first configuration leaves the store alone

Cause: while there was no configuration every instance asked for it all the time, 1.1 calls a second each; and a view of replicas was not known to be younger where a peer had the same version. Change: that there is none is news as well, which readers tell; views of the same version confirm each other. Test: 'does not press the store while there is no configuration' failed before.

--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -136,7 +136,7 @@
       this.#catchUp(state, 'pull');
       return;
     }
-    if (state.configurationVersion === known && board.table) {
+    if (state.configurationVersion === known) {
       this.view.onConfiguration(null, state.configurationAgeMs, peer);
     }
   }
@@ -145,7 +145,7 @@
     const { router, clock } = this.context;
     const { replicas } = router.board;
     const known = replicas.version;
-    if (state.replicasVersion <= known) {
+    if (state.replicasVersion < known) {
       return;
     }
     if (known > 0 && known >= state.replicasChangedAt) {
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -104,7 +104,9 @@
   async #stepConfiguration(): Promise<number> {
     const { board } = this.context.router;
     const ageMs = this.context.clock() - board.configurationAsOfMs;
-    const dueInMs = board.table ? this.#dueInMs(ageMs) : 0;
+    // Also before the first configuration is written, or all of a fleet that waits
+    // for it would ask for it all the time.
+    const dueInMs = this.#dueInMs(ageMs);
     if (dueInMs > 0) {
       return pauseUntil(dueInMs);
     }
