--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -7,6 +7,7 @@
 
 import type { BackendConnections } from './backends/BackendConnections.js';
 import type { GatewaySettings } from './GatewaySettings.js';
+import type { LoopDelays } from './LoopDelays.js';
 import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
 
@@ -20,6 +21,7 @@
   readonly dialect: CallerDialect;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
+  readonly delays: LoopDelays;
   readonly clock: () => number;
   /** Whether a stop was asked for. */
   leaving: boolean;
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -64,6 +64,23 @@
     labelNames: ['call', 'result'] as const,
     registers: this.#registers,
   });
+  readonly peerMessages = new Counter({
+    name: 'jujubecroft_gateway_peer_messages_total',
+    help: 'Messages to other instances: questions, answers, news told, pulls.',
+    labelNames: ['kind'] as const,
+    registers: this.#registers,
+  });
+  readonly loopDelay = new Gauge({
+    name: 'jujubecroft_gateway_event_loop_delay_seconds',
+    help: 'Longest time by which a timer was late since the last reading.',
+    registers: this.#registers,
+  });
+  readonly memory = new Gauge({
+    name: 'jujubecroft_gateway_memory_bytes',
+    help: 'Memory of the process: resident, and used of the heap.',
+    labelNames: ['part'] as const,
+    registers: this.#registers,
+  });
   readonly viewAge = new Gauge({
     name: 'jujubecroft_gateway_view_age_seconds',
     help: 'How long ago a view was known to be current.',
--- a/packages/gateway/src/side/serveMetrics.ts
+++ b/packages/gateway/src/side/serveMetrics.ts
@@ -5,8 +5,12 @@
 const MS_PER_SECOND = 1000;
 
 /** Gauges are set when somebody reads them. */
-function refresh({ router, metrics, clock }: GatewayContext): void {
+function refresh({ router, metrics, clock, delays }: GatewayContext): void {
   const { board } = router;
+  const { rss, heapUsed } = process.memoryUsage();
+  metrics.memory.set({ part: 'resident' }, rss);
+  metrics.memory.set({ part: 'heap' }, heapUsed);
+  metrics.loopDelay.set(delays.takeLongestMs() / MS_PER_SECOND);
   metrics.viewAge.set(
     { view: 'replicas' },
     board.replicas.ageMs / MS_PER_SECOND,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -20,6 +20,7 @@
 import type { GatewayContext } from './GatewayContext.js';
 import { isReady } from './GatewayContext.js';
 import type { GatewaySettings, ListenAddress } from './GatewaySettings.js';
+import { LoopDelays } from './LoopDelays.js';
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
 import type { DiscoveryStore } from './ports/DiscoveryStore.js';
@@ -101,6 +102,7 @@
     dialect: ports.dialect,
     metrics: new GatewayMetrics(),
     log,
+    delays: new LoopDelays(clock, HOUSEKEEPING_MS),
     clock,
     leaving: false,
     stopPlan: null,
@@ -205,6 +207,7 @@
 
   const keepHouse = (): void => {
     const { replicas } = context.router.board;
+    context.delays.note();
     view.onReplicas(replicas.tick(), 'lapse');
     verdicts.look();
     const stillMs = stoodStillMs();
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -44,6 +44,13 @@
 /** Rounds between tries of seeds that are not known as members. */
 const SEED_EVERY_ROUNDS = 4;
 
+function kindOf({ question, answerTo }: DatagramNumbers): string {
+  if (question !== 0) {
+    return 'question';
+  }
+  return answerTo === 0 ? 'news' : 'answer';
+}
+
 /** Keeps instances in touch: membership, configuration, replicas and use. */
 export class PeerLoop {
   readonly #socket: PeerSocket;
@@ -204,6 +211,7 @@
   }
 
   #send(address: string, numbers: DatagramNumbers, since: number | null): void {
+    this.context.metrics.peerMessages.inc({ kind: kindOf(numbers) });
     const state = this.#state.tell(numbers, since);
     this.#socket.send(GatewayState.encode(state).finish(), address);
   }
@@ -251,6 +259,7 @@
       return;
     }
     this.#pulling = true;
+    this.context.metrics.peerMessages.inc({ kind: 'pull' });
     try {
       const state = this.#state.tell(TELLING, null);
       this.#state.take(await pullState(address, state));
