--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -164,7 +164,20 @@
     };
   }
 
-  /** Takes over the changes of another instance. */
+  /**
+   * Whether nothing is missing between this view and some changes.
+   *
+   * Merged all the same, a view would count as complete for a version although it
+   * has never heard of a replica that left before the oldest of the changes.
+   */
+  connects({
+    complete,
+    from,
+  }: Pick<ReplicaChanges, 'complete' | 'from'>): boolean {
+    return complete || (this.#version > 0 && this.#version >= from);
+  }
+
+  /** Takes over the changes of another instance, which connect to this view. */
   merge(changes: ReplicaChanges): readonly ReplicaChange[] {
     const merged = changes.records.flatMap(record => this.#mergeRecord(record));
     const dropped = changes.complete ? this.#dropUnlisted(changes) : [];
--- a/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
+++ b/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
@@ -3,7 +3,7 @@
 import type { BackendServerId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
-import type { ReplicaRow } from '../../src/index.js';
+import type { ReplicaChanges, ReplicaRow } from '../../src/index.js';
 import { ReplicaRegistry } from '../../src/index.js';
 import { manualClock, replica } from './helpers/gatewayFixture.js';
 
@@ -44,6 +44,23 @@
     t.is(registry.version, 8);
   });
 
+  // A replica leaves while an instance is out of touch. A datagram that tells of the
+  // newest changes alone must not make its view count as complete: it would go on
+  // sending to the replica, and nobody would tell it again.
+  it('takes no changes that leave a gap', t => {
+    const source = new ReplicaRegistry(manualClock().now);
+    source.applyRows([row('a', 1), row('b', 2)], 2, 0);
+    const behind = new ReplicaRegistry(manualClock().now);
+    behind.merge(source.changesSince(0));
+    source.applyRows([row('a', 3, true), row('c', 4), row('d', 5)], 5, 0);
+    const newest = source.newestChanges(2);
+    t.is(newest.from, 3);
+    t.false(behind.connects(newest));
+    t.true(behind.connects(source.newestChanges(3)));
+    t.true(behind.connects(source.changesWithin(behind.version, 3)));
+    t.false(behind.connects(source.changesWithin(behind.version, 2)));
+  });
+
   group('after an outage of the store', ({ it: case_ }) => {
     // Users get refusals though all replicas live: the store was away, entries
     // ran out meanwhile and come back within seconds of its return.
@@ -155,6 +172,7 @@
             to: fc.integer({ min: 0, max: 3 }),
             reads: fc.boolean(),
             repeat: fc.boolean(),
+            told: fc.constantFrom('all', 'few', 'newest'),
           }),
           { maxLength: 60 },
         ),
@@ -175,7 +193,19 @@
               .map(({ id }) => id as string)
               .sort();
           };
-          steps.forEach(({ from, to, reads, repeat }, index) => {
+          const changesOf = (
+            source: ReplicaRegistry,
+            told: string,
+            since: number,
+          ): ReplicaChanges => {
+            if (told === 'newest') {
+              return source.newestChanges(2);
+            }
+            return told === 'few'
+              ? source.changesWithin(since, 2)
+              : source.changesSince(since);
+          };
+          steps.forEach(({ from, to, reads, repeat, told }, index) => {
             const target = views[to];
             const source = views[from];
             if (!target || !source) {
@@ -188,7 +218,10 @@
                 .filter(entry => entry.rowVersion > target.version);
               target.applyRows(fresh, Math.max(target.version, upTo), 0);
             } else if (source.version > target.version) {
-              const changes = source.changesSince(target.version);
+              const changes = changesOf(source, told, target.version);
+              if (!target.connects(changes)) {
+                return;
+              }
               target.merge(changes);
               if (repeat) {
                 target.merge(changes);
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -153,9 +153,9 @@
       replicas.confirm(state.replicasVersion, state.replicasAgeMs);
       return;
     }
-    if (state.replicasComplete || (known > 0 && known >= state.replicasFrom)) {
-      const changes = replicas.merge(fromReplicaFields(state, clock()));
-      this.view.onReplicas(changes, peer);
+    const told = fromReplicaFields(state, clock());
+    if (replicas.connects(told)) {
+      this.view.onReplicas(replicas.merge(told), peer);
       return;
     }
     // An answer holds what was lacking, if a datagram can.
