--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -17,6 +17,7 @@
 /** Code of a reset, other than the system's own. */
 const RESET_CODE = 'RESET_BY_SERVER';
 
+/** How the connections to one server are opened. */
 export interface KeepAliveOptions {
   readonly maxConnections: number;
   /** Bound on opening a connection, in milliseconds. */
--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -134,6 +134,11 @@
     req.on('socket', onSocket);
     req.on('response', onAnswer);
     req.on('error', fail);
+    // Whatever ends a connection, a request that waits for nothing would be kept
+    // until its caller gives up.
+    req.once('close', () => {
+      fail(new Error('closed before the answer was whole'));
+    });
     req.end(call.body ?? undefined);
   } catch (err) {
     const reason = err instanceof Error ? err.message : String(err);
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -8,6 +8,7 @@
 import type { GatewayContext } from '../GatewayContext.js';
 import type { CallerHead } from '../ports/CallerDialect.js';
 import { readBody } from './readBody.js';
+import { nextTurn } from '../util/nextTurn.js';
 import type { RequestsUnderWay } from './RequestsUnderWay.js';
 
 type Matched = Extract<Match, { kind: 'matched' }>;
@@ -18,9 +19,6 @@
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_MAX_HEAD_BYTES = 16 * 1024;
 
-const nextTurn = (): Promise<void> =>
-  new Promise(resolve => setImmediate(resolve));
-
 /**
  * Waits until the end of a connection was read, if it has come.
  *
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -8,6 +8,7 @@
   ReplicaRead,
 } from '../ports/DiscoveryStore.js';
 import { HISTORY_GONE } from '../ports/DiscoveryStore.js';
+import { nextTurn } from '../util/nextTurn.js';
 import type { FleetView } from './FleetView.js';
 
 /**
@@ -74,6 +75,8 @@
     while (!this.#stopped) {
       const pauseMs = await step();
       await sleep(pauseMs);
+      // News of peers may wait to be read; then the store need not be asked.
+      await nextTurn();
     }
   }
 
