--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -46,7 +46,7 @@
  * Opens and keeps the connections to one server.
  *
  * The runtime's own client is used, since its parser is there from the start: the
- * HTTP client library compiles one at its first answer, which took 250 ms of
+ * HTTP client library compiles one at its first answer, which took 300 ms of
  * processor time and 9 MB in each process (median of seven starts).
  */
 export class KeepAliveAgent extends Agent {
