perf(gateway): questions carry no changes of replicas

Cause: each question told the newest 24 changes, some 90 bytes each, which are news only once. Change: changes go with urgent news and with answers, as far as the asker lacks them; who hears of a later change in a question asks back, as before.

--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -206,8 +206,10 @@
 
   #ask(address: string, member: Member | null): void {
     const question = this.#probes.ask(address, member);
-    // What the other knows is not known here; its answer tells what it lacks.
-    this.#send(address, { question, answerTo: 0 }, null);
+    // Changes are news, and told as such; whoever missed them asks back. Sent with
+    // each question they would be two thirds of its bytes.
+    const { version } = this.context.router.board.replicas;
+    this.#send(address, { question, answerTo: 0 }, version);
   }
 
   #send(address: string, numbers: DatagramNumbers, since: number | null): void {
