feat(gateway): log lines tell what a lost request has in common with its repeats

Callers saw 502 and cut answers from engine after engine.

Change: a fingerprint of organisation, method, target and body; attemptFailed bears it with the backend server. It is worked out when first asked for, so a request that succeeds costs nothing.

--- a/packages/bench/src/gateway/ReplayCallers.ts
+++ b/packages/bench/src/gateway/ReplayCallers.ts
@@ -3,7 +3,11 @@
   GatewayRouter,
   Match,
 } from '@jujubecroft/decisions';
-import type { RequestId, RoutedOrganisation } from '@jujubecroft/types';
+import type {
+  RequestFingerprint,
+  RequestId,
+  RoutedOrganisation,
+} from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
 import type { BurstKind } from './burstLoad.js';
@@ -45,8 +49,9 @@
     this.#requests += 1;
     const thing = Math.floor(this.random() * things * this.shape.scale);
     const own = this.#drawOwn(ownTokens);
+    const name = `q-${this.#requests}`;
     return {
-      id: brand<RequestId>(`q-${this.#requests}`),
+      id: brand<RequestId>(name),
       route,
       service,
       organisation: organisation?.id ?? null,
@@ -63,6 +68,7 @@
       arrivedMs: nowMs,
       deadlineMs: nowMs + route.timeoutMs,
       cameBack: false,
+      fingerprint: () => brand<RequestFingerprint>(name),
     };
   }
 
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -2,6 +2,7 @@
   OrganisationId,
   PromptFacts,
   Replica,
+  RequestFingerprint,
   RequestId,
   Route,
   RoutedService,
@@ -30,6 +31,8 @@
   readonly deadlineMs: number;
   /** Whether the caller was turned away before, as far as its time left tells. */
   readonly cameBack: boolean;
+  /** Works out the fingerprint of its content, which is seldom needed. */
+  readonly fingerprint: () => RequestFingerprint;
 }
 
 /** One request at one replica. */
--- a/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
+++ b/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
@@ -4,6 +4,7 @@
   InstanceId,
   PromptPart,
   Replica,
+  RequestFingerprint,
   RequestId,
   Route,
   RouteId,
@@ -173,6 +174,7 @@
         arrivedMs: clock.now(),
         deadlineMs: clock.now() + of.timeoutMs,
         cameBack: false,
+        fingerprint: () => brand<RequestFingerprint>(`f-${count}`),
         ...overrides,
       };
     },
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -3,6 +3,7 @@
   GatewayAttempt,
   GatewayRequest,
   PlacedCandidate,
+  PlacementDecision,
   Recovery,
   WithdrawReason,
 } from '@jujubecroft/decisions';
@@ -30,6 +31,13 @@
   readonly body: Buffer | null;
 }
 
+type SendDecision = Extract<PlacementDecision, { kind: 'send' }>;
+
+interface TriedAttempt {
+  readonly attempt: GatewayAttempt;
+  readonly result: AttemptResult;
+}
+
 /** Told by an instance that stops; callers find another at once. */
 const LEAVING_RETRY_MS = 50;
 
@@ -129,7 +137,7 @@
       });
       return false;
     }
-    const result = await this.#try(decision.placed, decision.candidates);
+    const { attempt, result } = await this.#try(decision);
     if (result.kind === 'answered') {
       this.#notes.answered(result.status, this.#progress);
       return false;
@@ -139,7 +147,7 @@
       unsent: this.#unsent,
       mayHaveRun: this.#mayHaveRun,
     });
-    this.#notes.failed(result, recovery, this.#sent);
+    this.#notes.failed(attempt, result, recovery, this.#sent);
     return this.#follow(recovery);
   }
 
@@ -152,10 +160,7 @@
     );
   }
 
-  async #try(
-    placed: PlacedCandidate,
-    candidates: number,
-  ): Promise<AttemptResult> {
+  async #try({ placed, candidates }: SendDecision): Promise<TriedAttempt> {
     const { router, connections, lease, metrics } = this.context;
     const { request } = this;
     const { replica } = placed.load;
@@ -199,7 +204,7 @@
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     this.#count(result, replica.id);
-    return result;
+    return { attempt, result };
   }
 
   /** Pauses count from one replica to the next as well, as the caller sees them. */
--- a/packages/gateway/src/forward/RequestNotes.ts
+++ b/packages/gateway/src/forward/RequestNotes.ts
@@ -126,7 +126,12 @@
   }
 
   /** An attempt gave no answer for the caller. */
-  failed(result: AttemptResult, recovery: Recovery, sent: number): void {
+  failed(
+    { load }: GatewayAttempt,
+    result: AttemptResult,
+    recovery: Recovery,
+    sent: number,
+  ): void {
     const { context, request } = this;
     const service = request.service.id;
     if (recovery.kind === 'retry') {
@@ -134,6 +139,8 @@
     }
     context.log.write('attemptFailed', {
       request: request.id,
+      fingerprint: request.fingerprint(),
+      backendServer: load.replica.id,
       result: result.kind,
       ...('reason' in result ? { reason: result.reason } : {}),
       ...('status' in result ? { status: result.status } : {}),
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -3,13 +3,15 @@
 import type { RequestId, ResultCodeId } from '@jujubecroft/types';
 
 import { CallerAnswer } from '../forward/CallerAnswer.js';
+import { fingerprintOf } from '../forward/fingerprintOf.js';
+import type { IncomingCall } from '../forward/ForwardedRequest.js';
 import { ForwardedRequest } from '../forward/ForwardedRequest.js';
 import { ownAnswer } from '../forward/ownAnswer.js';
 import { BEHIND_RETRY_MS } from '../forward/placeOnView.js';
 import type { GatewayContext } from '../GatewayContext.js';
-import type { CallerHead } from '../ports/CallerDialect.js';
-import { readBody } from './readBody.js';
 import { nextTurn } from '../util/nextTurn.js';
+import { once } from '../util/once.js';
+import { readBody } from './readBody.js';
 import type { RequestsUnderWay } from './RequestsUnderWay.js';
 
 type Matched = Extract<Match, { kind: 'matched' }>;
@@ -68,11 +70,12 @@
 
 function toGatewayRequest(
   context: GatewayContext,
-  head: CallerHead,
+  call: IncomingCall,
   id: RequestId,
   { route, service, organisation, priority }: Matched,
   arrivedMs: number,
 ): GatewayRequest {
+  const { head } = call;
   const timeLeftMs = head.timeLeftMs ?? route.timeoutMs;
   return {
     id,
@@ -84,6 +87,7 @@
     arrivedMs,
     deadlineMs: arrivedMs + Math.min(route.timeoutMs, timeLeftMs),
     cameBack: context.router.cameBack(route, timeLeftMs),
+    fingerprint: once(() => fingerprintOf(call, organisation?.id ?? null)),
   };
 }
 
@@ -139,18 +143,19 @@
     refuse(context, res, match.code, head.id, { path });
     return;
   }
-  const request = toGatewayRequest(context, head, head.id, match, arrivedMs);
+  const call: IncomingCall = {
+    method: req.method ?? 'GET',
+    target,
+    headers: req.rawHeaders,
+    head,
+    body: read.body,
+  };
+  const request = toGatewayRequest(context, call, head.id, match, arrivedMs);
   router.onRequest(request);
   const forwarded = new ForwardedRequest(
     context,
     request,
-    {
-      method: req.method ?? 'GET',
-      target,
-      headers: req.rawHeaders,
-      head,
-      body: read.body,
-    },
+    call,
     new CallerAnswer(res, () => context.leaving),
   );
   const onClose = (): void => {
--- a/packages/types/src/brand.ts
+++ b/packages/types/src/brand.ts
@@ -10,6 +10,8 @@
 export type ModelId = Brand<string, 'ModelId'>;
 export type OrganisationId = Brand<string, 'OrganisationId'>;
 export type RequestId = Brand<string, 'RequestId'>;
+/** Same for requests of one caller with the same method, target and body. */
+export type RequestFingerprint = Brand<string, 'RequestFingerprint'>;
 export type RouteId = Brand<string, 'RouteId'>;
 export type ServiceId = Brand<string, 'ServiceId'>;
 
