--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -1,5 +1,15 @@
-import type { GatewayRequest, PlacedCandidate } from '@jujubecroft/decisions';
-import type { BackendServerId, RequestId } from '@jujubecroft/types';
+import type {
+  AttemptResult,
+  GatewayAttempt,
+  GatewayRequest,
+  PlacedCandidate,
+  PlacementDecision,
+} from '@jujubecroft/decisions';
+import type {
+  BackendServerId,
+  RequestFingerprint,
+  RequestId,
+} from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
 
 import { placeOnView } from '../../src/forward/placeOnView.js';
@@ -44,6 +54,24 @@
   readonly answerMs?: number;
 }
 
+/** How a request went out, or why it did not. */
+export type Asked =
+  | { readonly kind: 'refused'; readonly code: string }
+  | {
+      readonly kind: 'sent';
+      readonly replica: BackendServerId;
+      readonly ended: Promise<AttemptResult>;
+    };
+
+/** Time after a crash until the entry of a replica lapses, and another has started. */
+const LAPSE_MS = 3000;
+
+interface Flight {
+  readonly context: GatewayContext;
+  readonly attempt: GatewayAttempt;
+  readonly settle: (result: AttemptResult) => void;
+}
+
 /** A request as it went out. */
 export interface Sent {
   readonly atMs: number;
@@ -71,6 +99,8 @@
   readonly instances: readonly VirtualInstance[];
   readonly #peers: VirtualPeers;
   readonly #random: () => number;
+  readonly #flights = new Set<Flight>();
+  readonly #crashed = new Set<BackendServerId>();
   #requests = 0;
   #configurations = 1;
 
@@ -179,19 +209,59 @@
       REQUEST_EVERY_MS * (0.5 + this.#random()),
       () => {
         this.#request(name, process, context);
-        void this.#place(name, context);
+        this.#requests += 1;
+        void this.#ask(name, context, this.#freshContent());
       },
       process,
       'read',
     );
   }
 
-  async #place(name: string, context: GatewayContext): Promise<void> {
+  /** Content that no other request has. */
+  #freshContent(): RequestFingerprint {
+    return brand<RequestFingerprint>(
+      this.#requests.toString(16).padStart(16, '0'),
+    );
+  }
+
+  /**
+   * Sends a request to an instance.
+   *
+   * @param index - of the instance
+   * @param content - what its repeats have in common
+   */
+  async ask(index: number, content: RequestFingerprint): Promise<Asked> {
+    const instance = this.instances[index];
+    if (!instance) {
+      throw new Error(`there is no instance ${index}`);
+    }
+    this.#requests += 1;
+    return this.#ask(instance.name, instance.context, content);
+  }
+
+  async #ask(
+    name: string,
+    context: GatewayContext,
+    content: RequestFingerprint,
+  ): Promise<Asked> {
+    const decision = await this.#place(name, context, content);
+    if (decision?.kind !== 'send') {
+      return { kind: 'refused', code: decision?.code ?? 'noRoutingKnown' };
+    }
+    const replica = decision.placed.load.replica.id;
+    const ended = this.#run(context, decision.request, decision.placed);
+    return { kind: 'sent', replica, ended };
+  }
+
+  async #place(
+    name: string,
+    context: GatewayContext,
+    content: RequestFingerprint,
+  ): Promise<(PlacementDecision & { request: GatewayRequest }) | null> {
     const service = context.router.board.table?.service(SERVICE);
     if (!service) {
-      return;
+      return null;
     }
-    this.#requests += 1;
     const request: GatewayRequest = {
       id: brand<RequestId>(`q-${this.#requests}`),
       route: ROUTE,
@@ -202,6 +272,7 @@
       arrivedMs: this.time.nowMs,
       deadlineMs: this.time.nowMs + TIME_LIMIT_MS,
       cameBack: false,
+      fingerprint: () => content,
     };
     const decision = await placeOnView(context, request, new Set());
     if (decision.kind === 'send') {
@@ -214,27 +285,67 @@
         );
       const viewAgeMs = context.router.board.replicas.ageMs;
       this.sent.push({ atMs, instance: name, missedLeaveMs, viewAgeMs });
-      this.#run(context, request, decision.placed);
     } else if (decision.code === 'viewOutdated') {
       this.behind += 1;
     }
+    return { ...decision, request };
   }
 
   /** Lets a request run at its replica for a while. */
-  #run(
-    { router }: GatewayContext,
+  async #run(
+    context: GatewayContext,
     request: GatewayRequest,
     placed: PlacedCandidate,
-  ): void {
+  ): Promise<AttemptResult> {
     const { answerMs } = this.conditions;
+    const answered: AttemptResult = { kind: 'answered', status: 200 };
     if (answerMs === undefined) {
-      return;
+      return answered;
     }
+    const { router } = context;
     const attempt = router.begin(request, placed, 1);
-    this.time.after(answerMs, () => {
-      router.onReported(attempt, { running: 3, waiting: 0, slots: 64 });
-      router.onEnded(attempt, { kind: 'answered', status: 200 });
+    const result = await new Promise<AttemptResult>(settle => {
+      if (this.#crashed.has(placed.load.replica.id)) {
+        settle({ kind: 'unsent', reason: 'connection refused' });
+        return;
+      }
+      const flight = { context, attempt, settle };
+      this.#flights.add(flight);
+      this.time.after(answerMs, () => {
+        if (this.#flights.delete(flight)) {
+          router.onReported(attempt, { running: 3, waiting: 0, slots: 64 });
+          settle(answered);
+        }
+      });
+    });
+    router.onEnded(attempt, result);
+    return result;
+  }
+
+  /** Whether a replica has crashed. */
+  hasCrashed(id: BackendServerId): boolean {
+    return this.#crashed.has(id);
+  }
+
+  /**
+   * Ends a replica with all that runs there; its entry lapses, and another one starts.
+   *
+   * @returns requests that were lost with it
+   */
+  crash(id: BackendServerId): number {
+    this.#crashed.add(id);
+    const lost = [...this.#flights].filter(
+      ({ attempt }) => attempt.load.replica.id === id,
+    );
+    lost.forEach(flight => {
+      this.#flights.delete(flight);
+      flight.settle({ kind: 'lost', reason: 'socket hang up' });
+    });
+    this.time.after(LAPSE_MS, () => {
+      this.store.remove(id);
+      this.store.put(replicaNamed(`${id}-again`));
     });
+    return lost.length;
   }
 }
 
--- a/packages/gateway/tests/helpers/VirtualStore.ts
+++ b/packages/gateway/tests/helpers/VirtualStore.ts
@@ -70,6 +70,11 @@
     }
   }
 
+  remove(id: BackendServerId): void {
+    this.#version += 1;
+    this.#rows.set(id, { id, rowVersion: this.#version, replica: null });
+  }
+
   /** Puts a configuration; whoever watches it is told at once. */
   configure(cfg: RoutingConfiguration): void {
     this.#version += 1;
