feat(gateway): the limit that a backend server names is read and logged

The header is decoded at the platform's edge, kept for each backend server and logged when it changes (replicaLimited). No decision uses it yet.

The long tests in virtual time run one after the other, so that each tells its verdict when it has one.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -86,6 +86,13 @@
   readonly atMs: number;
 }
 
+/** What a replica said of the requests that it takes, on the local clock. */
+export interface NamedLimit {
+  /** Requests a second from all instances together; null for no limit. */
+  readonly perS: number | null;
+  readonly atMs: number;
+}
+
 /** Time for which a reported load says something of the present. */
 const REPORT_MAX_AGE_MS = 1000;
 /** Stands for all priorities where a replica serves in the order of arrival. */
@@ -119,6 +126,7 @@
   paceMs = PRIOR_PACE_MS;
   lastByteMs = -Infinity;
   #report: TimedReport | null = null;
+  #limit: NamedLimit | null = null;
   readonly #slowness = new Map<number, number>();
 
   constructor(
@@ -234,6 +242,18 @@
     }
   }
 
+  /** What the replica last said of its limit; null where nothing was heard. */
+  get limit(): NamedLimit | null {
+    return this.#limit;
+  }
+
+  /** Takes in what the replica says of its limit, if that is newer. */
+  onLimit(limit: NamedLimit): void {
+    if (limit.atMs >= (this.#limit?.atMs ?? -Infinity)) {
+      this.#limit = limit;
+    }
+  }
+
   /** Notes the first byte of an attempt, for those that were sent before it. */
   onFirstByte(first: GatewayAttempt): void {
     [...this.attempts]
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -183,6 +183,16 @@
     attempt.load.onReported(reported);
   }
 
+  /**
+   * Notes the limit that a replica named with an answer.
+   *
+   * @param attempt - that it answers
+   * @param perS - requests a second from all instances; null where it named none
+   */
+  onLimit({ load }: GatewayAttempt, perS: number | null): void {
+    load.onLimit({ perS, atMs: this.board.clock() });
+  }
+
   /** Notes how an attempt ended. */
   onEnded(attempt: GatewayAttempt, result: AttemptResult): void {
     noteEnd(this.board, attempt, result);
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -98,6 +98,12 @@
     level: 'error',
     summary: 'The entry of a backend server could not be read; it is not used.',
   },
+  replicaLimited: {
+    number: 306,
+    level: 'info',
+    summary:
+      'A backend server names or changes the requests a second that it takes, or takes any number again.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
--- a/packages/gateway/src/forward/AnswerAssembly.ts
+++ b/packages/gateway/src/forward/AnswerAssembly.ts
@@ -55,6 +55,11 @@
     return this.#head?.load ?? null;
   }
 
+  /** Requests a second that the replica takes; null where it names no limit. */
+  get limitPerS(): number | null {
+    return this.#head?.limitPerS ?? null;
+  }
+
   /** Whether the body goes to the caller as it comes. */
   get relays(): boolean {
     return this.#relays;
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -235,6 +235,7 @@
 
   #onHead(attempt: GatewayAttempt, assembly: AnswerAssembly): true {
     const { router } = this.context;
+    router.onLimit(attempt, assembly.limitPerS);
     if (assembly.load) {
       router.onReported(attempt, assembly.load);
     }
--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -47,6 +47,11 @@
   readonly notRun: boolean;
   /** Null where the answer tells no load. */
   readonly load: ReportedLoad | null;
+  /**
+   * Requests a second that the backend server takes from all instances together;
+   * null where it names no limit.
+   */
+  readonly limitPerS: number | null;
 }
 
 /**
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '@jujubecroft/events';
 
 import { CrashWatch } from './backends/CrashWatch.js';
+import { LimitWatch } from './backends/LimitWatch.js';
 import { VerdictWatch } from './backends/VerdictWatch.js';
 import { createContext, HOUSEKEEPING_MS } from './createContext.js';
 import type { Front } from './front/createFront.js';
@@ -149,6 +150,7 @@
   );
   const verdicts = new VerdictWatch(context.router.board, log);
   const crashes = new CrashWatch(context.router.board, log);
+  const limits = new LimitWatch(context.router.board, log);
   const stoodStillMs = createWakeUpWatch(clock);
   let wasReady = false;
 
@@ -158,6 +160,7 @@
     view.onReplicas(replicas.tick(), 'lapse');
     verdicts.look();
     crashes.look();
+    limits.look();
     const stillMs = stoodStillMs();
     if (stillMs > 0) {
       log.write('wokeUp', { stoodStillMs: Math.round(stillMs) });
--- a/packages/gateway/tests/state/crashesInForce.test.ts
+++ b/packages/gateway/tests/state/crashesInForce.test.ts
@@ -72,14 +72,16 @@
 
 // Guards against a request that crashes one replica after another: it came again at other
 // instances under new ids, and nobody knew what had run at the replicas that ended.
-describe('a request that crashed three replicas is not sent on', ({ it }) => {
+describe('a request that crashed three replicas is not sent on', ({
+  itAlone,
+}) => {
   const cases = [
     { instances: 6, contactMs: 3000, seeds: [1, 2, 3, 4] },
     { instances: 60, contactMs: 4000, seeds: [1, 2] },
     { instances: 195, contactMs: 5000, seeds: [1] },
   ];
   cases.forEach(({ instances, contactMs, seeds }) => {
-    it(`at ${instances} instances`, async t => {
+    itAlone(`at ${instances} instances`, async t => {
       for (const seed of seeds) {
         const outcome = await repeatCrashing({ instances, seed }, contactMs);
         t.true(outcome.crashes >= 3);
--- a/packages/gateway/tests/state/innocentsOfCrashes.test.ts
+++ b/packages/gateway/tests/state/innocentsOfCrashes.test.ts
@@ -73,10 +73,10 @@
 // Guards against refusing normal traffic for crashes that it has nothing to do with: half
 // of the replicas and then all of them crash under it at one moment, and some follow soon.
 describe('what is lost with several replicas is not held against it', ({
-  it,
+  itAlone,
 }) => {
   [6, 60].forEach(instances => {
-    it(`at ${instances} instances`, async t => {
+    itAlone(`at ${instances} instances`, async t => {
       const codes = await crashUnder(instances);
       t.true(codes.filter(code => code === 'lost').length > 20);
       t.is(codes.filter(code => code === 'crashesBackends').length, 0);
