--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -66,6 +66,18 @@
 /** Time after a crash until the entry of a replica lapses, and another has started. */
 const LAPSE_MS = 3000;
 
+/** A request that reached a replica. */
+export interface Arrival {
+  readonly atMs: number;
+  /** When its answer came; infinite before. */
+  answeredAtMs: number;
+  /** Whether the answer named a limit. */
+  toldLimit: boolean;
+  readonly instance: string;
+  readonly replica: BackendServerId;
+  readonly priority: number;
+}
+
 interface Flight {
   readonly context: GatewayContext;
   readonly attempt: GatewayAttempt;
@@ -100,6 +112,9 @@
   readonly #peers: VirtualPeers;
   readonly #random: () => number;
   readonly #flights = new Set<Flight>();
+  readonly #limits = new Map<BackendServerId, number | null>();
+  /** Requests that reached a replica. */
+  readonly arrivals: Arrival[] = [];
   readonly #crashed = new Set<BackendServerId>();
   #requests = 0;
   #configurations = 1;
@@ -309,10 +324,23 @@
         settle({ kind: 'unsent', reason: 'connection refused' });
         return;
       }
+      const arrival: Arrival = {
+        atMs: this.time.nowMs,
+        answeredAtMs: Infinity,
+        toldLimit: false,
+        instance: context.settings.instance,
+        replica: placed.load.replica.id,
+        priority: request.priority,
+      };
+      this.arrivals.push(arrival);
       const flight = { context, attempt, settle };
       this.#flights.add(flight);
       this.time.after(answerMs, () => {
         if (this.#flights.delete(flight)) {
+          const perS = this.#limits.get(placed.load.replica.id) ?? null;
+          router.onLimit(attempt, perS);
+          arrival.toldLimit = perS !== null;
+          arrival.answeredAtMs = this.time.nowMs;
           router.onReported(attempt, { running: 3, waiting: 0, slots: 64 });
           settle(answered);
         }
@@ -322,6 +350,15 @@
     return result;
   }
 
+  /**
+   * Lets a replica name a limit with each answer from now on.
+   *
+   * @param perS - requests a second; null for none any more
+   */
+  limit(id: BackendServerId, perS: number | null): void {
+    this.#limits.set(id, perS);
+  }
+
   /** Whether a replica has crashed. */
   hasCrashed(id: BackendServerId): boolean {
     return this.#crashed.has(id);
