fix(decisions): the limit that a replica names is kept by all instances together

What callers saw: nothing yet. The replica in need got 76 requests in four seconds where 31 were allowed, and would have failed them in earnest.

Cause: nobody read its word; and a limit that each instance keeps alone is passed by as many times as there are instances. Evidence: arrivals before and after the limit are the same at all instances; no second tries among them.

Change: ReplicaLimits. A few instances, about one for each request a second, share a limit by orders that all agree on, evenly spread; each has a bucket that saves up two requests and begins empty. All attempts count. The rest go elsewhere or are refused at once with a time to come back, the less urgent first. Changes are told to the others at once. Groups of tolerance-split are made of unlimited replicas, so that a limit is seen as lost capacity.

Why it works: what can come at once is four seconds of the limit and two for each sender, which is below the bound by five and more for any limit; a new sender's first token takes longer than news of the change.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -242,14 +242,25 @@
     }
   }
 
-  /** What the replica last said of its limit; null where nothing was heard. */
+  /** What the replica last said of its limit; null where it never named one. */
   get limit(): NamedLimit | null {
     return this.#limit;
   }
 
-  /** Takes in what the replica says of its limit, if that is newer. */
+  /** Requests a second that it takes from all instances; null for no limit. */
+  get limitPerS(): number | null {
+    return this.#limit?.perS ?? null;
+  }
+
+  /**
+   * Takes in what the replica says of its limit, if that is newer.
+   *
+   * A replica that never named one has none; the end of a limit keeps its moment.
+   */
   onLimit(limit: NamedLimit): void {
-    if (limit.atMs >= (this.#limit?.atMs ?? -Infinity)) {
+    const known = this.#limit;
+    const isNews = limit.perS !== null || this.limitPerS !== null;
+    if (isNews && limit.atMs >= (known?.atMs ?? -Infinity)) {
       this.#limit = limit;
     }
   }
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -11,6 +11,7 @@
 import { ConfigurationHistory } from './ConfigurationHistory.js';
 import { CrashLedger } from './crashes/CrashLedger.js';
 import { EngineEstimator } from './EngineEstimator.js';
+import { ReplicaLimits } from './limits/ReplicaLimits.js';
 import { RetryGain } from './recovery/RetryGain.js';
 import { ReplicaRegistry } from './ReplicaRegistry.js';
 import type { RetryBudgetRules } from './RetryBudget.js';
@@ -43,6 +44,7 @@
   readonly failureDomain: FailureDomainId;
   readonly budget: RetryBudget;
   readonly crashes: CrashLedger;
+  readonly limits: ReplicaLimits;
   readonly demand: DemandBook;
   readonly lengths: AnswerLengths;
   readonly retryGain: RetryGain;
@@ -76,6 +78,7 @@
 export function createGatewayBoard(options: GatewayBoardOptions): GatewayBoard {
   const { clock, random, instance, failureDomain, retryBudget } = options;
   const storeClock = new StoreClock(clock);
+  const replicas = new ReplicaRegistry(storeClock);
   return {
     clock,
     random,
@@ -83,11 +86,12 @@
     failureDomain,
     budget: new RetryBudget(retryBudget, clock),
     crashes: new CrashLedger(clock),
+    limits: new ReplicaLimits({ instance, clock, replicas }),
     demand: new DemandBook(clock),
     lengths: new AnswerLengths(),
     retryGain: new RetryGain(),
     storeClock,
-    replicas: new ReplicaRegistry(storeClock),
+    replicas,
     backends: new Map(),
     earlierRuns: new Set(),
     learning: new Map(),
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -190,7 +190,7 @@
    * @param perS - requests a second from all instances; null where it named none
    */
   onLimit({ load }: GatewayAttempt, perS: number | null): void {
-    load.onLimit({ perS, atMs: this.board.clock() });
+    this.board.limits.onAnswer(load, { perS, atMs: this.board.clock() });
   }
 
   /** Notes how an attempt ended. */
@@ -295,6 +295,7 @@
   onInstances(live: readonly InstanceId[]): void {
     this.board.instances = Math.max(1, live.length);
     this.board.budget.onInstances(this.board.instances);
+    this.board.limits.onInstances(live);
     this.#peerWork.keepOnly(live);
   }
 }
--- a/packages/decisions/src/gateway/attemptNotes.ts
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -53,6 +53,7 @@
     lastByteMs: null,
   };
   load.attempts.add(attempt);
+  board.limits.take(load);
   load.health.onSent();
   if (request.prompt) {
     load.memory.onRead(request.prompt.parts);
@@ -113,6 +114,9 @@
 ): void {
   const { load, request } = attempt;
   load.attempts.delete(attempt);
+  if (result.kind === 'unsent') {
+    board.limits.giveBack(load);
+  }
   if (request.prompt) {
     board.demand.onEnded(request.route.id);
   }
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -31,6 +31,8 @@
   readAtAgeMs,
   readersOf,
 } from './readDuty.js';
+export type { LimitReport } from './limits/limitNews.js';
+export { limitNews, takeLimits } from './limits/limitNews.js';
 export { leastBusy } from './placement/least-busy.js';
 export { toleranceSplit } from './placement/tolerance-split.js';
 export type { PlacedCandidate } from './placement/PlacementPolicy.js';
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -44,8 +44,24 @@
       readonly candidates: number;
     };
 
+/** A caller that comes back sooner would find nothing changed. */
+const MIN_RETRY_MS = 50;
 /** Told when no replica can be used; replicas mostly return within a second. */
 const NO_BACKEND_RETRY_MS = 600;
+/** When a replica is likely to take the request, in milliseconds. */
+function roomInMs(
+  { limits }: GatewayBoard,
+  { priority }: GatewayRequest,
+  candidates: readonly BackendLoad[],
+): number {
+  const waits = candidates
+    .map(load => limits.waitMs(load, priority))
+    .filter(waitMs => waitMs > 0 && waitMs < Infinity);
+  return waits.length > 0
+    ? Math.max(MIN_RETRY_MS, Math.min(...waits))
+    : NO_BACKEND_RETRY_MS;
+}
+
 /** Refuses what has crashed several replicas; coming back sooner is of no use. */
 function refuseCrashing(
   { crashes }: GatewayBoard,
@@ -126,7 +142,7 @@
     return {
       kind: 'refuse',
       code: 'noBackendServer',
-      retryAfterMs: NO_BACKEND_RETRY_MS,
+      retryAfterMs: roomInMs(board, request, untried),
       verdict: null,
       best: null,
       candidates: 0,
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -163,9 +163,14 @@
     const ranked = [...candidates].sort((a, b) =>
       byHashed(a.hashedId, b.hashedId),
     );
-    const { own, others } = segmentsFor(request, ranked);
-    const base = own.length > 0 ? own : ranked;
-    const prepared = prepare(request, base, ranked, isDeferred);
+    // Groups are made of replicas that can serve them all the time. Whatever a limited
+    // one takes is welcome to all, but it comes and goes from one request to the next.
+    const free = ranked.filter(({ limitPerS }) => limitPerS === null);
+    const limited = ranked.filter(load => !free.includes(load));
+    const { own, others } = segmentsFor(request, free);
+    const settled = own.length > 0 ? own : ranked;
+    const base = own.length > 0 ? [...own, ...limited] : ranked;
+    const prepared = prepare(request, settled, ranked, isDeferred);
     const placed = base.map(load => judge(request, load, prepared));
     const mixed = (own.length > 0 ? others : []).map(load => {
       const candidate = judge(request, load, prepared);
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -115,7 +115,10 @@
   candidates: readonly BackendLoad[],
 ): readonly BackendLoad[] {
   const share = connectionShare(board, request);
-  const open = candidates.filter(({ inFlight }) => inFlight < share);
+  const open = candidates.filter(
+    load =>
+      load.inFlight < share && board.limits.mayTake(load, request.priority),
+  );
   const speaking = open.filter(
     load => !hasFallenSilent(board, load) && !losesAnswers(board, load),
   );
@@ -147,7 +150,10 @@
     board.budget.left(service.id) >= 1 &&
     crashesOf(board, request).length < CAUTIOUS_CRASHES &&
     candidatesOf(board, service.id).some(
-      other => other !== load && !hasFallenSilent(board, other),
+      other =>
+        other !== load &&
+        !hasFallenSilent(board, other) &&
+        board.limits.mayTake(other, request.priority),
     )
   );
 }
--- a/packages/gateway/src/backends/LimitWatch.ts
+++ b/packages/gateway/src/backends/LimitWatch.ts
@@ -13,8 +13,7 @@
 
   /** Looks for changes since the last call. */
   look(): void {
-    this.board.backends.forEach(({ replica, limit }) => {
-      const perS = limit?.perS ?? null;
+    this.board.backends.forEach(({ replica, limitPerS: perS }) => {
       const before = this.#known.get(replica.id) ?? null;
       if (perS === before) {
         return;
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -1,4 +1,5 @@
 import type { ReplicaChanges } from '@jujubecroft/decisions';
+import { limitNews, takeLimits } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator/peers';
 import {
   fromHeartbeatMessage,
@@ -18,10 +19,12 @@
 import { fromCrashFields, toCrashFields } from './crashMessage.js';
 import type { FleetView } from './FleetView.js';
 import {
+  fromLimits,
   fromMoment,
   fromReplicaFields,
   fromWork,
   toDemands,
+  toLimits,
   toMoment,
   toReplicaFields,
   toReports,
@@ -165,6 +168,7 @@
       ...toReplicaFields(changes),
       replicasChangedAt: board.replicas.changedAt,
       ...toCrashFields(board.crashes.news),
+      limits: toLimits(limitNews(board)),
       ...purpose,
     };
   }
@@ -199,6 +203,7 @@
       router.onPeerWork(peer, fromWork(state));
     }
     router.board.crashes.onPeer(fromCrashFields(state));
+    takeLimits(router.board, fromLimits(state.limits));
     this.#takeMoments(state, askedMs);
     this.#takeConfiguration(state, peer);
     this.#takeReplicas(state, peer);
--- a/packages/gateway/src/state/createSync.ts
+++ b/packages/gateway/src/state/createSync.ts
@@ -35,8 +35,11 @@
   const view = new FleetView(context, onLimits);
   const reader = new StoreReader(context, store, view);
   const peers = new PeerLoop(context, view, link);
-  context.router.board.crashes.onNews(() => {
-    peers.spread();
+  const { crashes, limits } = context.router.board;
+  [crashes, limits].forEach(source => {
+    source.onNews(() => {
+      peers.spread();
+    });
   });
   context.lease.renewBy(() => {
     peers.askReader();
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -1,5 +1,6 @@
 import type {
   HeardReport,
+  LimitReport,
   OwnUse,
   PeerWork,
   ReplicaChanges,
@@ -21,6 +22,8 @@
 const STANDS = -1;
 /** Told in place of a moment that isn't known, or was never. */
 const NO_MOMENT = -1;
+/** Told where a replica names no limit any more. */
+const NO_LIMIT = -1;
 /** Told where the start of a run is not known. */
 const UNKNOWN_START = 0;
 /** A removed entry; its other fields mean nothing. */
@@ -139,6 +142,28 @@
   }));
 }
 
+/** @returns the message fields of the limits that replicas name */
+export function toLimits(limits: readonly LimitReport[]): proto.BackendLimit[] {
+  return limits.map(({ id, bornMs, perS, ageMs }) => ({
+    backendServer: id,
+    bornMs: bornMs ?? UNKNOWN_START,
+    perS: perS ?? NO_LIMIT,
+    ageMs: Math.round(ageMs),
+  }));
+}
+
+/** @returns the limits that a message tells of */
+export function fromLimits(
+  limits: readonly proto.BackendLimit[],
+): readonly LimitReport[] {
+  return limits.map(limit => ({
+    id: brand<BackendServerId>(limit.backendServer),
+    bornMs: startOf(limit),
+    perS: limit.perS < 0 ? null : limit.perS,
+    ageMs: limit.ageMs,
+  }));
+}
+
 /** @returns the message fields of what each route brings to this instance */
 export function toDemands(
   demands: readonly RouteDemand[],
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -43,6 +43,7 @@
       })),
       ...NO_CONFIGURATION,
       ...toCrashFields({ crashes: [], cleared: [] }),
+      limits: [],
       replicasChangedAt: 4,
       ...toReplicaFields({
         version: 9,
