--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -100,6 +100,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Requests a second that it takes from all gateways; null for any number. */
+  readonly limitPerS: number | null;
 }
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -2,6 +2,7 @@
 import { Client, request } from 'undici';
 import { createRandom } from '@jujubecroft/types';
 
+import type { WorkOrder } from './answers.js';
 import type { CallerWorld, SoakEntry } from './callers/SoakCaller.js';
 import { exchange, SoakCaller } from './callers/SoakCaller.js';
 import type {
@@ -34,6 +35,13 @@
 /** Tells the load's random numbers apart from those of the faults. */
 const LOAD_SEED = 0x5eed;
 const OK = 200;
+const CRASHING_EVERY_MS = 500;
+const CRASHING: WorkOrder = {
+  workMs: 60,
+  events: 0,
+  gapMs: 0,
+  crashes: true,
+};
 
 /** One run of the soak over a fleet that was started. */
 export class SoakRun {
@@ -238,6 +246,44 @@
       : null;
   }
 
+  /** Repeats one request at any gateway, and starts the replicas again that it ends. */
+  async #repeatCrashing(forMs: number): Promise<void> {
+    const untilMs = soakNow() + forMs;
+    while (soakNow() < untilMs) {
+      const entry = this.#chooseEntry();
+      if (entry) {
+        void this.#sendCrashing(entry);
+      }
+      await sleep(CRASHING_EVERY_MS * 2 * this.#random());
+      this.fleet.replicas.forEach(({ program }) => {
+        program.start();
+      });
+    }
+  }
+
+  async #sendCrashing(entry: SoakEntry): Promise<void> {
+    const client = new Client(`http://${entry.address}`);
+    const { answer } = await exchange(
+      client,
+      this.#callerWorld(),
+      {
+        id: this.#nextId(),
+        kind: 'safe',
+        gateway: entry.gateway,
+        incarnation: entry.incarnation,
+        sentMs: soakNow(),
+        timeLimitMs: PROBE_LIMIT_MS,
+        target: '/safe/crash',
+        body: JSON.stringify(CRASHING),
+        organisation: 'org-1',
+        version: null,
+      },
+      PROBE_LIMIT_MS,
+    );
+    this.#answers.set(answer.id, answer);
+    await client.destroy();
+  }
+
   #faultWorld(): FaultWorld {
     return {
       fleet: this.fleet,
@@ -248,6 +294,7 @@
       addKey: () => {
         this.#operator.addKey();
       },
+      repeatCrashing: forMs => this.#repeatCrashing(forMs),
       burst: forMs => {
         const callers = Array.from({ length: BURST_CALLERS }, () =>
           this.#addCaller(BURST_THINK_MS, true),
--- a/packages/soak/src/answers.ts
+++ b/packages/soak/src/answers.ts
@@ -7,6 +7,8 @@
   readonly events: number;
   /** Time between them. */
   readonly gapMs: number;
+  /** Whether it ends the process that runs it; no where omitted. */
+  readonly crashes?: boolean | undefined;
 }
 
 const MIN_CHARS = 200;
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -69,8 +69,16 @@
       readonly atMs: number;
       /** Whether the whole answer was written before. */
       readonly whole: boolean;
+    }
+  | {
+      readonly type: 'limit';
+      readonly replica: string;
+      readonly atMs: number;
+      /** Requests a second that it names from now on; null for any number. */
+      readonly perS: number | null;
     };
 
+export type LimitNote = Extract<ReplicaNote, { type: 'limit' }>;
 export type GotNote = Extract<ReplicaNote, { type: 'got' }>;
 export type ClosedNote = Extract<ReplicaNote, { type: 'closed' }>;
 
--- a/packages/soak/src/faults/faultTargets.ts
+++ b/packages/soak/src/faults/faultTargets.ts
@@ -38,6 +38,9 @@
   ) {
     return { what: 'configuration', index: null };
   }
+  if (kind === 'crashing-request') {
+    return { what: 'replica', index: null };
+  }
   if (kind.startsWith('replica')) {
     return { what: 'replica', index: target % fleet.replicas.length };
   }
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -19,6 +19,8 @@
   readonly changeConfiguration: () => void;
   /** Gives an organisation another key. */
   readonly addKey: () => void;
+  /** Repeats a request that ends each replica that runs it. */
+  readonly repeatCrashing: (forMs: number) => Promise<void>;
   /** Lets more callers come for a while. */
   readonly burst: (forMs: number) => void;
 }
@@ -38,6 +40,7 @@
 const STORM_GAP_MS = 120;
 const ROLLING_GAP_MS = 400;
 const MAX_DELAY_MS = 400;
+const MAX_LIMIT_PER_S = 6;
 /** A replica goes on serving this much longer than it must. */
 const LINGER_MS = 500;
 
@@ -159,6 +162,7 @@
       await sleep(STORM_GAP_MS);
     }
   },
+  'crashing-request': ({ forMs }, world) => world.repeatCrashing(forMs),
   'gateway-cut': async (fault, world) => {
     const { storeLink, peerLink } = gatewayOf(world, fault);
     const mode = cutMode(fault);
@@ -228,6 +232,12 @@
   'replica-grey': replicaFault('grey'),
   'replica-kill': (fault, world) =>
     kill(replicaOf(world, fault).program, fault.forMs),
+  'replica-limit': async (fault, world) => {
+    const { program } = replicaOf(world, fault);
+    program.tell({ order: 'limit', perS: MAX_LIMIT_PER_S * fault.strength });
+    await sleep(fault.forMs);
+    program.tell({ order: 'limit', perS: null });
+  },
   'replica-link-delay': onLink(replicaLinkOf, delayMode),
   'replica-link-reset': atOnce((world, fault) => {
     replicaLinkOf(world, fault).resetAll();
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -1,7 +1,8 @@
+import murmurhash from 'murmurhash';
 import { createRandom } from '@jujubecroft/types';
 
-/** Everything that a soak does to the programs. */
-export const FAULT_KINDS = [
+/** What comes in many, and is over soon. */
+const SHORT_KINDS = [
   'burst',
   'configuration-change',
   'configuration-storm',
@@ -36,6 +37,12 @@
   'store-slow',
 ] as const;
 
+/** What lasts for longer, and is planned apart from all else. */
+const LONG_KINDS = ['crashing-request', 'replica-limit'] as const;
+
+/** Everything that a soak does to the programs. */
+export const FAULT_KINDS = [...SHORT_KINDS, ...LONG_KINDS] as const;
+
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
 /** One fault of a plan. */
@@ -63,6 +70,10 @@
 const MAX_AGAIN_GAP_MS = 1200;
 /** Kinds of one plan; few at a time make combinations deep rather than thin. */
 const KINDS_AT_ONCE = 7;
+/** Chance that a run has one of the longer faults. */
+const LONG_CHANCE = 0.4;
+/** Long enough for bounds that begin with the time to be in touch. */
+const LONG_MS = 9000;
 const TARGETS = 1000;
 
 function pickKinds(
@@ -76,6 +87,28 @@
     .map(({ kind }) => kind);
 }
 
+/** Draws the longer faults of one run. */
+function planLong(
+  seed: number,
+  lastMs: number,
+  from: readonly FaultKind[],
+): readonly PlannedFault[] {
+  // Numbers of their own, so that a seed's other faults stay what they were.
+  const random = createRandom(murmurhash.v3(`long ${seed}`));
+  const roomMs = lastMs - QUIET_MS - LONG_MS;
+  return LONG_KINDS.flatMap(kind => {
+    const isDrawn = random() < LONG_CHANCE;
+    const fault = {
+      kind,
+      atMs: QUIET_MS + roomMs * random(),
+      forMs: LONG_MS,
+      target: Math.floor(random() * TARGETS),
+      strength: random(),
+    };
+    return isDrawn && roomMs > 0 && from.includes(kind) ? [fault] : [];
+  });
+}
+
 /**
  * Draws the faults of one run.
  *
@@ -90,7 +123,10 @@
   from: readonly FaultKind[] = FAULT_KINDS,
 ): readonly PlannedFault[] {
   const random = createRandom(seed);
-  const kinds = pickKinds(random, from);
+  const kinds = pickKinds(
+    random,
+    SHORT_KINDS.filter(kind => from.includes(kind)),
+  );
   const lastMs = seconds * 1000 - CALM_MS;
   const faults: PlannedFault[] = [];
   const add = (kind: FaultKind, atMs: number, target: number): void => {
@@ -113,5 +149,7 @@
     }
     atMs += -Math.log(1 - random()) * MEAN_GAP_MS;
   }
-  return faults.sort((a, b) => a.atMs - b.atMs);
+  return [...faults, ...planLong(seed, lastMs, from)].sort(
+    (a, b) => a.atMs - b.atMs,
+  );
 }
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -22,7 +22,8 @@
       readonly announces: boolean;
       readonly forMs: number;
     }
-  | { readonly order: 'fault'; readonly fault: ReplicaFault };
+  | { readonly order: 'fault'; readonly fault: ReplicaFault }
+  | { readonly order: 'limit'; readonly perS: number | null };
 
 const SLOTS = 12;
 /** Requests that may wait for a slot; more are turned away. */
@@ -43,6 +44,7 @@
   #fault: ReplicaFault = 'well';
   #running = 0;
   #leaving = false;
+  #limitPerS: number | null = null;
   #sequence = 0;
 
   constructor(
@@ -78,6 +80,13 @@
       this.#fault = order.fault;
       return;
     }
+    if (order.order === 'limit') {
+      const { perS } = order;
+      this.#limitPerS = perS;
+      const { replica } = this.place;
+      this.#note({ type: 'limit', replica, atMs: soakNow(), perS });
+      return;
+    }
     this.#leaving = true;
     this.#sequence += 1;
     const state = order.announces ? 'leaving' : 'removed';
@@ -179,10 +188,14 @@
     const mark = `${this.place.replica}/${id}`;
     const isBad = this.#fault !== 'well' && this.#random() < BAD_SHARE;
     await this.#pause(work.workMs, res);
+    if (work.crashes === true) {
+      process.exit(1);
+    }
     const load = {
       running: this.#running,
       waiting: this.#queue.length,
       slots: SLOTS,
+      limitPerS: this.#limitPerS,
     };
     const headers = this.dialect.answerHeaders(head, mark, load);
     if (isBad && this.#misbehave(headers, res)) {
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -3,8 +3,10 @@
 import { boundedRetries } from './bounded-retries.js';
 import { cancelledWork } from './cancelled-work.js';
 import { configurationInForce } from './configuration-in-force.js';
+import { crashingRequests } from './crashing-requests.js';
 import { gracefulStops } from './graceful-stops.js';
 import { leavingReplicas } from './leaving-replicas.js';
+import { replicaLimits } from './replica-limits.js';
 import { servesAgain } from './serves-again.js';
 import type { SoakPromise } from './SoakPromise.js';
 import { trueRefusals } from './true-refusals.js';
@@ -18,8 +20,10 @@
   boundedRetries,
   cancelledWork,
   configurationInForce,
+  crashingRequests,
   gracefulStops,
   leavingReplicas,
+  replicaLimits,
   servesAgain,
   trueRefusals,
   unchangedRequests,
--- a/packages/soak/src/workOf.ts
+++ b/packages/soak/src/workOf.ts
@@ -6,6 +6,7 @@
   workMs: z.number(),
   events: z.number(),
   gapMs: z.number(),
+  crashes: z.boolean().optional(),
 });
 
 /** A probe without a body asks for an answer at once. */
--- a/packages/soak/tests/faults/planFaults.test.ts
+++ b/packages/soak/tests/faults/planFaults.test.ts
@@ -1,8 +1,13 @@
 import { describe } from '@jujubecroft/testing';
 
-import { CALM_MS, planFaults } from '../../src/faults/planFaults.js';
+import {
+  CALM_MS,
+  FAULT_KINDS,
+  planFaults,
+} from '../../src/faults/planFaults.js';
 
 const SECONDS = 40;
+const LONG: readonly string[] = ['crashing-request', 'replica-limit'];
 const SEEDS = Array.from({ length: 100 }, (_, index) => index + 1);
 
 describe('planFaults', ({ it }) => {
@@ -34,6 +39,19 @@
     t.true(again.length > SEEDS.length / 2);
   });
 
+  it('draws the longer faults apart from the others', t => {
+    const short = FAULT_KINDS.filter(kind => !LONG.includes(kind));
+    const withLong = SEEDS.map(seed => planFaults(seed, SECONDS));
+    const without = SEEDS.map(seed => planFaults(seed, SECONDS, short));
+    t.deepEqual(
+      withLong.map(plan => plan.filter(({ kind }) => !LONG.includes(kind))),
+      without,
+    );
+    LONG.forEach(long => {
+      t.true(withLong.some(plan => plan.some(({ kind }) => kind === long)));
+    });
+  });
+
   it('draws only from the kinds that it is given', t => {
     const plan = planFaults(3, SECONDS, ['gateway-kill', 'store-away']);
     t.true(plan.length > 0);
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -27,6 +27,24 @@
 const stream = sentOf('q-3', 'resumable');
 const gateway0 = { what: 'gateway', index: 0 } as const;
 
+/** A request that ends whatever runs it, repeated once a second. */
+const crashing = Array.from({ length: 11 }, (_, index) =>
+  sentOf(`c-${index}`, 'safe', {
+    sentMs: 10_000 + 1000 * index,
+    body: JSON.stringify({ workMs: 100, events: 0, gapMs: 0, crashes: true }),
+  }),
+);
+/** Ten requests a second at a replica that takes one. */
+const crowd = Array.from({ length: 90 }, (_, index) =>
+  sentOf(`l-${index}`, 'safe', { sentMs: 10_000 + 100 * index }),
+);
+const limitOfOne = {
+  type: 'limit',
+  replica: 'r-1',
+  atMs: 10_000,
+  perS: 1,
+} as const;
+
 interface Case {
   readonly title: string;
   readonly seen: Parameters<typeof evidenceOf>[0];
@@ -55,6 +73,50 @@
     },
     broken: ['at-most-once'],
   },
+  {
+    title: 'notice a request that is sent on after three crashes',
+    seen: {
+      sent: crashing,
+      notes: crashing.map((sent, index) => runOf(sent, `r-${index}`)),
+    },
+    broken: ['crashing-requests'],
+  },
+  {
+    title: 'let the repeats pass that are sent before the third is known',
+    seen: {
+      sent: crashing.slice(0, 8),
+      notes: crashing
+        .slice(0, 8)
+        .map((sent, index) => runOf(sent, `r-${index}`)),
+    },
+    broken: [],
+  },
+  {
+    title: 'notice more at a replica than the limit that it names',
+    seen: {
+      sent: crowd,
+      notes: [limitOfOne, ...crowd.map(sent => runOf(sent, 'r-1'))],
+      answers: crowd.map(sent =>
+        answerOf(sent, 'r-1', { endedMs: sent.sentMs + 100 }),
+      ),
+    },
+    broken: ['replica-limits'],
+  },
+  {
+    title: 'let as many pass where the limit has ended',
+    seen: {
+      sent: crowd,
+      notes: [
+        limitOfOne,
+        { ...limitOfOne, atMs: 10_500, perS: null },
+        ...crowd.map(sent => runOf(sent, 'r-1')),
+      ],
+      answers: crowd.map(sent =>
+        answerOf(sent, 'r-1', { endedMs: sent.sentMs + 100 }),
+      ),
+    },
+    broken: [],
+  },
   {
     title: 'notice a refusal of what ran',
     seen: {
