fix(gateway): only answers that bear the mark of a run show that a replica lives

Cause: CrashLedger takes a crash back when bytes of the same run follow. The next process at an address answers 421 to what is meant for the one before, and those bytes counted. Class: an address taken for an identity.

Change: bytes count as a sign of life only in an answer with the mark of a run.

Test: 'a request that crashes replicas whose addresses are taken over' failed with six of six replicas before, three now.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -173,9 +173,14 @@
     );
   }
 
-  /** Notes bytes of an answer. */
-  onBytes(attempt: GatewayAttempt): void {
-    noteBytes(this.board, attempt);
+  /**
+   * Notes bytes of an answer.
+   *
+   * @param attempt - that they answer
+   * @param hasRun - whether the answer bears the mark of a run
+   */
+  onBytes(attempt: GatewayAttempt, hasRun = true): void {
+    noteBytes(this.board, attempt, hasRun);
   }
 
   /** Notes the load that a replica told with an answer. */
--- a/packages/decisions/src/gateway/attemptNotes.ts
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -74,11 +74,22 @@
   engine.onDeferred(priority, tookMs, aheadMs + engine.baseMs);
 }
 
-/** Notes bytes of an answer, and learns from the first. */
-export function noteBytes(board: GatewayBoard, attempt: GatewayAttempt): void {
+/**
+ * Notes bytes of an answer, and learns from the first.
+ *
+ * @param board - the blackboard
+ * @param attempt - that they answer
+ * @param hasRun - whether the answer bears the mark of a run; another replica that
+ *   took over the address answers as well, and says nothing of the one before
+ */
+export function noteBytes(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+  hasRun: boolean,
+): void {
   const nowMs = board.clock();
   attempt.load.lastByteMs = nowMs;
-  if (!board.crashes.isEmpty) {
+  if (hasRun && !board.crashes.isEmpty) {
     board.crashes.onBytes(attempt.load.replica);
   }
   if (attempt.lastByteMs !== null) {
--- a/packages/gateway/src/forward/AnswerAssembly.ts
+++ b/packages/gateway/src/forward/AnswerAssembly.ts
@@ -55,6 +55,11 @@
     return this.#head?.load ?? null;
   }
 
+  /** Whether the answer bears the mark of a run. */
+  get hasRun(): boolean {
+    return this.#head !== null && this.#head.isStamped && !this.#head.notRun;
+  }
+
   /** Requests a second that the replica takes; null where it names no limit. */
   get limitPerS(): number | null {
     return this.#head?.limitPerS ?? null;
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -196,7 +196,7 @@
           if (attempt.pieces === 0) {
             this.#notes.firstByte(attempt);
           }
-          router.onBytes(attempt);
+          router.onBytes(attempt, assembly.hasRun);
           this.#notePiece();
           return assembly.take(chunk);
         },
@@ -241,7 +241,7 @@
     }
     if (!assembly.relays) {
       this.#notes.firstByte(attempt);
-      router.onBytes(attempt);
+      router.onBytes(attempt, assembly.hasRun);
     }
     return true;
   }
