fix(gateway): another replica at an address does not end a limit

A 421 of the next process at an address names no limit, and was taken for the end of the limit of the replica meant.

Change: only answers that bear the mark of a run, or name a limit, say something of it. Test: 'a limit whose replica turns a request away stands', failed before.

--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -235,7 +235,10 @@
 
   #onHead(attempt: GatewayAttempt, assembly: AnswerAssembly): true {
     const { router } = this.context;
-    router.onLimit(attempt, assembly.limitPerS);
+    // Another replica at the address names no limit, and says nothing of this one's.
+    if (assembly.hasRun || assembly.limitPerS !== null) {
+      router.onLimit(attempt, assembly.limitPerS);
+    }
     if (assembly.load) {
       router.onReported(attempt, assembly.load);
     }
