--- a/packages/decisions/src/gateway/crashes/CrashLedger.ts
+++ b/packages/decisions/src/gateway/crashes/CrashLedger.ts
@@ -1,41 +1,10 @@
 import type { BackendServerId, RequestFingerprint } from '@jujubecroft/types';
 
 import type { Clock } from '../../blackboard/Blackboard.js';
+import type { Crash, CrashNews, CrashReport } from './crashNews.js';
+import { NO_CRASH_NEWS, tellCrashes } from './crashNews.js';
 import { ServedContents } from './ServedContents.js';
 
-/** A run of a replica that ended while requests were there, as instances tell it. */
-export interface CrashReport {
-  readonly id: BackendServerId;
-  /** Start of the run in Unix milliseconds; null where that is unknown. */
-  readonly bornMs: number | null;
-  readonly ageMs: number;
-  /** Whether the run was seen to go on after all. */
-  readonly goesOn: boolean;
-  /** What was lost there and may have ended it. */
-  readonly suspects: readonly RequestFingerprint[];
-}
-
-/** What one instance tells another of crashes. */
-export interface CrashNews {
-  readonly crashes: readonly CrashReport[];
-  /** Content that was served although it was among the suspects. */
-  readonly cleared: readonly RequestFingerprint[];
-}
-
-/** What an instance that knows of no crash tells. */
-export const NO_CRASH_NEWS: CrashNews = { crashes: [], cleared: [] };
-
-interface Crash {
-  readonly id: BackendServerId;
-  readonly bornMs: number | null;
-  /** When it happened, on the local clock. */
-  readonly atMs: number;
-  /** When this instance learnt the newest of it. */
-  toldMs: number;
-  goesOn: boolean;
-  readonly suspects: Set<RequestFingerprint>;
-}
-
 /** Crashes after which a request is not sent on. */
 export const MAX_CRASHES = 3;
 /** Crashes after which a request gets a replica on which little depends. */
@@ -49,10 +18,6 @@
 const REMEMBER_MS = 3_600_000;
 /** Time for which what is new is part of every message. */
 const RETELL_MS = 3000;
-/** Suspects of older crashes in a message, at most. */
-const MAX_OLD_TOLD = 16;
-/** Crashes that are told in full at once, the newest ones. */
-const MAX_FULL_TOLD = 8;
 /** Crashes that are remembered; the oldest go first. */
 const MAX_REMEMBERED = 256;
 /** Suspects of one crash; a replica has fewer slots than this. */
@@ -169,51 +134,20 @@
       return NO_CRASH_NEWS;
     }
     const newestMs = this.clock() - RETELL_MS;
-    const all = [...this.#crashes.values()];
-    const fresh = all
-      .filter(({ toldMs }) => toldMs >= newestMs)
-      .slice(-MAX_FULL_TOLD);
-    const old = all.filter(crash => !fresh.includes(crash) && !crash.goesOn);
+    this.#turn += 1;
     return {
-      crashes: [
-        ...fresh.map(crash => this.#report(crash, [...crash.suspects])),
-        ...this.#repeated(old),
-      ],
+      crashes: tellCrashes([...this.#crashes.values()], {
+        nowMs: this.clock(),
+        newestMs,
+        turn: this.#turn,
+        timesHeld: content => this.#bySuspect.get(content)?.size ?? 0,
+      }),
       cleared: [...this.#clearedMs]
         .filter(([, atMs]) => atMs >= newestMs)
         .map(([content]) => content),
     };
   }
 
-  /** Older crashes, with those suspects first that were there more than once. */
-  #repeated(old: readonly Crash[]): readonly CrashReport[] {
-    this.#turn += 1;
-    const start = this.#turn % Math.max(1, old.length);
-    let room = MAX_OLD_TOLD;
-    const listed = [...old.slice(start), ...old.slice(0, start)].map(crash => {
-      const suspects = [...crash.suspects]
-        .filter(content => (this.#bySuspect.get(content)?.size ?? 0) > 1)
-        .slice(0, room);
-      room -= suspects.length;
-      return { crash, suspects };
-    });
-    return listed
-      .map(({ crash, suspects }, place) =>
-        // One of them in full, as far as there is room.
-        place === 0 && room > 0
-          ? this.#report(crash, [...crash.suspects].slice(0, MAX_OLD_TOLD))
-          : this.#report(crash, suspects),
-      )
-      .filter(({ suspects }) => suspects.length > 0);
-  }
-
-  #report(
-    { id, bornMs, atMs, goesOn }: Crash,
-    suspects: readonly RequestFingerprint[],
-  ): CrashReport {
-    return { id, bornMs, ageMs: this.clock() - atMs, goesOn, suspects };
-  }
-
   #take(report: CrashReport): void {
     const { id, bornMs, ageMs } = report;
     const nowMs = this.clock();
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -10,7 +10,7 @@
   PeerUse,
   ReportedLoad,
 } from './BackendLoad.js';
-export type { CrashNews, CrashReport } from './crashes/CrashLedger.js';
+export type { CrashNews, CrashReport } from './crashes/crashNews.js';
 export { CrashLedger } from './crashes/CrashLedger.js';
 export { callerPatienceMs } from './callerPatience.js';
 export type { ConfigurationChanges } from './configurationChanges.js';
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -15,6 +15,7 @@
 import type { GatewayContext } from '../GatewayContext.js';
 import type { CallerHead, RawHeaders } from '../ports/CallerDialect.js';
 import { AnswerAssembly } from './AnswerAssembly.js';
+import { AnswerTimes } from './AnswerTimes.js';
 import type { CallerAnswer } from './CallerAnswer.js';
 import { EventCutter } from './EventCutter.js';
 import { placeOnView } from './placeOnView.js';
@@ -59,9 +60,7 @@
   #sent = 0;
   #unsent = 0;
   #mayHaveRun = false;
-  #firstByteMs: number | null = null;
-  #lastByteMs: number | null = null;
-  #longestPauseMs = 0;
+  readonly #times: AnswerTimes;
 
   constructor(
     private readonly context: GatewayContext,
@@ -70,6 +69,7 @@
     answer: CallerAnswer,
   ) {
     this.#answer = answer;
+    this.#times = new AnswerTimes(context.clock);
     this.#notes = new RequestNotes(context, request);
     this.#ending = new RequestEnding(
       context.dialect,
@@ -197,7 +197,7 @@
             this.#notes.firstByte(attempt);
           }
           router.onBytes(attempt, assembly.hasRun);
-          this.#notePiece();
+          this.#times.onPiece();
           return assembly.take(chunk);
         },
       },
@@ -213,15 +213,6 @@
     return { attempt, result };
   }
 
-  /** Pauses count from one replica to the next as well, as the caller sees them. */
-  #notePiece(): void {
-    const nowMs = this.context.clock();
-    const pauseMs = nowMs - (this.#lastByteMs ?? nowMs);
-    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
-    this.#lastByteMs = nowMs;
-    this.#firstByteMs ??= nowMs;
-  }
-
   #assembly(): AnswerAssembly {
     return new AnswerAssembly({
       requestId: this.request.id,
@@ -330,8 +321,8 @@
       sent: this.#sent,
       unsent: this.#unsent,
       mayHaveRun: this.#mayHaveRun,
-      firstByteMs: this.#firstByteMs,
-      longestPauseMs: this.#longestPauseMs,
+      firstByteMs: this.#times.firstByteMs,
+      longestPauseMs: this.#times.longestPauseMs,
     };
   }
 }
