test(decisions): a request is refused where all replicas have started again under their ids

Found by reading. After two crashes a request keeps away from replicas by id and not by run, so in a service whose replicas have all crashed with it and started again under their ids it is refused until a crash is forgiven.

--- a/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
+++ b/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
@@ -35,11 +35,11 @@
   readonly crash: () => void;
 }
 
-function suspects(of = STREAM): Suspects {
+function suspects(of = STREAM, names = NAMES): Suspects {
   const service = of.shares[0]?.service;
   const fixture = gatewayFixture(
     [of],
-    NAMES.map(name =>
+    names.map(name =>
       replica(name, { bornMs: 1, ...(service && { service }) }),
     ),
   );
@@ -125,6 +125,14 @@
     t.is(typeof attempt === 'string' ? '' : attempt.load.replica.id, quiet);
   });
 
+  // Guards against refusing it where all replicas have crashed and started again.
+  it('may go to a replica that started again under its id after two', t => {
+    const { crash, send } = suspects(STREAM, ['a']);
+    crash();
+    crash();
+    t.not(typeof send(), 'string');
+  });
+
   it('is withdrawn where it has not begun, and does not leave', t => {
     const { crash, send, router } = suspects();
     const early = send();
