fix(stores): configurations of one revision are the same, however they were learnt

Cause: an instance that reads the configuration as a whole has entities in the order of the table's keys, one that follows changes has them in the order of the changes; which of the two an instance does hangs on when it first reads. The test compared an instance of each kind. Class: state that depends on the way it came.

Change: a change keeps the order of the keys. Test: applyEntity.test.ts, failed before.

--- a/packages/stores/src/configuration/applyEntity.ts
+++ b/packages/stores/src/configuration/applyEntity.ts
@@ -31,7 +31,16 @@
   const others = (cfg[list] as readonly Entity[]).filter(
     entity => entity.id !== id,
   );
-  return { ...cfg, [list]: after ? [...others, after] : others };
+  return {
+    ...cfg,
+    // The order of a table's rows, so that a configuration that was read as a whole and
+    // one that followed the changes are the same.
+    [list]: after ? [...others, after].sort(byId) : others,
+  };
+}
+
+function byId(a: Entity, b: Entity): number {
+  return a.id < b.id ? -1 : 1;
 }
 
 /**
