fix(decisions): what is lost in a crash is not told through the whole fleet one by one

Change: only content that was lost in more than one crash is told at once, the rest with the next messages; contents lost more than once are kept in a set of their own.

Test changed: 'once, and not again what it has heard' asked for a telling of the first loss as well, which was the fault; it now asks for none, and for one of the second.

--- a/packages/decisions/src/gateway/crashes/CrashLedger.ts
+++ b/packages/decisions/src/gateway/crashes/CrashLedger.ts
@@ -18,6 +18,8 @@
 const REMEMBER_MS = 3_600_000;
 /** Time for which what is new is part of every message. */
 const RETELL_MS = 3000;
+/** Cleared contents in a message, at most. */
+const MAX_CLEARED_TOLD = 32;
 /** Crashes that are remembered; the oldest go first. */
 const MAX_REMEMBERED = 256;
 /** Suspects of one crash; a replica has fewer slots than this. */
@@ -39,6 +41,8 @@
 export class CrashLedger {
   readonly #crashes = new Map<string, Crash>();
   readonly #bySuspect = new Map<RequestFingerprint, Set<Crash>>();
+  /** Those of them that were lost in more than one. */
+  readonly #repeated = new Set<RequestFingerprint>();
   readonly #served: ServedContents;
   readonly #clearedMs = new Map<RequestFingerprint, number>();
   readonly #listeners: (() => void)[] = [];
@@ -68,10 +72,9 @@
 
   /** Contents that are not sent any more. */
   get barred(): readonly RequestFingerprint[] {
-    return [...this.#bySuspect]
-      .filter(([, { size }]) => size >= MAX_CRASHES)
-      .map(([content]) => content)
-      .filter(content => this.crashesOf(content).length >= MAX_CRASHES);
+    return [...this.#repeated].filter(
+      content => this.crashesOf(content).length >= MAX_CRASHES,
+    );
   }
 
   /** Time until a barred request may be sent again, in milliseconds. */
@@ -110,7 +113,6 @@
     const sinceMs = this.clock() - crash.atMs;
     if (sinceMs > IN_FLIGHT_MS && sinceMs < SAME_RUN_MS) {
       this.#withdraw(crash);
-      this.#tell();
     }
   }
 
@@ -140,11 +142,12 @@
         nowMs: this.clock(),
         newestMs,
         turn: this.#turn,
-        timesHeld: content => this.#bySuspect.get(content)?.size ?? 0,
+        repeated: this.#repeated,
       }),
       cleared: [...this.#clearedMs]
         .filter(([, atMs]) => atMs >= newestMs)
-        .map(([content]) => content),
+        .map(([content]) => content)
+        .slice(-MAX_CLEARED_TOLD),
     };
   }
 
@@ -170,7 +173,6 @@
     }
     if (report.goesOn) {
       this.#withdraw(crash);
-      this.#tell();
       return;
     }
     const added = report.suspects.filter(content =>
@@ -178,6 +180,8 @@
     );
     if (added.length > 0 || !known) {
       crash.toldMs = nowMs;
+    }
+    if (added.some(content => this.#isRepeated(content))) {
       this.#tell();
     }
     this.#forget();
@@ -195,14 +199,29 @@
     }
     const held = this.#bySuspect.get(content) ?? new Set();
     this.#bySuspect.set(content, held.add(crash));
+    if (held.size >= CAUTIOUS_CRASHES) {
+      this.#repeated.add(content);
+    }
     return true;
   }
 
+  /**
+   * Whether a content was lost in more than one crash.
+   *
+   * Only of these others are told at once. Every crash has many suspects, and told
+   * one by one each of them would go through the whole fleet.
+   */
+  #isRepeated(content: RequestFingerprint): boolean {
+    return this.#repeated.has(content);
+  }
+
   #clear(content: RequestFingerprint): void {
-    if (this.#bySuspect.delete(content)) {
+    if (this.#isRepeated(content)) {
       this.#clearedMs.set(content, this.clock());
       this.#tell();
     }
+    this.#bySuspect.delete(content);
+    this.#repeated.delete(content);
   }
 
   #withdraw(crash: Crash): void {
@@ -216,6 +235,9 @@
     crash.suspects.forEach(content => {
       const held = this.#bySuspect.get(content);
       held?.delete(crash);
+      if ((held?.size ?? 0) < CAUTIOUS_CRASHES) {
+        this.#repeated.delete(content);
+      }
       if (held?.size === 0) {
         this.#bySuspect.delete(content);
       }
--- a/packages/decisions/src/gateway/crashes/crashNews.ts
+++ b/packages/decisions/src/gateway/crashes/crashNews.ts
@@ -41,14 +41,14 @@
   readonly newestMs: number;
   /** Number of the message, for older crashes to take turns. */
   readonly turn: number;
-  /** Crashes that are held against a content. */
-  readonly timesHeld: (content: RequestFingerprint) => number;
+  /** Contents that were lost in more than one crash. */
+  readonly repeated: ReadonlySet<RequestFingerprint>;
 }
 
 /** Suspects of older crashes in a message, at most. */
 const MAX_OLD_TOLD = 16;
 /** Crashes that are told in full at once, the newest ones. */
-const MAX_FULL_TOLD = 8;
+const MAX_FULL_TOLD = 4;
 
 function reportOf(
   { id, bornMs, atMs, goesOn }: Crash,
@@ -61,13 +61,13 @@
 /** Older crashes, with those suspects first that were there more than once. */
 function tellOld(
   old: readonly Crash[],
-  { nowMs, turn, timesHeld }: TellingFacts,
+  { nowMs, turn, repeated }: TellingFacts,
 ): readonly CrashReport[] {
   const start = turn % Math.max(1, old.length);
   let room = MAX_OLD_TOLD;
   const listed = [...old.slice(start), ...old.slice(0, start)].map(crash => {
-    const suspects = [...crash.suspects]
-      .filter(content => timesHeld(content) > 1)
+    const suspects = [...repeated]
+      .filter(content => crash.suspects.has(content))
       .slice(0, room);
     room -= suspects.length;
     return { crash, suspects };
--- a/packages/decisions/tests/gateway/crashes/CrashLedger.test.ts
+++ b/packages/decisions/tests/gateway/crashes/CrashLedger.test.ts
@@ -161,6 +161,9 @@
       });
       here.lose(CONTENT, 'a');
       there.ledger.onPeer(here.ledger.news);
+      t.is(told, 0, 'what was lost once is told with the next message');
+      here.lose(CONTENT, 'b');
+      there.ledger.onPeer(here.ledger.news);
       there.ledger.onPeer(here.ledger.news);
       t.is(told, 1);
     });
