fix(decisions): what crashed a run is kept from that run, not from the id it had

A request that two runs had crashed with was refused while all replicas of its service bore ids that had crashed, although they had started again since. Cause: placement left out replicas by id, and a replica that starts again keeps its id. Runs are compared now, by id and start.

--- a/packages/decisions/src/gateway/crashes/CrashLedger.ts
+++ b/packages/decisions/src/gateway/crashes/CrashLedger.ts
@@ -1,7 +1,7 @@
 import type { BackendServerId, RequestFingerprint } from '@jujubecroft/types';
 
 import type { Clock } from '../../blackboard/Blackboard.js';
-import type { Crash, CrashNews, CrashReport } from './crashNews.js';
+import type { Crash, CrashedRun, CrashNews, CrashReport } from './crashNews.js';
 import { NO_CRASH_NEWS, tellCrashes } from './crashNews.js';
 import { ServedContents } from './ServedContents.js';
 
@@ -64,10 +64,15 @@
 
   /** @returns replicas whose crashes are held against a request's content */
   crashesOf(content: RequestFingerprint): readonly BackendServerId[] {
+    return this.runsOf(content).map(({ id }) => id);
+  }
+
+  /** @returns the runs of replicas whose ends are held against a request's content */
+  runsOf(content: RequestFingerprint): readonly CrashedRun[] {
     const held = [...(this.#bySuspect.get(content) ?? [])];
     const newestMs = Math.max(...held.map(({ atMs }) => atMs));
     const forgiven = Math.floor((this.clock() - newestMs) / FORGIVE_MS);
-    return held.slice(Math.max(0, forgiven)).map(({ id }) => id);
+    return held.slice(Math.max(0, forgiven));
   }
 
   /** Contents that are not sent any more. */
@@ -91,10 +96,7 @@
    * @param run - that seems to have ended
    * @param content - of the request
    */
-  onLost(
-    run: Pick<CrashReport, 'bornMs' | 'id'>,
-    content: RequestFingerprint,
-  ): void {
+  onLost(run: CrashedRun, content: RequestFingerprint): void {
     this.#take({ ...run, ageMs: 0, goesOn: false, suspects: [content] });
   }
 
@@ -105,7 +107,7 @@
   }
 
   /** Notes bytes of a run, which show that it goes on. */
-  onBytes(run: Pick<CrashReport, 'bornMs' | 'id'>): void {
+  onBytes(run: CrashedRun): void {
     const crash = this.#crashes.get(keyOf(run));
     if (!crash || crash.goesOn) {
       return;
@@ -269,6 +271,6 @@
   }
 }
 
-function keyOf({ id, bornMs }: Pick<CrashReport, 'bornMs' | 'id'>): string {
+function keyOf({ id, bornMs }: CrashedRun): string {
   return `${id}@${bornMs ?? ''}`;
 }
--- a/packages/decisions/src/gateway/crashes/crashNews.ts
+++ b/packages/decisions/src/gateway/crashes/crashNews.ts
@@ -1,10 +1,14 @@
 import type { BackendServerId, RequestFingerprint } from '@jujubecroft/types';
 
-/** A run of a replica that ended while requests were there, as instances tell it. */
-export interface CrashReport {
+/** A run of a replica that ended while requests were there. */
+export interface CrashedRun {
   readonly id: BackendServerId;
   /** Start of the run in Unix milliseconds; null where that is unknown. */
   readonly bornMs: number | null;
+}
+
+/** The same as instances tell it. */
+export interface CrashReport extends CrashedRun {
   readonly ageMs: number;
   /** Whether the run was seen to go on after all. */
   readonly goesOn: boolean;
@@ -23,9 +27,7 @@
 export const NO_CRASH_NEWS: CrashNews = { crashes: [], cleared: [] };
 
 /** The same as an instance remembers it. */
-export interface Crash {
-  readonly id: BackendServerId;
-  readonly bornMs: number | null;
+export interface Crash extends CrashedRun {
   /** When it happened, on the local clock. */
   readonly atMs: number;
   /** When this instance learnt the newest of it. */
--- a/packages/decisions/src/gateway/crashes/crashesOf.ts
+++ b/packages/decisions/src/gateway/crashes/crashesOf.ts
@@ -1,11 +1,10 @@
-import type { BackendServerId } from '@jujubecroft/types';
-
 import type { GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { MAX_CRASHES } from './CrashLedger.js';
+import type { CrashedRun } from './crashNews.js';
 
 /**
- * Replicas whose crashes are held against a request.
+ * Runs of replicas whose ends are held against a request.
  *
  * @param board - the blackboard
  * @param request - its fingerprint is worked out only while any crash is known
@@ -13,8 +12,8 @@
 export function crashesOf(
   { crashes }: GatewayBoard,
   request: GatewayRequest,
-): readonly BackendServerId[] {
-  return crashes.isEmpty ? [] : crashes.crashesOf(request.fingerprint());
+): readonly CrashedRun[] {
+  return crashes.isEmpty ? [] : crashes.runsOf(request.fingerprint());
 }
 
 /** @returns whether a request crashed so many replicas that it is no longer sent */
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -7,6 +7,7 @@
 import type { BackendLoad, GatewayRequest } from './BackendLoad.js';
 import { CAUTIOUS_CRASHES, MAX_CRASHES } from './crashes/CrashLedger.js';
 import { crashesOf } from './crashes/crashesOf.js';
+import type { CrashedRun } from './crashes/crashNews.js';
 import { excusedMs } from './excusedMs.js';
 import type { GatewayBoard } from './GatewayBoard.js';
 import { candidatesOf } from './GatewayBoard.js';
@@ -14,6 +15,7 @@
   PlacedCandidate,
   PlacementPolicy,
 } from './placement/PlacementPolicy.js';
+import { isSameRun } from './replicaRuns.js';
 import { usableCandidates } from './usableCandidates.js';
 
 /** The policies of the gateway. */
@@ -80,14 +82,18 @@
 /** Keeps a request that may crash its replica to where the least would be lost with it. */
 function cautiously(
   usable: readonly BackendLoad[],
-  crashed: readonly BackendServerId[],
+  crashed: readonly CrashedRun[],
 ): readonly BackendLoad[] {
   if (crashed.length < CAUTIOUS_CRASHES) {
     return usable;
   }
-  // Entries of replicas that crashed stand for a while, and look unused.
+  // Entries of runs that crashed stand for a while, and look unused. A run that
+  // followed under the same id has crashed with nothing.
   return usable
-    .filter(({ replica }) => !crashed.includes(replica.id))
+    .filter(
+      ({ replica }) =>
+        !crashed.some(run => run.id === replica.id && isSameRun(run, replica)),
+    )
     .sort((a, b) => a.totalInFlight - b.totalInFlight)
     .slice(0, 1);
 }
