--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,63 @@
+// Runs the tests: node scripts/test.mjs [ARGUMENTS OF AVA]
+//
+// Tests that KNOWN-RED.txt lists are passed over and printed. Each of them then runs
+// by itself and has to fail, so that the list names nothing that works again.
+import { spawnSync } from 'node:child_process';
+import { existsSync, readFileSync } from 'node:fs';
+import path from 'node:path';
+import { pathToFileURL } from 'node:url';
+
+const root = path.resolve(import.meta.dirname, '..');
+const AVA = path.join(root, 'node_modules', 'ava', 'entrypoints', 'cli.mjs');
+/** How the command of an entry begins that is a test; others are plays by hand. */
+const TEST_COMMAND = 'npx ava ';
+
+/**
+ * Finds the tests among the entries of a list of known faults.
+ *
+ * @param {string} text - an entry a line, its fields parted by semicolons
+ * @returns {{ title: string, file: string }[]} title and file of each test
+ */
+export function knownRedTests(text) {
+  return text
+    .split('\n')
+    .map(line => line.split(';').map(field => field.trim()))
+    .filter(
+      ([title = '', command = '']) => title && command.startsWith(TEST_COMMAND),
+    )
+    .map(([title, command]) => ({
+      title,
+      file: command.slice(TEST_COMMAND.length),
+    }));
+}
+
+function ava(args, stdio) {
+  const { status } = spawnSync(process.execPath, [AVA, ...args], {
+    cwd: root,
+    stdio,
+  });
+  return status ?? 1;
+}
+
+function main(args) {
+  const list = path.join(root, 'KNOWN-RED.txt');
+  const text = existsSync(list) ? readFileSync(list, 'utf8') : '';
+  if (text.trim() !== '') {
+    console.log(`Known red, passed over:\n${text.trimEnd()}`);
+  }
+  const red = knownRedTests(text);
+  const passedOver = red.flatMap(({ title }) => ['--match', `!*${title}*`]);
+  const status = ava([...passedOver, ...args], 'inherit');
+  const green = red.filter(
+    ({ title, file }) => ava(['--match', `*${title}*`, file], 'ignore') === 0,
+  );
+  green.forEach(({ title }) => {
+    console.error(`Known red, but it passes; take it off the list: ${title}`);
+  });
+  return status === 0 && green.length > 0 ? 1 : status;
+}
+
+const [, script = '', ...args] = process.argv;
+if (import.meta.url === pathToFileURL(script).href) {
+  process.exitCode = main(args);
+}
