feat(duties): one instance reports usage and orders replicas for all

A lease in the platform's store says who holds the duties, with a fencing token that grows with every holder. The holder collects what each instance counted, decides the usage of a window once, writes it down and reports it; it orders replicas by load and price.

--- /dev/null
+++ b/packages/decisions/src/duties/index.ts
@@ -0,0 +1,34 @@
+export type { UsageFacts } from './decideUsage.js';
+export { decideUsage, withReported } from './decideUsage.js';
+export type { DutyBoard, DutySettings } from './DutyBoard.js';
+export { createDutyBoard, deputyOf, noteHolding } from './DutyBoard.js';
+export { FleetClock } from './FleetClock.js';
+export type {
+  DutyNotes,
+  HolderId,
+  Holding,
+  HoldingNews,
+  HoldingRow,
+  ReplicaOrder,
+  ServiceNeed,
+  WindowUsage,
+} from './Holding.js';
+export { decidedThrough, NO_NOTES } from './Holding.js';
+export type {
+  HoldingWrite,
+  LeaseFacts,
+  LeaseState,
+  LeaseStep,
+} from './HolderLease.js';
+export { HolderLease } from './HolderLease.js';
+export type { CapacityOptions } from './scaling/CapacityNeed.js';
+export { CapacityNeed, DEFAULT_CAPACITY } from './scaling/CapacityNeed.js';
+export type { PlanFacts, ReplicaPlan } from './scaling/planReplicas.js';
+export { planReplicas, stepTowards } from './scaling/planReplicas.js';
+export type { ReplicaCensus } from './scaling/replicaCensus.js';
+export { replicaCensus, standingInAll } from './scaling/replicaCensus.js';
+export type { OrderFacts } from './scaling/ReplicaOrders.js';
+export { ReplicaOrders } from './scaling/ReplicaOrders.js';
+export type { ToldUsage } from './UsageCollector.js';
+export { UsageCollector } from './UsageCollector.js';
+export { UsageLedger } from './UsageLedger.js';
--- /dev/null
+++ b/packages/decisions/src/duties/scaling/ReplicaOrders.ts
@@ -0,0 +1,170 @@
+import type {
+  FailureDomainId,
+  ReplicaScaling,
+  ServiceId,
+} from '@jujubecroft/types';
+
+import type { Clock } from '../../blackboard/Blackboard.js';
+import type { ReplicaOrder } from '../Holding.js';
+import type { ReplicaKind, ReplicaPlan } from './planReplicas.js';
+import { planReplicas, stepTowards } from './planReplicas.js';
+import type { ReplicaCensus } from './replicaCensus.js';
+import { standingIn } from './replicaCensus.js';
+
+/** Time for which a failure domain counts as having none after it said so. */
+const DRY_MS = 1500;
+/** Time beyond the start of a replica after which what is missing is ordered again. */
+const AGAIN_AFTER_MS = 2500;
+/** Time for which fewer must be wanted while there is load, in milliseconds. */
+const DECREASE_AFTER_MS = 8000;
+/** Part of the replicas by which an order has to change to make less of them. */
+const MIN_DECREASE_SHARE = 0.15;
+
+/** What orders of one service depend on. */
+export interface OrderFacts {
+  readonly service: ServiceId;
+  readonly scaling: ReplicaScaling;
+  readonly census: ReplicaCensus;
+  readonly need: number;
+  /** Whether there is no load; then nothing is cut off where replicas are given back. */
+  readonly isIdle: boolean;
+}
+
+interface PlacedOrder {
+  readonly order: ReplicaOrder;
+  readonly atMs: number;
+}
+
+function keyOf(
+  service: ServiceId,
+  domain: FailureDomainId,
+  kind: ReplicaKind,
+): string {
+  return `${service} ${domain} ${kind}`;
+}
+
+const KINDS: readonly ReplicaKind[] = ['spot', 'lasting'];
+
+/** Decides which orders of replicas go out, and remembers those in force. */
+export class ReplicaOrders {
+  readonly #placed = new Map<string, PlacedOrder>();
+  readonly #dryUntilMs = new Map<string, number>();
+  /** Since when fewer than ordered are wanted. */
+  readonly #fewerSinceMs = new Map<string, number>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** The orders in force, for the next holder. */
+  get inForce(): readonly ReplicaOrder[] {
+    return [...this.#placed.values()].map(({ order }) => order);
+  }
+
+  /** Goes on with the orders of the holder before. */
+  takeOver(orders: readonly ReplicaOrder[]): void {
+    this.#placed.clear();
+    orders.forEach(order => {
+      this.onAccepted(order);
+    });
+  }
+
+  /** @returns orders that should go out now, those for more replicas first */
+  due(facts: OrderFacts): readonly ReplicaOrder[] {
+    const { service, scaling, census, need } = facts;
+    const planFacts = {
+      scaling,
+      census,
+      need,
+      isDry: (domain: FailureDomainId, kind: ReplicaKind): boolean =>
+        this.#isDry(service, domain, kind),
+    };
+    const plan = stepTowards(planFacts, planReplicas(planFacts));
+    return this.#changes(facts, plan).sort(
+      (a, b) => this.#growth(b, census) - this.#growth(a, census),
+    );
+  }
+
+  /** Notes that an order was accepted. */
+  onAccepted(order: ReplicaOrder): void {
+    const { service, failureDomain, spot } = order;
+    const key = keyOf(service, failureDomain, spot ? 'spot' : 'lasting');
+    this.#placed.set(key, { order, atMs: this.clock() });
+  }
+
+  /** Notes that replicas of an order are nowhere to be had in its failure domain. */
+  onNoneLeft({ service, failureDomain, spot }: ReplicaOrder): void {
+    const key = keyOf(service, failureDomain, spot ? 'spot' : 'lasting');
+    this.#dryUntilMs.set(key, this.clock() + DRY_MS);
+  }
+
+  #isDry(
+    service: ServiceId,
+    domain: FailureDomainId,
+    kind: ReplicaKind,
+  ): boolean {
+    const untilMs = this.#dryUntilMs.get(keyOf(service, domain, kind));
+    return untilMs !== undefined && this.clock() < untilMs;
+  }
+
+  #changes(facts: OrderFacts, plan: ReplicaPlan): ReplicaOrder[] {
+    const { service } = facts;
+    return [...plan].flatMap(([failureDomain, wanted]) =>
+      KINDS.filter(kind => !this.#isDry(service, failureDomain, kind))
+        .map(kind => ({
+          service,
+          failureDomain,
+          spot: kind === 'spot',
+          count: wanted[kind],
+        }))
+        .filter(order => this.#isDue(order, facts)),
+    );
+  }
+
+  #isDue(order: ReplicaOrder, facts: OrderFacts): boolean {
+    const { census, scaling } = facts;
+    const kind = order.spot ? 'spot' : 'lasting';
+    const standing = standingIn(census, order.failureDomain)[kind];
+    const key = keyOf(order.service, order.failureDomain, kind);
+    const placed = this.#placed.get(key);
+    const before = placed?.order.count ?? standing;
+    if (order.count < before) {
+      return this.#isDecreaseDue(key, before - order.count, before, facts);
+    }
+    this.#fewerSinceMs.delete(key);
+    if (order.count > before) {
+      return true;
+    }
+    // What was reclaimed, crashed or never came is ordered once more.
+    return (
+      placed !== undefined &&
+      standing < order.count &&
+      this.clock() - placed.atMs > scaling.bootMs + AGAIN_AFTER_MS
+    );
+  }
+
+  /**
+   * Whether replicas are to be given back now.
+   *
+   * What runs there longest is cut off, and the next burst may need them again.
+   */
+  #isDecreaseDue(
+    key: string,
+    lessBy: number,
+    before: number,
+    { isIdle }: OrderFacts,
+  ): boolean {
+    if (isIdle) {
+      return true;
+    }
+    const sinceMs = this.#fewerSinceMs.get(key) ?? this.clock();
+    this.#fewerSinceMs.set(key, sinceMs);
+    return (
+      lessBy > MIN_DECREASE_SHARE * before &&
+      this.clock() - sinceMs >= DECREASE_AFTER_MS
+    );
+  }
+
+  #growth(order: ReplicaOrder, census: ReplicaCensus): number {
+    const kind = order.spot ? 'spot' : 'lasting';
+    return order.count - standingIn(census, order.failureDomain)[kind];
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/duties/scaling/replicaCensus.ts
@@ -0,0 +1,50 @@
+import type { FailureDomainId, Replica, ServiceId } from '@jujubecroft/types';
+
+/** Replicas of a service in one failure domain that are not leaving. */
+export interface StandingReplicas {
+  /** Those that stay until they are given back. */
+  readonly lasting: number;
+  /** Cheap ones that may be reclaimed. */
+  readonly spot: number;
+}
+
+/** Standing replicas by failure domain. */
+export type ReplicaCensus = ReadonlyMap<FailureDomainId, StandingReplicas>;
+
+const NONE: StandingReplicas = { lasting: 0, spot: 0 };
+
+/** @returns how many replicas of a service stand in each of some failure domains */
+export function replicaCensus(
+  replicas: readonly Replica[],
+  service: ServiceId,
+  domains: readonly FailureDomainId[],
+): ReplicaCensus {
+  const standing = replicas.filter(
+    replica => replica.service === service && !replica.leaving,
+  );
+  return new Map(
+    domains.map(domain => {
+      const here = standing.filter(
+        ({ failureDomain }) => failureDomain === domain,
+      );
+      const spot = here.filter(replica => replica.spot === true).length;
+      return [domain, { lasting: here.length - spot, spot }];
+    }),
+  );
+}
+
+/** @returns the replicas of a failure domain; none where it is not in the census */
+export function standingIn(
+  census: ReplicaCensus,
+  domain: FailureDomainId,
+): StandingReplicas {
+  return census.get(domain) ?? NONE;
+}
+
+/** @returns replicas over all failure domains */
+export function standingInAll(census: ReplicaCensus): number {
+  return [...census.values()].reduce(
+    (sum, { lasting, spot }) => sum + lasting + spot,
+    0,
+  );
+}
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -6,6 +6,8 @@
 } from '@jujubecroft/types';
 
 import type { Clock } from '../blackboard/Blackboard.js';
+import type { DutyBoard, DutySettings } from '../duties/DutyBoard.js';
+import { createDutyBoard } from '../duties/DutyBoard.js';
 import { AnswerLengths } from './AnswerLengths.js';
 import type { BackendLoad } from './BackendLoad.js';
 import { ConfigurationHistory } from './ConfigurationHistory.js';
@@ -27,6 +29,10 @@
   readonly instance: InstanceId;
   readonly failureDomain: FailureDomainId;
   readonly retryBudget: RetryBudgetRules;
+  /** Null or absent where there are no duties that one instance does for all. */
+  readonly duties?: DutySettings | null;
+  /** Time of day in Unix milliseconds. */
+  readonly timeOfDay?: () => number;
 }
 
 /** Learnt figures of one service. */
@@ -50,6 +56,8 @@
   readonly retryGain: RetryGain;
   readonly storeClock: StoreClock;
   readonly replicas: ReplicaRegistry;
+  /** Null where there are no duties that one instance does for all. */
+  readonly duties: DutyBoard | null;
   /** Replicas that are used or still have attempts. */
   readonly backends: Map<BackendServerId, BackendLoad>;
   /** Earlier runs of replicas that started again, until their attempts are taken. */
@@ -77,6 +85,7 @@
  */
 export function createGatewayBoard(options: GatewayBoardOptions): GatewayBoard {
   const { clock, random, instance, failureDomain, retryBudget } = options;
+  const { duties: settings = null, timeOfDay = Date.now } = options;
   const storeClock = new StoreClock(clock);
   const replicas = new ReplicaRegistry(storeClock);
   return {
@@ -92,6 +101,7 @@
     retryGain: new RetryGain(),
     storeClock,
     replicas,
+    duties: settings && createDutyBoard({ settings, storeClock, timeOfDay }),
     backends: new Map(),
     earlierRuns: new Set(),
     learning: new Map(),
--- a/packages/decisions/src/gateway/attemptNotes.ts
+++ b/packages/decisions/src/gateway/attemptNotes.ts
@@ -74,6 +74,24 @@
   engine.onDeferred(priority, tookMs, aheadMs + engine.baseMs);
 }
 
+/**
+ * Counts a request that began to run.
+ *
+ * A plain service begins with a request soon after it came; what an engine begins is
+ * seen by its first event.
+ */
+function noteBegan(
+  { duties, clock }: GatewayBoard,
+  attempt: GatewayAttempt,
+): void {
+  if (!duties) {
+    return;
+  }
+  const { request, sentMs } = attempt;
+  const agoMs = request.service.engine ? 0 : clock() - sentMs;
+  duties.usage.onBegan(request, duties.fleetClock.nowMs - agoMs);
+}
+
 /**
  * Notes bytes of an answer, and learns from the first.
  *
@@ -101,6 +119,9 @@
     return;
   }
   attempt.firstByteMs = nowMs;
+  if (hasRun) {
+    noteBegan(board, attempt);
+  }
   attempt.load.onFirstByte(attempt);
   const { request, load, predictedMs, tokensAhead, sentMs } = attempt;
   const tookMs = nowMs - sentMs;
@@ -137,6 +158,10 @@
   if (attempt.isDeferred && attempt.firstByteMs === null) {
     learnDeferred(board, attempt, board.clock() - attempt.sentMs);
   }
+  // What a plain service lost the answer of has run, most likely.
+  if (result.kind === 'lost' && !request.service.engine) {
+    noteBegan(board, attempt);
+  }
   judgeReplica(board, attempt, result);
   noteCrash(board, attempt, result);
   if (attempt.number > 1 && result.kind !== 'withdrawn') {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,6 +22,7 @@
   DEFAULT_ROUTER_OPTIONS,
   defaultPolicies,
 } from './createRouter.js';
+export * from './duties/index.js';
 export * from './gateway/index.js';
 export { LengthEstimator } from './estimators/LengthEstimator.js';
 export { demandShare } from './limits/demandShare.js';
--- /dev/null
+++ b/packages/decisions/tests/duties/usage.test.ts
@@ -0,0 +1,144 @@
+import { describe } from '@jujubecroft/testing';
+import type { InstanceId, OrganisationId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import type { DutyNotes, ToldUsage } from '../../src/index.js';
+import {
+  decideUsage,
+  NO_NOTES,
+  UsageCollector,
+  UsageLedger,
+  withReported,
+} from '../../src/index.js';
+
+const A = brand<InstanceId>('entry-a');
+const B = brand<InstanceId>('entry-b');
+const SHOP = brand<OrganisationId>('shop');
+const FARM = brand<OrganisationId>('farm');
+const WINDOW_MS = 5000;
+const LATE_MS = 10_000;
+const WINDOW = 100;
+const END_MS = (WINDOW + 1) * WINDOW_MS;
+
+function told(
+  instance: InstanceId,
+  shop: number,
+  overrides: Partial<ToldUsage> = {},
+): ToldUsage {
+  return {
+    instance,
+    incarnation: 1,
+    asOfMs: END_MS,
+    windows: [{ window: WINDOW, counts: { [SHOP]: shop } }],
+    ...overrides,
+  };
+}
+
+function decide(
+  collector: UsageCollector,
+  afterMs: number,
+  notes: DutyNotes = { ...NO_NOTES, reportedThrough: WINDOW - 1 },
+): DutyNotes {
+  return decideUsage(notes, {
+    nowUnixMs: END_MS + afterMs,
+    windowMs: WINDOW_MS,
+    lateMs: LATE_MS,
+    live: [A, B],
+    collector,
+  });
+}
+
+describe('UsageLedger', ({ it }) => {
+  it('counts a request once, in the window in which it first ran', t => {
+    const ledger = new UsageLedger(WINDOW_MS);
+    const request = { organisation: SHOP };
+    ledger.onBegan(request, END_MS - 1);
+    ledger.onBegan(request, END_MS + 1);
+    ledger.onBegan({ organisation: SHOP }, END_MS);
+    ledger.onBegan({ organisation: FARM }, END_MS);
+    t.deepEqual(ledger.since(WINDOW - 1), [
+      { window: WINDOW, counts: { [SHOP]: 1 } },
+      { window: WINDOW + 1, counts: { [SHOP]: 1, [FARM]: 1 } },
+    ]);
+  });
+
+  it('counts nothing for routes that need no key', t => {
+    const ledger = new UsageLedger(WINDOW_MS);
+    ledger.onBegan({ organisation: null }, END_MS);
+    t.deepEqual(ledger.since(0), []);
+  });
+
+  it('is bounded', t => {
+    const ledger = new UsageLedger(WINDOW_MS);
+    Array.from({ length: 40 }, (_, window) => {
+      ledger.onBegan({ organisation: SHOP }, window * WINDOW_MS);
+    });
+    t.is(ledger.since(-1).length, 8);
+  });
+});
+
+describe('UsageCollector', ({ it }) => {
+  // Guards against counts that a lost, repeated or overtaken message changes.
+  it('adds up the newest that each run of an instance told', t => {
+    const collector = new UsageCollector();
+    collector.onTold(told(A, 3));
+    collector.onTold(told(A, 7));
+    collector.onTold(told(A, 5));
+    collector.onTold(told(B, 10));
+    collector.onTold(told(B, 4, { incarnation: 2 }));
+    t.deepEqual(collector.usageOf(WINDOW).counts, { [SHOP]: 21 });
+  });
+
+  it('forgets windows that were decided', t => {
+    const collector = new UsageCollector();
+    collector.onTold(told(A, 3));
+    collector.forget(WINDOW);
+    t.deepEqual(collector.usageOf(WINDOW).counts, {});
+  });
+});
+
+describe('decideUsage', ({ it }) => {
+  it('begins with the window in which the fleet has started', t => {
+    const notes = decide(new UsageCollector(), 100, NO_NOTES);
+    t.is(notes.reportedThrough, WINDOW);
+  });
+
+  it('waits until all live instances have told', t => {
+    const collector = new UsageCollector();
+    collector.onTold(told(A, 3));
+    t.is(decide(collector, 2000).decided.length, 0);
+    collector.onTold(told(B, 4));
+    t.deepEqual(decide(collector, 2000).decided, [
+      { window: WINDOW, counts: { [SHOP]: 7 } },
+    ]);
+  });
+
+  // Guards against a window that is never reported for an instance that is cut off.
+  it('goes without an instance that tells nothing, before the report is late', t => {
+    const collector = new UsageCollector();
+    collector.onTold(told(A, 3));
+    t.is(decide(collector, LATE_MS / 2).decided.length, 1);
+  });
+
+  // Guards against two counts for one window.
+  it('decides a window once', t => {
+    const collector = new UsageCollector();
+    collector.onTold(told(A, 3));
+    const notes = decide(collector, LATE_MS / 2);
+    collector.onTold(told(A, 9));
+    t.is(decide(collector, LATE_MS / 2 + 100, notes), notes);
+  });
+
+  it('keeps what was decided until it is reported', t => {
+    const collector = new UsageCollector();
+    const notes = decide(collector, LATE_MS / 2);
+    const after = withReported(notes, WINDOW);
+    t.deepEqual(after.decided, []);
+    t.is(after.reportedThrough, WINDOW);
+  });
+
+  it('leaves out windows that nobody needs any more', t => {
+    const notes = decide(new UsageCollector(), 200 * WINDOW_MS);
+    t.is(notes.decided[0]?.window, WINDOW + 195);
+  });
+});
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -1,5 +1,5 @@
 import type { LogLevel } from '@jujubecroft/events';
-import type { RetryBudgetRules } from '@jujubecroft/decisions';
+import type { DutySettings, RetryBudgetRules } from '@jujubecroft/decisions';
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 
 /** Where a server listens. */
@@ -24,6 +24,8 @@
   /** Other instances that may be tried first; may be stale. */
   readonly seeds: readonly string[];
   readonly retryBudget: RetryBudgetRules;
+  /** Null where there are no duties that one instance does for all. */
+  readonly duties: DutySettings | null;
   /** Time in which changes of configuration and replicas must be in force. */
   readonly freshWithinMs: number;
   /** Time from a request to stop until the process is ended, in milliseconds. */
--- a/packages/gateway/src/backends/requestWhole.ts
+++ b/packages/gateway/src/backends/requestWhole.ts
@@ -10,6 +10,8 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly type?: string;
+  /** Further headers. */
+  readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Uint8Array;
   /** Keeps connections; a connection of its own where omitted. */
   readonly agent?: Agent;
@@ -23,7 +25,7 @@
 }
 
 function optionsOf(call: WholeRequest, signal: AbortSignal): RequestOptions {
-  const { address, method, path, type, body, agent } = call;
+  const { address, method, path, type, headers, body, agent } = call;
   const [host, port] = address.split(':');
   return {
     host,
@@ -32,6 +34,7 @@
     path,
     agent: agent ?? false,
     headers: {
+      ...headers,
       ...(type === undefined ? {} : { 'content-type': type }),
       ...(body === undefined ? {} : { 'content-length': body.length }),
     },
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -28,6 +28,8 @@
 > & {
   /** Time of day of the start, which grows from run to run; a step back is refuted. */
   readonly startedMs: number;
+  /** In Unix milliseconds; that of the process where omitted. */
+  readonly timeOfDay?: () => number;
 };
 
 /**
@@ -39,7 +41,7 @@
  */
 export function createContext(
   settings: GatewaySettings,
-  { clock, dialect, log, timers, startedMs }: ContextParts,
+  { clock, dialect, log, timers, startedMs, timeOfDay }: ContextParts,
 ): GatewayContext {
   const { instance, failureDomain, retryBudget } = settings;
   // Each run draws other numbers, or all instances would after a restart.
@@ -50,6 +52,8 @@
     instance,
     failureDomain,
     retryBudget,
+    duties: settings.duties,
+    ...(timeOfDay ? { timeOfDay } : {}),
   });
   const membership = new Membership(
     {
--- /dev/null
+++ b/packages/gateway/src/duties/HoldingKeeper.ts
@@ -0,0 +1,191 @@
+import type { DutyBoard, DutyNotes, HolderId } from '@jujubecroft/decisions';
+import {
+  decidedThrough,
+  HolderLease,
+  noteHolding,
+  rankOf,
+} from '@jujubecroft/decisions';
+import { brand } from '@jujubecroft/types';
+
+import type { GatewayContext } from '../GatewayContext.js';
+import type { HoldingStore } from '../ports/DutyPorts.js';
+import { createWakeUpWatch } from '../wakeUpWatch.js';
+
+/** Steps that may follow each other at once: a read, a write, and a read after it. */
+const MAX_STEPS = 3;
+/** Pause after a call of the store that failed, in milliseconds. */
+const FAILED_PAUSE_MS = 300;
+
+/** What a keeper is told by those who do the duties. */
+export interface KeeperListener {
+  /** Told that this instance holds the duties from now on. */
+  readonly onTaken: (notes: DutyNotes) => void;
+  /** Told that others should hear of the holding soon. */
+  readonly onNews: () => void;
+}
+
+/** Takes, renews and gives up the holding of the duties. */
+export class HoldingKeeper {
+  readonly #lease: HolderLease;
+  readonly #stoodStillMs: () => number;
+  #isAtWork = false;
+  #wasHolder = false;
+  #pausedUntilMs = -Infinity;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly duties: DutyBoard,
+    private readonly store: HoldingStore,
+    private readonly listener: KeeperListener,
+  ) {
+    const { settings, clock, router } = context;
+    const { instance, peerAddress } = settings;
+    this.#lease = new HolderLease({
+      holder: brand<HolderId>(`${instance}@${peerAddress}`),
+      instance,
+      leaseMs: duties.settings.leaseMs,
+      clock,
+      storeClock: router.board.storeClock,
+    });
+    this.#stoodStillMs = createWakeUpWatch(clock, duties.fleetClock.timeOfDay);
+  }
+
+  /** Token to act with; null where this instance doesn't hold the duties. */
+  get token(): number | null {
+    // A machine that stood still may have lost the lease without its clock showing it.
+    if (this.#stoodStillMs() > 0) {
+      this.drop();
+    }
+    return this.#lease.token;
+  }
+
+  /** What the store is known to hold for the next holder. */
+  get confirmed(): DutyNotes {
+    return this.#lease.confirmed;
+  }
+
+  /** Reads the store before anything else is done. */
+  drop(): void {
+    this.#lease.drop();
+  }
+
+  /** Reads the store with the next step, to see whether the duties are still held. */
+  verify(): void {
+    this.#lease.onUnanswered();
+  }
+
+  /** Takes a new token, for a call that may be carried out late. */
+  renumber(): void {
+    this.#lease.renumber();
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param notes - to hand on, where this instance is the holder
+   * @param givesUp - whether it must not hold the duties
+   */
+  async step(notes: DutyNotes, givesUp: boolean): Promise<void> {
+    const { clock } = this.context;
+    if (this.#isAtWork || clock() < this.#pausedUntilMs) {
+      return;
+    }
+    this.#isAtWork = true;
+    try {
+      let steps = 0;
+      while (steps < MAX_STEPS && (await this.#once(notes, givesUp))) {
+        steps += 1;
+      }
+    } catch (err) {
+      this.#lease.onUnanswered();
+      this.#pausedUntilMs = clock() + FAILED_PAUSE_MS;
+      this.#noteFailure(err);
+    } finally {
+      this.#isAtWork = false;
+      this.#noteChange();
+    }
+  }
+
+  /** @returns whether another step may follow at once */
+  async #once(notes: DutyNotes, givesUp: boolean): Promise<boolean> {
+    const { context, duties } = this;
+    const { membership, clock, metrics } = context;
+    const { token } = this;
+    const step = this.#lease.next({
+      rank: rankOf(membership.self.instance, membership.instances),
+      news: duties.news,
+      notes: token === null ? this.confirmed : notes,
+      givesUp,
+    });
+    if (step.kind === 'idle') {
+      return false;
+    }
+    metrics.storeCalls.inc({ call: `holding ${step.kind}`, result: 'asked' });
+    const askedMs = clock();
+    if (step.kind === 'read') {
+      const { row, storeMs } = await this.store.read();
+      this.#readClock(storeMs, askedMs);
+      this.#lease.onRead(row, storeMs);
+      this.#tell();
+      return true;
+    }
+    const written = await this.store.write(step.write);
+    if (written.kind === 'refused') {
+      this.#lease.onUnanswered();
+      return true;
+    }
+    this.#readClock(written.storeMs, askedMs);
+    this.#lease.onWritten(step.write, written.version, askedMs);
+    this.#tell();
+    this.#noteChange();
+    return false;
+  }
+
+  #readClock(storeMs: number, askedMs: number): void {
+    this.context.router.board.storeClock.read(storeMs, askedMs);
+  }
+
+  #tell(): void {
+    const holding = this.#lease.known;
+    if (!holding) {
+      return;
+    }
+    const { instance, token, untilMs, released, notes } = holding;
+    const isNews = noteHolding(this.duties, {
+      instance,
+      token,
+      untilMs,
+      released,
+      decidedThrough: decidedThrough(notes),
+    });
+    if (isNews) {
+      this.listener.onNews();
+    }
+  }
+
+  #noteChange(): void {
+    const { token } = this.#lease;
+    const isHolder = token !== null;
+    if (isHolder === this.#wasHolder) {
+      return;
+    }
+    this.#wasHolder = isHolder;
+    const { log, metrics } = this.context;
+    metrics.dutyToken.set(token ?? 0);
+    if (isHolder) {
+      log.write('dutiesTaken', { token });
+      this.listener.onTaken(this.confirmed);
+      return;
+    }
+    const { instance, token: newest } = this.duties.news ?? {};
+    log.write('dutiesLost', { holder: instance, token: newest });
+  }
+
+  #noteFailure(err: unknown): void {
+    const error = err instanceof Error ? err.message : String(err);
+    this.context.log.write('holdingFailed', {
+      error,
+      held: this.#lease.token !== null,
+    });
+  }
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,15 @@
   ReplicaRead,
 } from './ports/DiscoveryStore.js';
 export { HISTORY_GONE } from './ports/DiscoveryStore.js';
+export type {
+  DutyAnswer,
+  DutyCaller,
+  DutyPlatform,
+  DutyPorts,
+  HoldingRead,
+  HoldingStore,
+  HoldingWritten,
+} from './ports/DutyPorts.js';
 export type { SideRoutes } from './side/createSideApp.js';
 export { chooseAddresses } from './side/chooseAddresses.js';
 export type { GatewayPorts, RunningGateway } from './startGateway.js';
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -64,6 +64,17 @@
     labelNames: ['call', 'result'] as const,
     registers: this.#registers,
   });
+  readonly dutyCalls = new Counter({
+    name: 'jujubecroft_gateway_duty_calls_total',
+    help: 'Calls of the platform that one instance makes for all, by duty and result.',
+    labelNames: ['duty', 'result'] as const,
+    registers: this.#registers,
+  });
+  readonly dutyToken = new Gauge({
+    name: 'jujubecroft_gateway_duty_token',
+    help: 'Fencing token with which this instance holds the duties; 0 where it does not.',
+    registers: this.#registers,
+  });
   readonly peerMessages = new Counter({
     name: 'jujubecroft_gateway_peer_messages_total',
     help: 'Messages to other instances: questions, answers, news told, pulls.',
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -7,6 +7,7 @@
 import { VerdictWatch } from './backends/VerdictWatch.js';
 import { createContext, HOUSEKEEPING_MS } from './createContext.js';
 import type { Front } from './front/createFront.js';
+import { DutyLoop } from './duties/DutyLoop.js';
 import { createFront } from './front/createFront.js';
 import type { HeldConnections } from './front/holdConnections.js';
 import { RequestsUnderWay } from './front/RequestsUnderWay.js';
@@ -15,6 +16,7 @@
 import type { GatewaySettings, ListenAddress } from './GatewaySettings.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
 import type { DiscoveryStore } from './ports/DiscoveryStore.js';
+import type { DutyPorts } from './ports/DutyPorts.js';
 import type { SideRoutes } from './side/createSideApp.js';
 import { createSideApp } from './side/createSideApp.js';
 import { listenRaw } from './side/listenRaw.js';
@@ -29,6 +31,8 @@
   readonly store: DiscoveryStore;
   /** Adds readiness and addresses, as callers expect them. */
   readonly sideRoutes: SideRoutes;
+  /** Absent where there are no duties that one instance does for all. */
+  readonly duties?: DutyPorts | undefined;
 }
 
 /** An instance of the gateway that was started. */
@@ -148,6 +152,11 @@
     { store: ports.store, link: createPeerLink(settings.peers) },
     front.limit,
   );
+  const { duties: dutyBoard } = context.router.board;
+  const duties =
+    dutyBoard && ports.duties
+      ? new DutyLoop(context, dutyBoard, ports.duties, peers)
+      : null;
   const verdicts = new VerdictWatch(context.router.board, log);
   const crashes = new CrashWatch(context.router.board, log);
   const limits = new LimitWatch(context.router.board, log);
@@ -165,6 +174,7 @@
     if (stillMs > 0) {
       log.write('wokeUp', { stoodStillMs: Math.round(stillMs) });
       context.router.board.storeClock.forget();
+      duties?.onWokeUp();
       void reader.refresh();
       peers.askAround();
     }
@@ -183,11 +193,13 @@
   await peers.start();
   const sides = await listenSide(context, ports);
   void meetThroughStore(context, ports.store);
+  duties?.start();
   const housekeeping = setInterval(keepHouse, HOUSEKEEPING_MS);
   log.write('instanceStarted', { settings });
 
   const close = async (): Promise<void> => {
     clearInterval(housekeeping);
+    duties?.stop();
     reader.stop();
     await peers.stop();
     underWay.stop();
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -66,9 +66,16 @@
     view: FleetView,
     private readonly link: PeerLink,
   ) {
-    this.#state = new PeerState(context, view, (address, how) => {
-      this.#catchUp(address, how);
-    });
+    this.#state = new PeerState(
+      context,
+      view,
+      (address, how) => {
+        this.#catchUp(address, how);
+      },
+      () => {
+        this.spread();
+      },
+    );
     this.#probes = new PeerProbes(context.membership, context.clock, {
       periodMs: PEER_PERIOD_MS,
       answerMs: ANSWER_MS,
@@ -123,6 +130,22 @@
     });
   }
 
+  /**
+   * Tells one member what this instance counted for the duties.
+   *
+   * @param id - of the member; nothing is sent where it is not known
+   */
+  tellUsage(id: InstanceId): void {
+    const member = this.context.membership.serving.find(
+      other => other.id === id,
+    );
+    if (member) {
+      this.context.metrics.peerMessages.inc({ kind: 'usage' });
+      const state = this.#state.tellUsage();
+      this.link.send(GatewayState.encode(state).finish(), member.peerAddress);
+    }
+  }
+
   /** Asks some members for what they know, for a process that stood still. */
   askAround(): void {
     this.#someMembers().forEach(member => {
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -17,6 +17,7 @@
   toWholeFields,
 } from './configurationMessage.js';
 import { fromCrashFields, toCrashFields } from './crashMessage.js';
+import { takeDutyFields, toDutyFields } from './dutyMessage.js';
 import type { FleetView } from './FleetView.js';
 import {
   fromLimits,
@@ -82,11 +83,13 @@
    * @param view - takes in configuration and replicas
    * @param onAhead - told of a peer that knows more than it said, and how to
    *   catch up with it
+   * @param onNews - told of news that others should hear soon
    */
   constructor(
     private readonly context: GatewayContext,
     private readonly view: FleetView,
     private readonly onAhead: (address: string, how: CatchUp) => void,
+    private readonly onNews: () => void,
   ) {}
 
   /** What this instance knows. */
@@ -124,6 +127,15 @@
     );
   }
 
+  /** Tells what this instance counted, and little else. */
+  tellUsage(): proto.GatewayState {
+    const { board } = this.context.router;
+    return {
+      ...this.tell({ ...TELLING, viewOnly: true }, this.known),
+      ...toDutyFields(board.duties, true),
+    };
+  }
+
   /** All that another instance lacks, which may be too much for a datagram. */
   tellAll(theirs: proto.GatewayState): proto.GatewayState {
     const { replicas } = this.context.router.board;
@@ -169,6 +181,7 @@
       replicasChangedAt: board.replicas.changedAt,
       ...toCrashFields(board.crashes.news),
       limits: toLimits(limitNews(board)),
+      ...toDutyFields(board.duties, false),
       ...purpose,
     };
   }
@@ -204,12 +217,28 @@
     }
     router.board.crashes.onPeer(fromCrashFields(state));
     takeLimits(router.board, fromLimits(state.limits));
+    this.#takeDuties(state, peer);
     this.#takeMoments(state, askedMs);
     this.#takeConfiguration(state, peer);
     this.#takeReplicas(state, peer);
     this.context.lease.look();
   }
 
+  #takeDuties(state: proto.GatewayState, instance: InstanceId): void {
+    const { duties } = this.context.router.board;
+    if (!duties) {
+      return;
+    }
+    const isNews = takeDutyFields(duties, state, {
+      instance,
+      incarnation: state.heartbeat?.incarnation ?? 0,
+      storeMs: fromMoment(state.storeMs),
+    });
+    if (isNews) {
+      this.onNews();
+    }
+  }
+
   /**
    * Takes in what the other knows of the store's clock, and how current its view is.
    *
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -35,6 +35,7 @@
   slots: 0,
   leaving: false,
   coldMs: 0,
+  spot: false,
 } as const;
 
 function startOf({ bornMs }: { readonly bornMs: number }): number | null {
@@ -44,7 +45,9 @@
 /** Turns a replica record into its message. */
 function toEntry(record: ReplicaRecord): proto.ReplicaEntry {
   const { id, replica, rowVersion, changedAt, bornMs, goneAtMs } = record;
-  const content = replica ? { ...replica, exists: true } : REMOVED;
+  const content = replica
+    ? { ...replica, exists: true, spot: replica.spot ?? false }
+    : REMOVED;
   return {
     ...content,
     id,
@@ -67,6 +70,7 @@
     leaving: entry.leaving,
     coldMs: entry.coldMs,
     bornMs,
+    ...(entry.spot ? { spot: true } : {}),
   };
   return {
     id,
--- a/packages/gateway/tests/helpers/virtualDeployment.ts
+++ b/packages/gateway/tests/helpers/virtualDeployment.ts
@@ -1,5 +1,5 @@
 import murmurhash from 'murmurhash';
-import type { ListedMember } from '@jujubecroft/decisions';
+import type { DutySettings, ListedMember } from '@jujubecroft/decisions';
 import { SILENT_LOG } from '@jujubecroft/events';
 import type {
   BackendServerId,
@@ -107,6 +107,13 @@
   };
 }
 
+/** What an instance needs to take part in the duties of a fleet. */
+export interface VirtualDutyParts {
+  readonly settings: DutySettings;
+  readonly startedMs: number;
+  readonly timeOfDay: () => number;
+}
+
 /**
  * The context of an instance on virtual time, which knows nothing yet.
  *
@@ -114,12 +121,14 @@
  * @param freshWithinMs - time in which changes must be in force
  * @param time - the clock of all
  * @param process - that it runs in
+ * @param duties - that the fleet has; null for none
  */
 export function virtualContext(
   instance: string,
   freshWithinMs: number,
   time: VirtualTime,
   process: VirtualProcess,
+  duties: VirtualDutyParts | null = null,
 ): GatewayContext {
   return createContext(
     {
@@ -132,6 +141,7 @@
       peerAddress: peerAddressOf(instance),
       metrics: null,
       seeds: [],
+      duties: duties?.settings ?? null,
       retryBudget: { ratio: 0.2, extra: 50, windowMs: 10_000 },
       freshWithinMs,
       graceMs: 8000,
@@ -144,7 +154,8 @@
       log: SILENT_LOG,
       clock: () => time.nowMs,
       timers: timersOn(time, process),
-      startedMs: 1,
+      startedMs: duties?.startedMs ?? 1,
+      ...(duties ? { timeOfDay: duties.timeOfDay } : {}),
     },
   );
 }
--- a/packages/gateway/tests/startGateway.test.ts
+++ b/packages/gateway/tests/startGateway.test.ts
@@ -25,6 +25,7 @@
     peerAddress: `${HOST}:${port + 1}`,
     metrics: null,
     seeds: [],
+    duties: null,
     retryBudget: { ratio: 0.2, extra: 10, windowMs: 10_000 },
     freshWithinMs: 2000,
     graceMs: 1000,
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -5,6 +5,7 @@
 
 import { NO_CONFIGURATION } from '../../src/state/configurationMessage.js';
 import { toCrashFields } from '../../src/state/crashMessage.js';
+import { toDutyFields } from '../../src/state/dutyMessage.js';
 import {
   fromReplicaFields,
   fromWork,
@@ -44,6 +45,7 @@
       ...NO_CONFIGURATION,
       ...toCrashFields({ crashes: [], cleared: [] }),
       limits: [],
+      ...toDutyFields(null, false),
       replicasChangedAt: 4,
       ...toReplicaFields({
         version: 9,
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -68,6 +68,21 @@
   readonly maxConnections: number;
   /** Null for a plain service. */
   readonly engine: EngineSpec | null;
+  /** Absent where replicas are not started and ended on order. */
+  readonly scaling?: ReplicaScaling;
+}
+
+/** How the replicas of a service may be ordered. */
+export interface ReplicaScaling {
+  /** Bounds on the replicas in each failure domain, of both kinds together. */
+  readonly minReplicas: number;
+  readonly maxReplicas: number;
+  /** Time until a new replica serves, in milliseconds. */
+  readonly bootMs: number;
+  /** Price of one that may be reclaimed, against one that may not; null for none. */
+  readonly spotPrice: number | null;
+  /** Price of a replica by failure domain; only there are any to be had. */
+  readonly domainPrices: Readonly<Record<FailureDomainId, number>>;
 }
 
 /** Bounds on what a caller may send. */
@@ -115,6 +130,8 @@
    * say. A server that starts again under its old id has a later one.
    */
   readonly bornMs: number | null;
+  /** Whether it may be reclaimed at any time; absent means no. */
+  readonly spot?: boolean;
 }
 
 /** One part of a prompt; requests with equal leading parts share cache. */
