feat(gateway): runs move off replicas that leave before their streams end

Cause: a stream that may not begin twice stayed where it was until its replica was gone. Engines can stop a run and copy its memory to another one; the stream goes on there after the last whole event that the caller has.

--- a/packages/decisions/src/duties/index.ts
+++ b/packages/decisions/src/duties/index.ts
@@ -26,7 +26,7 @@
 export type { PlanFacts, ReplicaPlan } from './scaling/planReplicas.js';
 export { planReplicas, stepTowards } from './scaling/planReplicas.js';
 export type { ReplicaCensus } from './scaling/replicaCensus.js';
-export { replicaCensus, standingInAll } from './scaling/replicaCensus.js';
+export { lastingInAll, replicaCensus } from './scaling/replicaCensus.js';
 export type { OrderFacts } from './scaling/ReplicaOrders.js';
 export { ReplicaOrders } from './scaling/ReplicaOrders.js';
 export type { ToldUsage } from './UsageCollector.js';
--- a/packages/decisions/src/duties/scaling/ReplicaOrders.ts
+++ b/packages/decisions/src/duties/scaling/ReplicaOrders.ts
@@ -14,7 +14,7 @@
 /** Time for which a failure domain counts as having none after it said so. */
 const DRY_MS = 1500;
 /** Time beyond the start of a replica after which what is missing is ordered again. */
-const AGAIN_AFTER_MS = 2500;
+const AGAIN_AFTER_MS = 500;
 /** Time for which fewer must be wanted while there is load, in milliseconds. */
 const DECREASE_AFTER_MS = 8000;
 /** Part of the replicas by which an order has to change to make less of them. */
@@ -126,7 +126,7 @@
     const key = keyOf(order.service, order.failureDomain, kind);
     const placed = this.#placed.get(key);
     const before = placed?.order.count ?? standing;
-    if (order.count < before) {
+    if (order.count < before && order.count < standing) {
       return this.#isDecreaseDue(key, before - order.count, before, facts);
     }
     this.#fewerSinceMs.delete(key);
--- a/packages/decisions/src/duties/scaling/replicaCensus.ts
+++ b/packages/decisions/src/duties/scaling/replicaCensus.ts
@@ -41,6 +41,11 @@
   return census.get(domain) ?? NONE;
 }
 
+/** @returns replicas that nobody can reclaim, over all failure domains */
+export function lastingInAll(census: ReplicaCensus): number {
+  return [...census.values()].reduce((sum, { lasting }) => sum + lasting, 0);
+}
+
 /** @returns replicas over all failure domains */
 export function standingInAll(census: ReplicaCensus): number {
   return [...census.values()].reduce(
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -20,6 +20,8 @@
 import type { GatewayBoard } from './GatewayBoard.js';
 import type { Match } from './matchRequest.js';
 import { matchRequest } from './matchRequest.js';
+import { placeMove } from './moves/placeMove.js';
+import { strandedAttempts } from './moves/strandedAttempts.js';
 import type { HeardReport, OwnUse, PeerWork } from './PeerWorkBook.js';
 import { PeerWorkBook } from './PeerWorkBook.js';
 import type { PlacedCandidate } from './placement/PlacementPolicy.js';
@@ -227,6 +229,22 @@
     );
   }
 
+  /** Streams whose replica ends before they do, so that they should be moved. */
+  findStranded(): readonly GatewayAttempt[] {
+    return strandedAttempts(this.board);
+  }
+
+  /**
+   * Decides where a run goes on, and takes that out of the shared budget of repeats.
+   *
+   * @returns null where it has to stay
+   */
+  placeMove(attempt: GatewayAttempt): PlacedCandidate | null {
+    const placed = placeMove(this.board, attempt);
+    const { service } = attempt.request;
+    return placed && this.board.budget.take(service.id) ? placed : null;
+  }
+
   /** Attempts that may yet crash their replica, as the same content has crashed others. */
   findBarred(): readonly GatewayAttempt[] {
     if (this.board.crashes.barred.length === 0) {
--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -19,6 +19,7 @@
 export type WithdrawReason =
   | 'callerLeft'
   | 'crashesBackends'
+  | 'moved'
   | 'replicaRestarted'
   | 'silent'
   | 'timeLimit';
--- /dev/null
+++ b/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
@@ -0,0 +1,228 @@
+import { describe } from '@jujubecroft/testing';
+import type {
+  FailureDomainId,
+  ReplicaScaling,
+  ServiceId,
+} from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import type {
+  OrderFacts,
+  ReplicaCensus,
+  ReplicaOrder,
+} from '../../../src/index.js';
+import {
+  CapacityNeed,
+  planReplicas,
+  ReplicaOrders,
+  stepTowards,
+} from '../../../src/index.js';
+import { manualClock } from '../../gateway/helpers/gatewayFixture.js';
+
+const SERVICE = brand<ServiceId>('chat');
+const [A, B, C] = ['a', 'b', 'c'].map(name => brand<FailureDomainId>(name)) as [
+  FailureDomainId,
+  FailureDomainId,
+  FailureDomainId,
+];
+const SCALING: ReplicaScaling = {
+  minReplicas: 1,
+  maxReplicas: 40,
+  bootMs: 4000,
+  spotPrice: 0.2,
+  domainPrices: { [A]: 1, [B]: 0.8, [C]: 1.25 },
+};
+
+function census(lasting: number, spot: number): ReplicaCensus {
+  return new Map([A, B, C].map(domain => [domain, { lasting, spot }]));
+}
+
+function total(orders: readonly ReplicaOrder[], spot: boolean): number {
+  return orders
+    .filter(order => order.spot === spot)
+    .reduce((sum, { count }) => sum + count, 0);
+}
+
+function facts(overrides: Partial<OrderFacts> = {}): OrderFacts {
+  return {
+    service: SERVICE,
+    scaling: SCALING,
+    census: census(20, 0),
+    need: 60,
+    isIdle: true,
+    ...overrides,
+  };
+}
+
+describe('planReplicas', ({ it }) => {
+  const planOf = (
+    need: number,
+    scaling = SCALING,
+  ): ReturnType<typeof planReplicas> =>
+    planReplicas({
+      scaling,
+      need,
+      census: census(0, 0),
+      isDry: () => false,
+    });
+
+  // Guards against a burst that meets a third of the replicas gone.
+  it('has enough where all cheap ones of any failure domain are reclaimed', t => {
+    const plan = [...planOf(60).values()];
+    const all = plan.reduce(
+      (sum, { lasting, spot }) => sum + lasting + spot,
+      0,
+    );
+    plan.forEach(({ spot }) => {
+      t.true(all - spot >= 55);
+    });
+  });
+
+  it('keeps within the bounds of each failure domain', t => {
+    planOf(500).forEach(({ lasting, spot }) => {
+      t.true(lasting + spot <= SCALING.maxReplicas);
+    });
+    planOf(0).forEach(({ lasting, spot }) => {
+      t.true(lasting + spot >= SCALING.minReplicas);
+    });
+  });
+
+  it('has more where they are cheaper', t => {
+    const plan = planOf(60);
+    t.true((plan.get(B)?.spot ?? 0) > (plan.get(C)?.spot ?? 0));
+  });
+
+  it('has none to reclaim where there are none', t => {
+    const plan = [...planOf(60, { ...SCALING, spotPrice: null }).values()];
+    t.deepEqual(
+      plan.map(({ spot }) => spot),
+      [0, 0, 0],
+    );
+    t.is(
+      plan.reduce((sum, { lasting }) => sum + lasting, 0),
+      60,
+    );
+  });
+});
+
+describe('stepTowards', ({ it }) => {
+  // Guards against capacity that is given back before its replacement serves.
+  it('gives nothing back that is needed', t => {
+    const before = { ...facts(), isDry: () => false };
+    const step = stepTowards(before, planReplicas(before));
+    t.deepEqual(
+      [...step.values()].map(({ lasting }) => lasting),
+      [20, 20, 20],
+    );
+    const after = { ...before, census: census(20, 20) };
+    const next = [...stepTowards(after, planReplicas(after)).values()];
+    t.true(next.every(({ lasting }) => lasting < 20));
+  });
+});
+
+describe('ReplicaOrders', ({ it }) => {
+  it('orders cheap ones first, and gives back the others once those stand', t => {
+    const clock = manualClock();
+    const orders = new ReplicaOrders(clock.now);
+    const due = orders.due(facts());
+    t.true(total(due, true) > 50);
+    t.is(total(due, false), 0);
+    due.forEach(order => {
+      orders.onAccepted(order);
+    });
+    clock.advance(4100);
+    const next = orders.due(facts({ census: census(20, 24) }));
+    t.true(total(next, false) < 20);
+  });
+
+  it('says the same only once', t => {
+    const orders = new ReplicaOrders(manualClock().now);
+    orders.due(facts()).forEach(order => {
+      orders.onAccepted(order);
+    });
+    t.deepEqual(orders.due(facts()), []);
+  });
+
+  // Guards against cheap ones that never come back after they were reclaimed.
+  it('orders again what was reclaimed', t => {
+    const clock = manualClock();
+    const orders = new ReplicaOrders(clock.now);
+    orders.due(facts()).forEach(order => {
+      orders.onAccepted(order);
+    });
+    clock.advance(20_000);
+    const gone = new Map(census(4, 24)).set(B, { lasting: 5, spot: 0 });
+    const due = orders.due(facts({ census: gone, isIdle: false }));
+    t.true(due.some(({ failureDomain, spot }) => failureDomain === B && spot));
+  });
+
+  it('asks elsewhere where none are to be had', t => {
+    const clock = manualClock();
+    const orders = new ReplicaOrders(clock.now);
+    const [first] = orders.due(facts());
+    if (first) {
+      orders.onNoneLeft(first);
+    }
+    const domains = orders
+      .due(facts())
+      .filter(({ spot }) => spot)
+      .map(({ failureDomain }) => failureDomain);
+    t.false(first !== undefined && domains.includes(first.failureDomain));
+    t.is(domains.length, 2);
+    clock.advance(2000);
+    t.is(orders.due(facts()).filter(({ spot }) => spot).length, 3);
+  });
+
+  // Guards against streams that are cut off where replicas go and come again.
+  it('gives nothing back between two bursts', t => {
+    const clock = manualClock();
+    const orders = new ReplicaOrders(clock.now);
+    const standing = census(4, 24);
+    orders.due(facts({ census: standing })).forEach(order => {
+      orders.onAccepted(order);
+    });
+    const quiet = facts({ census: standing, need: 10, isIdle: false });
+    t.deepEqual(orders.due(quiet), []);
+    clock.advance(5000);
+    t.deepEqual(orders.due(quiet), []);
+    clock.advance(5000);
+    t.true(orders.due(quiet).length > 0);
+  });
+
+  it('goes on with the orders of the holder before', t => {
+    const clock = manualClock();
+    const before = new ReplicaOrders(clock.now);
+    before.due(facts()).forEach(order => {
+      before.onAccepted(order);
+    });
+    const after = new ReplicaOrders(clock.now);
+    after.takeOver(before.inForce);
+    t.deepEqual(after.due(facts()), []);
+  });
+});
+
+describe('CapacityNeed', ({ it }) => {
+  const OPTIONS = { targetUse: 0.5, holdMs: 10_000, decayMs: 20_000 };
+  const load = (inFlight: number) => ({ inFlight, slots: 16, most: 120 });
+
+  it('grows with the load at once', t => {
+    const need = new CapacityNeed(20, manualClock().now, OPTIONS);
+    t.is(need.observe(load(0)), 20);
+    t.is(need.observe(load(400)), 50);
+    t.is(need.observe(load(4000)), 120);
+  });
+
+  // Guards against a second burst that finds what the first one needed given back.
+  it('is kept between two bursts, and then shrinks', t => {
+    const clock = manualClock();
+    const need = new CapacityNeed(20, clock.now, OPTIONS);
+    need.observe(load(400));
+    clock.advance(9000);
+    t.is(need.observe(load(40)), 50);
+    Array.from({ length: 100 }).forEach(() => {
+      clock.advance(1000);
+      need.observe(load(40));
+    });
+    t.true(need.replicas < 10);
+  });
+});
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -178,6 +178,12 @@
     summary:
       'An attempt gave no answer for the caller; the next step stands beside it.',
   },
+  runMoved: {
+    number: 520,
+    level: 'info',
+    summary:
+      'The run of a stream was to go on at another backend server, since its own leaves.',
+  },
   requestAnswered: {
     number: 504,
     level: 'info',
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -10,6 +10,7 @@
 
 import { BackendConnections } from './backends/BackendConnections.js';
 import type { GatewayContext } from './GatewayContext.js';
+import type { EngineControl } from './ports/EngineControl.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import { LoopDelays } from './LoopDelays.js';
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -28,6 +29,8 @@
 > & {
   /** Time of day of the start, which grows from run to run; a step back is refuted. */
   readonly startedMs: number;
+  /** Absent where engines take no orders. */
+  readonly engines?: EngineControl | undefined;
   /** In Unix milliseconds; that of the process where omitted. */
   readonly timeOfDay?: () => number;
 };
@@ -41,7 +44,7 @@
  */
 export function createContext(
   settings: GatewaySettings,
-  { clock, dialect, log, timers, startedMs, timeOfDay }: ContextParts,
+  { clock, dialect, log, timers, engines, startedMs, timeOfDay }: ContextParts,
 ): GatewayContext {
   const { instance, failureDomain, retryBudget } = settings;
   // Each run draws other numbers, or all instances would after a restart.
@@ -53,6 +56,7 @@
     failureDomain,
     retryBudget,
     duties: settings.duties,
+    drainMs: settings.freshWithinMs,
     ...(timeOfDay ? { timeOfDay } : {}),
   });
   const membership = new Membership(
@@ -79,6 +83,7 @@
     lease: new ViewLease(board, timers, () => context.settings.freshWithinMs),
     connections: new BackendConnections(),
     dialect,
+    engines: engines ?? null,
     metrics: new GatewayMetrics(),
     log,
     delays: new LoopDelays(clock, HOUSEKEEPING_MS),
--- a/packages/gateway/src/duties/ReplicaOrdering.ts
+++ b/packages/gateway/src/duties/ReplicaOrdering.ts
@@ -1,5 +1,6 @@
 import type {
   DutyNotes,
+  ReplicaCensus,
   ReplicaOrder,
   ServiceNeed,
 } from '@jujubecroft/decisions';
@@ -7,7 +8,7 @@
   CapacityNeed,
   replicaCensus,
   ReplicaOrders,
-  standingInAll,
+  lastingInAll,
 } from '@jujubecroft/decisions';
 import type {
   FailureDomainId,
@@ -29,15 +30,21 @@
 const SETTLE_MS = 2000;
 
 interface FirstCount {
-  readonly standing: number;
+  readonly lasting: number;
   readonly sinceMs: number;
 }
 
+interface KnownNeed {
+  readonly need: CapacityNeed;
+  /** False while replicas that started with the fleet are still coming. */
+  readonly isSettled: boolean;
+}
+
 /** Orders and gives back replicas, while this instance is the holder. */
 export class ReplicaOrdering {
   readonly #orders: ReplicaOrders;
   readonly #needs = new Map<ServiceId, CapacityNeed>();
-  /** Replicas that stood when this instance first looked, and since when. */
+  /** Replicas that stand before the first were given back, and since when. */
   readonly #first = new Map<ServiceId, FirstCount>();
   #isAtWork = false;
   #lookedMs = -Infinity;
@@ -115,29 +122,27 @@
       id,
       domainsOf(scaling),
     );
-    const standing = standingInAll(census);
     const loads = [...board.backends.values()].filter(
       ({ replica }) => replica.service === id,
     );
     const inFlight = loads.reduce((sum, load) => sum + load.totalInFlight, 0);
     const slots = engine?.slots ?? loads[0]?.replica.slots ?? 1;
     const most = scaling.maxReplicas * census.size;
-    const need = this.#needOf(id, standing)?.observe({ inFlight, slots, most });
-    if (need === undefined) {
-      return [];
-    }
-    const due = this.#orders.due({
-      service: id,
-      scaling,
-      census,
-      need,
-      isIdle: inFlight === 0,
-    });
+    const { need, isSettled } = this.#needOf(id, lastingInAll(census));
+    const replicas = need.observe({ inFlight, slots, most });
+    const due = this.#orders
+      .due({
+        service: id,
+        scaling,
+        census,
+        need: replicas,
+        isIdle: inFlight === 0,
+      })
+      .filter(order => isSettled || isMore(order, census));
     if (due.length > 0) {
       this.context.log.write('ordersDue', {
         service: id,
-        need: Math.round(need),
-        standing,
+        need: Math.round(replicas),
         inFlight: Math.round(inFlight),
         census: Object.fromEntries(census),
         orders: due.length,
@@ -150,25 +155,28 @@
    * What a service needs. Before any load was seen, that is what stands there, as its
    * operators thought right.
    *
-   * @returns undefined while replicas that started with the fleet are still coming
+   * @param service - that is looked at
+   * @param lasting - its replicas that nobody can reclaim
    */
-  #needOf(service: ServiceId, standing: number): CapacityNeed | undefined {
+  #needOf(service: ServiceId, lasting: number): KnownNeed {
     const known = this.#needs.get(service);
     if (known) {
-      return known;
+      return { need: known, isSettled: true };
     }
-    const nowMs = this.context.clock();
+    const { clock } = this.context;
+    const need = new CapacityNeed(lasting, clock);
     const first = this.#first.get(service);
-    if (first?.standing !== standing) {
-      this.#first.set(service, { standing, sinceMs: nowMs });
-      return undefined;
+    if (first?.lasting !== lasting) {
+      this.#first.set(service, { lasting, sinceMs: clock() });
     }
-    if (standing === 0 || nowMs - first.sinceMs < SETTLE_MS) {
-      return undefined;
+    const isSettled =
+      lasting > 0 &&
+      first?.lasting === lasting &&
+      clock() - first.sinceMs >= SETTLE_MS;
+    if (isSettled) {
+      this.#needs.set(service, need);
     }
-    const need = new CapacityNeed(standing, this.context.clock);
-    this.#needs.set(service, need);
-    return need;
+    return { need, isSettled };
   }
 
   async #place([order, ...rest]: readonly ReplicaOrder[]): Promise<boolean> {
@@ -204,3 +212,12 @@
 }: ReplicaScaling): readonly FailureDomainId[] {
   return Object.keys(domainPrices) as FailureDomainId[];
 }
+
+/** Whether an order adds to what stands. */
+function isMore(
+  { failureDomain, spot, count }: ReplicaOrder,
+  census: ReplicaCensus,
+): boolean {
+  const standing = census.get(failureDomain);
+  return count > ((spot ? standing?.spot : standing?.lasting) ?? 0);
+}
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -7,13 +7,18 @@
   Recovery,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
+import {
+  connectionShare,
+  isIdempotent,
+  outlastsStop,
+} from '@jujubecroft/decisions';
 import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
 
 import type { ExchangeEnd, RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import type { CallerHead, RawHeaders } from '../ports/CallerDialect.js';
+import type { EngineControl } from '../ports/EngineControl.js';
 import { AnswerAssembly } from './AnswerAssembly.js';
 import { AnswerTimes } from './AnswerTimes.js';
 import type { CallerAnswer } from './CallerAnswer.js';
@@ -44,6 +49,15 @@
   readonly result: AttemptResult;
 }
 
+/** A run that stopped at one replica, with its memory at another. */
+interface MovedRun {
+  readonly placed: PlacedCandidate;
+  /** What the other replica is told to go on from. */
+  readonly goOnFrom: string;
+}
+
+/** Time in which what a run made before it was moved has come, in milliseconds. */
+const LAST_PIECES_MS = 250;
 /** Told by an instance that stops; callers find another at once. */
 const LEAVING_RETRY_MS = 50;
 
@@ -60,6 +74,10 @@
   #sent = 0;
   #unsent = 0;
   #mayHaveRun = false;
+  /** A move of the run under way, which tells where it goes on. */
+  #move: Promise<MovedRun | null> | null = null;
+  /** Where the run goes on next; null where it was not moved. */
+  #moved: MovedRun | null = null;
   readonly #times: AnswerTimes;
 
   constructor(
@@ -77,9 +95,10 @@
       answer,
       this.#notes,
     );
-    const resumes =
-      request.route.kind === 'streaming' && request.route.resumable;
-    this.#events = resumes ? new EventCutter(call.head.lastEventId) : null;
+    const { route, service } = request;
+    const goesOn = route.resumable || service.engine?.movesRuns === true;
+    const isCut = route.kind === 'streaming' && goesOn;
+    this.#events = isCut ? new EventCutter(call.head.lastEventId) : null;
   }
 
   /** Carries the request until the caller has its answer, or is gone. */
@@ -112,6 +131,56 @@
     return this.#attempt === attempt;
   }
 
+  /**
+   * Lets the run go on at another replica.
+   *
+   * @param attempt - that is under way
+   * @param engines - that are told to move it
+   */
+  move(attempt: GatewayAttempt, engines: EngineControl): void {
+    if (this.#move || this.#withdrawn !== null) {
+      return;
+    }
+    const placed = this.context.router.placeMove(attempt);
+    if (placed) {
+      this.#move = this.#askToMove(attempt, placed, engines);
+    }
+  }
+
+  async #askToMove(
+    attempt: GatewayAttempt,
+    placed: PlacedCandidate,
+    engines: EngineControl,
+  ): Promise<MovedRun | null> {
+    const { replica } = placed.load;
+    try {
+      const goOnFrom = await engines.moveRun({
+        request: this.request.id,
+        from: attempt.load.replica.address,
+        to: replica.address,
+      });
+      this.#notes.moved(
+        attempt,
+        replica.id,
+        goOnFrom === null ? 'refused' : undefined,
+      );
+      if (goOnFrom === null) {
+        return null;
+      }
+      // What the run made before it stopped is on its way, and then its end.
+      setTimeout(() => {
+        if (this.runs(attempt)) {
+          this.#exchange?.abort();
+        }
+      }, LAST_PIECES_MS);
+      return { placed, goOnFrom };
+    } catch (err) {
+      const error = err instanceof Error ? err.message : String(err);
+      this.#notes.moved(attempt, replica.id, error);
+      return null;
+    }
+  }
+
   async #carry(): Promise<void> {
     let goesOn = true;
     while (goesOn) {
@@ -127,7 +196,11 @@
       this.#finishWithout(left ? 'callerLeft' : 'backendTimeout', 0, {});
       return false;
     }
-    const decision = await placeOnView(this.context, this.request, this.#tried);
+    if (this.#mayHaveRun && !this.#moved && !isIdempotent(this.request.route)) {
+      this.#finishWithout('backendMaybeRan', 0, {});
+      return false;
+    }
+    const decision = await this.#decide();
     if (decision.kind === 'send' && this.#outlastsThis(decision.placed)) {
       this.#finishWithout('instanceLeaving', LEAVING_RETRY_MS, {
         predictedMs: Math.round(decision.placed.predictedWholeMs),
@@ -157,6 +230,13 @@
     return this.#follow(recovery);
   }
 
+  /** A run that was moved goes on where its memory is; all else is placed. */
+  async #decide(): Promise<PlacementDecision> {
+    return this.#moved
+      ? { kind: 'send', placed: this.#moved.placed, candidates: 1 }
+      : placeOnView(this.context, this.request, this.#tried);
+  }
+
   /** Whether the instance would stop before the request's answer ends. */
   #outlastsThis({ predictedWholeMs }: PlacedCandidate): boolean {
     const { stopPlan, clock } = this.context;
@@ -206,7 +286,7 @@
     const end = await exchange.ended;
     this.#exchange = null;
     this.#attempt = null;
-    const result = this.#resultOf(end, assembly);
+    const result = await this.#resultAfterMove(end, assembly);
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     this.#count(result, replica.id);
@@ -251,6 +331,7 @@
       priority: request.service.engine ? attempt.rank : null,
       lastEventId: this.#events?.lastId ?? call.head.lastEventId,
       fetchFrom: attempt.fetch?.from.address ?? null,
+      goOnFrom: this.#moved?.goOnFrom ?? null,
     });
   }
 
@@ -270,6 +351,24 @@
     }
   }
 
+  /** How an attempt ended, or that its run goes on elsewhere. */
+  async #resultAfterMove(
+    end: ExchangeEnd,
+    assembly: AnswerAssembly,
+  ): Promise<AttemptResult> {
+    const wasUnsent = end.kind !== 'complete' && !end.sent;
+    if (!wasUnsent) {
+      this.#moved = null;
+    }
+    const moved = end.kind === 'complete' ? null : await this.#move;
+    this.#move = null;
+    if (moved && this.#withdrawn === null) {
+      this.#moved = moved;
+      return { kind: 'withdrawn', reason: 'moved' };
+    }
+    return this.#resultOf(end, assembly);
+  }
+
   #afterAbort(sent: boolean): AttemptResult {
     const reason = this.#withdrawn;
     if (reason === null) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,7 @@
   ReplicaRead,
 } from './ports/DiscoveryStore.js';
 export { HISTORY_GONE } from './ports/DiscoveryStore.js';
+export type { EngineControl, RunMove } from './ports/EngineControl.js';
 export type {
   DutyAnswer,
   DutyCaller,
