--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -104,53 +104,6 @@
     summary:
       'A backend server names or changes the requests a second that it takes, or takes any number again.',
   },
-  dutiesTaken: {
-    number: 601,
-    level: 'info',
-    summary: 'This instance holds the duties that one does for all.',
-  },
-  dutiesLost: {
-    number: 602,
-    level: 'info',
-    summary: 'This instance holds the duties no longer.',
-  },
-  holdingFailed: {
-    number: 603,
-    level: 'warn',
-    summary: 'The store did not answer a call about who holds the duties.',
-  },
-  usageDecided: {
-    number: 604,
-    level: 'info',
-    summary: 'The usage of a window of time is counted for good.',
-  },
-  usageReported: {
-    number: 605,
-    level: 'info',
-    summary: 'The platform has accepted the usage of a window.',
-  },
-  ordersDue: {
-    number: 606,
-    level: 'info',
-    summary:
-      'Replicas of a service are to be ordered or given back; need and what stands are beside it.',
-  },
-  replicasOrdered: {
-    number: 607,
-    level: 'info',
-    summary: 'The platform answered an order of replicas.',
-  },
-  dutyCallFailed: {
-    number: 608,
-    level: 'warn',
-    summary:
-      'The platform did not answer a call that one instance makes for all.',
-  },
-  dutiesUnknown: {
-    number: 609,
-    level: 'warn',
-    summary: 'The settings name duties that this system does not know.',
-  },
   memberChanged: {
     number: 401,
     level: 'info',
@@ -178,12 +131,6 @@
     summary:
       'An attempt gave no answer for the caller; the next step stands beside it.',
   },
-  runMoved: {
-    number: 520,
-    level: 'info',
-    summary:
-      'The run of a stream was to go on at another backend server, since its own leaves.',
-  },
   requestAnswered: {
     number: 504,
     level: 'info',
@@ -210,12 +157,65 @@
     summary:
       'Requests with this fingerprint crashed several backend servers and are no longer sent, or may be again.',
   },
+  runMoved: {
+    number: 509,
+    level: 'info',
+    summary:
+      'The run of a stream was to go on at another backend server, since its own leaves.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
     summary:
       'Log lines beyond the bound of their event were counted instead of written.',
   },
+  dutiesTaken: {
+    number: 601,
+    level: 'info',
+    summary: 'This instance holds the duties that one does for all.',
+  },
+  dutiesLost: {
+    number: 602,
+    level: 'info',
+    summary: 'This instance holds the duties no longer.',
+  },
+  holdingFailed: {
+    number: 603,
+    level: 'warn',
+    summary: 'The store did not answer a call about who holds the duties.',
+  },
+  usageDecided: {
+    number: 604,
+    level: 'info',
+    summary: 'The usage of a window of time is counted for good.',
+  },
+  usageReported: {
+    number: 605,
+    level: 'info',
+    summary: 'The platform has accepted the usage of a window.',
+  },
+  ordersDue: {
+    number: 606,
+    level: 'info',
+    summary:
+      'Replicas of a service are to be ordered or given back; need and what stands are beside it.',
+  },
+  replicasOrdered: {
+    number: 607,
+    level: 'info',
+    summary: 'The platform answered an order of replicas.',
+  },
+  dutyCallFailed: {
+    number: 608,
+    level: 'warn',
+    summary:
+      'The platform did not answer a call that one instance makes for all.',
+  },
+  dutiesUnknown: {
+    number: 609,
+    level: 'warn',
+    summary: 'The settings name duties that this system does not know.',
+  },
   unexpectedError: {
     number: 901,
     level: 'error',
