--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -1,4 +1,4 @@
-import type { SoakBounds, SoakKind } from './evidence.js';
+import type { DutyNote, SoakBounds, SoakKind } from './evidence.js';
 
 /** How the store misbehaves towards everybody. */
 export type StoreFault = 'away' | 'losesReplies' | 'slow' | 'well';
@@ -34,6 +34,8 @@
   readonly forgetHistory: () => void;
   /** Calls that were made so far. */
   readonly calls: () => number;
+  /** What was reported so far of the work of all gateways together. */
+  readonly dutyCalls: () => readonly DutyNote[];
   /** Writes a configuration; it is acknowledged when this returns. */
   readonly configure: (cfg: SoakConfiguration) => void;
   /** Told of each change of a replica's entry; false where it leaves or is gone. */
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -98,6 +98,7 @@
       faults: this.#faults,
       leaving: this.#leaving,
       configured: this.#operator.configured,
+      dutyCalls: this.fleet.store.dutyCalls(),
       calmFromMs,
       endMs,
     };
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -27,6 +27,15 @@
   readonly version: number | null;
 }
 
+/** A call that one gateway made for all, as the platform carried it out. */
+export interface DutyNote {
+  readonly holder: string;
+  readonly token: number;
+  readonly window: number;
+  /** What it said of the window, as text. */
+  readonly counts: string;
+}
+
 /** How a request ended for its caller. */
 export interface SeenAnswer {
   readonly id: string;
@@ -147,4 +156,6 @@
   /** When the last fault was over and calm began. */
   readonly calmFromMs: number;
   readonly endMs: number;
+  /** Calls that one gateway made for all, in the order in which they were done. */
+  readonly dutyCalls: readonly DutyNote[];
 }
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -4,6 +4,7 @@
 import { cancelledWork } from './cancelled-work.js';
 import { configurationInForce } from './configuration-in-force.js';
 import { crashingRequests } from './crashing-requests.js';
+import { dutiesOfOne } from './duties-of-one.js';
 import { gracefulStops } from './graceful-stops.js';
 import { leavingReplicas } from './leaving-replicas.js';
 import { replicaLimits } from './replica-limits.js';
@@ -21,6 +22,7 @@
   cancelledWork,
   configurationInForce,
   crashingRequests,
+  dutiesOfOne,
   gracefulStops,
   leavingReplicas,
   replicaLimits,
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -257,6 +257,26 @@
     },
     broken: ['configuration-in-force', 'whole-own-answers'],
   },
+  {
+    title: 'notice two gateways that call under one token',
+    seen: {
+      dutyCalls: [
+        { holder: 'gateway-0', token: 3, window: 7, counts: '{}' },
+        { holder: 'gateway-1', token: 3, window: 8, counts: '{}' },
+      ],
+    },
+    broken: ['duties-of-one'],
+  },
+  {
+    title: 'notice a window that is reported with two counts',
+    seen: {
+      dutyCalls: [
+        { holder: 'gateway-0', token: 3, window: 7, counts: '{"a":1}' },
+        { holder: 'gateway-1', token: 4, window: 7, counts: '{"a":2}' },
+      ],
+    },
+    broken: ['duties-of-one'],
+  },
 ];
 
 describe('promises of the soak', ({ it }) => {
--- a/packages/soak/tests/promises/evidenceFixture.ts
+++ b/packages/soak/tests/promises/evidenceFixture.ts
@@ -131,6 +131,7 @@
     faults: [],
     leaving: [],
     configured: [],
+    dutyCalls: [],
     calmFromMs: 0,
     endMs: END_MS,
     ...rest,
