--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -235,14 +235,20 @@
   }
 
   /**
-   * Decides where a run goes on, and takes that out of the shared budget of repeats.
+   * Decides where a run goes on, which counts as a repeat.
    *
    * @returns null where it has to stay
    */
   placeMove(attempt: GatewayAttempt): PlacedCandidate | null {
-    const placed = placeMove(this.board, attempt);
     const { service } = attempt.request;
-    return placed && this.board.budget.take(service.id) ? placed : null;
+    return this.board.budget.left(service.id) >= 1
+      ? placeMove(this.board, attempt)
+      : null;
+  }
+
+  /** Notes that a run goes on at another replica. */
+  onMoved({ request }: GatewayAttempt): void {
+    this.board.budget.take(request.service.id);
   }
 
   /** Attempts that may yet crash their replica, as the same content has crashed others. */
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -56,6 +56,8 @@
   readonly goOnFrom: string;
 }
 
+/** Replicas that a run is to be moved to, until one takes it. */
+const MAX_MOVES = 4;
 /** Time in which what a run made before it was moved has come, in milliseconds. */
 const LAST_PIECES_MS = 250;
 /** Told by an instance that stops; callers find another at once. */
@@ -76,6 +78,7 @@
   #mayHaveRun = false;
   /** A move of the run under way, which tells where it goes on. */
   #move: Promise<MovedRun | null> | null = null;
+  #movesTried = 0;
   /** Where the run goes on next; null where it was not moved. */
   #moved: MovedRun | null = null;
   readonly #times: AnswerTimes;
@@ -152,6 +155,7 @@
     placed: PlacedCandidate,
     engines: EngineControl,
   ): Promise<MovedRun | null> {
+    const { router } = this.context;
     const { replica } = placed.load;
     try {
       const goOnFrom = await engines.moveRun({
@@ -160,6 +164,7 @@
         to: replica.address,
       });
       this.#notes.moved(attempt, replica.id);
+      router.onMoved(attempt);
       // What the run made before it stopped is on its way, and then its end.
       setTimeout(() => {
         if (this.runs(attempt)) {
@@ -170,10 +175,19 @@
     } catch (err) {
       const error = err instanceof Error ? err.message : String(err);
       this.#notes.moved(attempt, replica.id, error);
+      this.#retryMove(attempt);
       return null;
     }
   }
 
+  /** Lets the run be moved to another replica, where it goes on at its own. */
+  #retryMove(attempt: GatewayAttempt): void {
+    this.#movesTried += 1;
+    if (this.runs(attempt) && this.#movesTried < MAX_MOVES) {
+      this.#move = null;
+    }
+  }
+
   async #carry(): Promise<void> {
     let goesOn = true;
     while (goesOn) {
