refactor(platform): what is no translation moves out of the adapter

Rows and calls in JSON, headers that concern one connection, numbers in headers, checked settings, starting and reloading, early listening, the note of a member and the row of the holding are this system's own; the adapter keeps the platform's names and shapes.

--- a/packages/cli/src/commands/ConfigCheckCommand.ts
+++ b/packages/cli/src/commands/ConfigCheckCommand.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
-import type { SettingsRead } from '@jujubecroft/platform';
+import type { CheckedRead } from '@jujubecroft/gateway';
+import type { PlatformSettings } from '@jujubecroft/platform';
 import { formatFaults, parseSettings } from '@jujubecroft/settings';
 
 import { EXIT } from '../exitCodes.js';
@@ -27,7 +28,7 @@
       : this.#checkOwn(text);
   }
 
-  #tell(result: SettingsRead): number {
+  #tell(result: CheckedRead<PlatformSettings>): number {
     if (result.ok) {
       this.context.stdout.write(`${this.file}: platform settings, ok\n`);
       return EXIT.ok;
--- a/packages/decisions/src/duties/index.ts
+++ b/packages/decisions/src/duties/index.ts
@@ -21,6 +21,7 @@
   LeaseStep,
 } from './HolderLease.js';
 export { HolderLease } from './HolderLease.js';
+export { parseHolding } from './parseHolding.js';
 export type { CapacityOptions } from './scaling/CapacityNeed.js';
 export { CapacityNeed, DEFAULT_CAPACITY } from './scaling/CapacityNeed.js';
 export type { PlanFacts, ReplicaPlan } from './scaling/planReplicas.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,9 @@
-export { KeepAliveAgent } from './backends/KeepAliveAgent.js';
+export type {
+  JsonCall,
+  JsonClientOptions,
+  JsonReply,
+} from './backends/JsonClient.js';
+export { JsonClient } from './backends/JsonClient.js';
 export { requestWhole } from './backends/requestWhole.js';
 export type { GatewayContext } from './GatewayContext.js';
 export { isReady } from './GatewayContext.js';
@@ -17,6 +22,8 @@
 } from './ports/DiscoveryStore.js';
 export { HISTORY_GONE } from './ports/DiscoveryStore.js';
 export type { EngineControl, RunMove } from './ports/EngineControl.js';
+export type { ConditionalRow } from './duties/createHoldingStore.js';
+export { createHoldingStore } from './duties/createHoldingStore.js';
 export type {
   DutyAnswer,
   DutyCaller,
@@ -27,7 +34,22 @@
   HoldingWritten,
 } from './ports/DutyPorts.js';
 export type { SideRoutes } from './side/createSideApp.js';
-export { chooseAddresses } from './side/chooseAddresses.js';
+export { addressAgeMs, chooseAddresses } from './side/chooseAddresses.js';
 export type { GatewayPorts, RunningGateway } from './startGateway.js';
 export { startGateway } from './startGateway.js';
+export { parseMemberNote } from './state/parseMemberNote.js';
+export { toAmount, toCount, toNumber } from './util/headerNumbers.js';
+export { formatRowContent, parseRowContent } from './util/rowContent.js';
+export type { HeaderPair } from './util/headers.js';
+export { headerMap, headersWithout } from './util/headers.js';
+export type {
+  GatewayProcess,
+  LogFactory,
+  RunOptions,
+  SettingsSource,
+} from './runFromSettings.js';
+export { runFromSettings } from './runFromSettings.js';
+export { ADDRESS, parseAddress } from './util/parseAddress.js';
+export type { CheckedRead, DocumentFault } from './util/readChecked.js';
+export { readChecked } from './util/readChecked.js';
 export { fromReplicaFields, toReplicaFields } from './state/gatewayState.js';
--- a/packages/gateway/src/side/chooseAddresses.ts
+++ b/packages/gateway/src/side/chooseAddresses.ts
@@ -35,3 +35,14 @@
   ].map(({ callerAddress }) => callerAddress);
   return [...own, ...others].slice(0, MAX_ADDRESSES);
 }
+
+/**
+ * Time for which callers keep addresses. Some keep them three times as long, and
+ * an instance that stops has eight seconds to be forgotten.
+ */
+const ADDRESS_AGE_MS = 2000;
+
+/** @returns milliseconds for which callers may keep the addresses that they get */
+export function addressAgeMs({ settings }: GatewayContext): number {
+  return Math.min(ADDRESS_AGE_MS, settings.maxAddressAgeMs);
+}
