--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -20,8 +20,6 @@
 import type { GatewayBoard } from './GatewayBoard.js';
 import type { Match } from './matchRequest.js';
 import { matchRequest } from './matchRequest.js';
-import { placeMove } from './moves/placeMove.js';
-import { strandedAttempts } from './moves/strandedAttempts.js';
 import type { HeardReport, OwnUse, PeerWork } from './PeerWorkBook.js';
 import { PeerWorkBook } from './PeerWorkBook.js';
 import type { PlacedCandidate } from './placement/PlacementPolicy.js';
@@ -229,28 +227,6 @@
     );
   }
 
-  /** Streams whose replica ends before they do, so that they should be moved. */
-  findStranded(): readonly GatewayAttempt[] {
-    return strandedAttempts(this.board);
-  }
-
-  /**
-   * Decides where a run goes on, which counts as a repeat.
-   *
-   * @returns null where it has to stay
-   */
-  placeMove(attempt: GatewayAttempt): PlacedCandidate | null {
-    const { service } = attempt.request;
-    return this.board.budget.left(service.id) >= 1
-      ? placeMove(this.board, attempt)
-      : null;
-  }
-
-  /** Notes that a run goes on at another replica. */
-  onMoved({ request }: GatewayAttempt): void {
-    this.board.budget.take(request.service.id);
-  }
-
   /** Attempts that may yet crash their replica, as the same content has crashed others. */
   findBarred(): readonly GatewayAttempt[] {
     if (this.board.crashes.barred.length === 0) {
--- a/packages/decisions/src/gateway/judgeReplica.ts
+++ b/packages/decisions/src/gateway/judgeReplica.ts
@@ -16,20 +16,17 @@
 /**
  * Whether an attempt that was given up says nothing of its replica.
  *
- * A run that goes on elsewhere does not, nor a caller that leaves, unless its answer
- * was lost there.
+ * A caller that leaves does not, unless its answer was lost there.
  */
 function isNeutral(
   board: GatewayBoard,
   attempt: GatewayAttempt,
   result: AttemptResult,
 ): boolean {
-  if (result.kind !== 'withdrawn') {
-    return false;
-  }
   return (
-    result.reason === 'moved' ||
-    (result.reason === 'callerLeft' && !isOvertaken(board, attempt))
+    result.kind === 'withdrawn' &&
+    result.reason === 'callerLeft' &&
+    !isOvertaken(board, attempt)
   );
 }
 
--- a/packages/decisions/src/gateway/placement/cacheFetch.ts
+++ b/packages/decisions/src/gateway/placement/cacheFetch.ts
@@ -19,14 +19,6 @@
 const BITS_PER_BYTE = 8;
 const BITS_PER_MS_OF_MBPS = 1000;
 
-/** Replicas that a part is put on. */
-const HOMES = 2;
-
-interface WeighedLoad {
-  readonly load: BackendLoad;
-  readonly weight: number;
-}
-
 /** What one replica probably keeps of the shared parts of a prompt. */
 export interface Holder {
   readonly load: BackendLoad;
@@ -36,29 +28,23 @@
 }
 
 /**
- * The replicas on which all instances would put a prompt part, the first one first.
- *
- * Where the first is full, all of them fall back on the same second one, and the part
- * is read there once, and not wherever each of them finds room.
+ * The replica on which all instances would put a prompt part.
  *
  * @param part - of a prompt
- * @param loads - replicas among which they are sought
- * @returns two of them; fewer where there are fewer
+ * @param loads - replicas among which it is sought
+ * @returns undefined where there are none
  */
-export function homesOf(
+export function homeOf(
   part: PromptPart,
   loads: readonly BackendLoad[],
-): readonly BackendLoad[] {
-  const homes = loads.reduce<readonly WeighedLoad[]>((best, load) => {
-    const weight = murmurhash.v3(`${part.id}/${load.replica.id}`);
-    const last = best[HOMES - 1];
-    return last && last.weight >= weight
-      ? best
-      : [...best, { load, weight }]
-          .sort((a, b) => b.weight - a.weight)
-          .slice(0, HOMES);
-  }, []);
-  return homes.map(({ load }) => load);
+): BackendLoad | undefined {
+  return loads.reduce<{ load: BackendLoad; weight: number } | undefined>(
+    (best, load) => {
+      const weight = murmurhash.v3(`${part.id}/${load.replica.id}`);
+      return best && best.weight >= weight ? best : { load, weight };
+    },
+    undefined,
+  )?.load;
 }
 
 /**
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -10,7 +10,7 @@
 import { pathsOf } from '../PromptMemory.js';
 import { requestRank } from '../requestRank.js';
 import type { Holder } from './cacheFetch.js';
-import { bestHolders, chooseFetch, homesOf } from './cacheFetch.js';
+import { bestHolders, chooseFetch, homeOf } from './cacheFetch.js';
 import type { SegmentOptions } from './groupSegments.js';
 import { createGroupSegments } from './groupSegments.js';
 import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
@@ -33,10 +33,6 @@
   readonly fetchWeight: number;
   /** Chance that shared parts are kept where the hash puts them, though not by us. */
   readonly homeChance: number;
-  /** The same for the replica on which all instances fall back. */
-  readonly secondHomeChance: number;
-  /** Part of the cost of reading shared parts again that counts there. */
-  readonly secondHomeWeight: number;
 }
 
 /** Parts that other requests can share; the last of all is the request's own. */
@@ -55,7 +51,6 @@
   /** Pieces that the answer should have. */
   readonly pieces: number;
   readonly home: BackendLoad | undefined;
-  readonly secondHome: BackendLoad | undefined;
   /** Replicas that probably keep most of the shared parts, best first. */
   readonly holders: readonly Holder[];
   /** Prompt tokens that each replica keeps, as far as this instance knows. */
@@ -71,17 +66,6 @@
 ): PlacementPolicy {
   const segmentsFor = createGroupSegments(board, options);
 
-  /** Chance that shared parts are kept at a replica by what all instances do. */
-  const chanceAt = (
-    load: BackendLoad,
-    { home, secondHome }: Pick<Prepared, 'home' | 'secondHome'>,
-  ): number => {
-    if (load === home) {
-      return options.homeChance;
-    }
-    return load === secondHome ? options.secondHomeChance : 0;
-  };
-
   const prepare = (
     request: GatewayRequest,
     loads: readonly BackendLoad[],
@@ -92,14 +76,14 @@
     const parts = prompt?.parts ?? [];
     const shared = sharedParts(request);
     const last = shared.at(-1);
-    const [home, secondHome] = last ? homesOf(last, loads) : [];
+    const home = last && homeOf(last, loads);
     const paths = pathsOf(parts);
     const sharedTokens = tokensOf(shared);
     const cached = new Map(
       all.map(load => [load, load.memory.cachedTokens(parts, paths)]),
     );
     const holders = [...cached].map(([load, known]) => {
-      const hoped = chanceAt(load, { home, secondHome }) * sharedTokens;
+      const hoped = load === home ? options.homeChance * sharedTokens : 0;
       const kept = Math.min(known, sharedTokens);
       return { load, tokens: Math.max(hoped, kept), isKnown: kept >= hoped };
     });
@@ -109,7 +93,6 @@
       sharedTokens,
       pieces: board.lengths.expect(route.id, prompt, service),
       home,
-      secondHome,
       holders: bestHolders(holders),
       cached,
       rank: requestRank(board, request, urgency),
@@ -126,7 +109,9 @@
     const { engine } = learningOf(board, request.service.id);
     const isHome = load === prepared.home;
     const cached = prepared.cached.get(load) ?? 0;
-    const hoped = Math.max(cached, chanceAt(load, prepared) * sharedTokens);
+    const hoped = isHome
+      ? Math.max(cached, options.homeChance * sharedTokens)
+      : cached;
     const fetch = chooseFetch({
       holders: prepared.holders,
       target: load,
@@ -147,12 +132,9 @@
     // What is only hoped for may have to be read after all.
     const sure = fetch?.isKnown === true ? fetched : 0;
     const missing = Math.max(0, sharedTokens - cached - sure);
-    const isSecond = load === prepared.secondHome;
-    const rereadWeight =
-      options.rereadWeight * (isSecond ? options.secondHomeWeight : 1);
     const rereadMs = isHome
       ? 0
-      : (missing / engine.tokensPerMs) * rereadWeight +
+      : (missing / engine.tokensPerMs) * options.rereadWeight +
         copyMs * options.fetchWeight;
     const slots = request.service.engine?.slots ?? Infinity;
     const taken = load.totalInFlight / slots;
@@ -220,8 +202,6 @@
     rereadWeight: z.number().nonnegative().default(16),
     fetchWeight: z.number().nonnegative().default(2),
     homeChance: z.number().min(0).max(1).default(0.5),
-    secondHomeChance: z.number().min(0).max(1).default(0),
-    secondHomeWeight: z.number().min(0).max(1).default(1),
   }),
   create: createToleranceSplit,
 });
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -7,18 +7,13 @@
   Recovery,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import {
-  connectionShare,
-  isIdempotent,
-  outlastsStop,
-} from '@jujubecroft/decisions';
+import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
 import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
 
 import type { ExchangeEnd, RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import type { CallerHead, RawHeaders } from '../ports/CallerDialect.js';
-import type { EngineControl } from '../ports/EngineControl.js';
 import { AnswerAssembly } from './AnswerAssembly.js';
 import { AnswerTimes } from './AnswerTimes.js';
 import type { CallerAnswer } from './CallerAnswer.js';
@@ -49,17 +44,6 @@
   readonly result: AttemptResult;
 }
 
-/** A run that stopped at one replica, with its memory at another. */
-interface MovedRun {
-  readonly placed: PlacedCandidate;
-  /** What the other replica is told to go on from. */
-  readonly goOnFrom: string;
-}
-
-/** Replicas that a run is to be moved to, until one takes it. */
-const MAX_MOVES = 4;
-/** Time in which what a run made before it was moved has come, in milliseconds. */
-const LAST_PIECES_MS = 250;
 /** Told by an instance that stops; callers find another at once. */
 const LEAVING_RETRY_MS = 50;
 
@@ -76,11 +60,6 @@
   #sent = 0;
   #unsent = 0;
   #mayHaveRun = false;
-  /** A move of the run under way, which tells where it goes on. */
-  #move: Promise<MovedRun | null> | null = null;
-  #movesTried = 0;
-  /** Where the run goes on next; null where it was not moved. */
-  #moved: MovedRun | null = null;
   readonly #times: AnswerTimes;
 
   constructor(
@@ -98,10 +77,9 @@
       answer,
       this.#notes,
     );
-    const { route, service } = request;
-    const goesOn = route.resumable || service.engine?.movesRuns === true;
-    const isCut = route.kind === 'streaming' && goesOn;
-    this.#events = isCut ? new EventCutter(call.head.lastEventId) : null;
+    const resumes =
+      request.route.kind === 'streaming' && request.route.resumable;
+    this.#events = resumes ? new EventCutter(call.head.lastEventId) : null;
   }
 
   /** Carries the request until the caller has its answer, or is gone. */
@@ -134,60 +112,6 @@
     return this.#attempt === attempt;
   }
 
-  /**
-   * Lets the run go on at another replica.
-   *
-   * @param attempt - that is under way
-   * @param engines - that are told to move it
-   */
-  move(attempt: GatewayAttempt, engines: EngineControl): void {
-    if (this.#move || this.#withdrawn !== null) {
-      return;
-    }
-    const placed = this.context.router.placeMove(attempt);
-    if (placed) {
-      this.#move = this.#askToMove(attempt, placed, engines);
-    }
-  }
-
-  async #askToMove(
-    attempt: GatewayAttempt,
-    placed: PlacedCandidate,
-    engines: EngineControl,
-  ): Promise<MovedRun | null> {
-    const { router } = this.context;
-    const { replica } = placed.load;
-    try {
-      const goOnFrom = await engines.moveRun({
-        request: this.request.id,
-        from: attempt.load.replica.address,
-        to: replica.address,
-      });
-      this.#notes.moved(attempt, replica.id);
-      router.onMoved(attempt);
-      // What the run made before it stopped is on its way, and then its end.
-      setTimeout(() => {
-        if (this.runs(attempt)) {
-          this.#exchange?.abort();
-        }
-      }, LAST_PIECES_MS);
-      return { placed, goOnFrom };
-    } catch (err) {
-      const error = err instanceof Error ? err.message : String(err);
-      this.#notes.moved(attempt, replica.id, error);
-      this.#retryMove(attempt);
-      return null;
-    }
-  }
-
-  /** Lets the run be moved to another replica, where it goes on at its own. */
-  #retryMove(attempt: GatewayAttempt): void {
-    this.#movesTried += 1;
-    if (this.runs(attempt) && this.#movesTried < MAX_MOVES) {
-      this.#move = null;
-    }
-  }
-
   async #carry(): Promise<void> {
     let goesOn = true;
     while (goesOn) {
@@ -203,11 +127,7 @@
       this.#finishWithout(left ? 'callerLeft' : 'backendTimeout', 0, {});
       return false;
     }
-    if (this.#mayHaveRun && !this.#moved && !isIdempotent(this.request.route)) {
-      this.#finishWithout('backendMaybeRan', 0, {});
-      return false;
-    }
-    const decision = await this.#decide();
+    const decision = await placeOnView(this.context, this.request, this.#tried);
     if (decision.kind === 'send' && this.#outlastsThis(decision.placed)) {
       this.#finishWithout('instanceLeaving', LEAVING_RETRY_MS, {
         predictedMs: Math.round(decision.placed.predictedWholeMs),
@@ -237,13 +157,6 @@
     return this.#follow(recovery);
   }
 
-  /** A run that was moved goes on where its memory is; all else is placed. */
-  async #decide(): Promise<PlacementDecision> {
-    return this.#moved
-      ? { kind: 'send', placed: this.#moved.placed, candidates: 1 }
-      : placeOnView(this.context, this.request, this.#tried);
-  }
-
   /** Whether the instance would stop before the request's answer ends. */
   #outlastsThis({ predictedWholeMs }: PlacedCandidate): boolean {
     const { stopPlan, clock } = this.context;
@@ -293,7 +206,7 @@
     const end = await exchange.ended;
     this.#exchange = null;
     this.#attempt = null;
-    const result = await this.#resultAfterMove(end, assembly);
+    const result = this.#resultOf(end, assembly);
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     this.#count(result, replica.id);
@@ -338,7 +251,6 @@
       priority: request.service.engine ? attempt.rank : null,
       lastEventId: this.#events?.lastId ?? call.head.lastEventId,
       fetchFrom: attempt.fetch?.from.address ?? null,
-      goOnFrom: this.#moved?.goOnFrom ?? null,
     });
   }
 
@@ -358,24 +270,6 @@
     }
   }
 
-  /** How an attempt ended, or that its run goes on elsewhere. */
-  async #resultAfterMove(
-    end: ExchangeEnd,
-    assembly: AnswerAssembly,
-  ): Promise<AttemptResult> {
-    const wasUnsent = end.kind !== 'complete' && !end.sent;
-    if (!wasUnsent) {
-      this.#moved = null;
-    }
-    const moved = end.kind === 'complete' ? null : await this.#move;
-    this.#move = null;
-    if (moved && this.#withdrawn === null) {
-      this.#moved = moved;
-      return { kind: 'withdrawn', reason: 'moved' };
-    }
-    return this.#resultOf(end, assembly);
-  }
-
   #afterAbort(sent: boolean): AttemptResult {
     const reason = this.#withdrawn;
     if (reason === null) {
--- a/packages/gateway/src/forward/RequestNotes.ts
+++ b/packages/gateway/src/forward/RequestNotes.ts
@@ -8,7 +8,6 @@
   Recovery,
 } from '@jujubecroft/decisions';
 import { isIdempotent } from '@jujubecroft/decisions';
-import type { BackendServerId } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
 
@@ -172,20 +171,6 @@
     });
   }
 
-  /** The run of an attempt was to go on at another replica. */
-  moved({ load }: GatewayAttempt, to: BackendServerId, error?: string): void {
-    const { context, request } = this;
-    const result = error === undefined ? 'moved' : 'failed';
-    context.metrics.moves.inc({ service: request.service.id, result });
-    context.log.write('runMoved', {
-      request: request.id,
-      backendServer: load.replica.id,
-      to,
-      result,
-      ...(error === undefined ? {} : { error }),
-    });
-  }
-
   /** The caller got a whole answer. */
   answered(status: number, progress: Progress): void {
     const { sent, unsent, firstByteMs, longestPauseMs } = progress;
--- a/packages/gateway/src/front/RequestsUnderWay.ts
+++ b/packages/gateway/src/front/RequestsUnderWay.ts
@@ -78,19 +78,6 @@
     this.#withdraw(router.findSilent(), 'silent');
     this.#withdraw(router.takeOrphans(), 'replicaRestarted');
     this.#withdraw(router.findBarred(), 'crashesBackends');
-    this.#move();
-  }
-
-  #move(): void {
-    const { router, engines } = this.context;
-    if (!engines) {
-      return;
-    }
-    router.findStranded().forEach(attempt => {
-      [...this.#requests]
-        .find(request => request.runs(attempt))
-        ?.move(attempt, engines);
-    });
   }
 
   #withdraw(attempts: readonly GatewayAttempt[], reason: WithdrawReason): void {
