revert(gateway): runs stay where they are when their replica leaves

Half of the moves found no room: all instances choose at one moment by loads that are hundreds of milliseconds old.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -125,8 +125,6 @@
    */
   paceMs = PRIOR_PACE_MS;
   lastByteMs = -Infinity;
-  /** When it became known that the replica leaves; null while it stays. */
-  leavingSinceMs: number | null = null;
   #report: TimedReport | null = null;
   #limit: NamedLimit | null = null;
   readonly #slowness = new Map<number, number>();
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -29,8 +29,6 @@
   readonly instance: InstanceId;
   readonly failureDomain: FailureDomainId;
   readonly retryBudget: RetryBudgetRules;
-  /** Time for which a replica goes on serving after it said that it leaves. */
-  readonly drainMs?: number;
   /** Null or absent where there are no duties that one instance does for all. */
   readonly duties?: DutySettings | null;
   /** Time of day in Unix milliseconds. */
@@ -50,8 +48,6 @@
   readonly random: () => number;
   readonly instance: InstanceId;
   readonly failureDomain: FailureDomainId;
-  /** Time for which a replica goes on serving after it said that it leaves. */
-  readonly drainMs: number;
   readonly budget: RetryBudget;
   readonly crashes: CrashLedger;
   readonly limits: ReplicaLimits;
@@ -78,8 +74,6 @@
   instances: number;
 }
 
-/** Assumed where nothing else is said, in milliseconds. */
-const DEFAULT_DRAIN_MS = 2000;
 /** Assumed before anything was seen. */
 const PRIOR_ANSWER_MS = 100;
 
@@ -99,7 +93,6 @@
     random,
     instance,
     failureDomain,
-    drainMs: options.drainMs ?? DEFAULT_DRAIN_MS,
     budget: new RetryBudget(retryBudget, clock),
     crashes: new CrashLedger(clock),
     limits: new ReplicaLimits({ instance, clock, replicas }),
--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -19,7 +19,6 @@
 export type WithdrawReason =
   | 'callerLeft'
   | 'crashesBackends'
-  | 'moved'
   | 'replicaRestarted'
   | 'silent'
   | 'timeLimit';
--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -114,8 +114,6 @@
       return { kind: 'answer', code: 'crashesBackends', retryAfterMs: 0 };
     case 'timeLimit':
       return { kind: 'answer', code: 'backendTimeout', retryAfterMs: 0 };
-    case 'moved':
-      return { kind: 'retry' };
     case 'replicaRestarted':
     case 'silent':
       return isIdempotent(facts.route) && mayRepeat(facts)
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -157,12 +157,6 @@
     summary:
       'Requests with this fingerprint crashed several backend servers and are no longer sent, or may be again.',
   },
-  runMoved: {
-    number: 509,
-    level: 'info',
-    summary:
-      'The run of a stream was to go on at another backend server, since its own leaves.',
-  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -10,7 +10,6 @@
 import type { LoopDelays } from './LoopDelays.js';
 import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
-import type { EngineControl } from './ports/EngineControl.js';
 import type { Timers } from './ports/Timers.js';
 import type { ViewLease } from './state/ViewLease.js';
 
@@ -23,8 +22,6 @@
   readonly lease: ViewLease;
   readonly connections: BackendConnections;
   readonly dialect: CallerDialect;
-  /** Null where engines take no orders. */
-  readonly engines: EngineControl | null;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
   readonly delays: LoopDelays;
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -10,7 +10,6 @@
 
 import { BackendConnections } from './backends/BackendConnections.js';
 import type { GatewayContext } from './GatewayContext.js';
-import type { EngineControl } from './ports/EngineControl.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import { LoopDelays } from './LoopDelays.js';
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -29,8 +28,6 @@
 > & {
   /** Time of day of the start, which grows from run to run; a step back is refuted. */
   readonly startedMs: number;
-  /** Absent where engines take no orders. */
-  readonly engines?: EngineControl | undefined;
   /** In Unix milliseconds; that of the process where omitted. */
   readonly timeOfDay?: () => number;
 };
@@ -44,7 +41,7 @@
  */
 export function createContext(
   settings: GatewaySettings,
-  { clock, dialect, log, timers, engines, startedMs, timeOfDay }: ContextParts,
+  { clock, dialect, log, timers, startedMs, timeOfDay }: ContextParts,
 ): GatewayContext {
   const { instance, failureDomain, retryBudget } = settings;
   // Each run draws other numbers, or all instances would after a restart.
@@ -56,7 +53,6 @@
     failureDomain,
     retryBudget,
     duties: settings.duties,
-    drainMs: settings.freshWithinMs,
     ...(timeOfDay ? { timeOfDay } : {}),
   });
   const membership = new Membership(
@@ -83,7 +79,6 @@
     lease: new ViewLease(board, timers, () => context.settings.freshWithinMs),
     connections: new BackendConnections(),
     dialect,
-    engines: engines ?? null,
     metrics: new GatewayMetrics(),
     log,
     delays: new LoopDelays(clock, HOUSEKEEPING_MS),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,7 +21,6 @@
   ReplicaRead,
 } from './ports/DiscoveryStore.js';
 export { HISTORY_GONE } from './ports/DiscoveryStore.js';
-export type { EngineControl, RunMove } from './ports/EngineControl.js';
 export type { ConditionalRow } from './duties/createHoldingStore.js';
 export { createHoldingStore } from './duties/createHoldingStore.js';
 export type {
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -37,12 +37,6 @@
     labelNames: ['service', 'after'] as const,
     registers: this.#registers,
   });
-  readonly moves = new Counter({
-    name: 'jujubecroft_gateway_moved_runs_total',
-    help: 'Runs that were moved off backend servers that leave, by result.',
-    labelNames: ['service', 'result'] as const,
-    registers: this.#registers,
-  });
   readonly firstByte = new Histogram({
     name: 'jujubecroft_gateway_first_byte_seconds',
     help: 'Time from arrival to the first byte of the answer.',
--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -35,8 +35,6 @@
   readonly lastEventId: string | null;
   /** Address of a replica from which cached prompt parts are copied; null for none. */
   readonly fetchFrom: string | null;
-  /** Memory from which a run that was moved goes on; null for a run that begins. */
-  readonly goOnFrom: string | null;
 }
 
 /** What the head of a backend server's answer says. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -17,7 +17,6 @@
 import type { CallerDialect } from './ports/CallerDialect.js';
 import type { DiscoveryStore } from './ports/DiscoveryStore.js';
 import type { DutyPorts } from './ports/DutyPorts.js';
-import type { EngineControl } from './ports/EngineControl.js';
 import type { SideRoutes } from './side/createSideApp.js';
 import { createSideApp } from './side/createSideApp.js';
 import { listenRaw } from './side/listenRaw.js';
@@ -34,8 +33,6 @@
   readonly sideRoutes: SideRoutes;
   /** Absent where there are no duties that one instance does for all. */
   readonly duties?: DutyPorts | undefined;
-  /** Absent where engines take no orders. */
-  readonly engines?: EngineControl | undefined;
 }
 
 /** An instance of the gateway that was started. */
@@ -143,7 +140,6 @@
   const clock = (): number => performance.now();
   const context = createContext(settings, {
     dialect: ports.dialect,
-    engines: ports.engines,
     log,
     clock,
     timers: RUNTIME_TIMERS,
--- a/packages/stand-ins/src/platform/VersionedRows.ts
+++ b/packages/stand-ins/src/platform/VersionedRows.ts
@@ -4,7 +4,7 @@
   readonly key: string;
   /** Base64; null for a removed row. */
   readonly value: string | null;
-  readonly row_version: number;
+  readonly version: number;
 }
 
 interface Waiting {
@@ -40,7 +40,7 @@
   /** Writes a row; a value of null removes it. */
   add(table: string, key: string, value: string | null): void {
     this.#version += 1;
-    this.#rows.push({ table, key, value, row_version: this.#version });
+    this.#rows.push({ table, key, value, version: this.#version });
     const due = this.#waiting.filter(waiting => waiting.table === table);
     this.#waiting = this.#waiting.filter(waiting => waiting.table !== table);
     due.forEach(({ answer }) => {
@@ -64,7 +64,7 @@
     const row = this.#rows.findLast(
       other => other.table === table && other.key === key,
     );
-    return row?.value ? row.row_version : 0;
+    return row?.value ? row.version : 0;
   }
 
   /** @returns the rows of a table that stand, by key */
@@ -80,7 +80,7 @@
   /** @returns every change of a table after a version, oldest first */
   changesAfter(table: string, version: number): readonly VersionedRow[] {
     return this.#rows.filter(
-      row => row.table === table && row.row_version > version,
+      row => row.table === table && row.version > version,
     );
   }
 
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -52,8 +52,6 @@
   readonly tokensPerEvent: number;
   /** How engines copy their caches; null where they can't. */
   readonly transfer: CacheTransfer | null;
-  /** Whether a run can stop at one engine and go on at another; absent means no. */
-  readonly movesRuns?: boolean;
 }
 
 /** How engines copy cached prompt parts from each other. */
