fix(duties): a new holder waits until it was told, and an outage of the store draws no herd

All 63 instances asked it for the holding every 0.4 s, and the holder that followed counted a window 50 ms after it had begun, with 101 of 2,804 requests. Cause: what the holder before was told is not known to the next one, and the pause after a failed call was the same for all. A new holder now waits until all have told or two seconds are over; the pause grows with the rank.

--- a/packages/decisions/src/duties/decideUsage.ts
+++ b/packages/decisions/src/duties/decideUsage.ts
@@ -8,6 +8,8 @@
 const SETTLE_MS = 1200;
 /** Part of the time until a report is due that is waited for instances without a sign. */
 const WAIT_SHARE = 0.5;
+/** Time in which all that live have told a new holder what they counted. */
+const HEARD_MS = 2000;
 /** Windows after which a report is of no use any more. */
 const MAX_BEHIND = 6;
 
@@ -17,6 +19,8 @@
   readonly windowMs: number;
   /** Time after the end of a window in which its report is due. */
   readonly lateMs: number;
+  /** How long this instance has held the duties, in milliseconds. */
+  readonly heldForMs: number;
   readonly live: readonly InstanceId[];
   readonly collector: UsageCollector;
 }
@@ -32,17 +36,18 @@
  * @returns the notes, the same where nothing was decided
  */
 export function decideUsage(notes: DutyNotes, facts: UsageFacts): DutyNotes {
-  const { nowUnixMs, windowMs, lateMs, live, collector } = facts;
+  const { nowUnixMs, windowMs, lateMs, heldForMs, live, collector } = facts;
   const current = Math.floor(nowUnixMs / windowMs);
   if (notes.reportedThrough === null) {
     return { ...notes, reportedThrough: current - 1 };
   }
   const window = Math.max(decidedThrough(notes) + 1, current - MAX_BEHIND);
   const sinceEndMs = nowUnixMs - (window + 1) * windowMs;
+  // A new holder knows nothing yet of what the one before was told.
+  const hasWaited = sinceEndMs >= WAIT_SHARE * lateMs && heldForMs >= HEARD_MS;
   const isSettled =
     sinceEndMs >= SETTLE_MS &&
-    (sinceEndMs >= WAIT_SHARE * lateMs ||
-      collector.isComplete(live, nowUnixMs - sinceEndMs));
+    (hasWaited || collector.isComplete(live, nowUnixMs - sinceEndMs));
   return isSettled
     ? { ...notes, decided: [...notes.decided, collector.usageOf(window)] }
     : notes;
--- a/packages/decisions/tests/duties/usage.test.ts
+++ b/packages/decisions/tests/duties/usage.test.ts
@@ -43,6 +43,7 @@
     nowUnixMs: END_MS + afterMs,
     windowMs: WINDOW_MS,
     lateMs: LATE_MS,
+    heldForMs: LATE_MS,
     live: [A, B],
     collector,
   });
--- a/packages/gateway/src/duties/DutyLoop.ts
+++ b/packages/gateway/src/duties/DutyLoop.ts
@@ -34,6 +34,7 @@
     this.#keeper = new HoldingKeeper(context, duties, holding, {
       onTaken: notes => {
         this.#notes = notes;
+        this.#reporting.begin();
         this.#ordering.takeOver(notes);
       },
       onNews: () => {
--- a/packages/gateway/src/duties/HoldingKeeper.ts
+++ b/packages/gateway/src/duties/HoldingKeeper.ts
@@ -13,8 +13,13 @@
 
 /** Steps that may follow each other at once: a read, a write, and a read after it. */
 const MAX_STEPS = 3;
-/** Pause after a call of the store that failed, in milliseconds. */
+/**
+ * Pause after a call of the store that failed, in milliseconds. It grows with the rank,
+ * so that few press a store that is away.
+ */
 const FAILED_PAUSE_MS = 300;
+const RANK_PAUSE_MS = 250;
+const MAX_FAILED_PAUSE_MS = 10_000;
 
 /** What a keeper is told by those who do the duties. */
 export interface KeeperListener {
@@ -98,7 +103,7 @@
       }
     } catch (err) {
       this.#lease.onUnanswered();
-      this.#pausedUntilMs = clock() + FAILED_PAUSE_MS;
+      this.#pausedUntilMs = clock() + this.#failedPauseMs;
       this.#noteFailure(err);
     } finally {
       this.#isAtWork = false;
@@ -106,13 +111,27 @@
     }
   }
 
+  get #rank(): number {
+    const { self, instances } = this.context.membership;
+    return rankOf(self.instance, instances);
+  }
+
+  /** The holder tries again soon, whatever its rank, before its lease ends. */
+  get #failedPauseMs(): number {
+    const rank = this.#lease.token === null ? this.#rank : 0;
+    return Math.min(
+      MAX_FAILED_PAUSE_MS,
+      FAILED_PAUSE_MS + rank * RANK_PAUSE_MS,
+    );
+  }
+
   /** @returns whether another step may follow at once */
   async #once(notes: DutyNotes, givesUp: boolean): Promise<boolean> {
     const { context, duties } = this;
-    const { membership, clock, metrics } = context;
+    const { clock, metrics } = context;
     const { token } = this;
     const step = this.#lease.next({
-      rank: rankOf(membership.self.instance, membership.instances),
+      rank: this.#rank,
       news: duties.news,
       notes: token === null ? this.confirmed : notes,
       givesUp,
--- a/packages/gateway/src/duties/UsageReporting.ts
+++ b/packages/gateway/src/duties/UsageReporting.ts
@@ -8,6 +8,7 @@
 /** Decides the usage of the fleet and reports it, while this instance is the holder. */
 export class UsageReporting {
   #isAtWork = false;
+  #takenMs = -Infinity;
 
   constructor(
     private readonly context: GatewayContext,
@@ -16,6 +17,11 @@
     private readonly calls: DutyCalls,
   ) {}
 
+  /** Notes that this instance holds the duties from now on. */
+  begin(): void {
+    this.#takenMs = this.context.clock();
+  }
+
   /** @returns the notes with what is decided now */
   decide(notes: DutyNotes): DutyNotes {
     const { duties, context } = this;
@@ -24,6 +30,7 @@
       nowUnixMs: duties.fleetClock.nowMs,
       windowMs,
       lateMs,
+      heldForMs: context.clock() - this.#takenMs,
       live: context.membership.instances,
       collector: duties.collector,
     });
--- a/packages/gateway/tests/duties/DutyLoop.test.ts
+++ b/packages/gateway/tests/duties/DutyLoop.test.ts
@@ -200,6 +200,46 @@
     }
   });
 
+  // Guards against a fleet that presses a store which is away, all at a time.
+  it('are taken up again after an outage of the store without a herd', async t => {
+    const fleet = await started({ instances: 60, seed: 12 });
+    await fleet.time.run(300);
+    fleet.members.forEach(({ name }) => fleet.cutFromStore.add(name));
+    const calls = fleet.holdingCalls;
+    await fleet.time.run(8000);
+    const perS = (fleet.holdingCalls - calls) / 8;
+    t.log(`${perS.toFixed(1)} calls of the store a second`);
+    t.true(perS < 20);
+    fleet.cutFromStore.clear();
+    const fromMs = fleet.time.nowMs;
+    const { carriedOut } = fleet;
+    const said = carriedOut.length;
+    while (carriedOut.length === said && fleet.time.nowMs - fromMs < 9000) {
+      await fleet.time.run(100);
+    }
+    t.true(fleet.time.nowMs - fromMs < 4000);
+    assertSound(t, fleet);
+  });
+
+  // Guards against a new holder that counts before anybody has told it.
+  it('are counted whole by a holder that has just begun', async t => {
+    const fleet = await started({ instances: 20, seed: 13 });
+    const [others] = [fleet.members];
+    others.forEach(({ name }) => fleet.cutFromStore.add(name));
+    await fleet.time.run(7000);
+    const { holder } = fleet;
+    others
+      .filter(({ name }) => name !== holder?.name)
+      .slice(-1)
+      .forEach(({ name }) => fleet.cutFromStore.delete(name));
+    await fleet.time.run(12_000);
+    t.not(fleet.holder, holder);
+    fleet.cutFromStore.clear();
+    await fleet.time.run(12_000);
+    assertSound(t, fleet);
+    t.deepEqual(badWindows(fleet), []);
+  });
+
   it('go on where all instances lost their power', async t => {
     const fleet = await started({ instances: 12, seed: 11 });
     fleet.members.forEach(member => {
