fix(duties): in a small fleet instances tell what they counted more often

One of twelve that dies takes a twelfth of its last second with it, which for a small organisation is more than the twentieth allowed (`are done as before by the one after a holder that died`, found by the whole suite).

--- a/packages/gateway/src/duties/UsageTelling.ts
+++ b/packages/gateway/src/duties/UsageTelling.ts
@@ -4,8 +4,12 @@
 
 import type { GatewayContext } from '../GatewayContext.js';
 
-/** Time between tellings of a window that is not over, in milliseconds. */
+/**
+ * Time between tellings of a window that is not over, in milliseconds. In a small fleet
+ * each instance counts a larger part, and more is lost with one that dies.
+ */
 const OPEN_EVERY_MS = 1000;
+const OPEN_EVERY_MS_PER_INSTANCE = 25;
 /** The same while a window that is over is not decided. */
 const CLOSED_EVERY_MS = 400;
 /** Time after a window in which its last starts are counted. */
@@ -62,6 +66,14 @@
     return usage.windowOf(fleetClock.nowMs - CLOSE_AFTER_MS) - 1;
   }
 
+  get #openEveryMs(): number {
+    const { instances } = this.context.membership;
+    return Math.min(
+      OPEN_EVERY_MS,
+      OPEN_EVERY_MS_PER_INSTANCE * instances.length,
+    );
+  }
+
   #isDue(id: InstanceId, nowMs: number): boolean {
     const sinceMs = nowMs - (this.#toldMs.get(id) ?? -Infinity);
     const closed = this.#closedWindow;
@@ -69,6 +81,6 @@
       return true;
     }
     const isDecided = closed <= (this.duties.news?.decidedThrough ?? -1);
-    return sinceMs >= (isDecided ? OPEN_EVERY_MS : CLOSED_EVERY_MS);
+    return sinceMs >= (isDecided ? this.#openEveryMs : CLOSED_EVERY_MS);
   }
 }
