feat(decisions): lasting replicas take the place of cheap ones that are nowhere to be had

Where a failure domain has no cheap ones and what stands is less than what is needed, lasting ones are ordered. `has others instead, as many as are needed` fails before.

--- a/packages/decisions/src/duties/scaling/planReplicas.ts
+++ b/packages/decisions/src/duties/scaling/planReplicas.ts
@@ -59,14 +59,15 @@
  *
  * A part that lasts is kept for what is most urgent. The rest are cheap ones that may
  * be reclaimed, those of a whole failure domain at once, so there are enough of them
- * that what the others hold is still what is needed.
+ * that what the others hold is still what is needed. Where cheap ones are nowhere to be
+ * had and too few stand, others take their place.
  *
  * @param facts - need, prices, bounds and what stands
  * @param mix - of the kinds
  * @returns the plan; all of them last where no cheap ones are offered
  */
 export function planReplicas(
-  { scaling, need, isDry }: PlanFacts,
+  { scaling, need, census, isDry }: PlanFacts,
   mix: MixOptions = DEFAULT_MIX,
 ): ReplicaPlan {
   const { domainPrices, minReplicas, maxReplicas, spotPrice } = scaling;
@@ -74,7 +75,7 @@
   const weightOf = (domain: FailureDomainId): number =>
     1 / Math.max(0.01, domainPrices[domain] ?? 1);
   const lastingNeed = spotPrice === null ? need : mix.lastingShare * need;
-  const lasting = allocate(lastingNeed, domains, weightOf, () => maxReplicas);
+  const usual = allocate(lastingNeed, domains, weightOf, () => maxReplicas);
   const open = domains.filter(domain => !isDry(domain, 'spot'));
   const cover = domains.length > 1 ? domains.length / (domains.length - 1) : 1;
   const spotNeed =
@@ -83,11 +84,26 @@
     spotNeed,
     open,
     weightOf,
-    domain => maxReplicas - Math.max(minReplicas, lasting.get(domain) ?? 0),
+    domain => maxReplicas - Math.max(minReplicas, usual.get(domain) ?? 0),
   );
+  // Where no cheap ones are to be had, what stands of them is all that there is.
+  const spotIn = (domain: FailureDomainId): number =>
+    open.includes(domain)
+      ? (spot.get(domain) ?? 0)
+      : standingIn(census, domain).spot;
+  const spotTotal = domains.reduce((sum, domain) => sum + spotIn(domain), 0);
+  const isShort = open.length < domains.length && spotPrice !== null;
+  const lasting = isShort
+    ? allocate(
+        Math.max(lastingNeed, need - spotTotal),
+        domains,
+        weightOf,
+        domain => maxReplicas - spotIn(domain),
+      )
+    : usual;
   return new Map(
     domains.map(domain => {
-      const cheap = spot.get(domain) ?? 0;
+      const cheap = spotIn(domain);
       const atLeast = Math.max(0, minReplicas - cheap);
       return [
         domain,
--- a/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
+++ b/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
@@ -105,6 +105,38 @@
   });
 });
 
+describe('planReplicas where no cheap ones are to be had', ({ it }) => {
+  const planWhere = (
+    isDry: (domain: FailureDomainId) => boolean,
+    standing: ReplicaCensus,
+  ): number =>
+    [
+      ...planReplicas({
+        scaling: SCALING,
+        need: 60,
+        census: standing,
+        isDry: (domain, kind) => kind === 'spot' && isDry(domain),
+      }).values(),
+    ].reduce((sum, { lasting }) => sum + lasting, 0);
+
+  // Guards against a burst that is refused for ten seconds while others are to be had.
+  it('has others instead, as many as are needed', t => {
+    const reclaimed = new Map(census(4, 0)).set(C, { lasting: 4, spot: 30 });
+    t.is(
+      planWhere(() => true, reclaimed),
+      30,
+    );
+  });
+
+  it('has no more of them where the rest is enough', t => {
+    const reclaimed = new Map(census(4, 30)).set(B, { lasting: 4, spot: 0 });
+    t.is(
+      planWhere(domain => domain === B, reclaimed),
+      12,
+    );
+  });
+});
+
 describe('stepTowards', ({ it }) => {
   // Guards against capacity that is given back before its replacement serves.
   it('gives nothing back that is needed', t => {
