--- a/packages/decisions/src/duties/scaling/CapacityNeed.ts
+++ b/packages/decisions/src/duties/scaling/CapacityNeed.ts
@@ -4,8 +4,6 @@
 export interface CapacityOptions {
   /** Part of the slots that the peak of the load should take. */
   readonly targetUse: number;
-  /** Part of the slots above which more are needed at any price. */
-  readonly pressingUse: number;
   /** Time for which a peak counts in full, in milliseconds. */
   readonly holdMs: number;
   /** Time in which what is needed shrinks to a third without load. */
@@ -14,7 +12,6 @@
 
 export const DEFAULT_CAPACITY: CapacityOptions = {
   targetUse: 0.5,
-  pressingUse: 0.8,
   holdMs: 15_000,
   decayMs: 30_000,
 };
@@ -38,7 +35,6 @@
  */
 export class CapacityNeed {
   #need: number;
-  #pressing = 0;
   #peakMs = -Infinity;
   #seenMs = -Infinity;
 
@@ -60,22 +56,15 @@
     return this.#need;
   }
 
-  /** Replicas that the load needs at this moment, whatever they cost. */
-  get pressing(): number {
-    return this.#pressing;
-  }
-
   /**
    * Takes in the load of this moment.
    *
    * @returns replicas that are needed
    */
   observe({ inFlight, slots, most }: ServiceLoad): number {
-    const { targetUse, pressingUse, holdMs, decayMs } = this.options;
+    const { targetUse, holdMs, decayMs } = this.options;
     const nowMs = this.clock();
-    const full = inFlight / Math.max(1, slots);
-    const now = Math.min(most, full / targetUse);
-    this.#pressing = Math.min(most, full / pressingUse);
+    const now = Math.min(most, inFlight / (Math.max(1, slots) * targetUse));
     const before = this.#need;
     const sinceMs = nowMs - this.#seenMs;
     this.#seenMs = nowMs;
--- a/packages/decisions/src/duties/scaling/ReplicaOrders.ts
+++ b/packages/decisions/src/duties/scaling/ReplicaOrders.ts
@@ -26,7 +26,6 @@
   readonly scaling: ReplicaScaling;
   readonly census: ReplicaCensus;
   readonly need: number;
-  readonly pressing: number;
   /** Whether there is no load; then nothing is cut off where replicas are given back. */
   readonly isIdle: boolean;
 }
@@ -70,12 +69,11 @@
 
   /** @returns orders that should go out now, those for more replicas first */
   due(facts: OrderFacts): readonly ReplicaOrder[] {
-    const { service, scaling, census, need, pressing } = facts;
+    const { service, scaling, census, need } = facts;
     const planFacts = {
       scaling,
       census,
       need,
-      pressing,
       isDry: (domain: FailureDomainId, kind: ReplicaKind): boolean =>
         this.#isDry(service, domain, kind),
     };
--- a/packages/decisions/src/duties/scaling/planReplicas.ts
+++ b/packages/decisions/src/duties/scaling/planReplicas.ts
@@ -17,10 +17,8 @@
 export interface PlanFacts {
   readonly scaling: ReplicaScaling;
   readonly census: ReplicaCensus;
-  /** Replicas that the peaks of the load need. */
+  /** Replicas that the load needs. */
   readonly need: number;
-  /** Replicas that the load needs at this moment, whatever they cost. */
-  readonly pressing: number;
   /** Failure domains in which a kind is not to be had now. */
   readonly isDry: (domain: FailureDomainId, kind: ReplicaKind) => boolean;
 }
@@ -69,7 +67,7 @@
  * @returns the plan; all of them last where no cheap ones are offered
  */
 export function planReplicas(
-  { scaling, need, pressing, census, isDry }: PlanFacts,
+  { scaling, need, census, isDry }: PlanFacts,
   mix: MixOptions = DEFAULT_MIX,
 ): ReplicaPlan {
   const { domainPrices, minReplicas, maxReplicas, spotPrice } = scaling;
@@ -97,7 +95,7 @@
   const isShort = open.length < domains.length && spotPrice !== null;
   const lasting = isShort
     ? allocate(
-        Math.max(lastingNeed, pressing - spotTotal),
+        Math.max(lastingNeed, need - spotTotal),
         domains,
         weightOf,
         domain => maxReplicas - spotIn(domain),
--- a/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
+++ b/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
@@ -49,7 +49,6 @@
     scaling: SCALING,
     census: census(20, 0),
     need: 60,
-    pressing: 0,
     isIdle: true,
     ...overrides,
   };
@@ -63,7 +62,6 @@
     planReplicas({
       scaling,
       need,
-      pressing: 0,
       census: census(0, 0),
       isDry: () => false,
     });
@@ -111,13 +109,11 @@
   const planWhere = (
     isDry: (domain: FailureDomainId) => boolean,
     standing: ReplicaCensus,
-    pressing = 60,
   ): number =>
     [
       ...planReplicas({
         scaling: SCALING,
         need: 60,
-        pressing,
         census: standing,
         isDry: (domain, kind) => kind === 'spot' && isDry(domain),
       }).values(),
@@ -132,15 +128,6 @@
     );
   });
 
-  // Guards against paying five times as much for a peak that may not come.
-  it('waits for cheap ones where the load does not press', t => {
-    const reclaimed = new Map(census(4, 0)).set(C, { lasting: 4, spot: 30 });
-    t.is(
-      planWhere(() => true, reclaimed, 30),
-      12,
-    );
-  });
-
   it('has no more of them where the rest is enough', t => {
     const reclaimed = new Map(census(4, 30)).set(B, { lasting: 4, spot: 0 });
     t.is(
@@ -247,12 +234,7 @@
 });
 
 describe('CapacityNeed', ({ it }) => {
-  const OPTIONS = {
-    targetUse: 0.5,
-    pressingUse: 0.8,
-    holdMs: 10_000,
-    decayMs: 20_000,
-  };
+  const OPTIONS = { targetUse: 0.5, holdMs: 10_000, decayMs: 20_000 };
   const load = (inFlight: number) => ({ inFlight, slots: 16, most: 120 });
 
   it('grows with the load at once', t => {
--- a/packages/gateway/src/duties/ReplicaOrdering.ts
+++ b/packages/gateway/src/duties/ReplicaOrdering.ts
@@ -136,7 +136,6 @@
         scaling,
         census,
         need: replicas,
-        pressing: need.pressing,
         isIdle: inFlight === 0,
       })
       .filter(order => isSettled || isMore(order, census));
@@ -144,7 +143,6 @@
       this.context.log.write('ordersDue', {
         service: id,
         need: Math.round(replicas),
-        pressing: Math.round(need.pressing),
         inFlight: Math.round(inFlight),
         census: Object.fromEntries(census),
         orders: due.length,
