fix(decisions): replicas are given back a few at a time while there is load

Dozens of replicas had been given back within milliseconds. They go by threes for each kind and failure domain now, two seconds apart. `gives back a few at a time while there is load` fails before. Why instances learnt of so many leaves so late is open.

--- a/packages/decisions/src/duties/scaling/ReplicaOrders.ts
+++ b/packages/decisions/src/duties/scaling/ReplicaOrders.ts
@@ -17,6 +17,10 @@
 const AGAIN_AFTER_MS = 500;
 /** Time for which fewer must be wanted while there is load, in milliseconds. */
 const DECREASE_AFTER_MS = 8000;
+/** Replicas of a kind that a failure domain gives back at once while there is load. */
+const MAX_FEWER = 3;
+/** Time until it gives back more, in milliseconds. */
+const FEWER_EVERY_MS = 2000;
 /** Part of the replicas by which an order has to change to make less of them. */
 const MIN_DECREASE_SHARE = 0.15;
 
@@ -115,7 +119,8 @@
           spot: kind === 'spot',
           count: wanted[kind],
         }))
-        .filter(order => this.#isDue(order, facts)),
+        .filter(order => this.#isDue(order, facts))
+        .map(order => this.#gently(order, facts)),
     );
   }
 
@@ -141,6 +146,20 @@
     );
   }
 
+  /**
+   * Gives back a few at a time while there is load.
+   *
+   * Guards against leaves of dozens of replicas within milliseconds, which all instances
+   * have to learn of at once, and against answers that are cut off together.
+   */
+  #gently(order: ReplicaOrder, { census, isIdle }: OrderFacts): ReplicaOrder {
+    const kind = order.spot ? 'spot' : 'lasting';
+    const standing = standingIn(census, order.failureDomain)[kind];
+    return isIdle || order.count >= standing
+      ? order
+      : { ...order, count: Math.max(order.count, standing - MAX_FEWER) };
+  }
+
   /**
    * Whether replicas are to be given back now.
    *
@@ -157,10 +176,11 @@
     }
     const sinceMs = this.#fewerSinceMs.get(key) ?? this.clock();
     this.#fewerSinceMs.set(key, sinceMs);
-    return (
+    const isWanted =
       lessBy > MIN_DECREASE_SHARE * before &&
-      this.clock() - sinceMs >= DECREASE_AFTER_MS
-    );
+      this.clock() - sinceMs >= DECREASE_AFTER_MS;
+    const placedMs = this.#placed.get(key)?.atMs ?? -Infinity;
+    return isWanted && this.clock() - placedMs >= FEWER_EVERY_MS;
   }
 
   #growth(order: ReplicaOrder, census: ReplicaCensus): number {
--- a/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
+++ b/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
@@ -221,6 +221,29 @@
     t.true(orders.due(quiet).length > 0);
   });
 
+  // Guards against leaves of dozens of replicas at once, which requests still reach.
+  it('gives back a few at a time while there is load', t => {
+    const clock = manualClock();
+    const orders = new ReplicaOrders(clock.now);
+    const standing = census(4, 24);
+    orders.due(facts({ census: standing })).forEach(order => {
+      orders.onAccepted(order);
+    });
+    const quiet = facts({ census: standing, need: 10, isIdle: false });
+    orders.due(quiet);
+    clock.advance(9000);
+    const due = orders.due(quiet);
+    t.true(due.length > 0);
+    due.forEach(order => {
+      t.true(order.count >= (order.spot ? 24 : 4) - 3);
+      orders.onAccepted(order);
+    });
+    t.deepEqual(orders.due(quiet), []);
+    clock.advance(2000);
+    const fewer = facts({ ...quiet, census: census(4, 21) });
+    t.true(orders.due(fewer).length > 0);
+  });
+
   it('goes on with the orders of the holder before', t => {
     const clock = manualClock();
     const before = new ReplicaOrders(clock.now);
