--- a/packages/decisions/src/duties/index.ts
+++ b/packages/decisions/src/duties/index.ts
@@ -19,7 +19,7 @@
   LeaseFacts,
   LeaseState,
   LeaseStep,
-} from './HolderLease.js';
+} from './LeaseState.js';
 export { HolderLease } from './HolderLease.js';
 export { parseHolding } from './parseHolding.js';
 export type { CapacityOptions } from './scaling/CapacityNeed.js';
