refactor(duties): one piece for what an order is about, and no work that others do

Read again: the kind of an order and what stands of it were worked out in six places, and an order's growth in two packages; the watch for a machine that stood still ran twice, in the keeper and in the host; the rank, which hashes the names of all instances, was worked out ten times a second at each of them although it matters only where a lease has run out. Calls for the holding counted as 'asked' in the metrics and never as failed, so the alert for a store that is away missed them.

--- a/packages/decisions/src/duties/HolderLease.ts
+++ b/packages/decisions/src/duties/HolderLease.ts
@@ -255,13 +255,15 @@
 
   #isLookDue({ rank, news }: LeaseFacts): boolean {
     const { clock, storeClock } = this.options;
-    const staggerMs = Math.min(MAX_STAGGER_MS, rank * STAGGER_MS);
-    if (!news) {
-      return clock() - this.#state.startedMs > FIRST_LOOK_MS + staggerMs;
-    }
+    const { latestMs } = storeClock;
+    const overdueMs = news
+      ? latestMs - news.untilMs - LOOK_AFTER_MS
+      : clock() - this.#state.startedMs - FIRST_LOOK_MS;
+    // The rank is worked out only where it matters, since it takes all instances.
     return (
-      Number.isFinite(storeClock.latestMs) &&
-      storeClock.latestMs > news.untilMs + LOOK_AFTER_MS + staggerMs
+      overdueMs > 0 &&
+      (!news || Number.isFinite(latestMs)) &&
+      overdueMs > Math.min(MAX_STAGGER_MS, rank() * STAGGER_MS)
     );
   }
 
--- a/packages/decisions/src/duties/Holding.ts
+++ b/packages/decisions/src/duties/Holding.ts
@@ -96,6 +96,23 @@
   return decided.at(-1)?.window ?? reportedThrough ?? -1;
 }
 
+/** @returns what others are told of a holding */
+export function newsOf({
+  instance,
+  token,
+  untilMs,
+  released,
+  notes,
+}: Holding): HoldingNews {
+  return {
+    instance,
+    token,
+    untilMs,
+    released,
+    decidedThrough: decidedThrough(notes),
+  };
+}
+
 /**
  * Whether what is told of the holding is newer than what is known.
  *
--- a/packages/decisions/src/duties/LeaseState.ts
+++ b/packages/decisions/src/duties/LeaseState.ts
@@ -26,8 +26,8 @@
 
 /** What the next step depends on beside the lease. */
 export interface LeaseFacts {
-  /** Place of this instance among the live ones, 0 first. */
-  readonly rank: number;
+  /** Tells the place of this instance among the live ones, 0 first. */
+  readonly rank: () => number;
   /** The newest that is known of the holding; null where nothing is. */
   readonly news: HoldingNews | null;
   /** What a holder wants to hand on; ignored where the lease is not held. */
--- a/packages/decisions/src/duties/index.ts
+++ b/packages/decisions/src/duties/index.ts
@@ -13,7 +13,7 @@
   ServiceNeed,
   WindowUsage,
 } from './Holding.js';
-export { decidedThrough, NO_NOTES } from './Holding.js';
+export { newsOf, NO_NOTES } from './Holding.js';
 export type {
   HoldingWrite,
   LeaseFacts,
@@ -27,7 +27,11 @@
 export type { PlanFacts, ReplicaPlan } from './scaling/planReplicas.js';
 export { planReplicas, stepTowards } from './scaling/planReplicas.js';
 export type { ReplicaCensus } from './scaling/replicaCensus.js';
-export { lastingInAll, replicaCensus } from './scaling/replicaCensus.js';
+export {
+  growthOf,
+  lastingInAll,
+  replicaCensus,
+} from './scaling/replicaCensus.js';
 export type { OrderFacts } from './scaling/ReplicaOrders.js';
 export { ReplicaOrders } from './scaling/ReplicaOrders.js';
 export type { ToldUsage } from './UsageCollector.js';
--- a/packages/decisions/src/duties/scaling/CapacityNeed.ts
+++ b/packages/decisions/src/duties/scaling/CapacityNeed.ts
@@ -73,8 +73,9 @@
       isHeld || sinceMs > holdMs
         ? before
         : before * Math.exp(-sinceMs / decayMs);
-    if (now >= kept || this.#peakMs === -Infinity) {
-      this.#peakMs = inFlight > 0 ? nowMs : this.#peakMs;
+    const isFirst = this.#peakMs === -Infinity;
+    if (inFlight > 0 && (now >= kept || isFirst)) {
+      this.#peakMs = nowMs;
     }
     this.#need = Math.max(kept, now);
     return this.#need;
--- a/packages/decisions/src/duties/scaling/ReplicaOrders.ts
+++ b/packages/decisions/src/duties/scaling/ReplicaOrders.ts
@@ -6,10 +6,10 @@
 
 import type { Clock } from '../../blackboard/Blackboard.js';
 import type { ReplicaOrder } from '../Holding.js';
-import type { ReplicaKind, ReplicaPlan } from './planReplicas.js';
+import type { ReplicaPlan } from './planReplicas.js';
 import { planReplicas, stepTowards } from './planReplicas.js';
-import type { ReplicaCensus } from './replicaCensus.js';
-import { standingIn } from './replicaCensus.js';
+import type { ReplicaCensus, ReplicaKind } from './replicaCensus.js';
+import { growthOf, kindOfOrder, standingOf } from './replicaCensus.js';
 
 /** Time for which a failure domain counts as having none after it said so. */
 const DRY_MS = 1500;
@@ -47,6 +47,11 @@
   return `${service} ${domain} ${kind}`;
 }
 
+/** Names what an order is about, whatever the count. */
+function subjectOf(order: ReplicaOrder): string {
+  return keyOf(order.service, order.failureDomain, kindOfOrder(order));
+}
+
 const KINDS: readonly ReplicaKind[] = ['spot', 'lasting'];
 
 /** Decides which orders of replicas go out, and remembers those in force. */
@@ -78,47 +83,40 @@
       scaling,
       census,
       need,
-      isDry: (domain: FailureDomainId, kind: ReplicaKind): boolean =>
-        this.#isDry(service, domain, kind),
+      isDry: (domain: FailureDomainId): boolean =>
+        this.#isDry(keyOf(service, domain, 'spot')),
     };
     const plan = stepTowards(planFacts, planReplicas(planFacts));
     return this.#changes(facts, plan).sort(
-      (a, b) => this.#growth(b, census) - this.#growth(a, census),
+      (a, b) => growthOf(b, census) - growthOf(a, census),
     );
   }
 
   /** Notes that an order was accepted. */
   onAccepted(order: ReplicaOrder): void {
-    const { service, failureDomain, spot } = order;
-    const key = keyOf(service, failureDomain, spot ? 'spot' : 'lasting');
-    this.#placed.set(key, { order, atMs: this.clock() });
+    this.#placed.set(subjectOf(order), { order, atMs: this.clock() });
   }
 
   /** Notes that replicas of an order are nowhere to be had in its failure domain. */
-  onNoneLeft({ service, failureDomain, spot }: ReplicaOrder): void {
-    const key = keyOf(service, failureDomain, spot ? 'spot' : 'lasting');
-    this.#dryUntilMs.set(key, this.clock() + DRY_MS);
+  onNoneLeft(order: ReplicaOrder): void {
+    this.#dryUntilMs.set(subjectOf(order), this.clock() + DRY_MS);
   }
 
-  #isDry(
-    service: ServiceId,
-    domain: FailureDomainId,
-    kind: ReplicaKind,
-  ): boolean {
-    const untilMs = this.#dryUntilMs.get(keyOf(service, domain, kind));
+  #isDry(key: string): boolean {
+    const untilMs = this.#dryUntilMs.get(key);
     return untilMs !== undefined && this.clock() < untilMs;
   }
 
   #changes(facts: OrderFacts, plan: ReplicaPlan): ReplicaOrder[] {
     const { service } = facts;
     return [...plan].flatMap(([failureDomain, wanted]) =>
-      KINDS.filter(kind => !this.#isDry(service, failureDomain, kind))
-        .map(kind => ({
-          service,
-          failureDomain,
-          spot: kind === 'spot',
-          count: wanted[kind],
-        }))
+      KINDS.map(kind => ({
+        service,
+        failureDomain,
+        spot: kind === 'spot',
+        count: wanted[kind],
+      }))
+        .filter(order => !this.#isDry(subjectOf(order)))
         .filter(order => this.#isDue(order, facts))
         .map(order => this.#gently(order, facts)),
     );
@@ -126,9 +124,8 @@
 
   #isDue(order: ReplicaOrder, facts: OrderFacts): boolean {
     const { census, scaling } = facts;
-    const kind = order.spot ? 'spot' : 'lasting';
-    const standing = standingIn(census, order.failureDomain)[kind];
-    const key = keyOf(order.service, order.failureDomain, kind);
+    const standing = standingOf(order, census);
+    const key = subjectOf(order);
     const placed = this.#placed.get(key);
     const before = placed?.order.count ?? standing;
     if (order.count < before && order.count < standing) {
@@ -153,8 +150,7 @@
    * have to learn of at once, and against answers that are cut off together.
    */
   #gently(order: ReplicaOrder, { census, isIdle }: OrderFacts): ReplicaOrder {
-    const kind = order.spot ? 'spot' : 'lasting';
-    const standing = standingIn(census, order.failureDomain)[kind];
+    const standing = standingOf(order, census);
     return isIdle || order.count >= standing
       ? order
       : { ...order, count: Math.max(order.count, standing - MAX_FEWER) };
@@ -182,9 +178,4 @@
     const placedMs = this.#placed.get(key)?.atMs ?? -Infinity;
     return isWanted && this.clock() - placedMs >= FEWER_EVERY_MS;
   }
-
-  #growth(order: ReplicaOrder, census: ReplicaCensus): number {
-    const kind = order.spot ? 'spot' : 'lasting';
-    return order.count - standingIn(census, order.failureDomain)[kind];
-  }
 }
--- a/packages/decisions/src/duties/scaling/planReplicas.ts
+++ b/packages/decisions/src/duties/scaling/planReplicas.ts
@@ -19,13 +19,10 @@
   readonly census: ReplicaCensus;
   /** Replicas that the load needs. */
   readonly need: number;
-  /** Failure domains in which a kind is not to be had now. */
-  readonly isDry: (domain: FailureDomainId, kind: ReplicaKind) => boolean;
+  /** Whether a failure domain has no cheap ones now. */
+  readonly isDry: (domain: FailureDomainId) => boolean;
 }
 
-/** Kinds of replicas that are ordered apart from each other. */
-export type ReplicaKind = keyof StandingReplicas;
-
 /** Replicas that should stand, by failure domain. */
 export type ReplicaPlan = ReadonlyMap<FailureDomainId, StandingReplicas>;
 
@@ -76,7 +73,7 @@
     1 / Math.max(0.01, domainPrices[domain] ?? 1);
   const lastingNeed = spotPrice === null ? need : mix.lastingShare * need;
   const usual = allocate(lastingNeed, domains, weightOf, () => maxReplicas);
-  const open = domains.filter(domain => !isDry(domain, 'spot'));
+  const open = domains.filter(domain => !isDry(domain));
   const cover = domains.length > 1 ? domains.length / (domains.length - 1) : 1;
   const spotNeed =
     spotPrice === null ? 0 : mix.spotHeadroom * cover * (need - lastingNeed);
--- a/packages/decisions/src/duties/scaling/replicaCensus.ts
+++ b/packages/decisions/src/duties/scaling/replicaCensus.ts
@@ -1,5 +1,7 @@
 import type { FailureDomainId, Replica, ServiceId } from '@jujubecroft/types';
 
+import type { ReplicaOrder } from '../Holding.js';
+
 /** Replicas of a service in one failure domain that are not leaving. */
 export interface StandingReplicas {
   /** Those that stay until they are given back. */
@@ -8,6 +10,9 @@
   readonly spot: number;
 }
 
+/** Kinds of replicas that are ordered apart from each other. */
+export type ReplicaKind = keyof StandingReplicas;
+
 /** Standing replicas by failure domain. */
 export type ReplicaCensus = ReadonlyMap<FailureDomainId, StandingReplicas>;
 
@@ -53,3 +58,18 @@
     0,
   );
 }
+
+/** @returns the kind of replicas that an order is about */
+export function kindOfOrder({ spot }: ReplicaOrder): ReplicaKind {
+  return spot ? 'spot' : 'lasting';
+}
+
+/** @returns replicas that stand of what an order is about */
+export function standingOf(order: ReplicaOrder, census: ReplicaCensus): number {
+  return standingIn(census, order.failureDomain)[kindOfOrder(order)];
+}
+
+/** @returns replicas that an order adds to what stands; negative where it takes some */
+export function growthOf(order: ReplicaOrder, census: ReplicaCensus): number {
+  return order.count - standingOf(order, census);
+}
--- a/packages/decisions/tests/duties/HolderLease.test.ts
+++ b/packages/decisions/tests/duties/HolderLease.test.ts
@@ -12,7 +12,7 @@
 
 const LEASE_MS = 3000;
 const FACTS: LeaseFacts = {
-  rank: 0,
+  rank: () => 0,
   news: null,
   notes: NO_NOTES,
   givesUp: false,
@@ -127,7 +127,8 @@
       clock.advance(LEASE_MS + 300);
       const dueAt = [0, 1, 2, 5, 60].filter(
         rank =>
-          leaseOf('b', clock).next({ ...FACTS, rank, news }).kind === 'read',
+          leaseOf('b', clock).next({ ...FACTS, rank: () => rank, news })
+            .kind === 'read',
       );
       t.deepEqual(dueAt, [0]);
     });
--- a/packages/decisions/tests/duties/helpers/exploreLease.ts
+++ b/packages/decisions/tests/duties/helpers/exploreLease.ts
@@ -78,7 +78,7 @@
 }
 
 /** A look that is always due, since others may have heard of nothing. */
-const FACTS = { rank: 0, news: null, notes: NO_NOTES, givesUp: false };
+const FACTS = { rank: () => 0, news: null, notes: NO_NOTES, givesUp: false };
 
 function step(world: World, agent: number, create: LeaseFactory): World {
   const lease = leaseAt(world, agent, create);
--- a/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
+++ b/packages/decisions/tests/duties/scaling/replicaOrders.test.ts
@@ -115,7 +115,7 @@
         scaling: SCALING,
         need: 60,
         census: standing,
-        isDry: (domain, kind) => kind === 'spot' && isDry(domain),
+        isDry,
       }).values(),
     ].reduce((sum, { lasting }) => sum + lasting, 0);
 
--- a/packages/gateway/src/duties/DutyCalls.ts
+++ b/packages/gateway/src/duties/DutyCalls.ts
@@ -59,11 +59,6 @@
     }
   }
 
-  /** Takes note that the platform has seen a higher token, or seems to. */
-  onOutranked(): void {
-    this.keeper.drop();
-  }
-
   #onFailed(duty: DutyKind, token: number, err: unknown): void {
     const { clock, log } = this.context;
     const nowMs = clock();
--- a/packages/gateway/src/duties/DutyLoop.ts
+++ b/packages/gateway/src/duties/DutyLoop.ts
@@ -50,6 +50,7 @@
       duties,
       platform,
       this.#calls,
+      this.#keeper,
     );
     this.#ordering = new ReplicaOrdering(
       context,
@@ -70,11 +71,6 @@
     this.ports.platform.close();
   }
 
-  /** Reads the store before anything else, for a process that stood still. */
-  onWokeUp(): void {
-    this.#keeper.drop();
-  }
-
   #step(): void {
     const { context, duties } = this;
     const { settings, fleetClock } = duties;
@@ -99,10 +95,7 @@
   }
 
   async #report(): Promise<void> {
-    const change = await this.#reporting.step(
-      this.#keeper.confirmed,
-      this.#notes,
-    );
+    const change = await this.#reporting.step(this.#notes);
     if (change) {
       this.#notes = change(this.#notes);
     }
--- a/packages/gateway/src/duties/HoldingKeeper.ts
+++ b/packages/gateway/src/duties/HoldingKeeper.ts
@@ -1,7 +1,7 @@
 import type { DutyBoard, DutyNotes, HolderId } from '@jujubecroft/decisions';
 import {
-  decidedThrough,
   HolderLease,
+  newsOf,
   noteHolding,
   rankOf,
 } from '@jujubecroft/decisions';
@@ -11,6 +11,8 @@
 import type { HoldingStore } from '../ports/DutyPorts.js';
 import { createWakeUpWatch } from '../wakeUpWatch.js';
 
+/** Name of the calls in the metrics. */
+const CALL = 'holding';
 /** Steps that may follow each other at once: a read, a write, and a read after it. */
 const MAX_STEPS = 3;
 /**
@@ -131,7 +133,7 @@
     const { clock, metrics } = context;
     const { token } = this;
     const step = this.#lease.next({
-      rank: this.#rank,
+      rank: () => this.#rank,
       news: duties.news,
       notes: token === null ? this.confirmed : notes,
       givesUp,
@@ -139,16 +141,17 @@
     if (step.kind === 'idle') {
       return false;
     }
-    metrics.storeCalls.inc({ call: `holding ${step.kind}`, result: 'asked' });
     const askedMs = clock();
     if (step.kind === 'read') {
       const { row, storeMs } = await this.store.read();
+      metrics.storeCalls.inc({ call: CALL, result: 'ok' });
       this.#readClock(storeMs, askedMs);
       this.#lease.onRead(row, storeMs);
       this.#tell();
       return true;
     }
     const written = await this.store.write(step.write);
+    metrics.storeCalls.inc({ call: CALL, result: 'ok' });
     if (written.kind === 'refused') {
       this.#lease.onUnanswered();
       return true;
@@ -169,15 +172,7 @@
     if (!holding) {
       return;
     }
-    const { instance, token, untilMs, released, notes } = holding;
-    const isNews = noteHolding(this.duties, {
-      instance,
-      token,
-      untilMs,
-      released,
-      decidedThrough: decidedThrough(notes),
-    });
-    if (isNews) {
+    if (noteHolding(this.duties, newsOf(holding))) {
       this.listener.onNews();
     }
   }
@@ -201,6 +196,7 @@
   }
 
   #noteFailure(err: unknown): void {
+    this.context.metrics.storeCalls.inc({ call: CALL, result: 'failed' });
     const error = err instanceof Error ? err.message : String(err);
     this.context.log.write('holdingFailed', {
       error,
--- a/packages/gateway/src/duties/ReplicaOrdering.ts
+++ b/packages/gateway/src/duties/ReplicaOrdering.ts
@@ -1,11 +1,11 @@
 import type {
   DutyNotes,
-  ReplicaCensus,
   ReplicaOrder,
   ServiceNeed,
 } from '@jujubecroft/decisions';
 import {
   CapacityNeed,
+  growthOf,
   replicaCensus,
   ReplicaOrders,
   lastingInAll,
@@ -138,7 +138,7 @@
         need: replicas,
         isIdle: inFlight === 0,
       })
-      .filter(order => isSettled || isMore(order, census));
+      .filter(order => isSettled || growthOf(order, census) > 0);
     if (due.length > 0) {
       this.context.log.write('ordersDue', {
         service: id,
@@ -212,12 +212,3 @@
 }: ReplicaScaling): readonly FailureDomainId[] {
   return Object.keys(domainPrices) as FailureDomainId[];
 }
-
-/** Whether an order adds to what stands. */
-function isMore(
-  { failureDomain, spot, count }: ReplicaOrder,
-  census: ReplicaCensus,
-): boolean {
-  const standing = census.get(failureDomain);
-  return count > ((spot ? standing?.spot : standing?.lasting) ?? 0);
-}
--- a/packages/gateway/src/duties/UsageReporting.ts
+++ b/packages/gateway/src/duties/UsageReporting.ts
@@ -4,6 +4,7 @@
 import type { GatewayContext } from '../GatewayContext.js';
 import type { DutyPlatform } from '../ports/DutyPorts.js';
 import type { DutyCalls } from './DutyCalls.js';
+import type { HoldingKeeper } from './HoldingKeeper.js';
 
 /** Decides the usage of the fleet and reports it, while this instance is the holder. */
 export class UsageReporting {
@@ -15,6 +16,7 @@
     private readonly duties: DutyBoard,
     private readonly platform: DutyPlatform,
     private readonly calls: DutyCalls,
+    private readonly keeper: HoldingKeeper,
   ) {}
 
   /** Notes that this instance holds the duties from now on. */
@@ -50,15 +52,13 @@
   /**
    * Reports the oldest window that was decided and written down.
    *
-   * @param confirmed - what the store holds
    * @param notes - as they are now
    * @returns what the report makes of the notes
    */
   async step(
-    confirmed: DutyNotes,
     notes: DutyNotes,
   ): Promise<((notes: DutyNotes) => DutyNotes) | null> {
-    const usage = confirmed.decided.find(
+    const usage = this.keeper.confirmed.decided.find(
       ({ window }) => window > (notes.reportedThrough ?? -1),
     );
     if (!usage || this.#isAtWork) {
@@ -70,7 +70,8 @@
         this.platform.reportUsage(caller, usage),
       );
       if (answer === 'refused') {
-        this.calls.onOutranked();
+        // The platform has seen a higher token.
+        this.keeper.drop();
       }
       if (answer !== 'accepted') {
         return null;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -174,7 +174,6 @@
     if (stillMs > 0) {
       log.write('wokeUp', { stoodStillMs: Math.round(stillMs) });
       context.router.board.storeClock.forget();
-      duties?.onWokeUp();
       void reader.refresh();
       peers.askAround();
     }
