refactor(testing): one check of what holders do, for every suite

The gateway's tests had a copy of the check of the decisions' without its test for tokens that go down. Both use one now, which keeps its failing examples; the gateway's runs are checked more strictly for it.

--- a/packages/decisions/tests/duties/exploreLease.test.ts
+++ b/packages/decisions/tests/duties/exploreLease.test.ts
@@ -1,10 +1,9 @@
-import { describe } from '@jujubecroft/testing';
+import type { DutyAct } from '@jujubecroft/testing';
+import { describe, faultOf } from '@jujubecroft/testing';
 import { brand } from '@jujubecroft/types';
 
 import type { HolderId, LeaseState } from '../../src/index.js';
 import { HolderLease } from '../../src/index.js';
-import type { DutyAct } from './helpers/dutyActs.js';
-import { faultOf } from './helpers/dutyActs.js';
 import { exploreLease, LEASE_MS } from './helpers/exploreLease.js';
 
 const A = brand<HolderId>('a');
--- a/packages/decisions/tests/duties/helpers/exploreLease.ts
+++ b/packages/decisions/tests/duties/helpers/exploreLease.ts
@@ -1,5 +1,7 @@
 import type { InstanceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
+import type { DutyAct } from '@jujubecroft/testing';
+import { faultOf } from '@jujubecroft/testing';
 
 import type {
   HolderId,
@@ -8,8 +10,6 @@
   LeaseState,
 } from '../../../src/index.js';
 import { HolderLease, NO_NOTES, StoreClock } from '../../../src/index.js';
-import type { DutyAct } from './dutyActs.js';
-import { faultOf } from './dutyActs.js';
 
 export const LEASE_MS = 3000;
 /** Time that passes in one step of the exploration. */
--- a/packages/gateway/tests/duties/DutyLoop.test.ts
+++ b/packages/gateway/tests/duties/DutyLoop.test.ts
@@ -1,7 +1,6 @@
 import type { ExecutionContext } from 'ava';
-import { describe } from '@jujubecroft/testing';
+import { describe, faultOf } from '@jujubecroft/testing';
 
-import { faultOf } from '../helpers/dutyFaults.js';
 import { DUTIES, VirtualDuties } from '../helpers/VirtualDuties.js';
 
 /** Most by which a reported count may differ from the requests that began. */
--- a/packages/gateway/tests/helpers/VirtualDuties.ts
+++ b/packages/gateway/tests/helpers/VirtualDuties.ts
@@ -3,6 +3,7 @@
   HoldingRow,
   HoldingWrite,
 } from '@jujubecroft/decisions';
+import type { DutyAct } from '@jujubecroft/testing';
 import type { OrganisationId } from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
 
@@ -50,10 +51,7 @@
 };
 
 /** A call that the platform has carried out. */
-export interface CarriedOut {
-  readonly holder: string;
-  readonly token: number;
-  readonly atMs: number;
+export interface CarriedOut extends DutyAct {
   readonly window: number;
   readonly counts: string;
 }
@@ -63,7 +61,6 @@
   readonly process: VirtualProcess;
   readonly link: VirtualLink;
   context: GatewayContext;
-  loop: DutyLoop | null;
   stop: (() => void) | null;
   jumpMs: number;
 }
@@ -128,7 +125,6 @@
   kill(member: Member): void {
     member.stop?.();
     member.stop = null;
-    member.loop = null;
     member.process.heldUntilMs = Infinity;
   }
 
@@ -165,7 +161,6 @@
       process: new VirtualProcess(),
       link: new VirtualLink(this.time, Infinity),
       context: null as never,
-      loop: null,
       stop: null,
       jumpMs: 0,
     };
@@ -212,7 +207,6 @@
     void peers.start();
     const loop = new DutyLoop(context, duties, this.#ports(member), peers);
     loop.start();
-    member.loop = loop;
     let isOver = false;
     member.stop = () => {
       isOver = true;
--- a/packages/decisions/tests/duties/helpers/dutyActs.ts
+++ b/packages/testing/src/dutyActs.ts
@@ -1,8 +1,6 @@
-import type { HolderId } from '../../../src/index.js';
-
 /** A call that a holder made. */
 export interface DutyAct {
-  readonly holder: HolderId;
+  readonly holder: string;
   readonly token: number;
   readonly atMs: number;
 }
@@ -18,7 +16,7 @@
   acts: readonly DutyAct[],
   leaseMs: number,
 ): string | null {
-  const holders = new Map<number, HolderId>();
+  const holders = new Map<number, string>();
   for (const [place, act] of acts.entries()) {
     const before = acts.slice(0, place);
     const owner = holders.get(act.token) ?? act.holder;
