fix(gateway): the status of an answer counts before its body is read

Read again: the client of JSON calls parsed a body before anybody looked at the status, so a 409 or 503 with a page instead of JSON counted as no answer: an outranked holder would have gone on calling, and logs lost the status.

--- a/packages/gateway/src/backends/JsonClient.ts
+++ b/packages/gateway/src/backends/JsonClient.ts
@@ -21,8 +21,13 @@
 
 export interface JsonReply {
   readonly status: number;
-  /** Parsed; null where the body is empty. */
-  readonly body: unknown;
+  /**
+   * Parses the body, once the status says that it is worth it.
+   *
+   * @returns null where the body is empty
+   * @throws SyntaxError where it is no JSON
+   */
+  readonly json: () => unknown;
 }
 
 /** Calls one server with bodies of JSON, each with a bound of its own. */
@@ -44,7 +49,7 @@
   /**
    * Makes a call.
    *
-   * @throws Error when no whole answer came in time, or none of JSON
+   * @throws Error when no whole answer came in time
    */
   async call({
     path,
@@ -66,9 +71,9 @@
           }),
       timeoutMs: this.options.timeoutMs + waitMs,
     });
-    const text = body.toString('utf8');
-    const parsed: unknown = text === '' ? null : JSON.parse(text);
-    return { status, body: parsed };
+    const json = (): unknown =>
+      body.length === 0 ? null : JSON.parse(body.toString('utf8'));
+    return { status, json };
   }
 
   close(): void {
