--- a/packages/gateway/tests/duties/DutyLoop.test.ts
+++ b/packages/gateway/tests/duties/DutyLoop.test.ts
@@ -10,13 +10,15 @@
 const SIZES = [6, 60, 195];
 
 function assertSound(t: ExecutionContext, fleet: VirtualDuties): void {
-  t.is(faultOf(fleet.carriedOut, DUTIES.leaseMs), null);
+  t.is(faultOf(fleet.platform.carriedOut, DUTIES.leaseMs), null);
 }
 
 /** Windows whose report is missing or differs by more than is allowed. */
 function badWindows(fleet: VirtualDuties): readonly number[] {
   return fleet.dueWindows.filter(window => {
-    const report = fleet.carriedOut.find(other => other.window === window);
+    const report = fleet.platform.carriedOut.find(
+      other => other.window === window,
+    );
     const counts = new Map(
       Object.entries(JSON.parse(report?.counts ?? '{}') as object) as [
         string,
@@ -67,10 +69,11 @@
     it(`are done in calm (${instances} instances)`, async t => {
       const fleet = await started({ instances, seed: 7 });
       const fromMs = fleet.time.nowMs;
-      const calls = fleet.holdingCalls;
+      const calls = fleet.platform.holdingCalls;
       await fleet.time.run(17_000);
       const perMinute =
-        (60_000 * (fleet.holdingCalls - calls)) / (fleet.time.nowMs - fromMs);
+        (60_000 * (fleet.platform.holdingCalls - calls)) /
+        (fleet.time.nowMs - fromMs);
       t.log(`${perMinute.toFixed(0)} calls of the store a minute`);
       assertSound(t, fleet);
       t.true(fleet.dueWindows.length >= 2);
@@ -83,13 +86,15 @@
     // Guards against duties that nobody does, and a fleet that presses the store.
     it(`go to another one where the holder dies (${instances} instances)`, async t => {
       const fleet = await started({ instances, seed: 8, loss: 0.02 });
-      const calls = fleet.holdingCalls;
+      const calls = fleet.platform.holdingCalls;
       const tookMs = await takeOverMs(fleet, holder => {
         fleet.kill(holder);
       });
-      t.log(`${tookMs} ms, ${fleet.holdingCalls - calls} calls of the store`);
+      t.log(
+        `${tookMs} ms, ${fleet.platform.holdingCalls - calls} calls of the store`,
+      );
       t.true(tookMs <= TAKE_OVER_MS);
-      t.true(fleet.holdingCalls - calls <= 20);
+      t.true(fleet.platform.holdingCalls - calls <= 20);
     });
   });
 
@@ -117,10 +122,10 @@
   it('go to another one where the holder is cut from the store', async t => {
     const fleet = await started({ instances: 12, seed: 3 });
     const tookMs = await takeOverMs(fleet, ({ name }) => {
-      fleet.cutFromStore.add(name);
+      fleet.platform.cutFromStore.add(name);
     });
     t.true(tookMs <= TAKE_OVER_MS, `${tookMs} ms`);
-    fleet.cutFromStore.clear();
+    fleet.platform.cutFromStore.clear();
     await fleet.time.run(25_000);
     assertSound(t, fleet);
     t.deepEqual(badWindows(fleet), []);
@@ -129,7 +134,7 @@
   it('go to another one where the holder is cut from the platform', async t => {
     const fleet = await started({ instances: 12, seed: 4 });
     await takeOverMs(fleet, ({ name }) => {
-      fleet.cutFromPlatform.add(name);
+      fleet.platform.cutFromPlatform.add(name);
     });
     await fleet.time.run(25_000);
     assertSound(t, fleet);
@@ -182,12 +187,12 @@
           fleet.startAgain(member);
         });
       await takeOverMs(fleet, ({ name }) => {
-        fleet.cutFromStore.add(name);
+        fleet.platform.cutFromStore.add(name);
       });
-      fleet.cutFromStore.clear();
+      fleet.platform.cutFromStore.clear();
       await fleet.time.run(20_000);
       const said = new Map<number, Set<string>>();
-      fleet.carriedOut.forEach(({ window, counts }) => {
+      fleet.platform.carriedOut.forEach(({ window, counts }) => {
         said.set(window, (said.get(window) ?? new Set()).add(counts));
       });
       t.deepEqual(
@@ -203,15 +208,15 @@
   it('are taken up again after an outage of the store without a herd', async t => {
     const fleet = await started({ instances: 60, seed: 12 });
     await fleet.time.run(300);
-    fleet.members.forEach(({ name }) => fleet.cutFromStore.add(name));
-    const calls = fleet.holdingCalls;
+    fleet.members.forEach(({ name }) => fleet.platform.cutFromStore.add(name));
+    const calls = fleet.platform.holdingCalls;
     await fleet.time.run(8000);
-    const perS = (fleet.holdingCalls - calls) / 8;
+    const perS = (fleet.platform.holdingCalls - calls) / 8;
     t.log(`${perS.toFixed(1)} calls of the store a second`);
     t.true(perS < 20);
-    fleet.cutFromStore.clear();
+    fleet.platform.cutFromStore.clear();
     const fromMs = fleet.time.nowMs;
-    const { carriedOut } = fleet;
+    const { carriedOut } = fleet.platform;
     const said = carriedOut.length;
     while (carriedOut.length === said && fleet.time.nowMs - fromMs < 9000) {
       await fleet.time.run(100);
@@ -223,17 +228,17 @@
   // Guards against a new holder that counts before anybody has told it.
   it('are counted whole by a holder that has just begun', async t => {
     const fleet = await started({ instances: 20, seed: 13 });
-    const [others] = [fleet.members];
-    others.forEach(({ name }) => fleet.cutFromStore.add(name));
+    const others = fleet.members;
+    others.forEach(({ name }) => fleet.platform.cutFromStore.add(name));
     await fleet.time.run(7000);
     const { holder } = fleet;
     others
       .filter(({ name }) => name !== holder?.name)
       .slice(-1)
-      .forEach(({ name }) => fleet.cutFromStore.delete(name));
+      .forEach(({ name }) => fleet.platform.cutFromStore.delete(name));
     await fleet.time.run(12_000);
     t.not(fleet.holder, holder);
-    fleet.cutFromStore.clear();
+    fleet.platform.cutFromStore.clear();
     await fleet.time.run(12_000);
     assertSound(t, fleet);
     t.deepEqual(badWindows(fleet), []);
