--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -216,6 +216,16 @@
     this.board.limits.onAnswer(load, { perS, atMs: this.board.clock() });
   }
 
+  /**
+   * Records that a replica announced with an answer that it is leaving.
+   *
+   * @param attempt - the answered attempt
+   * @returns whether it is the replica's first announcement to this instance
+   */
+  onLeaveAnnounced({ load }: GatewayAttempt): boolean {
+    return this.board.replicas.announceLeave(load.replica);
+  }
+
   /** Records how an attempt ended. */
   onEnded(attempt: GatewayAttempt, result: AttemptResult): void {
     recordEnd(this.board, attempt, result);
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, Replica } from '@jujubecroft/types';
 
+import { AnnouncedLeaves } from './AnnouncedLeaves.js';
 import type { ChangeSelection } from './listChanges.js';
 import { changesSince, newestChanges } from './listChanges.js';
 import type {
@@ -31,6 +32,7 @@
  */
 export class ReplicaRegistry {
   readonly #records = new Map<BackendServerId, ReplicaRecord>();
+  readonly #announcedLeaves = new AnnouncedLeaves();
   #version = 0;
   #changedAt = 0;
   #asOfMs = -Infinity;
@@ -77,6 +79,16 @@
     return this.#records.get(id)?.replica ?? undefined;
   }
 
+  /**
+   * Records that a replica announced in an answer that it is leaving.
+   *
+   * @param run - the run of the replica that answered
+   * @returns whether it is the first announcement of this run
+   */
+  announceLeave(run: Pick<Replica, 'bornMs' | 'id'>): boolean {
+    return this.#announcedLeaves.add(run);
+  }
+
   /**
    * Treats removals as temporary lapses for a limited time.
    *
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -108,6 +108,11 @@
     summary:
       'A backend server announced, changed or lifted its limit on requests per second.',
   },
+  leaveAnnounced: {
+    number: 307,
+    level: 'info',
+    summary: 'A backend server stated in an answer that it is leaving.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -259,6 +259,9 @@
     if (assembler.wasExecuted || assembler.limitPerS !== null) {
       router.onLimit(attempt, assembler.limitPerS);
     }
+    if (assembler.announcesLeave && router.onLeaveAnnounced(attempt)) {
+      this.#recorder.leaveAnnounced(attempt);
+    }
     if (assembler.load) {
       router.onReported(attempt, assembler.load);
     }
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -152,6 +152,15 @@
     );
   }
 
+  /** Records that the replica of an attempt announced its leave. */
+  leaveAnnounced({ load: { replica } }: GatewayAttempt): void {
+    this.context.log.write('leaveAnnounced', {
+      request: this.request.id,
+      backendServer: replica.id,
+      service: replica.service,
+    });
+  }
+
   /** Records an attempt without a response for the caller. */
   failed(
     { load }: GatewayAttempt,
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -75,6 +75,18 @@
     return this.#head?.limitPerS ?? null;
   }
 
+  /**
+   * Whether the replica states in its answer to this request that it is
+   * leaving.
+   */
+  get announcesLeave(): boolean {
+    return (
+      this.#head !== null &&
+      this.#head.isLeaving &&
+      this.#head.requestId === this.options.requestId
+    );
+  }
+
   /** Whether the body is relayed to the caller as it arrives. */
   get isRelaying(): boolean {
     return this.#isRelaying;
--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -66,6 +66,8 @@
    * together; null if it states no limit.
    */
   readonly limitPerS: number | null;
+  /** Whether the addressed backend server states that it is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /**
