test(gateway): requests reach a replica after its answer announced its leave

Callers are served by a replica that leaves, and lose their answers when it ends. The virtual store learns to be silent, virtual replicas to announce a leave.

--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -76,6 +76,8 @@
   answeredAtMs: number;
   /** Whether the answer stated a limit. */
   statedLimit: boolean;
+  /** Whether the answer announced that the replica is leaving. */
+  announcedLeave: boolean;
   readonly instance: string;
   readonly replica: BackendServerId;
   readonly priority: number;
@@ -126,6 +128,8 @@
   /** Requests that reached a replica. */
   readonly arrivals: Arrival[] = [];
   readonly #crashed = new Set<BackendServerId>();
+  /** Replicas that announce their leave in answers. */
+  readonly #leaving = new Set<BackendServerId>();
   #requestCount = 0;
   #configurationVersion = 1;
 
@@ -345,6 +349,7 @@
         atMs: this.time.nowMs,
         answeredAtMs: Infinity,
         statedLimit: false,
+        announcedLeave: false,
         instance: context.settings.instance,
         replica: placed.load.replica.id,
         priority: request.priority,
@@ -358,6 +363,10 @@
           router.onLimit(attempt, perS);
           arrival.statedLimit = perS !== null;
           arrival.answeredAtMs = this.time.nowMs;
+          if (this.#leaving.has(placed.load.replica.id)) {
+            router.onLeaveAnnounced(attempt);
+            arrival.announcedLeave = true;
+          }
           router.onReported(attempt, { running: 3, waiting: 0, slots: 64 });
           settle(answered);
         }
@@ -377,6 +386,11 @@
     this.#limits.set(id, perS);
   }
 
+  /** Makes a replica announce its leave in all answers from now on. */
+  announceLeave(id: BackendServerId): void {
+    this.#leaving.add(id);
+  }
+
   /** Whether a replica has crashed. */
   hasCrashed(id: BackendServerId): boolean {
     return this.#crashed.has(id);
--- a/packages/gateway/tests/helpers/VirtualStore.ts
+++ b/packages/gateway/tests/helpers/VirtualStore.ts
@@ -15,6 +15,9 @@
 /** Time that the store takes for a call. */
 const SERVICE_TIME_MS = 4;
 
+/** Timeout of a call. */
+const TIMEOUT_MS = 900;
+
 /** Reading of the store's clock when virtual time starts. */
 const INITIAL_STORE_MS = 5_000_000;
 
@@ -53,6 +56,8 @@
   #version = 1;
   #configurationVersion = 1;
   calls = 0;
+  /** Whether calls get no answer. */
+  isSilent = false;
 
   constructor(
     private readonly time: VirtualTime,
@@ -99,8 +104,18 @@
       handle: (answer: () => void) => void,
       answerOf: () => { readonly answer: Answer; readonly bytes: number },
     ) =>
-      new Promise<Answer>(resolve => {
+      new Promise<Answer>((resolve, reject) => {
         this.calls += 1;
+        if (this.isSilent) {
+          this.time.after(
+            TIMEOUT_MS,
+            () => {
+              reject(new Error('no answer in time'));
+            },
+            process,
+          );
+          return;
+        }
         this.time.after(link.sendTo(this.#link, CALL_BYTES, ONE_WAY_MS), () => {
           handle(() => {
             const { answer, bytes } = answerOf();
