fix(gateway): a leave announced in an answer takes effect at once

What callers saw: their requests ran at an engine that was leaving, 2 to 4 s after an answer had said so; when such an engine ends, its answers are lost. Cause: leaves were believed from the store and from other instances alone. While the store is away nobody hears of one, and the header that announces it was not read. Class: a fact known first-hand that waits for its confirmation. Change: the registry keeps the runs that announced their leave, apart from the rows, and shows them as leaving. So one check holds for placement, retries, moves, resumed streams and requests that wait for a connection; no fallback passes it. Why it works: the announcement outlives older and newer rows of the same run, its removal and its return; only a later run or another id clears it. It isn't relayed: the other instances get it with their own answers, and a false one costs the capacity of one instance only.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -217,13 +217,18 @@
   }
 
   /**
-   * Records that a replica announced with an answer that it is leaving.
+   * Records that a replica announced with an answer that it is leaving. From
+   * then on it gets no requests of this instance.
    *
    * @param attempt - the answered attempt
    * @returns whether it is the replica's first announcement to this instance
    */
   onLeaveAnnounced({ load }: GatewayAttempt): boolean {
-    return this.board.replicas.announceLeave(load.replica);
+    const isFirst = this.board.replicas.announceLeave(load.replica);
+    if (isFirst) {
+      this.syncReplicas();
+    }
+    return isFirst;
   }
 
   /** Records how an attempt ended. */
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -68,7 +68,9 @@
 
   /** All existing replicas, including leaving ones. */
   get replicas(): readonly Replica[] {
-    return [...this.#records.values()].flatMap(({ replica }) => replica ?? []);
+    return [...this.#records.values()].flatMap(({ replica }) =>
+      replica ? this.#withAnnouncedLeave(replica) : [],
+    );
   }
 
   /**
@@ -76,12 +78,16 @@
    * as removed.
    */
   find(id: BackendServerId): Replica | undefined {
-    return this.#records.get(id)?.replica ?? undefined;
+    const replica = this.#records.get(id)?.replica;
+    return replica ? this.#withAnnouncedLeave(replica) : undefined;
   }
 
   /**
    * Records that a replica announced in an answer that it is leaving.
    *
+   * Kept apart from the records, since those are sent to other instances and
+   * hold the content that the store has under their version.
+   *
    * @param run - the run of the replica that answered
    * @returns whether it is the first announcement of this run
    */
@@ -253,6 +259,12 @@
       });
   }
 
+  #withAnnouncedLeave(replica: Replica): Replica {
+    return this.#announcedLeaves.has(replica)
+      ? { ...replica, leaving: true }
+      : replica;
+  }
+
   #applyRow(row: ReplicaRow): ReplicaChange | null {
     const before = this.#records.get(row.id);
     if (before && row.rowVersion <= before.rowVersion) {
