--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -15,6 +15,7 @@
 import { EngineEstimator } from './EngineEstimator.js';
 import { ReplicaLimits } from './limits/ReplicaLimits.js';
 import { RetryGain } from './recovery/RetryGain.js';
+import { ReplicaPauses } from './ReplicaPauses.js';
 import { ReplicaRegistry } from './ReplicaRegistry.js';
 import type { RetryBudgetRules } from './RetryBudget.js';
 import { RetryBudget } from './RetryBudget.js';
@@ -59,6 +60,7 @@
   readonly budget: RetryBudget;
   readonly crashes: CrashLedger;
   readonly limits: ReplicaLimits;
+  readonly pauses: ReplicaPauses;
   readonly demand: DemandTracker;
   readonly lengths: AnswerLengths;
   readonly retryGain: RetryGain;
@@ -115,6 +117,7 @@
     budget: new RetryBudget(retryBudget, clock),
     crashes: new CrashLedger(clock),
     limits: new ReplicaLimits({ instance, clock, replicas }),
+    pauses: new ReplicaPauses(clock, random),
     demand: new DemandTracker(clock),
     lengths: new AnswerLengths(),
     retryGain: new RetryGain(),
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -231,6 +231,18 @@
     return isFirst;
   }
 
+  /**
+   * Records that a replica rejected an attempt and requested a pause.
+   *
+   * @param attempt - the rejected attempt
+   * @param pauseMs - time for which the replica accepts nothing from this
+   *   instance, in milliseconds
+   * @returns whether the replica was not paused before
+   */
+  onPauseRequested({ load }: GatewayAttempt, pauseMs: number): boolean {
+    return this.board.pauses.add(load.replica, pauseMs);
+  }
+
   /** Records how an attempt ended. */
   onEnded(attempt: GatewayAttempt, result: AttemptResult): void {
     recordEnd(this.board, attempt, result);
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -113,6 +113,12 @@
     level: 'info',
     summary: 'A backend server stated in an answer that it is leaving.',
   },
+  pauseRequested: {
+    number: 308,
+    level: 'info',
+    summary:
+      'A backend server rejected a request and accepts nothing from this instance for a while.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -262,6 +262,10 @@
     if (assembler.announcesLeave && router.onLeaveAnnounced(attempt)) {
       this.#recorder.leaveAnnounced(attempt);
     }
+    const { pauseMs } = assembler;
+    if (pauseMs !== null && router.onPauseRequested(attempt, pauseMs)) {
+      this.#recorder.pauseRequested(attempt, pauseMs);
+    }
     if (assembler.load) {
       router.onReported(attempt, assembler.load);
     }
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -161,6 +161,16 @@
     });
   }
 
+  /** Records that the replica of an attempt requested a pause. */
+  pauseRequested({ load: { replica } }: GatewayAttempt, pauseMs: number): void {
+    this.context.log.write('pauseRequested', {
+      request: this.request.id,
+      backendServer: replica.id,
+      service: replica.service,
+      pauseMs,
+    });
+  }
+
   /** Records an attempt without a response for the caller. */
   failed(
     { load }: GatewayAttempt,
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -80,11 +80,21 @@
    * leaving.
    */
   get announcesLeave(): boolean {
-    return (
-      this.#head !== null &&
-      this.#head.isLeaving &&
-      this.#head.requestId === this.options.requestId
-    );
+    return this.#ownHead?.isLeaving ?? false;
+  }
+
+  /**
+   * Time for which the replica accepts nothing from this instance, in
+   * milliseconds; null if it requests no pause.
+   */
+  get pauseMs(): number | null {
+    return this.#ownHead?.pauseMs ?? null;
+  }
+
+  /** The head, if it states the id of this request; null otherwise. */
+  get #ownHead(): ResponseHead | null {
+    const head = this.#head;
+    return head?.requestId === this.options.requestId ? head : null;
   }
 
   /** Whether the body is relayed to the caller as it arrives. */
--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -66,6 +66,11 @@
    * together; null if it states no limit.
    */
   readonly limitPerS: number | null;
+  /**
+   * Time for which the backend server accepts nothing from this instance, in
+   * milliseconds; null if it requests no pause.
+   */
+  readonly pauseMs: number | null;
   /** Whether the addressed backend server states that it is leaving. */
   readonly isLeaving: boolean;
 }
