test(gateway): requests reach a replica in the pause that it asked for

Each is rejected and costs its caller a retry from the shared budget, while the replica has to answer it.

--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -54,6 +54,9 @@
   readonly answerMs?: number;
 }
 
+/** Time that a replica takes to reject a request. */
+const REJECTION_MS = 2;
+
 /** Where a request was sent, or why it was refused. */
 export type RequestOutcome =
   | { readonly kind: 'refused'; readonly code: string }
@@ -76,6 +79,8 @@
   answeredAtMs: number;
   /** Whether the answer stated a limit. */
   statedLimit: boolean;
+  /** Whether the replica rejected it and requested a pause. */
+  requestedPause: boolean;
   /** Whether the answer announced that the replica is leaving. */
   announcedLeave: boolean;
   readonly instance: string;
@@ -128,6 +133,8 @@
   /** Requests that reached a replica. */
   readonly arrivals: Arrival[] = [];
   readonly #crashed = new Set<BackendServerId>();
+  /** Pauses that replicas request with each rejection, in milliseconds. */
+  readonly #pauses = new Map<BackendServerId, number>();
   /** Replicas that announce their leave in answers. */
   readonly #leaving = new Set<BackendServerId>();
   #requestCount = 0;
@@ -349,6 +356,7 @@
         atMs: this.time.nowMs,
         answeredAtMs: Infinity,
         statedLimit: false,
+        requestedPause: false,
         announcedLeave: false,
         instance: context.settings.instance,
         replica: placed.load.replica.id,
@@ -357,6 +365,17 @@
       this.arrivals.push(arrival);
       const inFlight = { context, attempt, settle };
       this.#inFlight.add(inFlight);
+      const pauseMs = this.#pauses.get(placed.load.replica.id);
+      if (pauseMs !== undefined) {
+        this.time.after(REJECTION_MS, () => {
+          this.#inFlight.delete(inFlight);
+          router.onPauseRequested(attempt, pauseMs);
+          arrival.requestedPause = true;
+          arrival.answeredAtMs = this.time.nowMs;
+          settle({ kind: 'notRun', reason: 'status 503' });
+        });
+        return;
+      }
       this.time.after(answerMs, () => {
         if (this.#inFlight.delete(inFlight)) {
           const perS = this.#limits.get(placed.load.replica.id) ?? null;
@@ -386,6 +405,20 @@
     this.#limits.set(id, perS);
   }
 
+  /**
+   * Makes a replica reject all requests from now on and request a pause.
+   *
+   * @param id - the replica
+   * @param pauseMs - the pause in milliseconds; null to accept requests again
+   */
+  shed(id: BackendServerId, pauseMs: number | null): void {
+    if (pauseMs === null) {
+      this.#pauses.delete(id);
+    } else {
+      this.#pauses.set(id, pauseMs);
+    }
+  }
+
   /** Makes a replica announce its leave in all answers from now on. */
   announceLeave(id: BackendServerId): void {
     this.#leaving.add(id);
