fix(gateway): a pause that a replica requests is kept

What callers saw: requests were rejected by a replica that had asked their instance to send nothing; each took a retry from the shared budget, or was refused where none was left. Cause: the time that a rejection names was not read. Class: a statement of a replica treated as a doubt of ours. Placement, retries, moves and requests that wait for a connection pass the same check, before any doubt about health, so that the last resort doesn't either. A rejection with a pause says nothing about health. Where all pause, callers are refused at once with the earliest end, urgent ones first; a replica that only lacks room counts with its usual wait.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -177,8 +177,8 @@
    * Whether the request of an attempt may still be sent to its replica. To be
    * called before any byte is sent.
    *
-   * @returns false once the replica is leaving, gone or restarted, or the
-   *   request is barred because its content has crashed other replicas
+   * @returns false once the replica is leaving, gone, restarted or paused, or
+   *   the request is barred because its content has crashed other replicas
    */
   mayReceive({ load, request }: GatewayAttempt): boolean {
     const { id } = load.replica;
@@ -186,6 +186,7 @@
     return (
       known?.leaving === false &&
       this.board.backends.get(id) === load &&
+      !this.board.pauses.isPaused(load.replica) &&
       !isBarred(this.board, request)
     );
   }
@@ -232,7 +233,8 @@
   }
 
   /**
-   * Records that a replica rejected an attempt and requested a pause.
+   * Records that a replica rejected an attempt and requested a pause. It gets no
+   * requests of this instance before the end of the pause.
    *
    * @param attempt - the rejected attempt
    * @param pauseMs - time for which the replica accepts nothing from this
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -54,18 +54,36 @@
  */
 const NO_BACKEND_RETRY_AFTER_MS = 600;
 
+/** Extra wait after a pause for each priority, so that urgent callers return first. */
+const PAUSE_PRIORITY_STEP_MS = 50;
+const MAX_PAUSE_PRIORITY_MS = 300;
+
+function waitAfterPauseMs(remainingMs: number, priority: number): number {
+  return remainingMs > 0
+    ? remainingMs +
+        Math.min(MAX_PAUSE_PRIORITY_MS, PAUSE_PRIORITY_STEP_MS * priority)
+    : 0;
+}
+
 /**
  * Returns when a replica is likely to accept the request, in milliseconds from
  * now.
  */
 function retryAfterCapacityMs(
-  { limits }: GatewayBoard,
+  { limits, pauses }: GatewayBoard,
   { priority }: GatewayRequest,
   candidates: readonly BackendLoad[],
 ): number {
   const waits = candidates
-    .map(load => limits.waitMs(load, priority))
-    .filter(waitMs => waitMs > 0 && waitMs < Infinity);
+    .map(load =>
+      Math.max(
+        limits.waitMs(load, priority),
+        waitAfterPauseMs(pauses.remainingMs(load.replica), priority),
+      ),
+    )
+    .filter(waitMs => waitMs < Infinity)
+    // A replica without a wait has no room at the moment.
+    .map(waitMs => (waitMs > 0 ? waitMs : NO_BACKEND_RETRY_AFTER_MS));
   return waits.length > 0
     ? Math.max(MIN_RETRY_AFTER_MS, Math.min(...waits))
     : NO_BACKEND_RETRY_AFTER_MS;
--- a/packages/decisions/src/gateway/updateReplicaHealth.ts
+++ b/packages/decisions/src/gateway/updateReplicaHealth.ts
@@ -20,13 +20,17 @@
  * Whether the end of an attempt says nothing about its replica.
  *
  * This holds when the caller leaves, unless the replica seems to have lost the
- * answer.
+ * answer, and for requests that a replica rejected or did not get because of a
+ * pause that it requested.
  */
 function isInconclusive(
   board: GatewayBoard,
   attempt: GatewayAttempt,
   result: AttemptResult,
 ): boolean {
+  if (result.kind === 'notRun' || result.kind === 'unsent') {
+    return board.pauses.isPaused(attempt.load.replica);
+  }
   return (
     result.kind === 'withdrawn' &&
     result.reason === 'callerLeft' &&
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -122,6 +122,20 @@
   });
 }
 
+/**
+ * Whether a replica accepts a request of this instance now, by its own
+ * statements: it requested no pause and its limit is not used up.
+ *
+ * Unlike doubts about its health, these leave no exception.
+ */
+function accepts(
+  { limits, pauses }: GatewayBoard,
+  load: BackendLoad,
+  { priority }: GatewayRequest,
+): boolean {
+  return !pauses.isPaused(load.replica) && limits.mayTake(load, priority);
+}
+
 /**
  * Selects the candidates that may get a request, preferring healthy ones.
  *
@@ -141,8 +155,7 @@
 ): readonly BackendLoad[] {
   const share = connectionShare(board, request);
   const open = candidates.filter(
-    load =>
-      load.inFlight < share && board.limits.mayTake(load, request.priority),
+    load => load.inFlight < share && accepts(board, load, request),
   );
   const responsive = open.filter(
     load => !isUnresponsive(board, load) && !losesAnswers(board, load),
@@ -178,7 +191,7 @@
       other =>
         other !== load &&
         !isUnresponsive(board, other) &&
-        board.limits.mayTake(other, request.priority),
+        accepts(board, other, request),
     )
   );
 }
