feat(soak): a replica announces its leave in answers alone

A long fault: for nine seconds the answers say it while the entry stays ready, as in a store that is away; every other drain says it in answers, too. announced-leaves checks that the gateway which passed such an answer on sends nothing there once the drain time is over, in touch or not; a restart or a pause of the gateway excuses it. The fault is drawn after the older long ones, so that their seeds stay as they were.

--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -123,6 +123,8 @@
   readonly slots: number;
   /** Rate limit over all gateways, in requests per second; null for no limit. */
   readonly limitPerS: number | null;
+  /** Whether the replica is leaving. */
+  readonly isLeaving: boolean;
 }
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -87,6 +87,12 @@
       /** Whether the whole response had been written by then. */
       readonly whole: boolean;
     }
+  | {
+      readonly type: 'leaving';
+      readonly replica: string;
+      /** Time from which all responses announce that the replica is leaving. */
+      readonly atMs: number;
+    }
   | {
       readonly type: 'limit';
       readonly replica: string;
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -243,6 +243,12 @@
   'replica-grey': replicaFault('grey'),
   'replica-kill': (fault, context) =>
     kill(replicaOf(context, fault).program, fault.forMs),
+  'replica-leave-in-answers': async (fault, context) => {
+    const { program } = replicaOf(context, fault);
+    program.sendMessage({ order: 'leaveInAnswers' });
+    await sleep(fault.forMs);
+    await kill(program, RESTART_DELAY_MS);
+  },
   'replica-limit': async (fault, context) => {
     const { program } = replicaOf(context, fault);
     program.sendMessage({
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -38,7 +38,11 @@
 ] as const;
 
 /** Faults that last longer. They are drawn independently of the short ones. */
-const LONG_KINDS = ['crashing-request', 'replica-limit'] as const;
+const LONG_KINDS = [
+  'crashing-request',
+  'replica-limit',
+  'replica-leave-in-answers',
+] as const;
 
 /** All kinds of faults and planned operations. */
 export const FAULT_KINDS = [...SHORT_KINDS, ...LONG_KINDS] as const;
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -25,6 +25,8 @@
       readonly forMs: number;
     }
   | { readonly order: 'fault'; readonly fault: ReplicaFault }
+  /** Announces in answers alone that the replica is leaving. */
+  | { readonly order: 'leaveInAnswers' }
   /** Sets the rate limit in requests per second; null for no limit. */
   | { readonly order: 'limit'; readonly perS: number | null };
 
@@ -47,7 +49,10 @@
   readonly #queue: (() => void)[] = [];
   #fault: ReplicaFault = 'well';
   #running = 0;
+  /** Whether the entry says that the replica is leaving, or will say so. */
   #leaving = false;
+  /** Whether answers announce that the replica is leaving. */
+  #announcesLeave = false;
   #limitPerS: number | null = null;
   #sequence = 0;
 
@@ -91,6 +96,10 @@
       this.#writeNote({ type: 'limit', replica, atMs: soakNow(), perS });
       return;
     }
+    this.#announceLeaveInAnswers();
+    if (order.order === 'leaveInAnswers') {
+      return;
+    }
     this.#leaving = true;
     this.#sequence += 1;
     const state = order.announces ? 'leaving' : 'removed';
@@ -109,6 +118,14 @@
     announce();
   }
 
+  #announceLeaveInAnswers(): void {
+    if (!this.#announcesLeave) {
+      this.#announcesLeave = true;
+      const { replica } = this.place;
+      this.#writeNote({ type: 'leaving', replica, atMs: soakNow() });
+    }
+  }
+
   #sendHeartbeat(): void {
     if (this.#leaving) {
       return;
@@ -205,6 +222,7 @@
       waiting: this.#queue.length,
       slots: MAX_RUNNING,
       limitPerS: this.#limitPerS,
+      isLeaving: this.#announcesLeave,
     };
     const headers = this.dialect.answerHeaders(head, stamp, load);
     if (isFaulty && this.#writeFaultyResponse(headers, res)) {
--- a/packages/soak/src/promises/EvidenceIndex.ts
+++ b/packages/soak/src/promises/EvidenceIndex.ts
@@ -9,6 +9,18 @@
   SentRequest,
 } from '../evidence.js';
 
+/** Faults of gateways that leave their process running. */
+const UNINTERRUPTING_KINDS: readonly string[] = [
+  'gateway-cut',
+  'gateway-reload',
+  'peer-link-cut',
+  'peer-link-delay',
+  'peer-link-silent',
+  'store-link-cut',
+  'store-link-reset',
+  'store-link-silent',
+];
+
 /** Index of the evidence by request, with queries on faults in a span of time. */
 export class EvidenceIndex {
   readonly #executions: ReadonlyMap<string, readonly ReceivedNote[]>;
@@ -61,6 +73,22 @@
     );
   }
 
+  /**
+   * Whether a gateway may have forgotten or missed something in a span of time,
+   * because its process was restarted or paused.
+   */
+  wasInterrupted(gateway: number, fromMs: number, toMs: number): boolean {
+    const faults = this.faultsIn(
+      ({ component, index }, { kind }) =>
+        component === 'gateway' &&
+        (index === null || index === gateway) &&
+        !UNINTERRUPTING_KINDS.includes(kind),
+      fromMs,
+      toMs,
+    );
+    return faults.length > 0;
+  }
+
   /**
    * Whether time bounds apply to a gateway in a span of time: neither the gateway nor
    * the store had a fault in the span or in the `faultFreeMs` before it.
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -1,3 +1,4 @@
+import { announcedLeaves } from './announced-leaves.js';
 import { atMostOnce } from './at-most-once.js';
 import { boundedAttempts } from './bounded-attempts.js';
 import { boundedRetries } from './bounded-retries.js';
@@ -16,6 +17,7 @@
 
 /** All invariants that the soak checks. */
 export const ALL_INVARIANTS: readonly SoakInvariant[] = [
+  announcedLeaves,
   atMostOnce,
   boundedAttempts,
   boundedRetries,
--- a/packages/soak/tests/faults/planFaults.test.ts
+++ b/packages/soak/tests/faults/planFaults.test.ts
@@ -8,7 +8,11 @@
 
 const SECONDS = 40;
 /** Kinds of long faults. */
-const LONG_KINDS: readonly string[] = ['crashing-request', 'replica-limit'];
+const LONG_KINDS: readonly string[] = [
+  'crashing-request',
+  'replica-limit',
+  'replica-leave-in-answers',
+];
 const SEEDS = Array.from({ length: 100 }, (_, index) => index + 1);
 
 describe('planFaults', ({ it }) => {
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -45,6 +45,16 @@
   perS: 1,
 } as const;
 
+/** Two requests, the second long after the response to the first. */
+const afterLeave = [10_000, 13_000].map((sentMs, index) =>
+  requestOf(`a-${index}`, 'safe', { sentMs }),
+);
+const announcedLeave = {
+  type: 'leaving',
+  replica: 'r-1',
+  atMs: 9000,
+} as const;
+
 interface Case {
   readonly title: string;
   readonly seen: Parameters<typeof evidenceOf>[0];
@@ -232,6 +242,38 @@
     },
     broken: [],
   },
+  {
+    title:
+      'report a request to a replica long after its gateway passed on its leave',
+    seen: {
+      sent: afterLeave,
+      notes: [
+        announcedLeave,
+        ...afterLeave.map(sent => executionOf(sent, 'r-1')),
+      ],
+      answers: afterLeave.map(sent =>
+        responseOf(sent, 'r-1', { endedMs: sent.sentMs + 100 }),
+      ),
+    },
+    broken: ['announced-leaves'],
+  },
+  {
+    title: 'accept such a request from a gateway that was paused meanwhile',
+    seen: {
+      sent: afterLeave,
+      notes: [
+        announcedLeave,
+        ...afterLeave.map(sent => executionOf(sent, 'r-1')),
+      ],
+      answers: afterLeave.map(sent =>
+        responseOf(sent, 'r-1', { endedMs: sent.sentMs + 100 }),
+      ),
+      faults: [
+        faultOf('gateway-pause', gateway0, { fromMs: 10_500, toMs: 10_600 }),
+      ],
+    },
+    broken: [],
+  },
   {
     title: 'report a response that is cut by a planned stop',
     seen: {
