--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -142,8 +142,16 @@
     stamp: string,
     load: SoakReplicaLoad,
   ) => Record<string, string>;
-  /** Headers of a response which states that the request was not executed. */
-  readonly notRunHeaders: (head: SoakRequestMetadata) => Record<string, string>;
+  /**
+   * Headers of a response which states that the request was not executed.
+   *
+   * `pauseMs` is the time for which the replica accepts nothing more from the
+   * gateway; null if it requests no pause.
+   */
+  readonly notRunHeaders: (
+    head: SoakRequestMetadata,
+    pauseMs: number | null,
+  ) => Record<string, string>;
   /**
    * Writes or removes a replica's entry. Rejects if the store fails or does not
    * respond.
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -70,6 +70,8 @@
       readonly atMs: number;
       /** False if the replica refused the request. */
       readonly ran: boolean;
+      /** Pause that the replica requested with the refusal; null if none. */
+      readonly pauseMs: number | null;
       readonly target: string;
       readonly body: string;
       readonly organisation: string | null;
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -43,6 +43,8 @@
 const ROLLING_GAP_MS = 400;
 const MAX_DELAY_MS = 400;
 const MAX_RATE_LIMIT_PER_S = 6;
+const MIN_PAUSE_MS = 1000;
+const MAX_PAUSE_MS = 3000;
 /** Time that a leaving replica keeps serving beyond the drain time. */
 const LINGER_MS = 500;
 
@@ -268,6 +270,15 @@
   'replica-loses-answers': replicaFault('losesAnswers'),
   'replica-pause': (fault, context) =>
     pause(replicaOf(context, fault).program, fault.forMs),
+  'replica-requests-pauses': async (fault, context) => {
+    const { program } = replicaOf(context, fault);
+    program.sendMessage({
+      order: 'shed',
+      pauseMs: MIN_PAUSE_MS + MAX_PAUSE_MS * fault.strength,
+    });
+    await sleep(fault.forMs);
+    program.sendMessage({ order: 'shed', pauseMs: null });
+  },
   'replica-truncates': replicaFault('truncates'),
   'store-away': storeFault('away'),
   'store-forgets': immediate(({ fleet }) => {
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -42,6 +42,7 @@
   'crashing-request',
   'replica-limit',
   'replica-leave-in-answers',
+  'replica-requests-pauses',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -27,6 +27,8 @@
   | { readonly order: 'fault'; readonly fault: ReplicaFault }
   /** Announces in answers alone that the replica is leaving. */
   | { readonly order: 'leaveInAnswers' }
+  /** Refuses all requests with a requested pause; null to accept them again. */
+  | { readonly order: 'shed'; readonly pauseMs: number | null }
   /** Sets the rate limit in requests per second; null for no limit. */
   | { readonly order: 'limit'; readonly perS: number | null };
 
@@ -54,6 +56,8 @@
   /** Whether answers announce that the replica is leaving. */
   #announcesLeave = false;
   #limitPerS: number | null = null;
+  /** Pause to request with each refusal; null to accept requests. */
+  #pauseMs: number | null = null;
   #sequence = 0;
 
   constructor(
@@ -89,6 +93,10 @@
       this.#fault = order.fault;
       return;
     }
+    if (order.order === 'shed') {
+      this.#pauseMs = order.pauseMs;
+      return;
+    }
     if (order.order === 'limit') {
       const { perS } = order;
       this.#limitPerS = perS;
@@ -152,7 +160,9 @@
     const isMisdirected = head.expected !== null && head.expected !== replica;
     const isFull =
       this.#running >= MAX_RUNNING && this.#queue.length >= MAX_QUEUED;
-    const ran = head.id !== null && !isMisdirected && !isFull;
+    const pauseMs = isMisdirected ? null : this.#pauseMs;
+    const ran =
+      head.id !== null && !isMisdirected && !isFull && pauseMs === null;
     const atMs = soakNow();
     const work = workOf(body);
     const events = Math.max(0, work.events - head.after);
@@ -164,6 +174,7 @@
       service,
       atMs,
       ran,
+      pauseMs,
       target: req.url ?? '',
       body,
       organisation: head.organisation,
@@ -174,7 +185,7 @@
     if (!ran) {
       res.writeHead(
         isMisdirected ? HTTP_MISDIRECTED_REQUEST : HTTP_SERVICE_UNAVAILABLE,
-        this.dialect.notRunHeaders(head),
+        this.dialect.notRunHeaders(head, pauseMs),
       );
       res.end();
       return;
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -9,6 +9,7 @@
 import { gracefulStops } from './graceful-stops.js';
 import { leavingReplicas } from './leaving-replicas.js';
 import { replicaLimits } from './replica-limits.js';
+import { requestedPauses } from './requested-pauses.js';
 import { servesAgain } from './serves-again.js';
 import type { SoakInvariant } from './SoakInvariant.js';
 import { trueRefusals } from './true-refusals.js';
@@ -28,6 +29,7 @@
   gracefulStops,
   leavingReplicas,
   replicaLimits,
+  requestedPauses,
   servesAgain,
   trueRefusals,
   unchangedRequests,
--- a/packages/soak/tests/faults/planFaults.test.ts
+++ b/packages/soak/tests/faults/planFaults.test.ts
@@ -12,6 +12,7 @@
   'crashing-request',
   'replica-limit',
   'replica-leave-in-answers',
+  'replica-requests-pauses',
 ];
 const SEEDS = Array.from({ length: 100 }, (_, index) => index + 1);
 
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -55,6 +55,11 @@
   atMs: 9000,
 } as const;
 
+/** Four requests within three seconds. */
+const inPause = [0, 700, 1400, 2100].map((afterMs, index) =>
+  requestOf(`p-${index}`, 'safe', { sentMs: 10_000 + afterMs }),
+);
+
 interface Case {
   readonly title: string;
   readonly seen: Parameters<typeof evidenceOf>[0];
@@ -274,6 +279,36 @@
     },
     broken: [],
   },
+  {
+    title: 'report three requests to a replica in a pause that it requested',
+    seen: {
+      sent: inPause,
+      notes: inPause.map(sent =>
+        executionOf(sent, 'r-1', { ran: false, pauseMs: 3000 }),
+      ),
+    },
+    broken: ['requested-pauses'],
+  },
+  {
+    title: 'accept two requests in such a pause, and more after it',
+    seen: {
+      sent: inPause.slice(0, 3),
+      notes: inPause
+        .slice(0, 3)
+        .map(sent => executionOf(sent, 'r-1', { ran: false, pauseMs: 1900 })),
+    },
+    broken: [],
+  },
+  {
+    title: 'accept three requests of which one gateway sent only two',
+    seen: {
+      sent: inPause.map((sent, index) => ({ ...sent, gateway: index % 2 })),
+      notes: inPause.map(sent =>
+        executionOf(sent, 'r-1', { ran: false, pauseMs: 3000 }),
+      ),
+    },
+    broken: [],
+  },
   {
     title: 'report a response that is cut by a planned stop',
     seen: {
--- a/packages/soak/tests/promises/evidenceFixture.ts
+++ b/packages/soak/tests/promises/evidenceFixture.ts
@@ -71,6 +71,7 @@
     service: 'stock',
     atMs: sentMs + 5,
     ran: true,
+    pauseMs: null,
     target,
     body,
     organisation,
