--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -119,6 +119,12 @@
     summary:
       'A backend server rejected a request and accepts nothing from this instance for a while.',
   },
+  storeRestored: {
+    number: 309,
+    level: 'warn',
+    summary:
+      'The store was restored from an older copy; its versions are assigned again.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
--- a/packages/gateway/src/backends/JsonClient.ts
+++ b/packages/gateway/src/backends/JsonClient.ts
@@ -1,3 +1,5 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
 import { KeepAliveAgent } from './KeepAliveAgent.js';
 import { sendHttpRequest } from './sendHttpRequest.js';
 
@@ -22,9 +24,10 @@
   readonly waitMs?: number;
 }
 
-/** Status and body of a response. */
+/** A complete response. */
 export interface JsonReply {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   /**
    * Parses the body. It is parsed on demand, so that the status of a response
    * with an invalid body is still available.
@@ -62,7 +65,7 @@
     headers = {},
     waitMs = 0,
   }: JsonCall): Promise<JsonReply> {
-    const { status, body } = await sendHttpRequest({
+    const reply = await sendHttpRequest({
       address: this.address,
       agent: this.#agent,
       method: content === undefined ? 'GET' : 'POST',
@@ -76,9 +79,10 @@
           }),
       timeoutMs: this.options.timeoutMs + waitMs,
     });
+    const { status, headers: replyHeaders, body } = reply;
     const json = (): unknown =>
       body.length === 0 ? null : JSON.parse(body.toString('utf8'));
-    return { status, json };
+    return { status, headers: replyHeaders, json };
   }
 
   /** Closes all connections. */
--- a/packages/gateway/src/backends/sendHttpRequest.ts
+++ b/packages/gateway/src/backends/sendHttpRequest.ts
@@ -1,4 +1,9 @@
-import type { Agent, IncomingMessage, RequestOptions } from 'node:http';
+import type {
+  Agent,
+  IncomingHttpHeaders,
+  IncomingMessage,
+  RequestOptions,
+} from 'node:http';
 import { request } from 'node:http';
 import { buffer } from 'node:stream/consumers';
 
@@ -23,9 +28,10 @@
   readonly timeoutMs: number;
 }
 
-/** Status and body of a response. */
+/** A complete response. */
 export interface HttpReply {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
 }
 
@@ -82,7 +88,7 @@
  * connection, and the next call opens another one.
  *
  * @param call - the request
- * @returns status and body
+ * @returns the response
  * @throws Error if no complete response arrives in time
  */
 export function sendHttpRequest(call: HttpCall): Promise<HttpReply> {
@@ -94,6 +100,10 @@
       req.on('error', reject);
       req.end(call.body);
     });
-    return { status: res.statusCode ?? 0, body: await buffer(res) };
+    return {
+      status: res.statusCode ?? 0,
+      headers: res.headers,
+      body: await buffer(res),
+    };
   });
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,10 +37,20 @@
 export type { GatewayPorts, RunningGateway } from './startGateway.js';
 export { startGateway } from './startGateway.js';
 export { parseMemberEntry } from './state/parseMemberEntry.js';
-export { parseAmount, parseCount, parseNumber } from './util/headerNumbers.js';
+export {
+  parseAmount,
+  parseCount,
+  parseNumber,
+  parseRetryAfterMs,
+} from './util/headerNumbers.js';
 export { formatRowContent, parseRowContent } from './util/rowContent.js';
 export type { HeaderPair } from './util/headers.js';
-export { headerMap, headersWithout } from './util/headers.js';
+export {
+  headerMap,
+  headersWithout,
+  optionalHeader,
+  parseCredentials,
+} from './util/headers.js';
 export type {
   GatewayProcess,
   LogFactory,
--- a/packages/gateway/src/ports/DiscoveryStore.ts
+++ b/packages/gateway/src/ports/DiscoveryStore.ts
@@ -1,23 +1,30 @@
 import type { ListedMember, ReplicaRow } from '@jujubecroft/decisions';
 import type { RoutingConfiguration } from '@jujubecroft/types';
 
+/** What every response of the store states. */
+interface StoreReading {
+  /**
+   * Era of the store; it increases by one whenever the store is restored from
+   * an older copy. 0 or absent for a store that has no eras.
+   */
+  readonly era?: number;
+  /** Monotonic clock of the store when it responded, in milliseconds. */
+  readonly storeMs: number;
+}
+
 /** Replica entries and the store version up to which they are current. */
-export interface ReplicaRead {
+export interface ReplicaRead extends StoreReading {
   readonly rows: readonly ReplicaRow[];
   readonly version: number;
-  /** Monotonic clock of the store when it responded, in milliseconds. */
-  readonly storeMs: number;
 }
 
 /**
  * A configuration and the store version from which to watch for the next one.
  */
-export interface ConfigurationRead {
+export interface ConfigurationRead extends StoreReading {
   /** Null if there is none, or none that is newer. */
   readonly configuration: RoutingConfiguration | null;
   readonly version: number;
-  /** Monotonic clock of the store when it responded, in milliseconds. */
-  readonly storeMs: number;
 }
 
 /**
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -64,6 +64,8 @@
 export class StoreReader {
   #isStopped = false;
   #watchedVersion: number | null = null;
+  /** Newest era of the store in an answer; null before the first. */
+  #era: number | null = null;
   #failingSinceMs: number | null = null;
 
   constructor(
@@ -162,6 +164,7 @@
     const askedMs = this.context.clock();
     const read = await this.#fetchConfiguration(waitMs);
     this.#watchedVersion = read.version;
+    this.#logEra(read.era);
     this.#updateStoreClock(read.storeMs, askedMs);
     this.view.applyConfiguration(read.configuration, read.storeMs, 'store');
   }
@@ -181,6 +184,14 @@
     return read === HISTORY_GONE ? this.store.readConfiguration() : read;
   }
 
+  /** Logs when the store was restored from an older copy. */
+  #logEra(era = 0): void {
+    if (this.#era !== null && era > this.#era) {
+      this.context.log.write('storeRestored', { era, before: this.#era });
+    }
+    this.#era = Math.max(era, this.#era ?? 0);
+  }
+
   #updateStoreClock(storeMs: number, askedMs: number): void {
     this.context.router.board.storeClock.read(storeMs, askedMs);
   }
@@ -193,7 +204,8 @@
         ? await this.store.changedReplicas(replicas.version)
         : HISTORY_GONE;
     if (changed !== HISTORY_GONE) {
-      const { rows, version, storeMs } = changed;
+      const { rows, version, storeMs, era } = changed;
+      this.#logEra(era);
       this.#updateStoreClock(storeMs, askedMs);
       // Must precede the rows: after an outage, expired entries in them are tolerated.
       this.#onAnswered();
@@ -203,7 +215,8 @@
       );
       return;
     }
-    const { rows, version, storeMs } = await this.store.readReplicas();
+    const { rows, version, storeMs, era } = await this.store.readReplicas();
+    this.#logEra(era);
     this.#updateStoreClock(storeMs, askedMs);
     this.#onAnswered();
     const changes = replicas.applySnapshot(rows, version, storeMs);
--- a/packages/gateway/src/util/headerNumbers.ts
+++ b/packages/gateway/src/util/headerNumbers.ts
@@ -41,3 +41,17 @@
   const value = parseAmount(text);
   return Number.isInteger(value) ? value : null;
 }
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * Parses a `Retry-After` header that states a number of seconds.
+ *
+ * @param text - value of the header
+ * @returns the time in milliseconds; null if the text is a date, not a number or
+ *   out of range
+ */
+export function parseRetryAfterMs(text: string | undefined): number | null {
+  const seconds = parseAmount(text);
+  return seconds === null ? null : seconds * MS_PER_SECOND;
+}
--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -65,3 +65,24 @@
   ]);
   return pairs.filter(([name]) => !dropped.has(name.toLowerCase()));
 }
+
+/** @returns the header as name and value, or nothing if the value is null */
+export function optionalHeader(name: string, value: string | null): string[] {
+  return value === null ? [] : [name, value];
+}
+
+/**
+ * Parses the credentials of an `Authorization` header.
+ *
+ * @param text - value of the header
+ * @param scheme - expected scheme in lower case, with the space after it
+ * @returns the credentials; null if there are none under this scheme
+ */
+export function parseCredentials(
+  text: string | undefined,
+  scheme: string,
+): string | null {
+  return text?.toLowerCase().startsWith(scheme) === true
+    ? text.slice(scheme.length).trim()
+    : null;
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,7 +12,11 @@
 export { FencedCalls } from './platform/FencedCalls.js';
 export { startPlatform } from './platform/startPlatform.js';
 export { Table } from './platform/Table.js';
-export type { RowListener, VersionedRow } from './platform/VersionedRows.js';
+export type {
+  RowListener,
+  RowsCopy,
+  VersionedRow,
+} from './platform/VersionedRows.js';
 export { VersionedRows } from './platform/VersionedRows.js';
 export { startService } from './service/startService.js';
 export { DelayedValue } from './util/DelayedValue.js';
--- a/packages/stand-ins/src/platform/VersionedRows.ts
+++ b/packages/stand-ins/src/platform/VersionedRows.ts
@@ -7,6 +7,12 @@
   readonly version: number;
 }
 
+/** Rows with their history, as copied at some version. */
+export interface RowsCopy {
+  readonly rows: readonly VersionedRow[];
+  readonly version: number;
+}
+
 interface Waiter {
   readonly table: string;
   readonly answer: () => void;
@@ -27,7 +33,7 @@
  * counter.
  */
 export class VersionedRows {
-  readonly #rows: VersionedRow[] = [];
+  #rows: VersionedRow[] = [];
   readonly #listeners: RowListener[] = [];
   #waiters: Waiter[] = [];
   #version = 0;
@@ -129,6 +135,20 @@
     this.#keptFrom = this.#version;
   }
 
+  /** Copies the rows, to restore them later. */
+  copy(): RowsCopy {
+    return { rows: [...this.#rows], version: this.#version };
+  }
+
+  /**
+   * Replaces the rows by an older copy. Later versions are assigned again, and
+   * waiting callbacks are not called.
+   */
+  restore({ rows, version }: RowsCopy): void {
+    this.#rows = [...rows];
+    this.#version = version;
+  }
+
   /**
    * From now on, removes rows of a table that were not written for some time.
    *
