fix(gateway): views follow a store that was restored from an older copy

What callers saw: requests ran at an engine 2.6 s after the store had acknowledged its leave; when it ends, their answers are lost. Cause: versions of the store were taken to grow for ever. After a restore they are assigned again: a feed went on after one that stood for another change, whole reads below the known version were dropped, and instances confirmed each other by numbers that meant different contents. Class: an order of events by a counter that can go back. Change: the store's client combines each version with the era of its answer, into one number ordered by era first. So every comparison, here and in messages, is right without being touched. A feed across eras counts as history that is gone. A view of an earlier era never counts as recent, and is sent a complete list. Leaves known before hold for their run; removed entries that the copy lists are not used for 5 s; entries that were written after the copy are kept for 2.5 s. Why it works: pairs of era and version grow for ever. Each contradiction between an old view and a copy errs on the side that breaks no promise: a request less for a replica that may be gone, a few seconds more for one that may be there.

--- a/packages/decisions/src/gateway/AnnouncedLeaves.ts
+++ b/packages/decisions/src/gateway/AnnouncedLeaves.ts
@@ -7,39 +7,66 @@
 
 type ReplicaRun = Pick<Replica, 'bornMs' | 'id'>;
 
+interface Announcement extends ReplicaRun {
+  /** End on the store's clock; null if it holds for the rest of the run. */
+  readonly untilMs: number | null;
+}
+
 /**
- * Runs of replicas that announced in an answer that they are leaving.
+ * Runs of replicas that are known to be leaving although their entries in the
+ * store may say otherwise.
  *
- * An announcement holds for the rest of the run, whatever the store says: its
- * entry may be older than the answer, in particular while the store is
- * unavailable. It holds for this instance alone, since other instances receive
- * the announcement with their own answers.
+ * An entry may be older than the announcement, in particular while the store is
+ * unavailable or after it was restored from an older copy. Announcements hold for
+ * this instance alone, since other instances receive them with their own answers.
  */
 export class AnnouncedLeaves {
-  readonly #runs = new Map<BackendServerId, ReplicaRun>();
+  readonly #announcements = new Map<BackendServerId, Announcement>();
+
+  /** @param nowMs - reads the store's clock, in milliseconds */
+  constructor(private readonly nowMs: () => number) {}
 
   /**
    * Records an announcement.
    *
    * @param run - the run that is leaving
-   * @returns whether it is the first one of this run
+   * @param untilMs - end on the store's clock; null if it holds for the rest of
+   *   the run
+   * @returns whether the run was not known to be leaving
    */
-  add(run: ReplicaRun): boolean {
-    if (this.has(run)) {
+  add(run: ReplicaRun, untilMs: number | null = null): boolean {
+    const isNew = !this.has(run);
+    if (!isNew && untilMs !== null) {
       return false;
     }
-    this.#runs.delete(run.id);
-    this.#runs.set(run.id, { id: run.id, bornMs: run.bornMs });
-    const [oldest] = this.#runs.keys();
-    if (oldest !== undefined && this.#runs.size > MAX_ANNOUNCEMENTS) {
-      this.#runs.delete(oldest);
+    const { id, bornMs } = run;
+    this.#announcements.delete(id);
+    this.#announcements.set(id, { id, bornMs, untilMs });
+    const [oldest] = this.#announcements.keys();
+    if (oldest !== undefined && this.#announcements.size > MAX_ANNOUNCEMENTS) {
+      this.#announcements.delete(oldest);
     }
-    return true;
+    return isNew;
   }
 
-  /** Whether a run may be one that announced its leave. */
+  /** Whether a run may be one that is known to be leaving. */
   has(run: ReplicaRun): boolean {
-    const known = this.#runs.get(run.id);
-    return known !== undefined && isSameRun(run, known);
+    const known = this.#announcements.get(run.id);
+    return (
+      known !== undefined && isSameRun(run, known) && !this.#hasEnded(known)
+    );
+  }
+
+  /** Drops the announcements that have ended, and returns their replicas. */
+  takeEnded(): readonly BackendServerId[] {
+    const ended = [...this.#announcements.values()]
+      .filter(announcement => this.#hasEnded(announcement))
+      .map(({ id }) => id);
+    ended.forEach(id => this.#announcements.delete(id));
+    return ended;
+  }
+
+  #hasEnded({ untilMs }: Announcement): boolean {
+    return untilMs !== null && untilMs <= this.nowMs();
   }
 }
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -1,4 +1,5 @@
 import type { BackendServerId, Replica } from '@jujubecroft/types';
+import { eraOf, toStoreVersion } from '@jujubecroft/types';
 
 import { AnnouncedLeaves } from './AnnouncedLeaves.js';
 import type { ChangeSelection } from './listChanges.js';
@@ -10,6 +11,7 @@
   ReplicaRow,
 } from './ReplicaRecord.js';
 import { isEarlierRun, changeKindOf, latestStartMs } from './replicaRuns.js';
+import { contradictionOf, isMissingInCopy } from './restoredRows.js';
 import type { StoreClock } from './StoreClock.js';
 
 /**
@@ -20,26 +22,46 @@
  */
 const MAX_TOMBSTONES = 500;
 
+/**
+ * Time within which writes that a restored store has lost are repeated, in
+ * milliseconds.
+ */
+const REWRITE_MS = 2500;
+/**
+ * Time for which a removed entry that a restored store lists again is not used,
+ * in milliseconds. The removal is repeated by then, or the entry expires.
+ */
+const REMOVAL_HOLD_MS = 5000;
+
 /** A time on the store's clock that is always in the past. */
 const PAST_MS = 0;
 
+/** Returns the version before all others of the same era. */
+function startOfEra(version: number): number {
+  return toStoreVersion(eraOf(version), 0);
+}
+
 /**
  * The replicas of all services, built from their entries in the store.
  *
  * Rows carry the store's version, so the views of several instances can be
  * merged in any order: the newest row of each entry wins, and the view never
- * returns to an earlier state.
+ * returns to an earlier state. Versions are combined with the era of the store,
+ * so this also holds after it was restored from an older copy; entries of a new
+ * era don't undo leaves that were known before.
  */
 export class ReplicaRegistry {
   readonly #records = new Map<BackendServerId, ReplicaRecord>();
-  readonly #announcedLeaves = new AnnouncedLeaves();
+  readonly #announcedLeaves: AnnouncedLeaves;
   #version = 0;
   #changedAt = 0;
   #asOfMs = -Infinity;
   #newestPrunedVersion = 0;
   #lapseGraceUntilMs = -Infinity;
 
-  constructor(private readonly storeClock: StoreClock) {}
+  constructor(private readonly storeClock: StoreClock) {
+    this.#announcedLeaves = new AnnouncedLeaves(() => storeClock.latestMs);
+  }
 
   /**
    * Store version up to which the view is complete; 0 before the first read.
@@ -123,6 +145,9 @@
     version: number,
     asOfMs: number,
   ): readonly ReplicaChange[] {
+    if (this.#isEarlierEra(version)) {
+      return [];
+    }
     const changes = rows.flatMap(row => this.#applyRow(row) ?? []);
     this.#advance(version, asOfMs);
     this.#prune();
@@ -161,7 +186,7 @@
    */
   changesSince(version: number): ReplicaChanges {
     return this.#withViewVersion(
-      changesSince(this.#all, version, this.#newestPrunedVersion),
+      changesSince(this.#all, version, this.#historyFrom),
     );
   }
 
@@ -186,10 +211,19 @@
    */
   newestChanges(limit: number): ReplicaChanges {
     return this.#withViewVersion(
-      newestChanges(this.#all, limit, this.#newestPrunedVersion),
+      newestChanges(this.#all, limit, this.#historyFrom),
     );
   }
 
+  /** Store version from which all changes are kept. */
+  get #historyFrom(): number {
+    return Math.max(this.#newestPrunedVersion, startOfEra(this.#version));
+  }
+
+  #isEarlierEra(version: number): boolean {
+    return eraOf(version) < eraOf(this.#version);
+  }
+
   get #all(): readonly ReplicaRecord[] {
     return [...this.#records.values()];
   }
@@ -220,6 +254,9 @@
    * @returns the resulting changes
    */
   merge(changes: ReplicaChanges): readonly ReplicaChange[] {
+    if (this.#isEarlierEra(changes.version)) {
+      return [];
+    }
     const merged = changes.records.flatMap(record => this.#mergeRecord(record));
     const dropped = changes.complete ? this.#dropUnlisted(changes) : [];
     this.#advance(changes.version, changes.asOfMs);
@@ -237,7 +274,8 @@
   }
 
   /**
-   * Drops lapsed entries that have not come back in time. To be called
+   * Drops lapsed entries that have not come back in time, and uses those again
+   * that were removed before the store was restored and still exist. To be called
    * periodically.
    *
    * @returns the resulting changes
@@ -247,7 +285,13 @@
     if (!Number.isFinite(nowMs)) {
       return [];
     }
-    return [...this.#records.values()]
+    const held = this.#announcedLeaves.takeEnded().flatMap(id => {
+      const record = this.#records.get(id);
+      return record?.replica
+        ? [{ kind: 'updated' as const, id, rowVersion: record.rowVersion }]
+        : [];
+    });
+    const lapsed = [...this.#records.values()]
       .filter(
         ({ replica, goneAtMs }) =>
           replica !== null && goneAtMs !== null && goneAtMs <= nowMs,
@@ -257,6 +301,7 @@
         const { id, rowVersion } = record;
         return { kind: 'gone' as const, id, rowVersion };
       });
+    return [...lapsed, ...held];
   }
 
   #withAnnouncedLeave(replica: Replica): Replica {
@@ -292,6 +337,7 @@
       this.#store({ ...before, rowVersion });
       return null;
     }
+    this.#keepEarlierLeave(before, replica, rowVersion);
     const bornMs = latestStartMs(replica, before);
     const known = { ...replica, bornMs };
     const kind = changeKindOf(before, known);
@@ -307,20 +353,41 @@
     return kind && { kind, id, rowVersion };
   }
 
+  /** Keeps a leave of the era before that an entry of a new era doesn't state. */
+  #keepEarlierLeave(
+    before: ReplicaRecord | undefined,
+    replica: Replica,
+    rowVersion: number,
+  ): void {
+    const contradiction =
+      before && contradictionOf(before, replica, rowVersion);
+    if (contradiction === 'leaving') {
+      this.#announcedLeaves.add(replica);
+    }
+    if (contradiction === 'removed') {
+      const untilMs = this.storeClock.latestMs + REMOVAL_HOLD_MS;
+      this.#announcedLeaves.add(replica, untilMs);
+    }
+  }
+
   #remove(
     { id, rowVersion }: ReplicaRow,
     before: ReplicaRecord | undefined,
   ): ReplicaChange | null {
     const nowMs = this.storeClock.latestMs;
+    const graceUntilMs =
+      before && isMissingInCopy(before, rowVersion)
+        ? nowMs + REWRITE_MS
+        : this.#lapseGraceUntilMs;
     const mayComeBack =
-      before?.replica?.leaving === false && nowMs < this.#lapseGraceUntilMs;
+      before?.replica?.leaving === false && nowMs < graceUntilMs;
     this.#store({
       id,
       rowVersion,
       changedAt: rowVersion,
       bornMs: before?.bornMs ?? null,
       replica: mayComeBack ? before.replica : null,
-      goneAtMs: mayComeBack ? this.#lapseGraceUntilMs : PAST_MS,
+      goneAtMs: mayComeBack ? graceUntilMs : PAST_MS,
     });
     if (!before?.replica) {
       return null;
@@ -338,6 +405,9 @@
       this.#store({ ...before, rowVersion });
       return [];
     }
+    if (replica) {
+      this.#keepEarlierLeave(before, replica, rowVersion);
+    }
     this.#store({ ...record, bornMs: latestStartMs(record, before) });
     if (!replica) {
       return before?.replica ? [{ kind: 'gone', id, rowVersion }] : [];
@@ -377,6 +447,8 @@
       return;
     }
     this.#version = version;
+    // Views of an earlier era are never as recent, even if nothing has changed.
+    this.#changedAt = Math.max(this.#changedAt, startOfEra(version));
     this.#asOfMs = Math.max(this.#asOfMs, asOfMs);
   }
 
--- a/packages/decisions/tests/gateway/announcedLeaves.test.ts
+++ b/packages/decisions/tests/gateway/announcedLeaves.test.ts
@@ -67,7 +67,7 @@
 
 describe('AnnouncedLeaves', ({ it }) => {
   it('keeps a bounded number, the newest', t => {
-    const leaves = new AnnouncedLeaves();
+    const leaves = new AnnouncedLeaves(() => 0);
     Array.from({ length: 1001 }, (_, index) =>
       leaves.add(replica(`r-${index}`)),
     );
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -8,6 +8,7 @@
   Recovery,
 } from '@jujubecroft/decisions';
 import { isIdempotent } from '@jujubecroft/decisions';
+import { formatStoreVersion } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
 
@@ -135,7 +136,7 @@
         : {}),
       inFlight: attempt.load.totalInFlight,
       candidates,
-      replicasVersion: board.replicas.version,
+      replicasVersion: formatStoreVersion(board.replicas.version),
       replicasAgeMs: Math.round(board.replicas.ageMs),
       configuration: board.table?.cfg.version,
       leftMs: Math.round(request.deadlineMs - context.clock()),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,6 +38,7 @@
 export { startGateway } from './startGateway.js';
 export { parseMemberEntry } from './state/parseMemberEntry.js';
 export {
+  formatRetryAfter,
   parseAmount,
   parseCount,
   parseNumber,
--- a/packages/gateway/src/ports/DiscoveryStore.ts
+++ b/packages/gateway/src/ports/DiscoveryStore.ts
@@ -1,35 +1,31 @@
 import type { ListedMember, ReplicaRow } from '@jujubecroft/decisions';
 import type { RoutingConfiguration } from '@jujubecroft/types';
 
-/** What every response of the store states. */
-interface StoreReading {
-  /**
-   * Era of the store; it increases by one whenever the store is restored from
-   * an older copy. 0 or absent for a store that has no eras.
-   */
-  readonly era?: number;
-  /** Monotonic clock of the store when it responded, in milliseconds. */
-  readonly storeMs: number;
-}
-
 /** Replica entries and the store version up to which they are current. */
-export interface ReplicaRead extends StoreReading {
+export interface ReplicaRead {
   readonly rows: readonly ReplicaRow[];
+  /** Store version, combined with its era. */
   readonly version: number;
+  /** Monotonic clock of the store when it responded, in milliseconds. */
+  readonly storeMs: number;
 }
 
 /**
  * A configuration and the store version from which to watch for the next one.
  */
-export interface ConfigurationRead extends StoreReading {
+export interface ConfigurationRead {
   /** Null if there is none, or none that is newer. */
   readonly configuration: RoutingConfiguration | null;
+  /** Store version, combined with its era. */
   readonly version: number;
+  /** Monotonic clock of the store when it responded, in milliseconds. */
+  readonly storeMs: number;
 }
 
 /**
- * Result of a call for later changes if the store has discarded the history
- * that it needs; a full read must follow.
+ * Result of a call for later changes if the store does not have the history that
+ * it needs, because it has discarded it or was restored from an older copy; a
+ * full read must follow.
  */
 export const HISTORY_GONE = 'historyGone';
 
--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -1,5 +1,6 @@
 import type { ReplicaChange } from '@jujubecroft/decisions';
 import type { CallerLimits, RoutingConfiguration } from '@jujubecroft/types';
+import { formatStoreVersion } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
 
@@ -90,7 +91,7 @@
       log.write('replicaChanged', {
         backendServer: id,
         change: kind,
-        rowVersion,
+        rowVersion: formatStoreVersion(rowVersion),
         source,
       });
     });
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -1,4 +1,5 @@
 import { rankOf, storeReadAgeMs } from '@jujubecroft/decisions';
+import { eraOf } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
 import type {
@@ -164,7 +165,7 @@
     const askedMs = this.context.clock();
     const read = await this.#fetchConfiguration(waitMs);
     this.#watchedVersion = read.version;
-    this.#logEra(read.era);
+    this.#logEra(read.version);
     this.#updateStoreClock(read.storeMs, askedMs);
     this.view.applyConfiguration(read.configuration, read.storeMs, 'store');
   }
@@ -185,7 +186,8 @@
   }
 
   /** Logs when the store was restored from an older copy. */
-  #logEra(era = 0): void {
+  #logEra(version: number): void {
+    const era = eraOf(version);
     if (this.#era !== null && era > this.#era) {
       this.context.log.write('storeRestored', { era, before: this.#era });
     }
@@ -204,8 +206,8 @@
         ? await this.store.changedReplicas(replicas.version)
         : HISTORY_GONE;
     if (changed !== HISTORY_GONE) {
-      const { rows, version, storeMs, era } = changed;
-      this.#logEra(era);
+      const { rows, version, storeMs } = changed;
+      this.#logEra(version);
       this.#updateStoreClock(storeMs, askedMs);
       // Must precede the rows: after an outage, expired entries in them are tolerated.
       this.#onAnswered();
@@ -215,8 +217,8 @@
       );
       return;
     }
-    const { rows, version, storeMs, era } = await this.store.readReplicas();
-    this.#logEra(era);
+    const { rows, version, storeMs } = await this.store.readReplicas();
+    this.#logEra(version);
     this.#updateStoreClock(storeMs, askedMs);
     this.#onAnswered();
     const changes = replicas.applySnapshot(rows, version, storeMs);
--- a/packages/gateway/src/util/headerNumbers.ts
+++ b/packages/gateway/src/util/headerNumbers.ts
@@ -55,3 +55,13 @@
   const seconds = parseAmount(text);
   return seconds === null ? null : seconds * MS_PER_SECOND;
 }
+
+/**
+ * Formats a `Retry-After` header as a number of seconds.
+ *
+ * @param ms - time in milliseconds
+ * @returns the value; null if the time is 0 and the header is to be omitted
+ */
+export function formatRetryAfter(ms: number): string | null {
+  return ms > 0 ? (ms / MS_PER_SECOND).toFixed(2) : null;
+}
--- a/packages/gateway/tests/helpers/VirtualStore.ts
+++ b/packages/gateway/tests/helpers/VirtualStore.ts
@@ -5,8 +5,14 @@
   RoutingConfiguration,
 } from '@jujubecroft/types';
 
+import { eraOf, toStoreVersion } from '@jujubecroft/types';
+
 import type { DiscoveryStore } from '../../src/index.js';
-import type { ConfigurationRead } from '../../src/ports/DiscoveryStore.js';
+import { HISTORY_GONE } from '../../src/index.js';
+import type {
+  ConfigurationRead,
+  ReplicaRead,
+} from '../../src/ports/DiscoveryStore.js';
 import { VirtualLink } from './VirtualLink.js';
 import type { VirtualProcess, VirtualTime } from './VirtualTime.js';
 
@@ -42,6 +48,14 @@
   readonly link: VirtualLink;
 }
 
+/** Content of the store at some time. */
+export interface VirtualCopy {
+  readonly rows: ReadonlyMap<string, ReplicaRow>;
+  readonly version: number;
+  readonly configuration: RoutingConfiguration;
+  readonly configurationVersion: number;
+}
+
 /** A watch that waits for a configuration. */
 interface PendingWatch {
   readonly answer: () => void;
@@ -49,11 +63,13 @@
 
 /** A store of replica entries and the configuration, in virtual time. */
 export class VirtualStore {
-  readonly #rows = new Map<string, ReplicaRow>();
+  #rows = new Map<string, ReplicaRow>();
   readonly #link: VirtualLink;
   readonly leaves: AcknowledgedLeave[] = [];
   #pendingWatches: PendingWatch[] = [];
+  /** Version within the era. */
   #version = 1;
+  #era = 0;
   #configurationVersion = 1;
   calls = 0;
   /** Whether calls get no answer. */
@@ -85,6 +101,25 @@
     this.#rows.set(id, { id, rowVersion: this.#version, replica: null });
   }
 
+  /** Copies the content, to restore it later. */
+  copy(): VirtualCopy {
+    return {
+      rows: new Map(this.#rows),
+      version: this.#version,
+      configuration: this.configuration,
+      configurationVersion: this.#configurationVersion,
+    };
+  }
+
+  /** Restores an older copy: later writes are lost, and a new era begins. */
+  restore({ rows, version, ...copy }: VirtualCopy): void {
+    this.#rows = new Map(rows);
+    this.#version = version;
+    this.configuration = copy.configuration;
+    this.#configurationVersion = copy.configurationVersion;
+    this.#era += 1;
+  }
+
   /** Writes a configuration, and answers pending watches immediately. */
   configure(cfg: RoutingConfiguration): void {
     this.#version += 1;
@@ -143,35 +178,51 @@
       bytes: BASE64_RATIO * JSON.stringify(this.configuration).length,
     });
     const entries = (after: number) => {
-      const rows = [...this.#rows.values()].filter(
-        ({ rowVersion }) => rowVersion > after,
-      );
+      const rows = [...this.#rows.values()]
+        .map(row => ({ ...row, rowVersion: this.#combine(row.rowVersion) }))
+        .filter(({ rowVersion }) => rowVersion > after);
       return {
         answer: { rows, ...this.#versionAndClock },
         bytes: ROW_BYTES * rows.length,
       };
     };
+    const isLost = (after: number): boolean => eraOf(after) !== this.#era;
+    const gone = { answer: HISTORY_GONE, bytes: 0 } as const;
     return {
       readConfiguration: () => call(immediately, whole),
       watchConfiguration: (after, waitMs) =>
-        call<ConfigurationRead>(
+        call<ConfigurationRead | typeof HISTORY_GONE>(
           answer => {
-            if (this.#configurationVersion > after || waitMs === 0) {
+            if (
+              isLost(after) ||
+              this.#combine(this.#configurationVersion) > after ||
+              waitMs === 0
+            ) {
               immediately(answer);
               return;
             }
             this.#addWatch(answer, waitMs);
           },
           () =>
-            this.#configurationVersion > after
-              ? whole()
-              : {
-                  answer: { configuration: null, ...this.#versionAndClock },
-                  bytes: 0,
-                },
+            isLost(after)
+              ? gone
+              : this.#combine(this.#configurationVersion) > after
+                ? whole()
+                : {
+                    answer: { configuration: null, ...this.#versionAndClock },
+                    bytes: 0,
+                  },
+        ),
+      readReplicas: () =>
+        call(immediately, () => {
+          const { answer, bytes } = entries(0);
+          const rows = answer.rows.filter(({ replica }) => replica !== null);
+          return { answer: { ...answer, rows }, bytes };
+        }),
+      changedReplicas: after =>
+        call<ReplicaRead | typeof HISTORY_GONE>(immediately, () =>
+          isLost(after) ? gone : entries(after),
         ),
-      readReplicas: () => call(immediately, () => entries(0)),
-      changedReplicas: after => call(immediately, () => entries(after)),
       announce: () => Promise.resolve(),
       listInstances: () => Promise.resolve([]),
       close: () => undefined,
@@ -191,9 +242,13 @@
     });
   }
 
+  #combine(version: number): number {
+    return toStoreVersion(this.#era, version);
+  }
+
   get #versionAndClock() {
     return {
-      version: this.#version,
+      version: this.#combine(this.#version),
       storeMs: INITIAL_STORE_MS + this.time.nowMs,
     };
   }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -21,3 +21,9 @@
 export { assertNever } from './util/assertNever.js';
 export { createRandom } from './util/createRandom.js';
 export { groupBy } from './util/groupBy.js';
+export {
+  eraOf,
+  formatStoreVersion,
+  toStoreVersion,
+  versionInEra,
+} from './util/storeVersion.js';
