feat(soak): the store is restored from a copy

A long fault: the store's content of up to four seconds before comes back, versions are assigned again, and the operator writes a new configuration.

--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -45,6 +45,12 @@
   readonly setFault: (fault: StoreFault) => void;
   /** Discards the history of changes, so that watches cannot resume from it. */
   readonly discardHistory: () => void;
+  /**
+   * Copies the content of the store.
+   *
+   * @returns a function that restores the copy, so that later writes are lost
+   */
+  readonly copy: () => () => void;
   /** Number of calls that the store has received so far. */
   readonly calls: () => number;
   /** Reports accepted so far from the gateway that holds the duty of reporting usage. */
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -43,6 +43,7 @@
 const ROLLING_GAP_MS = 400;
 const MAX_DELAY_MS = 400;
 const MAX_RATE_LIMIT_PER_S = 6;
+const MAX_COPY_AGE_MS = 4000;
 const MIN_PAUSE_MS = 1000;
 const MAX_PAUSE_MS = 3000;
 /** Time that a leaving replica keeps serving beyond the drain time. */
@@ -292,6 +293,13 @@
     storeLinkOf(context, fault).silenceAll();
   }),
   'store-loses-replies': storeFault('losesReplies'),
+  'store-restored': async ({ forMs, strength }, context) => {
+    await sleep(forMs - MAX_COPY_AGE_MS);
+    const restore = context.fleet.store.copy();
+    await sleep(MAX_COPY_AGE_MS * strength);
+    restore();
+    context.changeConfiguration();
+  },
   'store-slow': storeFault('slow'),
 };
 
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -43,6 +43,7 @@
   'replica-limit',
   'replica-leave-in-answers',
   'replica-requests-pauses',
+  'store-restored',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/tests/faults/planFaults.test.ts
+++ b/packages/soak/tests/faults/planFaults.test.ts
@@ -13,6 +13,7 @@
   'replica-limit',
   'replica-leave-in-answers',
   'replica-requests-pauses',
+  'store-restored',
 ];
 const SEEDS = Array.from({ length: 100 }, (_, index) => index + 1);
 
