test(gateway): the tests of sendAttempt wait for their request, not for 40 ms

One of them never ended in a run beside other load. Its first request has to reach the server before the test completes the response; it waited a fixed time for that, and otherwise completed nothing.

--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -17,6 +18,8 @@
    * Responses to the requests that reached the server; the tests complete them.
    */
   readonly held: ServerResponse[];
+  /** Waits until the next request has reached the server. */
+  readonly nextRequest: () => Promise<unknown>;
   readonly send: (maySend: () => boolean) => RunningExchange;
 }
 
@@ -40,7 +43,7 @@
       { maySend, onStart: () => true, onData: () => true },
     );
   try {
-    await body({ held, send });
+    await body({ held, send, nextRequest: () => once(server, 'request') });
   } finally {
     agent.destroy();
     server.close();
@@ -52,9 +55,10 @@
   // Guards against requests to a replica that is stopping: the replica
   // announced its stop while the request waited for a connection.
   it('does not send a request that is no longer permitted when a connection becomes free', async t => {
-    await withServer(async ({ held, send }) => {
+    await withServer(async ({ held, send, nextRequest }) => {
+      const arrived = nextRequest();
       const first = send(() => true);
-      await sleep(SETTLED_MS);
+      await arrived;
       const second = send(() => false);
       held[0]?.end('whole');
       t.is((await first.ended).kind, 'complete');
@@ -69,13 +73,14 @@
   });
 
   it('does not send a request that is not permitted on a newly opened connection', async t => {
-    await withServer(async ({ held, send }) => {
+    await withServer(async ({ held, send, nextRequest }) => {
       const { kind } = await send(() => false).ended;
       t.is(kind, 'failed');
       await sleep(SETTLED_MS);
       t.is(held.length, 0);
+      const arrived = nextRequest();
       const next = send(() => true);
-      await sleep(SETTLED_MS);
+      await arrived;
       held[0]?.end('whole');
       t.is((await next.ended).kind, 'complete');
     });
