--- a/packages/soak/src/promises/announced-leaves.ts
+++ b/packages/soak/src/promises/announced-leaves.ts
@@ -1,23 +1,6 @@
-import type { Evidence, ReceivedNote } from '../evidence.js';
-import type { EvidenceIndex } from './EvidenceIndex.js';
+import { firstResponseTimes } from './firstResponseTimes.js';
 import type { SoakInvariant } from './SoakInvariant.js';
 
-/** Returns when each gateway first passed on a response that announced the leave. */
-function informedTimes(
-  received: readonly ReceivedNote[],
-  { answers }: Evidence,
-  index: EvidenceIndex,
-): ReadonlyMap<number, number> {
-  return received.reduce((informedMs, { id }) => {
-    const [gateway, answer] = [index.sent(id)?.gateway, answers.get(id)];
-    if (gateway !== undefined && answer?.whole === true) {
-      const previousMs = informedMs.get(gateway) ?? Infinity;
-      informedMs.set(gateway, Math.min(previousMs, answer.endedMs));
-    }
-    return informedMs;
-  }, new Map<number, number>());
-}
-
 /** A replica gets nothing from a gateway that has passed on its announced leave. */
 export const announcedLeaves: SoakInvariant = {
   name: 'announced-leaves',
@@ -37,7 +20,7 @@
           ({ id, ran }) =>
             ran && (answers.get(id)?.stamp ?? '').startsWith(`${replica}/`),
         );
-        const informedMs = informedTimes(executed, evidence, index);
+        const informedMs = firstResponseTimes(executed, evidence, index);
         return later.flatMap(({ id, atMs }) => {
           const gateway = index.sent(id)?.gateway ?? -1;
           const sinceMs = informedMs.get(gateway) ?? Infinity;
--- a/packages/soak/src/promises/replica-limits.ts
+++ b/packages/soak/src/promises/replica-limits.ts
@@ -1,5 +1,6 @@
-import type { Evidence, LimitNote, ReceivedNote } from '../evidence.js';
+import type { Evidence, LimitNote } from '../evidence.js';
 import type { EvidenceIndex } from './EvidenceIndex.js';
+import { firstResponseTimes } from './firstResponseTimes.js';
 import type { SoakInvariant, Violation } from './SoakInvariant.js';
 
 const WINDOW_MS = 4000;
@@ -14,22 +15,6 @@
  */
 const LIMIT_KNOWN_MS = 500;
 
-/** Returns when each gateway first passed on a response of a limited replica. */
-function limitSeenTimes(
-  received: readonly ReceivedNote[],
-  { answers }: Evidence,
-  index: EvidenceIndex,
-): ReadonlyMap<number, number> {
-  return received.reduce((seenMs, { id }) => {
-    const [gateway, answer] = [index.sent(id)?.gateway, answers.get(id)];
-    if (gateway !== undefined && answer?.whole === true) {
-      const previousMs = seenMs.get(gateway) ?? Infinity;
-      seenMs.set(gateway, Math.min(previousMs, answer.endedMs));
-    }
-    return seenMs;
-  }, new Map<number, number>());
-}
-
 function violationsOf(
   { replica, atMs, perS }: LimitNote,
   evidence: Evidence,
@@ -45,7 +30,7 @@
     .filter(note => note.replica === replica)
     .filter(note => note.atMs >= atMs && note.atMs < (next?.atMs ?? Infinity))
     .sort((a, b) => a.atMs - b.atMs);
-  const seenMs = limitSeenTimes(received, evidence, index);
+  const seenMs = firstResponseTimes(received, evidence, index);
   const counted = received.filter(note => {
     const gateway = index.sent(note.id)?.gateway ?? -1;
     return (
