--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -59,6 +59,8 @@
   readonly #inversions: UrgencyWatch;
   /** By instance: callbacks that abort its requests in flight, called when it restarts. */
   readonly #abortCallbacks = new Map<GatewayRouter, Set<() => void>>();
+  /** Engines and instances that had their announcement of a leave. */
+  readonly #informed = new Set<string>();
   readonly #random: () => number;
   readonly #callers: ReplayCallers;
 
@@ -100,6 +102,16 @@
     );
   }
 
+  /** Number of pairs of an engine and an instance that it told of its leave. */
+  get announcedLeaves(): number {
+    return this.#informed.size;
+  }
+
+  /** Requests that engines rejected with a requested pause. */
+  rejections = 0;
+  /** Requests that reached an engine although its leave was known to their instance. */
+  requestsAfterLeave = 0;
+
   /**
    * Runs the load and lets requests in flight end.
    *
@@ -163,6 +175,33 @@
     return router;
   }
 
+  /** Pause that an engine requests with a rejection now; null if it accepts requests. */
+  #requestedPauseMs(id: BackendServerId): number | null {
+    const { overload } = this.shape;
+    const { nowMs } = this.#events;
+    const isOverloaded =
+      overload !== undefined &&
+      nowMs >= overload.fromMs &&
+      nowMs < overload.toMs &&
+      [...this.#engines.keys()].indexOf(id) < overload.engines;
+    return isOverloaded ? overload.pauseMs : null;
+  }
+
+  /** Whether the answers of an engine announce its leave now. */
+  #isLeaving(id: BackendServerId): boolean {
+    const { leave } = this.shape;
+    return (
+      leave !== undefined &&
+      this.#events.nowMs >= leave.fromMs &&
+      [...this.#engines.keys()].slice(-leave.engines).includes(id)
+    );
+  }
+
+  /** Whether an instance has had an answer that announced the leave of an engine. */
+  #hasAnnouncedLeave({ board }: GatewayRouter, id: BackendServerId): boolean {
+    return this.#informed.has(`${id} ${board.instance}`);
+  }
+
   #scheduleNext(kind: RequestKind): void {
     const nowS = this.#events.nowMs / MS_PER_SECOND;
     const inBurst = nowS >= BURST_START_S && nowS < BURST_END_S;
@@ -241,6 +280,10 @@
       this.#engines.get(load.replica.id),
       'every replica has an engine',
     );
+    const { id } = load.replica;
+    if (this.#hasAnnouncedLeave(router, id)) {
+      this.requestsAfterLeave += 1;
+    }
     let lastEventMs = request.arrivedMs;
     let firstEventMs: number | null = null;
     let longestGapMs = 0;
@@ -268,6 +311,10 @@
           const { running, waiting } = engine;
           const { slots } = this.shape;
           router.onReported(attempt, { running, waiting, slots });
+          if (this.#isLeaving(id)) {
+            router.onLeaveAnnounced(attempt);
+            this.#informed.add(`${id} ${router.board.instance}`);
+          }
         } else {
           longestGapMs = Math.max(longestGapMs, nowMs - lastEventMs);
         }
@@ -294,9 +341,20 @@
       router.onEnded(attempt, { kind: 'withdrawn', reason });
       result.cut += 1;
     };
+    const reject = (pauseMs: number): void => {
+      ended = true;
+      abortCallbacks?.delete(onInstanceStop);
+      this.rejections += 1;
+      router.onPauseRequested(attempt, pauseMs);
+      router.onEnded(attempt, { kind: 'notRun', reason: 'status 503' });
+      this.#placeRequest(kind, router, request, { result, replayed });
+    };
     const copyMs = attempt.fetch?.copyMs ?? 0;
     this.#events.after(NETWORK_DELAY_MS + copyMs, () => {
-      if (!ended) {
+      const pauseMs = this.#requestedPauseMs(id);
+      if (!ended && pauseMs !== null) {
+        reject(pauseMs);
+      } else if (!ended) {
         engine.submit(job);
       }
     });
--- a/packages/bench/src/gateway/replayShapes.ts
+++ b/packages/bench/src/gateway/replayShapes.ts
@@ -23,6 +23,26 @@
   readonly callersRetry?: boolean;
   /** Restarts of instances, which lose all that they have learned. */
   readonly restarts?: readonly ReplayRestart[];
+  /** Engines that reject all requests for a while; none if omitted. */
+  readonly overload?: ReplayOverload;
+  /** Engines that announce their leave in answers; none if omitted. */
+  readonly leave?: ReplayLeave;
+}
+
+/** Engines that reject all requests for a while, each with a requested pause. */
+export interface ReplayOverload {
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Number of engines, counted from the first. */
+  readonly engines: number;
+  readonly pauseMs: number;
+}
+
+/** Engines that announce from some time on, in answers alone, that they are leaving. */
+export interface ReplayLeave {
+  readonly fromMs: number;
+  /** Number of engines, counted from the last. */
+  readonly engines: number;
 }
 
 /** A simultaneous restart of several instances. */
