--- a/packages/decisions/src/gateway/AnnouncedLeaves.ts
+++ b/packages/decisions/src/gateway/AnnouncedLeaves.ts
@@ -1,12 +1,11 @@
-import type { BackendServerId, Replica } from '@jujubecroft/types';
+import type { BackendServerId } from '@jujubecroft/types';
 
+import type { ReplicaRun } from './replicaRuns.js';
 import { isSameRun } from './replicaRuns.js';
 
 /** Maximum number of announcements that are kept; the oldest are dropped first. */
 const MAX_ANNOUNCEMENTS = 1000;
 
-type ReplicaRun = Pick<Replica, 'bornMs' | 'id'>;
-
 interface Announcement extends ReplicaRun {
   /** End on the store's clock; null if it holds for the rest of the run. */
   readonly untilMs: number | null;
--- a/packages/decisions/src/gateway/ReplicaPauses.ts
+++ b/packages/decisions/src/gateway/ReplicaPauses.ts
@@ -1,6 +1,7 @@
-import type { BackendServerId, Replica } from '@jujubecroft/types';
+import type { BackendServerId } from '@jujubecroft/types';
 
 import type { Clock } from '../blackboard/Blackboard.js';
+import type { ReplicaRun } from './replicaRuns.js';
 import { isSameRun } from './replicaRuns.js';
 
 /**
@@ -10,8 +11,6 @@
 const MAX_EXTENSION_SHARE = 0.2;
 const MAX_EXTENSION_MS = 500;
 
-type ReplicaRun = Pick<Replica, 'bornMs' | 'id'>;
-
 interface Pause extends ReplicaRun {
   /** End of the pause, on the local clock. */
   readonly untilMs: number;
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -10,6 +10,7 @@
   ReplicaRecord,
   ReplicaRow,
 } from './ReplicaRecord.js';
+import type { ReplicaRun } from './replicaRuns.js';
 import { isEarlierRun, changeKindOf, latestStartMs } from './replicaRuns.js';
 import { contradictionOf, isMissingInCopy } from './restoredRows.js';
 import type { StoreClock } from './StoreClock.js';
@@ -113,7 +114,7 @@
    * @param run - the run of the replica that answered
    * @returns whether it is the first announcement of this run
    */
-  announceLeave(run: Pick<Replica, 'bornMs' | 'id'>): boolean {
+  announceLeave(run: ReplicaRun): boolean {
     return this.#announcedLeaves.add(run);
   }
 
--- a/packages/decisions/src/gateway/replicaRuns.ts
+++ b/packages/decisions/src/gateway/replicaRuns.ts
@@ -4,6 +4,9 @@
 
 type RunStart = Pick<Replica, 'bornMs'>;
 
+/** One run of a replica. */
+export type ReplicaRun = Pick<Replica, 'bornMs' | 'id'>;
+
 /**
  * Whether a run of a replica started after the known run under the same id.
  *
--- a/packages/gateway/src/util/headerNumbers.ts
+++ b/packages/gateway/src/util/headerNumbers.ts
@@ -2,6 +2,7 @@
  * Upper limit for numbers of requests; a larger value indicates corrupted data.
  */
 const MAX_REQUESTS = 1_000_000;
+const MS_PER_SECOND = 1000;
 
 /**
  * Parses a finite number.
@@ -42,8 +43,6 @@
   return Number.isInteger(value) ? value : null;
 }
 
-const MS_PER_SECOND = 1000;
-
 /**
  * Parses a `Retry-After` header that states a number of seconds.
  *
