perf(gateway): read from replicas into one common buffer

Each read from a replica allocated 64 KiB and passed the queue of the socket's stream, with a tick for each read. The HTTP parser copies what it passes on, so all connections now read into one buffer, and the bytes go to the parser at once.

Bytes that arrive while no request uses a connection close it; they could only be queued as the response of another request before.

--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -23,6 +23,12 @@
  * operating system.
  */
 const RESET_ERROR_CODE = 'RESET_BY_SERVER';
+/**
+ * Memory that the connections of all servers read into, one after another. The
+ * HTTP parser copies what it passes on, so nothing refers to the bytes after
+ * the `data` event.
+ */
+const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
 
 /** Connection limit and timeout for one server. */
 export interface KeepAliveOptions {
@@ -54,6 +60,19 @@
   this.destroy();
 }
 
+/**
+ * Passes on bytes that were read into the common buffer.
+ *
+ * Bytes that the server sends while no request uses the connection belong to no
+ * response, so they close it.
+ */
+function emitRead(this: Socket, bytes: number): true {
+  if (!this.emit('data', READ_BUFFER.subarray(0, bytes))) {
+    this.destroy();
+  }
+  return true;
+}
+
 /**
  * Opens the connections to one server and keeps them alive.
  *
@@ -101,7 +120,12 @@
    */
   override createConnection({ host, port }: ClientRequestArgs): Socket {
     const { connectTimeoutMs } = this.limits;
-    const socket = connect({ host: host ?? '', port: Number(port) });
+    const socket = connect({
+      host: host ?? '',
+      port: Number(port),
+      // Without it, each read allocates 64 KiB and passes the stream's queue.
+      onread: { buffer: READ_BUFFER, callback: emitRead },
+    });
     socket.setNoDelay(true);
     const timer = setTimeout(() => {
       // If the event loop was blocked, the connection may be open although the
