perf(gateway): parse the ids of events only when they are needed

Each event of a resumable stream was copied, decoded and parsed, although only the last id is used and only if the stream is resumed. Released events are now kept, up to 4 KiB, and parsed when the id is asked for. A chunk that ends with an event passes without a copy.

--- a/packages/gateway/src/forward/SseEventBuffer.ts
+++ b/packages/gateway/src/forward/SseEventBuffer.ts
@@ -1,6 +1,16 @@
 import { createParser } from 'eventsource-parser';
 
 const EVENT_END = Buffer.from('\n\n');
+const LF = 10;
+/** Bytes of released events that are kept until they are parsed. */
+const MAX_UNPARSED_BYTES = 4096;
+const NO_BYTES = Buffer.alloc(0);
+
+/** Whether a chunk ends with an event. */
+function endsEvent(chunk: Buffer): boolean {
+  const { length } = chunk;
+  return length > 1 && chunk[length - 1] === LF && chunk[length - 2] === LF;
+}
 
 /**
  * Buffers a stream of server-sent events and releases complete events only.
@@ -10,7 +20,13 @@
  * without a gap or a duplicate.
  */
 export class SseEventBuffer {
-  #partial = Buffer.alloc(0);
+  #partial = NO_BYTES;
+  /**
+   * Released events that are not parsed yet. Few streams are ever resumed, so
+   * their ids are parsed only then, or when there is much to parse.
+   */
+  #unparsed: Buffer[] = [];
+  #unparsedBytes = 0;
   #lastId: string | null;
   readonly #parser = createParser({
     onEvent: ({ id }) => {
@@ -25,6 +41,7 @@
 
   /** Id of the last complete event that was released. */
   get lastId(): string | null {
+    this.#parse();
     return this.#lastId;
   }
 
@@ -34,18 +51,24 @@
    * @returns the events that are complete now; empty if there are none
    */
   push(chunk: Buffer): Buffer {
-    const all = Buffer.concat([this.#partial, chunk]);
-    const end = all.lastIndexOf(EVENT_END);
-    const cut = end === -1 ? 0 : end + EVENT_END.length;
-    const complete = all.subarray(0, cut);
-    this.#partial = all.subarray(cut);
-    this.#parser.feed(complete.toString('utf8'));
+    const complete =
+      this.#partial.length === 0 && endsEvent(chunk)
+        ? chunk
+        : this.#takeComplete(chunk);
+    if (complete.length > 0) {
+      this.#unparsed.push(complete);
+      this.#unparsedBytes += complete.length;
+      if (this.#unparsedBytes > MAX_UNPARSED_BYTES) {
+        this.#parse();
+      }
+    }
     return complete;
   }
 
   /** Discards the partial event that a replica left unfinished. */
   discardPartial(): void {
-    this.#partial = Buffer.alloc(0);
+    this.#parse();
+    this.#partial = NO_BYTES;
     this.#parser.reset();
   }
 
@@ -57,7 +80,25 @@
    */
   flush(): Buffer {
     const remaining = this.#partial;
-    this.#partial = Buffer.alloc(0);
+    this.#partial = NO_BYTES;
     return remaining;
   }
+
+  #takeComplete(chunk: Buffer): Buffer {
+    const all = Buffer.concat([this.#partial, chunk]);
+    const end = all.lastIndexOf(EVENT_END);
+    const cut = end === -1 ? 0 : end + EVENT_END.length;
+    this.#partial = all.subarray(cut);
+    return all.subarray(0, cut);
+  }
+
+  #parse(): void {
+    if (this.#unparsed.length === 0) {
+      return;
+    }
+    const events = Buffer.concat(this.#unparsed).toString('utf8');
+    this.#unparsed = [];
+    this.#unparsedBytes = 0;
+    this.#parser.feed(events);
+  }
 }
