perf(gateway): take requests of callers without the framework's router

The router, the reply object and the hooks of the framework ran for each request although every request was taken over before they did anything. The server now passes requests on directly. Fastify still sets the time limits, listens, closes and answers malformed requests.

--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { FastifyInstance } from 'fastify';
 import type { CallerLimits } from '@jujubecroft/types';
 
@@ -35,9 +35,8 @@
 /**
  * Creates the HTTP server for callers.
  *
- * Every request is taken over before the framework parses its content, since
- * the gateway forwards it byte for byte, whatever its method, path and content
- * type.
+ * Every request bypasses the router of the framework, since the gateway forwards
+ * it byte for byte, whatever its method, path and content type.
  *
  * @param context - shared parts of the instance
  * @param inFlight - unfinished requests
@@ -55,25 +54,18 @@
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     },
-    // The framework gets a single path for every request; operators declare the
-    // actual routes.
-    rewriteUrl: () => '/',
   });
   const { server } = app;
-  app.addHook('onRequest', (req, reply, done) => {
-    reply.hijack();
-    // `rewriteUrl` replaced the path; restores the one that the caller sent.
-    req.raw.url = req.originalUrl;
-    const onError = (err: unknown): void => {
+  // The framework manages the server; its router would only delay requests.
+  server.removeAllListeners('request');
+  server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+    handleRequest(context, inFlight, req, res).catch((err: unknown) => {
       context.log.write('unexpectedError', {
         error: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
-      reply.raw.destroy();
-    };
-    handleRequest(context, inFlight, req.raw, reply.raw).catch(onError);
-    done();
+      res.destroy();
+    });
   });
-  app.get('/', () => '');
   return {
     app,
     server,
