perf(decisions): look for silent attempts without a list of all replicas

Twenty times a second, while there are requests, each attempt was first checked for another replica to move to, which filters all replicas of the service, and then for whether it is late at all, which is cheap and rarely true. The order is reversed and no lists are copied; both checks are free of side effects, so the result is the same. A replica without attempts is not checked for silence.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -278,11 +278,15 @@
    * become unresponsive or has lost the answer.
    */
   findAttemptsToMove(): readonly GatewayAttempt[] {
-    return [...this.board.backends.values()].flatMap(load =>
-      [...load.attempts].filter(attempt =>
-        shouldMoveElsewhere(this.board, attempt),
-      ),
-    );
+    const attempts: GatewayAttempt[] = [];
+    this.board.backends.forEach(load => {
+      load.attempts.forEach(attempt => {
+        if (shouldMoveElsewhere(this.board, attempt)) {
+          attempts.push(attempt);
+        }
+      });
+    });
+    return attempts;
   }
 
   /**
@@ -311,6 +315,9 @@
    */
   takeOrphanedAttempts(): readonly GatewayAttempt[] {
     const { supersededRuns } = this.board;
+    if (supersededRuns.size === 0) {
+      return [];
+    }
     const orphans = [...supersededRuns].flatMap(({ attempts }) => [
       ...attempts,
     ]);
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -97,10 +97,14 @@
 
 /** Whether a replica seems to lose answers. */
 function losesAnswers(board: GatewayBoard, load: BackendLoad): boolean {
-  const lost = [...load.attempts].filter(attempt =>
-    isAnswerLost(board, attempt),
-  );
-  return lost.length >= MIN_LOST_ANSWERS;
+  if (load.inFlight < MIN_LOST_ANSWERS) {
+    return false;
+  }
+  let lost = 0;
+  load.attempts.forEach(attempt => {
+    lost += isAnswerLost(board, attempt) ? 1 : 0;
+  });
+  return lost >= MIN_LOST_ANSWERS;
 }
 
 /**
@@ -108,6 +112,9 @@
  * this instance.
  */
 function isUnresponsive(board: GatewayBoard, load: BackendLoad): boolean {
+  if (load.inFlight === 0) {
+    return false;
+  }
   const nowMs = board.clock();
   return [...load.attempts].some(attempt => {
     const sinceMs = Math.max(load.lastByteMs, attempt.sentMs);
@@ -196,29 +203,10 @@
   );
 }
 
-/**
- * Whether an attempt should be withdrawn and its request moved to another
- * replica.
- *
- * Detects a replica that is dead, disconnected or hanging: the first byte is
- * late or the stream pauses for long, and the replica does not send anything to
- * other requests of this instance either.
- *
- * @param board - the blackboard
- * @param attempt - an attempt that has not ended
- * @returns true only for requests that may run again
- */
-export function shouldMoveElsewhere(
-  board: GatewayBoard,
-  attempt: GatewayAttempt,
-): boolean {
+/** Whether the answer to an attempt is so late that its replica seems dead. */
+function isOverdue(board: GatewayBoard, attempt: GatewayAttempt): boolean {
   const { request, load } = attempt;
   const nowMs = board.clock();
-  // Without another replica to move to, withdrawing would only end the answer
-  // sooner.
-  if (!canMoveElsewhere(board, attempt)) {
-    return false;
-  }
   if (isAnswerLost(board, attempt)) {
     return true;
   }
@@ -241,3 +229,24 @@
   );
   return nowMs - attempt.sentMs > timeoutMs;
 }
+
+/**
+ * Whether an attempt should be withdrawn and its request moved to another
+ * replica.
+ *
+ * Detects a replica that is dead, disconnected or hanging: the first byte is
+ * late or the stream pauses for long, and the replica does not send anything to
+ * other requests of this instance either. Without another replica to move to,
+ * withdrawing would only end the answer sooner.
+ *
+ * @param board - the blackboard
+ * @param attempt - an attempt that has not ended
+ * @returns true only for requests that may run again
+ */
+export function shouldMoveElsewhere(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+): boolean {
+  // The first check is cheap and rarely true; the second looks at all replicas.
+  return isOverdue(board, attempt) && canMoveElsewhere(board, attempt);
+}
--- a/packages/gateway/src/front/InFlightRequests.ts
+++ b/packages/gateway/src/front/InFlightRequests.ts
@@ -88,11 +88,11 @@
 
   #withdraw(attempts: readonly GatewayAttempt[], reason: WithdrawReason): void {
     attempts.forEach(attempt => {
-      [...this.#requests]
-        .filter(request => request.isRunning(attempt))
-        .forEach(request => {
+      this.#requests.forEach(request => {
+        if (request.isRunning(attempt)) {
           request.withdraw(reason);
-        });
+        }
+      });
     });
   }
 }
