perf(events): write log lines without the logging library

Each line passed the library's pipeline of masking, meta data and transports, only to be encoded as JSON in the end.

--- a/packages/events/src/createBoundedLog.ts
+++ b/packages/events/src/createBoundedLog.ts
@@ -1,5 +1,3 @@
-import { Logger } from 'tslog';
-
 import type { EventFields, EventLog } from './EventLog.js';
 import { MIN_LEVEL } from './EventLog.js';
 import { LineWriter } from './LineWriter.js';
@@ -79,29 +77,26 @@
  */
 export function createBoundedLog(options: EventLogOptions): EventLog {
   const { instance, level, clock, writer = new LineWriter() } = options;
-  const logger = new Logger<object>({
-    type: 'hidden',
-    minLevel: MIN_LEVEL[level],
-    // Capturing the call site would cost a stack trace for each line.
-    stack: { capture: 'off' },
-  });
-  logger.attachTransport(({ _logMeta, ...fields }) => {
-    const name = _logMeta?.logLevelName ?? 'INFO';
-    writer.write(JSON.stringify({ level: name, ...fields }));
-  });
   const counts = new Map<LogEventId, EventCount>();
 
   const emit = (id: LogEventId, fields: EventFields): void => {
     const event: LogEvent = LOG_EVENTS[id];
-    const atMs = Math.round(clock());
-    logger[event.level]({
-      event: event.number,
-      id,
-      instance,
-      time: new Date().toISOString(),
-      atMs,
-      ...fields,
-    });
+    if (MIN_LEVEL[event.level] < MIN_LEVEL[level]) {
+      return;
+    }
+    // Written without the logging library, which took nearly half of the time of
+    // a line.
+    writer.write(
+      JSON.stringify({
+        level: event.level.toUpperCase(),
+        event: event.number,
+        id,
+        instance,
+        time: new Date().toISOString(),
+        atMs: Math.round(clock()),
+        ...fields,
+      }),
+    );
   };
 
   const countOf = (id: LogEventId): EventCount => {
