perf(gateway): read and forward headers without intermediate lists

The headers of a request and of a response were turned into pairs, mapped, filtered with a new set of names each time, and flattened. They are now read in one pass, and the set of removed names is built once.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -48,10 +48,9 @@
   parseRetryAfterMs,
 } from './util/headerNumbers.js';
 export { formatRowContent, parseRowContent } from './util/rowContent.js';
-export type { HeaderPair } from './util/headers.js';
 export {
+  createHeaderFilter,
   headerMap,
-  headersWithout,
   optionalHeader,
   parseCredentials,
 } from './util/headers.js';
--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -1,8 +1,5 @@
 import type { RawHeaders } from '../ports/CallerDialect.js';
 
-/** Name and value of a header as received. */
-export type HeaderPair = readonly [name: string, value: string];
-
 /** Hop-by-hop headers, which apply to a single connection. */
 const CONNECTION_HEADERS: readonly string[] = [
   'connection',
@@ -16,13 +13,6 @@
   'upgrade',
 ];
 
-function toPairs(raw: RawHeaders): readonly HeaderPair[] {
-  return Array.from({ length: raw.length / 2 }, (_, index) => [
-    raw[2 * index] ?? '',
-    raw[2 * index + 1] ?? '',
-  ]);
-}
-
 /**
  * Indexes headers by name.
  *
@@ -30,40 +20,66 @@
  * @returns values by lower-case name; the last one if a name is repeated
  */
 export function headerMap(raw: RawHeaders): ReadonlyMap<string, string> {
-  return new Map(
-    toPairs(raw).map(([name, value]) => [name.toLowerCase(), value]),
-  );
+  const values = new Map<string, string>();
+  for (let index = 0; index < raw.length; index += 2) {
+    values.set((raw[index] ?? '').toLowerCase(), raw[index + 1] ?? '');
+  }
+  return values;
 }
 
+/** Decides by its lower-case name and its value whether a header is removed. */
+type HeaderPredicate = (name: string, value: string) => boolean;
+
+const CONNECTION = 'connection';
+
 /** Names that the sender lists in its `connection` headers. */
-function namesInConnectionHeader(
-  pairs: readonly HeaderPair[],
-): readonly string[] {
-  return pairs
-    .filter(([name]) => name.toLowerCase() === 'connection')
-    .flatMap(([, value]) => value.split(','))
-    .map(name => name.trim().toLowerCase());
+function namesInConnectionHeader(raw: RawHeaders): readonly string[] {
+  const names: string[] = [];
+  for (let index = 0; index < raw.length; index += 2) {
+    const name = raw[index] ?? '';
+    // The length is compared first, since few names have to be converted then.
+    if (
+      name.length === CONNECTION.length &&
+      name.toLowerCase() === CONNECTION
+    ) {
+      const listed = (raw[index + 1] ?? '').split(',');
+      names.push(...listed.map(text => text.trim().toLowerCase()));
+    }
+  }
+  return names;
 }
 
 /**
- * Removes headers that must not be forwarded.
+ * Creates a function that removes headers that must not be forwarded.
  *
- * @param raw - headers as received
  * @param names - lower-case names to remove in addition to the hop-by-hop
  *   headers
- * @returns the other headers, in order
+ * @param isRemoved - further headers to remove
+ * @returns a function of the headers as received; it returns the others in
+ *   order, names and values in alternation
  */
-export function headersWithout(
-  raw: RawHeaders,
+export function createHeaderFilter(
   names: readonly string[],
-): readonly HeaderPair[] {
-  const pairs = toPairs(raw);
-  const dropped = new Set([
-    ...CONNECTION_HEADERS,
-    ...names,
-    ...namesInConnectionHeader(pairs),
-  ]);
-  return pairs.filter(([name]) => !dropped.has(name.toLowerCase()));
+  isRemoved: HeaderPredicate = () => false,
+): (raw: RawHeaders) => string[] {
+  const always = new Set([...CONNECTION_HEADERS, ...names]);
+  return raw => {
+    const listed = namesInConnectionHeader(raw);
+    const kept: string[] = [];
+    for (let index = 0; index < raw.length; index += 2) {
+      const name = raw[index] ?? '';
+      const value = raw[index + 1] ?? '';
+      const lowerCase = name.toLowerCase();
+      if (
+        !always.has(lowerCase) &&
+        !listed.includes(lowerCase) &&
+        !isRemoved(lowerCase, value)
+      ) {
+        kept.push(name, value);
+      }
+    }
+    return kept;
+  };
 }
 
 /** @returns the header as name and value, or nothing if the value is null */
