perf(decisions): select candidates in one pass

For each request, the replicas of all services were copied, and those of its service filtered five times, with copies of the attempts of each.

The division into groups looked up each replica in the list of those without a limit, which took a time that grew with the square of their number.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -196,6 +196,9 @@
   }
 
   #reportedOthers(report: TimestampedLoad): number {
+    if (this.attempts.size === 0) {
+      return Math.max(0, report.total);
+    }
     const ownIncluded = [...this.attempts].filter(
       ({ sentMs }) => sentMs <= report.atMs,
     );
@@ -233,9 +236,10 @@
    */
   unreadTokensAhead(rank: number): number {
     const own = this.#ownUnread(attempt => attempt.rank <= rank);
-    const others = this.peers.unreadByRank
-      .slice(0, rank + 1)
-      .reduce((sum, tokens) => sum + tokens, 0);
+    let others = 0;
+    this.peers.unreadByRank.forEach((tokens, otherRank) => {
+      others += otherRank <= rank ? tokens : 0;
+    });
     return own + others;
   }
 
@@ -254,6 +258,9 @@
   }
 
   #ownUnread(isCounted: (attempt: GatewayAttempt) => boolean): number {
+    if (this.attempts.size === 0) {
+      return 0;
+    }
     return this.#waiting
       .filter(isCounted)
       .reduce((sum, { unreadTokens }) => sum + unreadTokens, 0);
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -167,10 +167,12 @@
   board: GatewayBoard,
   service: ServiceId,
 ): readonly BackendLoad[] {
-  return [...board.backends.values()].filter(
-    ({ replica }) =>
-      replica.service === service &&
-      !replica.leaving &&
-      board.replicas.find(replica.id) !== undefined,
-  );
+  const candidates: BackendLoad[] = [];
+  board.backends.forEach(load => {
+    const { id, service: own, leaving } = load.replica;
+    if (own === service && !leaving && board.replicas.has(id)) {
+      candidates.push(load);
+    }
+  });
+  return candidates;
 }
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -105,6 +105,11 @@
     return replica ? this.#withAnnouncedLeave(replica) : undefined;
   }
 
+  /** Whether a replica with this id exists; see {@link find}. */
+  has(id: BackendServerId): boolean {
+    return (this.#records.get(id)?.replica ?? null) !== null;
+  }
+
   /**
    * Records that a replica announced in an answer that it is leaving.
    *
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -167,7 +167,10 @@
   tried: ReadonlySet<BackendServerId>,
 ): PlacementDecision {
   const all = candidatesOf(board, request.service.id);
-  const untried = all.filter(({ replica }) => !tried.has(replica.id));
+  const isFirst = tried.size === 0;
+  const untried = isFirst
+    ? all
+    : all.filter(({ replica }) => !tried.has(replica.id));
   const crashes = crashesOf(board, request);
   if (crashes.length >= MAX_CRASHES) {
     return refuseCrashing(board, request);
@@ -178,7 +181,6 @@
   );
   const isPrompt = request.service.engine !== null;
   const place = isPrompt ? policies.placePrompt : policies.placeCall;
-  const isFirst = tried.size === 0;
   const ranked = isFirst
     ? rankCandidates(board, place, request, usable)
     : place(request, usable, false);
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -192,7 +192,7 @@
     // with a limit, but whether it has room changes from one request to the
     // next.
     const unlimited = ranked.filter(({ limitPerS }) => limitPerS === null);
-    const limited = ranked.filter(load => !unlimited.includes(load));
+    const limited = ranked.filter(({ limitPerS }) => limitPerS !== null);
     const { own, others } = segmentsFor(request, unlimited);
     const homeCandidates = own.length > 0 ? own : ranked;
     const ownCandidates = own.length > 0 ? [...own, ...limited] : ranked;
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -161,14 +161,26 @@
   candidates: readonly BackendLoad[],
 ): readonly BackendLoad[] {
   const share = connectionShare(board, request);
-  const open = candidates.filter(
-    load => load.inFlight < share && accepts(board, load, request),
-  );
-  const responsive = open.filter(
-    load => !isUnresponsive(board, load) && !losesAnswers(board, load),
-  );
-  const good = responsive.filter(({ health }) => health.verdict === 'good');
-  const probes = responsive.filter(({ health }) => health.verdict === 'probe');
+  const open: BackendLoad[] = [];
+  const responsive: BackendLoad[] = [];
+  const good: BackendLoad[] = [];
+  const probes: BackendLoad[] = [];
+  candidates.forEach(load => {
+    if (load.inFlight >= share || !accepts(board, load, request)) {
+      return;
+    }
+    open.push(load);
+    if (isUnresponsive(board, load) || losesAnswers(board, load)) {
+      return;
+    }
+    responsive.push(load);
+    const { verdict } = load.health;
+    if (verdict === 'good') {
+      good.push(load);
+    } else if (verdict === 'probe') {
+      probes.push(load);
+    }
+  });
   // Idempotent requests are used to probe whether a replica has recovered.
   if (probes.length > 0 && isIdempotent(request.route)) {
     return [...good, ...probes];
