perf(gateway): write events that arrive in one read at once

Framed events were written one by one, also where one read from the replica brought several, as after a pause of the event loop. The connection is now corked until the next tick, as Node.js does for chunks that it frames itself.

--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -32,6 +32,16 @@
   );
 }
 
+/** Makes the connection write what it was given until the next tick at once. */
+function corkUntilNextTick(socket: Socket): void {
+  if (socket.writableCorked === 0) {
+    socket.cork();
+    process.nextTick(() => {
+      socket.uncork();
+    });
+  }
+}
+
 /** The response to one caller, which is written at most once. */
 export class CallerResponse {
   /** Connection on which the head and a first chunk were written. */
@@ -73,9 +83,9 @@
   /**
    * Writes a chunk of the body.
    *
-   * After the first one, small chunks of a chunked response are framed here and
-   * written to the connection at once. Node.js would write each of them as four
-   * pieces that it collects until the next tick, which takes twice as long.
+   * After the first one, small chunks of a chunked response are framed here.
+   * Node.js would pass each of them to the connection as four pieces, and write
+   * these as a list.
    *
    * @returns false if the caller applies backpressure
    */
@@ -87,6 +97,8 @@
     const socket = this.#socket;
     if (socket?.writable === true && chunk.length <= MAX_COPIED_BYTES) {
       this.#drained = socket;
+      // Events that arrive in one read are written at once.
+      corkUntilNextTick(socket);
       return socket.write(toHttpChunk(chunk));
     }
     const acceptsMore = res.write(chunk);
