perf(events): write log lines without the thread pool where no reader has to wait

Each write of log lines went through the thread pool: it woke threads, and their answer woke the event loop. Lines are now written directly: to a file, or to a pipe that is opened once more in a mode in which writes do not wait. The thread pool writes what a full pipe has no room for, and all lines to a socket.

If another user of the descriptor has set that mode on the pipe itself, writes in the thread pool failed on a full pipe and lines were lost without being counted. They are now repeated.

--- a/packages/events/src/LineWriter.ts
+++ b/packages/events/src/LineWriter.ts
@@ -1,4 +1,4 @@
-import { write } from 'node:fs';
+import { createStdoutWriter } from './writeToStdout.js';
 
 /** Bytes buffered for a slow reader; about one second of the busiest log. */
 const MAX_BUFFERED_BYTES = 512 * 1024;
@@ -9,28 +9,12 @@
   done: (err: Error | null) => void,
 ) => void;
 
-/**
- * Writes to standard output from the thread pool of Node.js.
- *
- * @param bytes - the bytes to write
- * @param done - called when all bytes are written, or with the error
- */
-export const writeToStdout: WriteBytes = (bytes, done) => {
-  write(1, bytes, 0, bytes.length, null, (err, written) => {
-    if (err ?? written === bytes.length) {
-      done(err);
-      return;
-    }
-    writeToStdout(bytes.subarray(written), done);
-  });
-};
-
 /**
  * Writes lines to a reader that may be slow or gone.
  *
  * Node.js writes to pipes synchronously, so a stalled reader of standard output
- * would block every request. This class instead performs one write at a time off
- * the main thread, buffers a bounded amount, and drops and counts further lines.
+ * would block every request. This class instead performs one write at a time that
+ * does not block, buffers a bounded amount, and drops and counts further lines.
  */
 export class LineWriter {
   #waiting: string[] = [];
@@ -38,7 +22,7 @@
   #isWriting = false;
   #dropped = 0;
 
-  constructor(private readonly writeBytes: WriteBytes = writeToStdout) {}
+  constructor(private readonly writeBytes: WriteBytes = createStdoutWriter()) {}
 
   /** @returns the number of lines dropped since the last call */
   takeDropped(): number {
