perf(decisions): keep the order of replicas by hash while they are the same

The replicas of a service were sorted for each request, twice for a late one, although the candidates are seldom others than for the request before. The last order is kept and reused after a comparison of the lists.

--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -2,7 +2,6 @@
 import type { PromptPart } from '@jujubecroft/types';
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
-import { compareHashed } from '../../util/byHash.js';
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { estimatesOf } from '../GatewayBoard.js';
@@ -11,6 +10,7 @@
 import { requestRank } from '../requestRank.js';
 import type { CacheHolder } from './cacheFetch.js';
 import { bestHolders, chooseFetch, homeReplica } from './cacheFetch.js';
+import { createHashOrder } from './createHashOrder.js';
 import type { SegmentOptions } from './groupSegments.js';
 import { createGroupSegments } from './groupSegments.js';
 import type { PlacedCandidate, PlacementPolicy } from './PlacementPolicy.js';
@@ -84,6 +84,7 @@
   options: ToleranceSplitOptions,
 ): PlacementPolicy {
   const segmentsFor = createGroupSegments(board, options);
+  const orderByHash = createHashOrder();
 
   const createContext = (
     request: GatewayRequest,
@@ -184,9 +185,7 @@
   };
 
   return (request, candidates, isDeferred) => {
-    const ranked = [...candidates].sort((a, b) =>
-      compareHashed(a.hashedId, b.hashedId),
-    );
+    const ranked = orderByHash(candidates);
     // Only replicas without a limit are divided into groups, because they can
     // serve a group all the time. Requests of every group may use a replica
     // with a limit, but whether it has room changes from one request to the
