perf(gateway): read single headers without indexing all of them

The host, the length of a body and the time of idle connections are now looked up in the list of headers as received. Of headers that are sent twice, the first one counts, as before for host and length.

--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 
+import { headerValue } from '../util/headers.js';
 import { nextTurn } from '../util/nextTurn.js';
 
 /** Idle timeout of a connection whose server states none. */
@@ -46,8 +47,9 @@
 
 /** Idle timeout of a connection after its last response, in milliseconds. */
 function idleTimeoutMs({ _httpMessage: lastRequest }: KeptSocket): number {
-  const keepAliveHeader = String(lastRequest?.res?.headers['keep-alive'] ?? '');
-  const [, seconds] = KEEP_ALIVE_TIMEOUT_PATTERN.exec(keepAliveHeader) ?? [];
+  const rawHeaders = lastRequest?.res?.rawHeaders ?? [];
+  const keepAlive = headerValue(rawHeaders, 'keep-alive') ?? '';
+  const [, seconds] = KEEP_ALIVE_TIMEOUT_PATTERN.exec(keepAlive) ?? [];
   return seconds === undefined
     ? DEFAULT_IDLE_TIMEOUT_MS
     : Math.min(
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -14,6 +14,7 @@
 import { sendAttempt } from '../backends/sendAttempt.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RequestHead, RawHeaders } from '../ports/CallerDialect.js';
+import { headerValue } from '../util/headers.js';
 import { ResponseAssembler } from './ResponseAssembler.js';
 import { ResponseTimings } from './ResponseTimings.js';
 import type { CallerResponse } from './CallerResponse.js';
@@ -280,7 +281,7 @@
     const { request, call, context } = this;
     const { dialect } = context;
     return dialect.toBackendHeaders(call.headers, {
-      host: hostHeader(call.headers),
+      host: headerValue(call.headers, 'host') ?? '',
       timeLeftMs: Math.max(1, Math.floor(request.deadlineMs - context.clock())),
       backendServer: attempt.load.replica.id,
       organisation: request.organisation,
@@ -385,10 +386,3 @@
 function movesToOtherReplica(reason: WithdrawReason): boolean {
   return reason === 'silent' || reason === 'replicaRestarted';
 }
-
-function hostHeader(headers: RawHeaders): string {
-  const index = headers.findIndex(
-    (text, place) => place % 2 === 0 && text.toLowerCase() === 'host',
-  );
-  return headers[index + 1] ?? '';
-}
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -9,6 +9,7 @@
 import { gatewayResponse } from '../forward/gatewayResponse.js';
 import { STALE_VIEW_RETRY_MS } from '../forward/placeWhenViewUsable.js';
 import type { GatewayContext } from '../GatewayContext.js';
+import { headerValue } from '../util/headers.js';
 import { nextTurn } from '../util/nextTurn.js';
 import { once } from '../util/once.js';
 import { readBody } from './readBody.js';
@@ -140,7 +141,8 @@
     return;
   }
   const path = target.split('?', 1)[0] ?? target;
-  const match = router.match(req.headers.host ?? '', path, head.key);
+  const host = headerValue(req.rawHeaders, 'host') ?? '';
+  const match = router.match(host, path, head.key);
   if (match.kind === 'refused') {
     refuse(context, res, match.code, head.id, { path });
     return;
--- a/packages/gateway/src/front/readBody.ts
+++ b/packages/gateway/src/front/readBody.ts
@@ -1,17 +1,23 @@
 import type { IncomingMessage } from 'node:http';
 
+import { headerValue } from '../util/headers.js';
+
 /** Result of reading a body. */
 export type BodyReadResult =
   | { readonly kind: 'whole'; readonly body: Buffer | null }
   | { readonly kind: 'tooLarge' }
   | { readonly kind: 'broken' };
 
+/** Length of the body that the request head states, in bytes; 0 for none. */
+function statedLength({ rawHeaders }: IncomingMessage): number {
+  return Number(headerValue(rawHeaders, 'content-length') ?? 0);
+}
+
 /** Whether the request head announces a body. */
 function hasBody(req: IncomingMessage): boolean {
-  const { headers } = req;
   return (
-    headers['transfer-encoding'] !== undefined ||
-    Number(headers['content-length'] ?? 0) > 0
+    statedLength(req) > 0 ||
+    headerValue(req.rawHeaders, 'transfer-encoding') !== undefined
   );
 }
 
@@ -34,7 +40,7 @@
   if (!hasBody(req)) {
     return { kind: 'whole', body: null };
   }
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+  if (statedLength(req) > maxBytes) {
     return { kind: 'tooLarge' };
   }
   return new Promise(resolve => {
--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -30,6 +30,26 @@
 /** Decides by its lower-case name and its value whether a header is removed. */
 type HeaderPredicate = (name: string, value: string) => boolean;
 
+/**
+ * Finds a header without indexing the others; Node.js indexes all headers when
+ * one of them is read by its name.
+ *
+ * @param raw - headers as received
+ * @param name - lower-case name
+ * @returns the value of the first header with this name; undefined if there is
+ *   none
+ */
+export function headerValue(raw: RawHeaders, name: string): string | undefined {
+  for (let index = 0; index < raw.length; index += 2) {
+    const received = raw[index] ?? '';
+    // The length is compared first, since few names have to be converted then.
+    if (received.length === name.length && received.toLowerCase() === name) {
+      return raw[index + 1];
+    }
+  }
+  return undefined;
+}
+
 const CONNECTION = 'connection';
 
 /** Names that the sender lists in its `connection` headers. */
--- a/packages/gateway/tests/util/headers.test.ts
+++ b/packages/gateway/tests/util/headers.test.ts
@@ -1,6 +1,6 @@
 import { describe } from '@jujubecroft/testing';
 
-import { createHeaderFilter } from '../../src/util/headers.js';
+import { createHeaderFilter, headerValue } from '../../src/util/headers.js';
 
 describe('createHeaderFilter', ({ it }) => {
   it('removes named and hop-by-hop headers whatever their case, and keeps the order', t => {
@@ -23,3 +23,11 @@
     t.deepEqual(filter(['Key', 'own', 'Key', 'other']), ['Key', 'other']);
   });
 });
+
+describe('headerValue', ({ it }) => {
+  it('finds the first header of a name whatever its case, but no value', t => {
+    const raw = ['a', 'host', 'HOST', 'one', 'Host', 'two'];
+    t.is(headerValue(raw, 'host'), 'one');
+    t.is(headerValue(raw, 'none'), undefined);
+  });
+});
