--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 
+import { headerValue } from '../util/headers.js';
 import { nextTurn } from '../util/nextTurn.js';
 
 /** Idle timeout of a connection whose server states none. */
@@ -23,6 +24,12 @@
  * operating system.
  */
 const RESET_ERROR_CODE = 'RESET_BY_SERVER';
+/**
+ * Memory that the connections of all servers read into, one after another. The
+ * HTTP parser copies what it passes on, so nothing refers to the bytes after
+ * the `data` event.
+ */
+const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
 
 /** Connection limit and timeout for one server. */
 export interface KeepAliveOptions {
@@ -40,8 +47,9 @@
 
 /** Idle timeout of a connection after its last response, in milliseconds. */
 function idleTimeoutMs({ _httpMessage: lastRequest }: KeptSocket): number {
-  const keepAliveHeader = String(lastRequest?.res?.headers['keep-alive'] ?? '');
-  const [, seconds] = KEEP_ALIVE_TIMEOUT_PATTERN.exec(keepAliveHeader) ?? [];
+  const rawHeaders = lastRequest?.res?.rawHeaders ?? [];
+  const keepAlive = headerValue(rawHeaders, 'keep-alive') ?? '';
+  const [, seconds] = KEEP_ALIVE_TIMEOUT_PATTERN.exec(keepAlive) ?? [];
   return seconds === undefined
     ? DEFAULT_IDLE_TIMEOUT_MS
     : Math.min(
@@ -54,6 +62,19 @@
   this.destroy();
 }
 
+/**
+ * Passes on bytes that were read into the common buffer.
+ *
+ * Bytes that the server sends while no request uses the connection belong to no
+ * response, so they close it.
+ */
+function emitRead(this: Socket, bytes: number): true {
+  if (!this.emit('data', READ_BUFFER.subarray(0, bytes))) {
+    this.destroy();
+  }
+  return true;
+}
+
 /**
  * Opens the connections to one server and keeps them alive.
  *
@@ -101,7 +122,12 @@
    */
   override createConnection({ host, port }: ClientRequestArgs): Socket {
     const { connectTimeoutMs } = this.limits;
-    const socket = connect({ host: host ?? '', port: Number(port) });
+    const socket = connect({
+      host: host ?? '',
+      port: Number(port),
+      // Without it, each read allocates 64 KiB and passes the stream's queue.
+      onread: { buffer: READ_BUFFER, callback: emitRead },
+    });
     socket.setNoDelay(true);
     const timer = setTimeout(() => {
       // If the event loop was blocked, the connection may be open although the
