perf(peers): facts about members are encoded and decoded once

A datagram between instances carries twelve facts about other members, four strings each, and an idle instance of 60 sends and receives some sixteen of them a second. Encoding and decoding the facts was the largest part of an idle instance's own work.

The encoded form of a fact is kept as long as the fact object, which the heartbeats reuse until its member changes, and equal bytes are decoded once.

--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -9,7 +9,8 @@
   rotated,
   viewAgeMs,
 } from '@jujubecroft/decisions';
-import { GatewayState } from '@jujubecroft/operator/peers';
+import { decodeState, encodeState } from '@jujubecroft/operator/peers';
+import type { proto } from '@jujubecroft/operator/peers';
 import type { InstanceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
@@ -159,7 +160,7 @@
     if (member) {
       this.context.metrics.peerMessages.inc({ kind: 'usage' });
       const state = this.#state.buildUsageDatagram();
-      this.link.send(GatewayState.encode(state).finish(), member.peerAddress);
+      this.link.send(encodeState(state), member.peerAddress);
     }
   }
 
@@ -267,7 +268,7 @@
   ): void {
     this.context.metrics.peerMessages.inc({ kind: metricKindOf(purpose) });
     const state = this.#state.buildDatagram(purpose, known);
-    this.link.send(GatewayState.encode(state).finish(), address);
+    this.link.send(encodeState(state), address);
   }
 
   #onDatagram(bytes: Uint8Array, address: string): void {
@@ -291,9 +292,9 @@
     this.#state.receive(state, askedMs);
   }
 
-  #decode(bytes: Uint8Array, from: string): GatewayState | null {
+  #decode(bytes: Uint8Array, from: string): proto.GatewayState | null {
     try {
-      return GatewayState.decode(bytes);
+      return decodeState(bytes);
     } catch (err) {
       this.#logError(from, err);
       return null;
--- a/packages/operator/src/heartbeatMessages.ts
+++ b/packages/operator/src/heartbeatMessages.ts
@@ -1,4 +1,8 @@
-import type { HeartbeatFacts, MemberState } from '@jujubecroft/decisions';
+import type {
+  HeartbeatFacts,
+  MemberFact,
+  MemberState,
+} from '@jujubecroft/decisions';
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
@@ -7,6 +11,31 @@
 /** Member states by their number in a message. */
 const STATES: readonly MemberState[] = ['live', 'suspect', 'leaving', 'failed'];
 
+/** Messages of facts, kept so that their encoded forms can be cached. */
+const factMessages = new WeakMap<MemberFact, proto.MemberFact>();
+/** Facts of decoded messages, of which the same ones arrive many times. */
+const decodedFacts = new WeakMap<proto.MemberFact, MemberFact>();
+
+function toFactMessage(fact: MemberFact): proto.MemberFact {
+  const message = factMessages.get(fact) ?? {
+    ...fact,
+    state: STATES.indexOf(fact.state),
+  };
+  factMessages.set(fact, message);
+  return message;
+}
+
+function fromFactMessage(message: proto.MemberFact): MemberFact {
+  const fact = decodedFacts.get(message) ?? {
+    ...message,
+    instance: brand<InstanceId>(message.instance),
+    failureDomain: brand<FailureDomainId>(message.failureDomain),
+    state: STATES[message.state] ?? 'suspect',
+  };
+  decodedFacts.set(message, fact);
+  return fact;
+}
+
 /**
  * Converts the state that an instance reports to a heartbeat message.
  *
@@ -18,10 +47,7 @@
 ): proto.HeartbeatMessage {
   return {
     ...facts,
-    facts: facts.facts.map(fact => ({
-      ...fact,
-      state: STATES.indexOf(fact.state),
-    })),
+    facts: facts.facts.map(toFactMessage),
   };
 }
 
@@ -38,11 +64,6 @@
     ...message,
     instance: brand<InstanceId>(message.instance),
     failureDomain: brand<FailureDomainId>(message.failureDomain),
-    facts: message.facts.map(fact => ({
-      ...fact,
-      instance: brand<InstanceId>(fact.instance),
-      failureDomain: brand<FailureDomainId>(fact.failureDomain),
-      state: STATES[fact.state] ?? 'suspect',
-    })),
+    facts: message.facts.map(fromFactMessage),
   };
 }
--- a/packages/operator/src/peers.ts
+++ b/packages/operator/src/peers.ts
@@ -4,3 +4,4 @@
   fromHeartbeatMessage,
   toHeartbeatMessage,
 } from './heartbeatMessages.js';
+export { decodeState, encodeState } from './stateBytes.js';
