perf(bundle): the code cache contains the code of first requests and messages

Today's cache contains what an instance runs in its first 1.5 s without a store and peers, so every instance compiled the code of its first store reads, datagrams, requests and streams when it needed them.

The build now runs two instances beside small stand-ins of the store and of a replica on free ports, sends 32 requests to one of them and then lets it write the cache. The run takes about 3 s, is ended after 9 s, and needs no test files; a failed run costs only the cache. While it runs, V8 keeps compiled code that has not run lately.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,14 +1,17 @@
 // Bundles the program, with a code cache for a fast start: node scripts/bundle.mjs FOLDER
-import { spawnSync } from 'node:child_process';
-import { copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
+import { copyFileSync, mkdirSync, rmSync } from 'node:fs';
 import path from 'node:path';
 import { pathToFileURL } from 'node:url';
 
 import { build } from 'esbuild';
 
+import { warmUp } from './warmUp.mjs';
+
 /** Node.js flags of deploy/system.toml. A code cache is valid only for the same flags. */
 const RUN_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
 
+const OK = 200;
+
 const root = path.resolve(import.meta.dirname, '..');
 
 /** Optional dependencies of the web framework that are not installed. */
@@ -69,51 +72,24 @@
   });
 }
 
-/** Time within which an instance has started and tried to reach its store, in milliseconds. */
-const WARM_UP_MS = 1500;
-/** First port of the warm-up run: below the ephemeral ports; concurrent builds use different ones. */
-const WARM_UP_PORT = 20_000;
-const WARM_UP_PORTS = 900;
-
-/** Settings of an instance without store and peers, for the warm-up run. */
-function warmUpSettings() {
-  const port = WARM_UP_PORT + 10 * (process.pid % WARM_UP_PORTS);
-  const at = offset => `127.0.0.1:${port + offset}`;
-  return {
-    node_name: 'warm-up',
-    ip: '127.0.0.1',
-    zone: 'warm-up',
-    listen: { front: at(2), ready: at(3), directory: at(4) },
-    internal_port_range: [port, port + 1],
-    platform: { address: at(5) },
-  };
-}
-
 /**
  * Writes a code cache of the gateway next to its bundle, for a fast start.
  *
- * The gateway runs once, so that the cache contains the code of the whole start. If it
- * cannot listen, the cache contains the code that was compiled until then.
+ * A failure costs only the cache: without one, the program is compiled as usual.
  */
-function writeCodeCache(target) {
+async function writeCodeCache(target) {
   copyFileSync(
     path.join(root, 'scripts/start.cjs'),
     path.join(target, 'start.cjs'),
   );
-  const settings = path.join(target, 'warm-up.json');
-  writeFileSync(settings, JSON.stringify(warmUpSettings()));
-  const start = path.join(target, 'start.cjs');
-  spawnSync(
-    process.execPath,
-    [...RUN_FLAGS, start, 'gateway', '--settings', settings],
-    {
-      env: {
-        PATH: process.env.PATH,
-        JUJUBECROFT_KEEP_CODE_MS: String(WARM_UP_MS),
-      },
-      stdio: 'ignore',
-    },
-  );
+  rmSync(path.join(target, 'gateway.cache'), { force: true });
+  try {
+    const answers = await warmUp(target, RUN_FLAGS);
+    const served = answers.filter(status => status === OK).length;
+    console.log(`warm-up: ${served} of ${answers.length} requests served`);
+  } catch (err) {
+    console.error('the warm-up run failed', err);
+  }
 }
 
 const [, script = '', target] = process.argv;
@@ -129,5 +105,5 @@
   await bundle(path.resolve(target, 'jujubecroft.cjs'), 'main.ts', {
     leftOut: ['echarts'],
   });
-  writeCodeCache(path.resolve(target));
+  await writeCodeCache(path.resolve(target));
 }
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -11,7 +11,10 @@
 const name = process.argv[2] === 'gateway' ? 'gateway' : 'jujubecroft';
 const bundle = path.join(__dirname, `${name}.cjs`);
 const cacheFile = path.join(__dirname, `${name}.cache`);
-/** Set by the build: time after which the program exits and the code cache is written. */
+/**
+ * Set by the build: time after which the program exits and the code cache is written,
+ * unless it is asked to stop before.
+ */
 const WRITE_CACHE_AFTER_MS = Number(process.env.JUJUBECROFT_KEEP_CODE_MS ?? 0);
 
 const source = Module.wrap(readFileSync(bundle, 'utf8'));
@@ -24,9 +27,16 @@
 bundled.filename = bundle;
 process.argv[1] = bundle;
 if (WRITE_CACHE_AFTER_MS > 0) {
+  const { setFlagsFromString } = require('node:v8');
+  // V8 drops the compiled code of functions that have not run for a while. The flag is
+  // set back before writing, since a cache is valid only for the same flags.
+  setFlagsFromString('--no-flush-bytecode');
   process.on('exit', () => {
+    setFlagsFromString('--flush-bytecode');
     writeFileSync(cacheFile, script.createCachedData());
   });
+  // Before the program's own handler, which would stop gracefully.
+  process.once('SIGTERM', () => process.exit());
   setTimeout(() => process.exit(), WRITE_CACHE_AFTER_MS);
 }
 script
