perf(bundle): start without TLS, HTTPS and HTTP/2

Fastify loads the modules for HTTPS and HTTP/2 at its start, and with them TLS; the gateway serves neither. The bundle loads them when a server of that kind is created.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -36,6 +36,13 @@
     onResolve({ filter: /^prom-client$/ }, () => ({
       path: path.join(root, 'scripts/lean/prom-client.mjs'),
     }));
+    onResolve(
+      { filter: /^node:(http2|https|perf_hooks)$/ },
+      ({ path: name, importer }) =>
+        importer.includes('/node_modules/fastify/')
+          ? { path: path.join(root, `scripts/lean/${name.slice(5)}.cjs`) }
+          : undefined,
+    );
   },
 };
 
--- /dev/null
+++ b/scripts/lean/perf_hooks.cjs
@@ -0,0 +1,2 @@
+// Fastify uses only the clock of this module, which is a global object anyway.
+exports.performance = globalThis.performance;
