--- a/packages/decisions/src/duties/FleetClock.ts
+++ b/packages/decisions/src/duties/FleetClock.ts
@@ -62,8 +62,8 @@
 
   /**
    * Lower median of this instance's offset and those of the others. Only the others'
-   * are sorted, and only when they change: an idle instance reads the time some forty
-   * times a second.
+   * are sorted, and only when they change: an idle instance reads the time in each duty
+   * step.
    */
   #medianWith(own: number): number {
     this.#sorted ??= [...this.#offsets.values()].sort((a, b) => a - b);
--- a/packages/decisions/src/gateway/readDuty.ts
+++ b/packages/decisions/src/gateway/readDuty.ts
@@ -24,8 +24,8 @@
 const MAX_STAGGER_SHARE = 0.2;
 
 /**
- * Orders that were computed before, by the list of instances. They are asked for some
- * forty times a second, and the list changes rarely.
+ * Orders that were computed before, by the list of instances. An idle instance needs
+ * them in each round and each duty step, and the list changes rarely.
  */
 const orders = new WeakMap<readonly InstanceId[], readonly InstanceId[]>();
 
--- a/packages/decisions/src/membership/Membership.ts
+++ b/packages/decisions/src/membership/Membership.ts
@@ -150,8 +150,8 @@
   }
 
   /**
-   * The lists are kept until they change: an idle instance in a fleet of 60 reads them
-   * some hundred times a second.
+   * The lists are kept until they change: an idle instance reads them several times in
+   * each round, in each duty step and for each message.
    */
   get #currentLists(): MemberLists {
     this.#lists ??= listMembers(this.self.instance, this.#members.values());
