feat(decisions): learn the lasting speed of replicas and place by it

Callers of long narrations saw them take 6 to 8 s at three replicas and 1.2 to 3.5 s at the others, because slow replicas got as many as fast ones. The fourth figure of the load report was dropped, and an instance knew of a replica's pace only what it had measured itself.

Once a replica of a service reports it, intervals between events and answer times of that service are turned into an estimate for each run of a replica: number of samples and time of a unit of work. Of two estimates of one run, the one with more samples wins, and an instance adds its samples to the one it took over, so that repeated or late reports change nothing and no sample is counted twice. Measurements under a reported slowdown of the moment are left out instead of divided by it, so that a false report can't make a replica look fast.

The factor of a replica scales the predicted times and costs; its class, which has hysteresis, decides the order and the capacity of groups and the weight in the choice of home replicas. A replica that holds as many requests as when it last rejected one costs more than all others. Services without the fourth figure are placed as before.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -95,6 +95,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How many times as long as usual work takes on the replica's host at this
+   * moment; absent if the replica doesn't state it.
+   */
+  readonly slowdown?: number;
 }
 
 /** A load report with the local time at which the replica sent it. */
@@ -116,6 +121,16 @@
 
 /** Age up to which a load report is used. */
 const MAX_REPORT_AGE_MS = 1000;
+/**
+ * Age up to which a slowdown of the moment is used; hosts change it about every
+ * 600 ms.
+ */
+const MAX_SLOWDOWN_AGE_MS = 300;
+/**
+ * Largest slowdown of the moment that is believed, which bounds the effect of a
+ * false one.
+ */
+const MAX_SLOWDOWN = 2.5;
 /**
  * Key that stands for all priorities at replicas that serve in order of
  * arrival.
@@ -152,6 +167,9 @@
   eventIntervalMs = INITIAL_EVENT_INTERVAL_MS;
   lastByteMs = -Infinity;
   #report: TimestampedLoad | null = null;
+  #slowdown = 1;
+  #slowdownAtMs = -Infinity;
+  #queueWhenFull: number | null = null;
   #limit: AnnouncedLimit | null = null;
   readonly #latencyRatios = new Map<number, number>();
 
@@ -260,8 +278,46 @@
   }
 
   /** Records the load that the replica reported with an answer. */
-  onReported({ running, waiting }: ReportedLoad): void {
-    this.#report = { total: running + waiting, atMs: this.clock() };
+  onReported({ running, waiting, slowdown }: ReportedLoad): void {
+    const atMs = this.clock();
+    this.#report = { total: running + waiting, atMs };
+    if (slowdown !== undefined) {
+      this.#slowdown = Math.min(MAX_SLOWDOWN, Math.max(1, slowdown));
+      this.#slowdownAtMs = atMs;
+    }
+  }
+
+  /**
+   * How many times as long as usual work takes on the replica's host now, from 1;
+   * 1 if no recent report says so.
+   */
+  get slowdown(): number {
+    return this.clock() - this.#slowdownAtMs <= MAX_SLOWDOWN_AGE_MS
+      ? this.#slowdown
+      : 1;
+  }
+
+  /**
+   * Records that the replica rejected a request unrun, which it does when it is
+   * full. To be called when the attempt has ended. A replica with free slots had
+   * another reason.
+   */
+  onRejected(): void {
+    const queue = this.totalInFlight - this.replica.slots;
+    if (queue >= 0) {
+      this.#queueWhenFull = queue;
+    }
+  }
+
+  /**
+   * Whether the replica holds as many requests as when it last rejected one.
+   * False if it never did, since its queue may have any length then.
+   */
+  get isFull(): boolean {
+    return (
+      this.#queueWhenFull !== null &&
+      this.totalInFlight >= this.replica.slots + this.#queueWhenFull
+    );
   }
 
   /** Records a load report that another instance received, if it is newer. */
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -21,6 +21,7 @@
 import { RetryBudget } from './RetryBudget.js';
 import { DemandTracker } from './RouteDemand.js';
 import type { RoutingTable } from './RoutingTable.js';
+import { FleetSpeeds } from './speed/FleetSpeeds.js';
 import { StoreClock } from './StoreClock.js';
 
 /**
@@ -78,6 +79,8 @@
    */
   readonly supersededRuns: Set<BackendLoad>;
   readonly estimates: Map<ServiceId, ServiceEstimates>;
+  /** Lasting speeds of replicas, where they are uneven. */
+  readonly speeds: FleetSpeeds;
   readonly configurations: ConfigurationHistory;
   /** Look-up tables of the configuration in force; null until one is known. */
   table: RoutingTable | null;
@@ -109,6 +112,7 @@
   const { duties: settings = null, timeOfDay = Date.now } = options;
   const storeClock = new StoreClock(clock);
   const replicas = new ReplicaRegistry(storeClock);
+  const backends = new Map<BackendServerId, BackendLoad>();
   return {
     clock,
     random,
@@ -124,9 +128,10 @@
     storeClock,
     replicas,
     duties: settings && createDutyBoard({ settings, storeClock, timeOfDay }),
-    backends: new Map(),
+    backends,
     supersededRuns: new Set(),
     estimates: new Map(),
+    speeds: new FleetSpeeds(clock, backends),
     configurations: new ConfigurationHistory(clock),
     table: null,
     configurationAsOfMs: -Infinity,
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -203,8 +203,11 @@
   }
 
   /** Records the load that a replica reported with an answer. */
-  onReported(attempt: GatewayAttempt, reported: ReportedLoad): void {
-    attempt.load.onReported(reported);
+  onReported({ load }: GatewayAttempt, reported: ReportedLoad): void {
+    load.onReported(reported);
+    if (reported.slowdown !== undefined) {
+      this.board.speeds.activate(load.replica.service);
+    }
   }
 
   /**
--- a/packages/decisions/src/gateway/admission/createHeadroomCheck.ts
+++ b/packages/decisions/src/gateway/admission/createHeadroomCheck.ts
@@ -43,7 +43,12 @@
   const tokens =
     load.unreadTokensAhead(rank) + board.demand.meanAdmittedTokens(route.id);
   const isDeferred = urgency === 'deferred';
-  return firstEventMs(engine, load, { priority, isDeferred, tokens });
+  return firstEventMs(
+    engine,
+    load,
+    { priority, isDeferred, tokens },
+    board.speeds.factorOf(load),
+  );
 }
 
 /**
@@ -83,9 +88,10 @@
       ? expectedWaitMs(board, load, urgent, 'deferred')
       : newWaitMs;
     const leftMs = (1 - options.maxRetryShare) * route.timeoutMs;
+    const streamMs = pieces * board.speeds.intervalMs(load, route.id);
     return (
       waitMs <= bounds(urgent, leftMs).allowedMs &&
-      waitMs + pieces * load.eventIntervalMs <= options.lateWholeShare * leftMs
+      waitMs + streamMs <= options.lateWholeShare * leftMs
     );
   };
 
--- a/packages/decisions/src/gateway/attemptLifecycle.ts
+++ b/packages/decisions/src/gateway/attemptLifecycle.ts
@@ -76,7 +76,8 @@
   const { service, priority } = attempt.request;
   const { engine } = estimatesOf(board, service.id);
   const aheadMs = attempt.tokensAhead / engine.queueTokensPerMs(priority);
-  engine.onDeferredWait(priority, tookMs, aheadMs + engine.baseMs);
+  const factor = board.speeds.factorOf(attempt.load);
+  engine.onDeferredWait(priority, tookMs / factor, aheadMs + engine.baseMs);
 }
 
 /**
@@ -117,7 +118,12 @@
     board.crashes.onBytes(attempt.load.replica);
   }
   if (attempt.lastByteMs !== null) {
-    attempt.load.onEventInterval(nowMs - attempt.lastByteMs);
+    const pauseMs = nowMs - attempt.lastByteMs;
+    attempt.load.onEventInterval(pauseMs);
+    // Parts of the answer of a plain service arrive at no particular pace.
+    if (attempt.request.service.engine) {
+      board.speeds.onInterval(attempt.load, attempt.request.route.id, pauseMs);
+    }
   }
   attempt.lastByteMs = nowMs;
   attempt.pieces += 1;
@@ -138,7 +144,9 @@
   }
   if (request.service.engine) {
     const { engine } = estimatesOf(board, request.service.id);
-    engine.onFirstEvent(request.priority, tokensAhead, tookMs - copyMs);
+    // The estimates are those of a replica of usual speed.
+    const usualMs = (tookMs - copyMs) / board.speeds.factorOf(load);
+    engine.onFirstEvent(request.priority, tokensAhead, usualMs);
     const expectedMs = Math.max(predictedMs, engine.baseMs);
     load.onDuration(request.priority, tookMs, expectedMs);
   }
@@ -155,6 +163,9 @@
   if (result.kind === 'unsent') {
     board.limits.refund(load);
   }
+  if (result.kind === 'notRun') {
+    load.onRejected();
+  }
   if (request.prompt) {
     board.demand.onEnded(request.route.id);
   }
@@ -177,7 +188,10 @@
   if (result.kind === 'answered' && !request.service.engine) {
     const estimates = estimatesOf(board, request.service.id);
     const tookMs = board.clock() - attempt.sentMs;
-    estimates.answerMs += ANSWER_WEIGHT * (tookMs - estimates.answerMs);
-    load.onDuration(FIFO_PRIORITY, tookMs, estimates.answerMs);
+    const factor = board.speeds.factorOf(load);
+    estimates.answerMs +=
+      ANSWER_WEIGHT * (tookMs / factor - estimates.answerMs);
+    load.onDuration(FIFO_PRIORITY, tookMs, estimates.answerMs * factor);
+    board.speeds.onAnswer(load, tookMs);
   }
 }
--- a/packages/decisions/src/gateway/firstEventMs.ts
+++ b/packages/decisions/src/gateway/firstEventMs.ts
@@ -21,14 +21,17 @@
  * @param engine - estimates for the service's engines
  * @param load - load of the replica
  * @param queued - tokens that the request has to wait for
+ * @param speedFactor - time of work at the replica relative to the service's mean
  * @returns the time in milliseconds
  */
 export function firstEventMs(
   engine: EngineEstimator,
   load: BackendLoad,
   { priority, isDeferred, tokens }: QueuedTokens,
+  speedFactor: number,
 ): number {
   const delayFactor = isDeferred ? engine.deferredDelayFactor(priority) : 1;
   const readMs = tokens / engine.queueTokensPerMs(priority);
-  return engine.baseMs + load.latencyRatioFor(priority) * delayFactor * readMs;
+  const waitMs = load.latencyRatioFor(priority) * delayFactor * readMs;
+  return speedFactor * (engine.baseMs + waitMs);
 }
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -60,5 +60,12 @@
 export type { RetryBudgetRules } from './RetryBudget.js';
 export type { RouteDemand } from './RouteDemand.js';
 export { RoutingTable } from './RoutingTable.js';
+export type { SpeedClass } from './speed/ReplicaSpeed.js';
+export type { SpeedReport } from './speed/speedReports.js';
+export {
+  applySpeedReports,
+  createAllSpeedReports,
+  createSpeedReports,
+} from './speed/speedReports.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
--- a/packages/decisions/src/gateway/placement/cacheFetch.ts
+++ b/packages/decisions/src/gateway/placement/cacheFetch.ts
@@ -34,21 +34,38 @@
   readonly isKnown: boolean;
 }
 
+/** Number of values of the hash. */
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Weight in rendezvous hashing at which a replica wins in proportion to its
+ * capacity. For equal capacities the order is that of the hashes.
+ */
+function hashWeight(hash: number, capacity: number): number {
+  return -capacity / Math.log((hash + 0.5) / HASH_RANGE);
+}
+
 /**
  * Finds the home replica of a prompt part by rendezvous hashing, so that all
  * instances choose the same one.
  *
+ * A replica is the home of prompt parts in proportion to its capacity.
+ *
  * @param part - part of a prompt
  * @param loads - candidate replicas
+ * @param capacityOf - work that a replica does in the same time as others; null if
+ *   all do the same
  * @returns undefined if there are no candidates
  */
 export function homeReplica(
   part: PromptPart,
   loads: readonly BackendLoad[],
+  capacityOf: ((load: BackendLoad) => number) | null = null,
 ): BackendLoad | undefined {
   return loads.reduce<{ load: BackendLoad; weight: number } | undefined>(
     (best, load) => {
-      const weight = murmurhash.v3(`${part.id}/${load.replica.id}`);
+      const hash = murmurhash.v3(`${part.id}/${load.replica.id}`);
+      const weight = capacityOf ? hashWeight(hash, capacityOf(load)) : hash;
       return best && best.weight >= weight ? best : { load, weight };
     },
     undefined,
--- a/packages/decisions/src/gateway/placement/groupSegments.ts
+++ b/packages/decisions/src/gateway/placement/groupSegments.ts
@@ -1,6 +1,8 @@
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { estimatesOf } from '../GatewayBoard.js';
+import type { ServiceSpeeds } from '../speed/ServiceSpeeds.js';
+import { splitByCapacity } from './splitByCapacity.js';
 import { splitReplicas } from './splitReplicas.js';
 import type { ToleranceGroup } from './toleranceGroups.js';
 import { toleranceGroups } from './toleranceGroups.js';
@@ -48,6 +50,7 @@
 type SegmentsFor = (
   request: GatewayRequest,
   ranked: readonly BackendLoad[],
+  speeds: ServiceSpeeds | undefined,
 ) => Segments;
 
 const MS_PER_SECOND = 1000;
@@ -58,7 +61,7 @@
  * @param board - knows the demand at all instances
  * @param options - how full groups may be
  * @returns a function that finds a request's replicas, given all replicas in an
- *   order on which all instances agree
+ *   order on which all instances agree, and their speeds
  */
 export function createGroupSegments(
   board: GatewayBoard,
@@ -83,7 +86,7 @@
     return Math.max(replicasForTokens, inFlight / (slots * options.slotUse));
   };
 
-  return (request, ranked) => {
+  return (request, ranked, speeds) => {
     const groups = board.table
       ? toleranceGroups(board.table, request.service.id)
       : [];
@@ -93,14 +96,17 @@
     if (index === -1 || ranked.length < groups.length) {
       return { own: ranked, others: [] };
     }
-    const sizes = splitReplicas(
-      groups.map((group, place) => ({
-        replicas: replicasNeeded(group, place, request),
-        minReplicas: place === 0 ? options.minDelicateShare * ranked.length : 1,
-      })),
-      ranked.length,
-      options.minLastShare,
-    );
+    const needs = groups.map((group, place) => ({
+      replicas: replicasNeeded(group, place, request),
+      minReplicas: place === 0 ? options.minDelicateShare * ranked.length : 1,
+    }));
+    const sizes = speeds
+      ? splitByCapacity(
+          needs,
+          ranked.map(load => speeds.capacityOf(load)),
+          options.minLastShare,
+        )
+      : splitReplicas(needs, ranked.length, options.minLastShare);
     const segments = sizes.map((size, place) => {
       const before = sizes.slice(0, place);
       const start = before.reduce((sum, other) => sum + other, 0);
--- a/packages/decisions/src/gateway/placement/least-busy.ts
+++ b/packages/decisions/src/gateway/placement/least-busy.ts
@@ -15,6 +15,11 @@
   readonly domainMs: number;
   /** Range of the random cost that breaks ties, in milliseconds. */
   readonly tieBreakMs: number;
+  /**
+   * Cost of a replica that is known to reject requests because it is full, in
+   * milliseconds; more than all other costs together.
+   */
+  readonly fullMs: number;
 }
 
 /** Requests beyond the replica's slots once one more is sent. */
@@ -27,9 +32,12 @@
   options: LeastBusyOptions,
 ): PlacementPolicy {
   return ({ service }, candidates, isDeferred) => {
-    const { answerMs } = estimatesOf(board, service.id);
+    const estimates = estimatesOf(board, service.id);
+    const speeds = board.speeds.current(service.id);
     const evaluate = (load: BackendLoad): PlacedCandidate => {
       const slots = Math.max(1, load.replica.slots);
+      const slowness = speeds ? speeds.factorOf(load) * load.slowdown : 1;
+      const answerMs = estimates.answerMs * slowness;
       const rounds = 1 + queueLength(load) / slots;
       const predictedMs =
         answerMs * load.latencyRatioFor(FIFO_PRIORITY) * rounds;
@@ -39,6 +47,7 @@
         predictedMs +
         busyMs +
         (isRemote ? options.domainMs : 0) +
+        (speeds && load.isFull ? options.fullMs : 0) +
         board.random() * options.tieBreakMs;
       return {
         load,
@@ -68,6 +77,7 @@
   schema: z.object({
     domainMs: z.number().nonnegative().default(2),
     tieBreakMs: z.number().nonnegative().default(1),
+    fullMs: z.number().nonnegative().default(100_000),
   }),
   create: createLeastBusy,
 });
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -2,13 +2,14 @@
 import type { PromptPart } from '@jujubecroft/types';
 
 import { createPolicyUnit } from '../../policies/createPolicyUnit.js';
-import { compareHashed } from '../../util/byHash.js';
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { estimatesOf } from '../GatewayBoard.js';
 import { firstEventMs } from '../firstEventMs.js';
 import { prefixPathsOf } from '../PromptCacheEstimate.js';
 import { requestRank } from '../requestRank.js';
+import type { ServiceSpeeds } from '../speed/ServiceSpeeds.js';
+import { orderBySpeed } from '../speed/speedOrder.js';
 import type { CacheHolder } from './cacheFetch.js';
 import { bestHolders, chooseFetch, homeReplica } from './cacheFetch.js';
 import type { SegmentOptions } from './groupSegments.js';
@@ -29,6 +30,17 @@
    * to the first.
    */
   readonly streamWeight: number;
+  /**
+   * The same weight where replicas are uneven. The time of long answers then
+   * differs many times as much between replicas as that of short ones, so that
+   * they go to fast ones.
+   */
+  readonly unevenStreamWeight: number;
+  /**
+   * Cost of a replica that is known to reject requests because it is full, in
+   * milliseconds; more than all other costs together.
+   */
+  readonly fullMs: number;
   /**
    * Cost of a replica in another failure domain, in milliseconds; about one
    * round trip.
@@ -77,6 +89,8 @@
   /** Rank at which a replica would serve the request. */
   readonly rank: number;
   readonly isDeferred: boolean;
+  /** Undefined where replicas count as equally fast. */
+  readonly speeds: ServiceSpeeds | undefined;
 }
 
 function createToleranceSplit(
@@ -90,12 +104,16 @@
     loads: readonly BackendLoad[],
     all: readonly BackendLoad[],
     isDeferred: boolean,
+    speeds: ServiceSpeeds | undefined,
   ): RequestContext => {
     const { prompt, route, service } = request;
     const parts = prompt?.parts ?? [];
     const shared = sharedParts(request);
     const last = shared.at(-1);
-    const home = last && homeReplica(last, loads);
+    const capacityOf = speeds
+      ? (load: BackendLoad): number => speeds.capacityOf(load)
+      : null;
+    const home = last && homeReplica(last, loads, capacityOf);
     const paths = prefixPathsOf(parts);
     const sharedTokens = tokensOf(shared);
     const cached = new Map(
@@ -121,6 +139,7 @@
       cached,
       rank: requestRank(board, request, urgency),
       isDeferred,
+      speeds,
     };
   };
 
@@ -129,8 +148,9 @@
     load: BackendLoad,
     context: RequestContext,
   ): PlacedCandidate => {
-    const { promptTokens, sharedTokens, pieces, isDeferred } = context;
+    const { promptTokens, sharedTokens, pieces, isDeferred, speeds } = context;
     const { engine } = estimatesOf(board, request.service.id);
+    const speedFactor = speeds?.factorOf(load) ?? 1;
     const isHome = load === context.home;
     const cached = context.cached.get(load) ?? 0;
     const ownTokens = isHome
@@ -150,7 +170,7 @@
     const tokensAhead = tokensBefore + unreadTokens;
     const { priority } = request;
     const eventMs = (tokens: number): number =>
-      firstEventMs(engine, load, { priority, isDeferred, tokens });
+      firstEventMs(engine, load, { priority, isDeferred, tokens }, speedFactor);
     const predictedMs = copyMs + eventMs(tokensAhead);
     const ownReadMs = eventMs(tokensAhead) - eventMs(tokensBefore);
     // Tokens that are only likely to be cached may have to be read after all.
@@ -163,13 +183,20 @@
     const slots = request.service.engine?.slots ?? Infinity;
     const occupancy = load.totalInFlight / slots;
     const isRemote = load.replica.failureDomain !== board.failureDomain;
-    const streamMs = pieces * load.eventIntervalMs;
+    const streamMs =
+      pieces *
+      (speeds?.intervalMs(request.route.id, load) ?? load.eventIntervalMs);
+    const streamWeight = speeds
+      ? options.unevenStreamWeight
+      : options.streamWeight;
+    const fullMs = speeds && load.isFull ? options.fullMs : 0;
     const cost =
       predictedMs +
       rereadMs +
-      options.streamWeight * streamMs +
+      streamWeight * streamMs +
       options.crowdMs * occupancy * occupancy +
-      (isRemote ? options.domainMs : 0);
+      (isRemote ? options.domainMs : 0) +
+      fullMs;
     return {
       load,
       unreadTokens,
@@ -184,19 +211,24 @@
   };
 
   return (request, candidates, isDeferred) => {
-    const ranked = [...candidates].sort((a, b) =>
-      compareHashed(a.hashedId, b.hashedId),
-    );
+    const speeds = board.speeds.current(request.service.id);
+    const ranked = orderBySpeed(candidates, speeds);
     // Only replicas without a limit are divided into groups, because they can
     // serve a group all the time. Requests of every group may use a replica
     // with a limit, but whether it has room changes from one request to the
     // next.
     const unlimited = ranked.filter(({ limitPerS }) => limitPerS === null);
     const limited = ranked.filter(load => !unlimited.includes(load));
-    const { own, others } = segmentsFor(request, unlimited);
+    const { own, others } = segmentsFor(request, unlimited, speeds);
     const homeCandidates = own.length > 0 ? own : ranked;
     const ownCandidates = own.length > 0 ? [...own, ...limited] : ranked;
-    const context = createContext(request, homeCandidates, ranked, isDeferred);
+    const context = createContext(
+      request,
+      homeCandidates,
+      ranked,
+      isDeferred,
+      speeds,
+    );
     const placed = ownCandidates.map(load => evaluate(request, load, context));
     const borrowed = (own.length > 0 ? others : []).map(load => {
       const candidate = evaluate(request, load, context);
@@ -226,6 +258,8 @@
     mixingMs: z.number().nonnegative().default(150),
     crowdMs: z.number().nonnegative().default(250),
     streamWeight: z.number().nonnegative().default(0.03),
+    unevenStreamWeight: z.number().nonnegative().default(0.1),
+    fullMs: z.number().nonnegative().default(100_000),
     minDelicateShare: z.number().min(0).max(1).default(0.2),
     domainMs: z.number().nonnegative().default(2),
     rereadWeight: z.number().nonnegative().default(16),
--- /dev/null
+++ b/packages/decisions/src/gateway/speed/speedReports.ts
@@ -0,0 +1,88 @@
+import type { GatewayBoard } from '../GatewayBoard.js';
+import type { ReplicaRun } from '../replicaRuns.js';
+import { isSameRun } from '../replicaRuns.js';
+import type { SpeedEstimate } from './ReplicaSpeed.js';
+
+/** Lasting speed of one run of a replica, as instances pass it on. */
+export interface SpeedReport extends ReplicaRun, SpeedEstimate {}
+
+/**
+ * Time for which news is part of every message. An instance exchanges eight
+ * messages a second with others, so that news reaches 195 instances within it.
+ */
+const NEWS_MS = 1250;
+/** Maximum number of news in a message; each takes some 25 bytes. */
+const MAX_NEWS = 40;
+/** Maximum number of other speeds in a message, for instances that missed them. */
+const MAX_OTHERS = 4;
+
+function allReports({ speeds, backends }: GatewayBoard): readonly {
+  readonly report: SpeedReport;
+  readonly newsMs: number;
+}[] {
+  return [...speeds.services.values()].flatMap(({ known }) =>
+    [...known].flatMap(([load, { estimate, newsMs }]) => {
+      const { id, bornMs } = load.replica;
+      return estimate && backends.get(id) === load
+        ? [{ report: { id, bornMs, ...estimate }, newsMs }]
+        : [];
+    }),
+  );
+}
+
+/**
+ * Selects the speeds to report to other instances: news, and some of the rest.
+ *
+ * @param board - the blackboard
+ * @returns the reports, whichever instance learnt them
+ */
+export function createSpeedReports(
+  board: GatewayBoard,
+): readonly SpeedReport[] {
+  if (board.speeds.services.size === 0) {
+    return [];
+  }
+  const sinceMs = board.clock() - NEWS_MS;
+  const all = allReports(board);
+  const news = all.filter(({ newsMs }) => newsMs >= sinceMs);
+  const others = all.filter(({ newsMs }) => newsMs < sinceMs);
+  const start = Math.floor(board.random() * others.length);
+  return [
+    ...news.slice(0, MAX_NEWS),
+    ...others.slice(start, start + MAX_OTHERS),
+  ].map(({ report }) => report);
+}
+
+/**
+ * Returns all known speeds, for an instance that knows none.
+ *
+ * @param board - the blackboard
+ */
+export function createAllSpeedReports(
+  board: GatewayBoard,
+): readonly SpeedReport[] {
+  return allReports(board).map(({ report }) => report);
+}
+
+/**
+ * Applies the speeds that another instance reported.
+ *
+ * @param board - the blackboard
+ * @param reports - the speeds; those of unknown replicas and of other runs are
+ *   ignored
+ */
+export function applySpeedReports(
+  board: GatewayBoard,
+  reports: readonly SpeedReport[],
+): void {
+  reports.forEach(({ id, bornMs, ...estimate }) => {
+    const load = board.backends.get(id);
+    if (!load || !isSameRun({ bornMs }, load.replica)) {
+      return;
+    }
+    const speeds = board.speeds.activate(load.replica.service);
+    if (speeds.of(load).merge(estimate, board.clock())) {
+      speeds.markStale();
+    }
+  });
+}
