feat(gateway): exchange the lasting speed of replicas between instances

An instance of a large fleet hears from a given replica about once in twenty seconds, so it can't learn alone which replicas are slow.

Instances without such services send nothing, and older instances skip the field.

Operators see the factor that decided in `requestPlaced` (`speed`), and the number of replicas by service and class in `jujubecroft_gateway_backend_servers_by_speed`.

--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -96,6 +96,22 @@
   return crashed.length > 0 ? { fingerprint, crashed } : {};
 }
 
+/**
+ * Log fields of the speed of the chosen replica.
+ *
+ * @param board - shared state of the decision logic
+ * @param attempt - the attempt
+ * @returns the time of work there relative to the service's mean, above 1 for a slow
+ *   replica; no field where replicas count as equally fast
+ */
+function speedFields(
+  { speeds }: GatewayBoard,
+  { load }: GatewayAttempt,
+): LogFields {
+  const known = speeds.find(load.replica.service);
+  return known ? { speed: Number(known.factorOf(load).toFixed(2)) } : {};
+}
+
 /** Logs the events of one request and counts them in the metrics. */
 export class RequestRecorder {
   readonly #labels: { readonly kind: string; readonly priority: string };
@@ -134,6 +150,7 @@
             fetchTokens: Math.round(attempt.fetch.tokens),
           }
         : {}),
+      ...speedFields(board, attempt),
       inFlight: attempt.load.totalInFlight,
       candidates,
       replicasVersion: formatStoreVersion(board.replicas.version),
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -116,6 +116,12 @@
     labelNames: ['service', 'verdict'] as const,
     registers: this.#registers,
   });
+  readonly speeds = new Gauge({
+    name: 'jujubecroft_gateway_backend_servers_by_speed',
+    help: 'Backend servers by service and class of lasting speed, where it is uneven.',
+    labelNames: ['service', 'speed'] as const,
+    registers: this.#registers,
+  });
   readonly inFlight = new Gauge({
     name: 'jujubecroft_gateway_requests_in_flight',
     help: 'Requests that have not ended.',
--- a/packages/gateway/src/side/serveMetrics.ts
+++ b/packages/gateway/src/side/serveMetrics.ts
@@ -26,6 +26,12 @@
     const verdict = replica.leaving ? 'leaving' : health.verdict;
     metrics.backends.inc({ service: replica.service, verdict });
   });
+  metrics.speeds.reset();
+  board.speeds.services.forEach((speeds, service) => {
+    speeds.known.forEach(({ speedClass }) => {
+      metrics.speeds.inc({ service, speed: speedClass });
+    });
+  });
   board.table?.cfg.services.forEach(({ id }) => {
     metrics.budgetLeft.set({ service: id }, board.budget.left(id));
   });
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -1,5 +1,11 @@
 import type { ReplicaChanges } from '@jujubecroft/decisions';
-import { createLimitReports, applyLimitReports } from '@jujubecroft/decisions';
+import {
+  applyLimitReports,
+  applySpeedReports,
+  createAllSpeedReports,
+  createLimitReports,
+  createSpeedReports,
+} from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator/peers';
 import {
   fromHeartbeatMessage,
@@ -31,6 +37,7 @@
   toReports,
   toUses,
 } from './gatewayState.js';
+import { fromSpeeds, toSpeeds } from './speedMessage.js';
 
 /**
  * Maximum number of replica changes in one datagram. Each takes some 90 bytes, so that
@@ -68,10 +75,18 @@
   readonly viewOnly: boolean;
 }
 
-type LoadFields = Pick<proto.GatewayState, 'demands' | 'reports' | 'uses'>;
+type LoadFields = Pick<
+  proto.GatewayState,
+  'demands' | 'reports' | 'speeds' | 'uses'
+>;
 
 /** Load fields of a message that carries the view only. */
-const NO_LOAD_FIELDS: LoadFields = { demands: [], reports: [], uses: [] };
+const NO_LOAD_FIELDS: LoadFields = {
+  demands: [],
+  reports: [],
+  speeds: [],
+  uses: [],
+};
 
 /** Versions up to which an instance's view is complete. */
 export interface KnownVersions {
@@ -160,12 +175,13 @@
    * @returns a state with everything that the instance lacks
    */
   buildPullReply(request: proto.GatewayState): proto.GatewayState {
-    const { replicas } = this.context.router.board;
-    return this.#buildMessage(
+    const { board } = this.context.router;
+    const message = this.#buildMessage(
       ANNOUNCEMENT,
-      replicas.changesSince(request.replicasVersion),
+      board.replicas.changesSince(request.replicasVersion),
       this.#missingConfiguration(request.configurationVersion),
     );
+    return { ...message, speeds: toSpeeds(createAllSpeedReports(board)) };
   }
 
   /**
@@ -219,6 +235,7 @@
       uses: toUses(router.ownReplicaUses),
       demands: toDemands(demand.own, route => lengths.ownLength(route)),
       reports: toReports(router.loadReports),
+      speeds: toSpeeds(createSpeedReports(router.board)),
     };
   }
 
@@ -246,6 +263,7 @@
     this.#receiveStoreTimes(state, askedMs);
     this.#receiveConfiguration(state, peer);
     this.#receiveReplicas(state, peer);
+    applySpeedReports(router.board, fromSpeeds(state.speeds));
     this.context.lease.onViewUpdated();
   }
 
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -45,6 +45,7 @@
       ...NO_CONFIGURATION,
       ...toCrashFields({ crashes: [], cleared: [] }),
       limits: [],
+      speeds: [],
       ...toDutyFields(null, false),
       replicasChangedAt: 4,
       ...toReplicaFields({
