fix(decisions): groups of uneven replicas end at a class of speed

A share of the capacity gave that group 26 slow replicas and one or two fast ones, to which all instances sent its requests; requests in flight on slow replicas were counted twice as need, since they take longer and the replicas counted for less; and instances that know the demand within some 30 % placed the border of groups in different classes.

Needs by slots and minimum sizes are numbers of replicas now, and only needs by tokens are capacity. A random cost of up to 100 ms keeps instances that decide by the same old reports apart, and the time to read a prompt costs four times as much, so that long prompts of delicate routes leave slow replicas.

--- a/packages/decisions/src/gateway/placement/groupSegments.ts
+++ b/packages/decisions/src/gateway/placement/groupSegments.ts
@@ -2,6 +2,7 @@
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { estimatesOf } from '../GatewayBoard.js';
 import type { ServiceSpeeds } from '../speed/ServiceSpeeds.js';
+import type { ReplicaCapacity } from './splitByCapacity.js';
 import { splitByCapacity } from './splitByCapacity.js';
 import { splitReplicas } from './splitReplicas.js';
 import type { ToleranceGroup } from './toleranceGroups.js';
@@ -55,6 +56,17 @@
 
 const MS_PER_SECOND = 1000;
 
+function capacitiesOf(
+  ranked: readonly BackendLoad[],
+  speeds: ServiceSpeeds,
+): readonly ReplicaCapacity[] {
+  const classes = ranked.map(load => speeds.classOf(load));
+  return ranked.map((load, at) => ({
+    capacity: speeds.capacityOf(load),
+    isBorder: at > 0 && classes[at] !== classes[at - 1],
+  }));
+}
+
 /**
  * Divides the replicas of a service among its groups by their demand.
  *
@@ -68,22 +80,23 @@
   options: SegmentOptions,
 ): SegmentsFor {
   /**
-   * Number of replicas, possibly fractional, at which a group's prompts and
-   * slots stay within the shares of the options.
+   * Numbers of replicas, possibly fractional, at which a group's prompts and slots
+   * stay within the shares of the options.
    */
   const replicasNeeded = (
     { routes }: ToleranceGroup,
     index: number,
     request: GatewayRequest,
-  ): number => {
+  ): { forTokens: number; forSlots: number } => {
     const { service } = request;
     const { engine } = estimatesOf(board, service.id);
     const { tokensPerS, inFlight } = board.demand.total(routes);
     const use = index === 0 ? options.delicateUse : options.middleUse;
-    const replicasForTokens =
-      tokensPerS / MS_PER_SECOND / engine.tokensPerMs / use;
     const slots = service.engine?.slots ?? 1;
-    return Math.max(replicasForTokens, inFlight / (slots * options.slotUse));
+    return {
+      forTokens: tokensPerS / MS_PER_SECOND / engine.tokensPerMs / use,
+      forSlots: inFlight / (slots * options.slotUse),
+    };
   };
 
   return (request, ranked, speeds) => {
@@ -97,16 +110,28 @@
       return { own: ranked, others: [] };
     }
     const needs = groups.map((group, place) => ({
-      replicas: replicasNeeded(group, place, request),
+      ...replicasNeeded(group, place, request),
       minReplicas: place === 0 ? options.minDelicateShare * ranked.length : 1,
     }));
     const sizes = speeds
       ? splitByCapacity(
-          needs,
-          ranked.map(load => speeds.capacityOf(load)),
+          // Slow replicas have as many slots as others, and requests that take
+          // longer there already count for longer.
+          needs.map(({ forTokens, forSlots, minReplicas }) => ({
+            replicas: forTokens,
+            minReplicas: Math.max(minReplicas, forSlots),
+          })),
+          capacitiesOf(ranked, speeds),
           options.minLastShare,
         )
-      : splitReplicas(needs, ranked.length, options.minLastShare);
+      : splitReplicas(
+          needs.map(({ forTokens, forSlots, minReplicas }) => ({
+            replicas: Math.max(forTokens, forSlots),
+            minReplicas,
+          })),
+          ranked.length,
+          options.minLastShare,
+        );
     const segments = sizes.map((size, place) => {
       const before = sizes.slice(0, place);
       const start = before.reduce((sum, other) => sum + other, 0);
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -36,6 +36,14 @@
    * they go to fast ones.
    */
   readonly unevenStreamWeight: number;
+  /**
+   * Weight of the time to read the prompt where replicas are uneven, in addition to
+   * its part of the time to the first event. Reading holds up all other streams on
+   * the replica, on a slow one more than twice as long.
+   */
+  readonly unevenReadWeight: number;
+  /** Range of a random cost where replicas are uneven, in milliseconds. */
+  readonly unevenSpreadMs: number;
   /**
    * Cost of a replica that is known to reject requests because it is full, in
    * milliseconds; more than all other costs together.
@@ -190,13 +198,19 @@
       ? options.unevenStreamWeight
       : options.streamWeight;
     const fullMs = speeds && load.isFull ? options.fullMs : 0;
+    // The reports that instances decide by are old, so that all of them would choose
+    // the same replica.
+    const spreadMs = speeds ? board.random() * options.unevenSpreadMs : 0;
+    const harmMs = speeds ? ownReadMs * options.unevenReadWeight : 0;
     const cost =
       predictedMs +
       rereadMs +
       streamWeight * streamMs +
       options.crowdMs * occupancy * occupancy +
       (isRemote ? options.domainMs : 0) +
-      fullMs;
+      fullMs +
+      harmMs +
+      spreadMs;
     return {
       load,
       unreadTokens,
@@ -232,7 +246,10 @@
     const placed = ownCandidates.map(load => evaluate(request, load, context));
     const borrowed = (own.length > 0 ? others : []).map(load => {
       const candidate = evaluate(request, load, context);
-      return { ...candidate, cost: candidate.cost + options.mixingMs };
+      return {
+        ...candidate,
+        cost: candidate.cost + options.mixingMs,
+      };
     });
     return [...placed, ...borrowed].sort((a, b) => a.cost - b.cost);
   };
@@ -259,6 +276,8 @@
     crowdMs: z.number().nonnegative().default(250),
     streamWeight: z.number().nonnegative().default(0.03),
     unevenStreamWeight: z.number().nonnegative().default(0.1),
+    unevenReadWeight: z.number().nonnegative().default(3),
+    unevenSpreadMs: z.number().nonnegative().default(100),
     fullMs: z.number().nonnegative().default(100_000),
     minDelicateShare: z.number().min(0).max(1).default(0.2),
     domainMs: z.number().nonnegative().default(2),
