test(bench): replay on replicas of different speed

Engines can reject requests when their queue is full, and work out how long they were busy.

The replay of narrations, live answers and labels compares replicas that report the slowdown of the moment with those that don't, for which placement is as before.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -3,6 +3,7 @@
   GatewayAttempt,
   GatewayRequest,
   GatewayRouter,
+  ReportedLoad,
   WithdrawReason,
 } from '@jujubecroft/decisions';
 import type { BackendServerId, Replica } from '@jujubecroft/types';
@@ -13,6 +14,7 @@
 import type { GatewayPolicyFactory } from './createReplayRouter.js';
 import { createReplayRouter, createReplica } from './createReplayRouter.js';
 import { exchangeWork } from './exchangeWork.js';
+import { HostPace } from './HostPace.js';
 import type { PromptJob } from './PromptEngine.js';
 import { PromptEngine } from './PromptEngine.js';
 import { ReplayCallers } from './ReplayCallers.js';
@@ -54,6 +56,7 @@
 export class GatewayReplay {
   readonly #events = new EventQueue();
   readonly #engines = new Map<BackendServerId, PromptEngine>();
+  readonly #paces = new Map<BackendServerId, HostPace>();
   readonly #routers: GatewayRouter[] = [];
   readonly #results = new Map<string, KindResult>();
   readonly #inversions: UrgencyWatch;
@@ -107,8 +110,15 @@
     return this.#informed.size;
   }
 
+  /** Time for which each engine was working, in milliseconds, in their order. */
+  get busyMs(): readonly number[] {
+    return [...this.#engines.values()].map(({ busyMs }) => busyMs);
+  }
+
   /** Requests that engines rejected with a requested pause. */
   rejections = 0;
+  /** Requests that engines rejected since they were full. */
+  rejectedFull = 0;
   /** Requests that reached an engine although its leave was known to their instance. */
   requestsAfterLeave = 0;
 
@@ -123,8 +133,18 @@
       createReplica(index, slots),
     );
     const engine = { ...this.shape.load.engine, slots };
-    replicas.forEach(({ id }) => {
-      this.#engines.set(id, new PromptEngine(this.#events, engine));
+    replicas.forEach(({ id }, index) => {
+      const pace = new HostPace(
+        index,
+        this.shape.uneven ?? null,
+        () => this.#events.nowMs,
+        createRandom(this.seed * replicas.length + index),
+      );
+      this.#paces.set(id, pace);
+      this.#engines.set(
+        id,
+        new PromptEngine(this.#events, engine, () => pace.factor),
+      );
     });
     Array.from({ length: this.shape.instances }).forEach((_, index) => {
       this.#routers[index] = this.#startRouter(index, replicas);
@@ -187,6 +207,15 @@
     return isOverloaded ? overload.pauseMs : null;
   }
 
+  /** Load that an engine reports now. */
+  #reportOf(id: BackendServerId): ReportedLoad {
+    const { slots, uneven } = this.shape;
+    const { running = 0, waiting = 0 } = this.#engines.get(id) ?? {};
+    const load = { running, waiting, slots };
+    const slowdown = this.#paces.get(id)?.moment ?? 1;
+    return uneven?.isReported === true ? { ...load, slowdown } : load;
+  }
+
   /** Whether the answers of an engine announce its leave now. */
   #isLeaving(id: BackendServerId): boolean {
     const { leave } = this.shape;
@@ -308,9 +337,7 @@
         if (firstEventMs === null) {
           firstEventMs = nowMs;
           replayed.firstEventMs = nowMs;
-          const { running, waiting } = engine;
-          const { slots } = this.shape;
-          router.onReported(attempt, { running, waiting, slots });
+          router.onReported(attempt, this.#reportOf(id));
           if (this.#isLeaving(id)) {
             router.onLeaveAnnounced(attempt);
             this.#informed.add(`${id} ${router.board.instance}`);
@@ -349,11 +376,25 @@
       router.onEnded(attempt, { kind: 'notRun', reason: 'status 503' });
       this.#placeRequest(kind, router, request, { result, replayed });
     };
+    const rejectFull = (): void => {
+      ended = true;
+      abortCallbacks?.delete(onInstanceStop);
+      this.rejectedFull += 1;
+      router.onReported(attempt, this.#reportOf(id));
+      router.onEnded(attempt, { kind: 'notRun', reason: 'status 503' });
+      result.refused += 1;
+    };
     const copyMs = attempt.fetch?.copyMs ?? 0;
     this.#events.after(NETWORK_DELAY_MS + copyMs, () => {
       const pauseMs = this.#requestedPauseMs(id);
       if (!ended && pauseMs !== null) {
         reject(pauseMs);
+      } else if (
+        !ended &&
+        engine.running >= this.shape.slots &&
+        engine.waiting >= (this.shape.queue ?? Infinity)
+      ) {
+        rejectFull();
       } else if (!ended) {
         engine.submit(job);
       }
--- a/packages/bench/src/gateway/PromptEngine.ts
+++ b/packages/bench/src/gateway/PromptEngine.ts
@@ -67,12 +67,24 @@
   #sharedTokensPrefilled = 0;
   #misorderedPreemptions = 0;
   #isStepping = false;
+  #busyMs = 0;
 
+  /**
+   * @param events - virtual time
+   * @param parameters - timing model
+   * @param timeFactor - factor of the usual time that work takes on the host now
+   */
   constructor(
     private readonly events: EventQueue,
     private readonly parameters: PromptEngineParameters,
+    private readonly timeFactor: () => number = () => 1,
   ) {}
 
+  /** Time for which it was working, in milliseconds. */
+  get busyMs(): number {
+    return this.#busyMs;
+  }
+
   get running(): number {
     return this.#running.length;
   }
@@ -189,7 +201,9 @@
       this.parameters.chunkTokens,
       prefilling?.pendingPrefillTokens ?? 0,
     );
-    const durationMs = this.#stepDurationMs(prefilling, prefillTokens);
+    const durationMs =
+      this.timeFactor() * this.#stepDurationMs(prefilling, prefillTokens);
+    this.#busyMs += durationMs;
     this.events.after(durationMs, () => {
       this.#isStepping = false;
       if (prefilling) {
--- a/packages/bench/src/gateway/exchangeWork.ts
+++ b/packages/bench/src/gateway/exchangeWork.ts
@@ -1,4 +1,9 @@
-import type { GatewayRouter, PeerUpdate } from '@jujubecroft/decisions';
+import { applySpeedReports, createSpeedReports } from '@jujubecroft/decisions';
+import type {
+  GatewayRouter,
+  PeerUpdate,
+  SpeedReport,
+} from '@jujubecroft/decisions';
 import type { InstanceId } from '@jujubecroft/types';
 
 import type { ReplayExchange } from './replayShapes.js';
@@ -7,6 +12,7 @@
 interface InstanceWork {
   readonly instance: InstanceId;
   readonly work: PeerUpdate;
+  readonly speeds: readonly SpeedReport[];
 }
 
 /** How one round of reports is exchanged. */
@@ -17,11 +23,8 @@
   readonly after: (ms: number, run: () => void) => void;
 }
 
-function workOf({
-  board,
-  ownReplicaUses,
-  loadReports,
-}: GatewayRouter): InstanceWork {
+function workOf(router: GatewayRouter): InstanceWork {
+  const { board, ownReplicaUses, loadReports } = router;
   return {
     instance: board.instance,
     work: {
@@ -30,9 +33,20 @@
       reports: loadReports,
       lengths: board.lengths.own,
     },
+    speeds: createSpeedReports(board),
   };
 }
 
+function receive(
+  router: GatewayRouter | undefined,
+  { instance, work, speeds }: InstanceWork,
+): void {
+  if (router) {
+    router.onPeerUpdate(instance, work);
+    applySpeedReports(router.board, speeds);
+  }
+}
+
 function broadcastWork(
   routers: readonly GatewayRouter[],
   reports: readonly InstanceWork[],
@@ -40,8 +54,8 @@
   routers.forEach(router => {
     reports
       .filter(({ instance }) => instance !== router.board.instance)
-      .forEach(({ instance, work }) => {
-        router.onPeerUpdate(instance, work);
+      .forEach(report => {
+        receive(router, report);
       });
   });
 }
@@ -58,8 +72,8 @@
       const callee = index >= caller ? index + 1 : index;
       const [own, other] = [reports[caller], reports[callee]];
       if (own && other) {
-        router.onPeerUpdate(other.instance, other.work);
-        routers[callee]?.onPeerUpdate(own.instance, own.work);
+        receive(router, other);
+        receive(routers[callee], own);
       }
     });
   });
--- a/packages/bench/src/gateway/replayShapes.ts
+++ b/packages/bench/src/gateway/replayShapes.ts
@@ -1,6 +1,8 @@
 import type { ReplayLoad } from './burstLoad.js';
 import { BURST_LOAD } from './burstLoad.js';
+import type { UnevenHosts } from './HostPace.js';
 import { TIGHT_LOAD } from './tightLoad.js';
+import { UNEVEN_LOAD } from './unevenLoad.js';
 
 /** How instances exchange reports on their work. */
 export type ReplayExchange =
@@ -27,6 +29,10 @@
   readonly overload?: ReplayOverload;
   /** Engines that announce their leave in answers; none if omitted. */
   readonly leave?: ReplayLeave;
+  /** Hosts of different speed; all are the same if omitted. */
+  readonly uneven?: UnevenHosts;
+  /** Requests that wait at an engine at most; it rejects others. No bound if omitted. */
+  readonly queue?: number;
 }
 
 /** Engines that reject all requests for a while, each with a requested pause. */
@@ -84,3 +90,35 @@
   scale: 1,
   exchange: { kind: 'everyone', delayMs: EXCHANGE_MS },
 };
+
+/** Replicas of different speed with few slots, some of which are slower at times. */
+export const UNEVEN_FLEET: ReplayShape = {
+  load: UNEVEN_LOAD,
+  instances: 6,
+  replicas: 9,
+  slots: 12,
+  scale: 1,
+  exchange: { kind: 'everyone', delayMs: EXCHANGE_MS },
+  uneven: { isReported: true, hasMoments: true },
+  queue: 6,
+};
+
+/**
+ * Returns a fleet with replicas of different speed and many instances, which gossip
+ * with one other per round.
+ *
+ * @param instances - number of instances
+ * @param replicas - number of replicas, to which the load is scaled
+ */
+export function largeUnevenFleet(
+  instances: number,
+  replicas: number,
+): ReplayShape {
+  return {
+    ...UNEVEN_FLEET,
+    instances,
+    replicas,
+    scale: replicas / UNEVEN_FLEET.replicas,
+    exchange: { kind: 'few', fanout: 1 },
+  };
+}
