perf(decisions): less work for the speeds in each message

Each message to another instance built a report of every replica, of which it contained at most 44. The reports that are sent are selected first now.

--- a/packages/decisions/src/gateway/speed/speedReports.ts
+++ b/packages/decisions/src/gateway/speed/speedReports.ts
@@ -1,3 +1,4 @@
+import type { BackendLoad } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import type { ReplicaRun } from '../replicaRuns.js';
 import { isSameRun } from '../replicaRuns.js';
@@ -16,18 +17,28 @@
 /** Maximum number of other speeds in a message, for instances that missed them. */
 const MAX_OTHERS = 4;
 
-function allReports({ speeds, backends }: GatewayBoard): readonly {
-  readonly report: SpeedReport;
+interface KnownSpeed {
+  readonly load: BackendLoad;
+  readonly estimate: SpeedEstimate;
+  /** Local time at which it became news, in milliseconds. */
   readonly newsMs: number;
-}[] {
-  return [...speeds.services.values()].flatMap(({ known }) =>
-    [...known].flatMap(([load, { estimate, newsMs }]) => {
-      const { id, bornMs } = load.replica;
-      return estimate && backends.get(id) === load
-        ? [{ report: { id, bornMs, ...estimate }, newsMs }]
-        : [];
-    }),
-  );
+}
+
+function allKnown({ speeds, backends }: GatewayBoard): readonly KnownSpeed[] {
+  const all: KnownSpeed[] = [];
+  speeds.services.forEach(({ known }) => {
+    known.forEach(({ estimate, newsMs }, load) => {
+      if (estimate && backends.get(load.replica.id) === load) {
+        all.push({ load, estimate, newsMs });
+      }
+    });
+  });
+  return all;
+}
+
+function toReport({ load, estimate }: KnownSpeed): SpeedReport {
+  const { id, bornMs } = load.replica;
+  return { id, bornMs, ...estimate };
 }
 
 /**
@@ -43,14 +54,14 @@
     return [];
   }
   const sinceMs = board.clock() - NEWS_MS;
-  const all = allReports(board);
+  const all = allKnown(board);
   const news = all.filter(({ newsMs }) => newsMs >= sinceMs);
   const others = all.filter(({ newsMs }) => newsMs < sinceMs);
   const start = Math.floor(board.random() * others.length);
   return [
     ...news.slice(0, MAX_NEWS),
     ...others.slice(start, start + MAX_OTHERS),
-  ].map(({ report }) => report);
+  ].map(toReport);
 }
 
 /**
@@ -61,7 +72,7 @@
 export function createAllSpeedReports(
   board: GatewayBoard,
 ): readonly SpeedReport[] {
-  return allReports(board).map(({ report }) => report);
+  return allKnown(board).map(toReport);
 }
 
 /**
