--- a/packages/decisions/src/gateway/placement/groupSegments.ts
+++ b/packages/decisions/src/gateway/placement/groupSegments.ts
@@ -1,6 +1,8 @@
 import type { BackendLoad, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { estimatesOf } from '../GatewayBoard.js';
+import type { ServiceSpeeds } from '../speed/ServiceSpeeds.js';
+import { splitBySpeed } from './splitBySpeed.js';
 import { splitReplicas } from './splitReplicas.js';
 import type { ToleranceGroup } from './toleranceGroups.js';
 import { toleranceGroups } from './toleranceGroups.js';
@@ -48,17 +50,30 @@
 type SegmentsFor = (
   request: GatewayRequest,
   ranked: readonly BackendLoad[],
+  speeds: ServiceSpeeds | undefined,
 ) => Segments;
 
 const MS_PER_SECOND = 1000;
 
+/** Cuts replicas in order into segments of given sizes. */
+function cutInto<Item>(
+  items: readonly Item[],
+  sizes: readonly number[],
+): readonly (readonly Item[])[] {
+  return sizes.map((size, place) => {
+    const before = sizes.slice(0, place);
+    const start = before.reduce((sum, other) => sum + other, 0);
+    return items.slice(start, start + size);
+  });
+}
+
 /**
  * Divides the replicas of a service among its groups by their demand.
  *
  * @param board - knows the demand at all instances
  * @param options - how full groups may be
  * @returns a function that finds a request's replicas, given all replicas in an
- *   order on which all instances agree
+ *   order on which all instances agree, and their speeds
  */
 export function createGroupSegments(
   board: GatewayBoard,
@@ -83,7 +98,7 @@
     return Math.max(replicasForTokens, inFlight / (slots * options.slotUse));
   };
 
-  return (request, ranked) => {
+  return (request, ranked, speeds) => {
     const groups = board.table
       ? toleranceGroups(board.table, request.service.id)
       : [];
@@ -93,19 +108,16 @@
     if (index === -1 || ranked.length < groups.length) {
       return { own: ranked, others: [] };
     }
-    const sizes = splitReplicas(
-      groups.map((group, place) => ({
-        replicas: replicasNeeded(group, place, request),
-        minReplicas: place === 0 ? options.minDelicateShare * ranked.length : 1,
-      })),
-      ranked.length,
-      options.minLastShare,
-    );
-    const segments = sizes.map((size, place) => {
-      const before = sizes.slice(0, place);
-      const start = before.reduce((sum, other) => sum + other, 0);
-      return ranked.slice(start, start + size);
-    });
+    const needs = groups.map((group, place) => ({
+      replicas: replicasNeeded(group, place, request),
+      minReplicas: place === 0 ? options.minDelicateShare * ranked.length : 1,
+    }));
+    const segments = speeds
+      ? splitBySpeed(needs, ranked, speeds, options.minLastShare)
+      : cutInto(
+          ranked,
+          splitReplicas(needs, ranked.length, options.minLastShare),
+        );
     // A more delicate group keeps its replicas to itself, unless all of its
     // routes are less urgent than the request: an urgent request is not turned
     // away while less urgent groups have room.
--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -8,6 +8,7 @@
 import { firstEventMs } from '../firstEventMs.js';
 import { prefixPathsOf } from '../PromptCacheEstimate.js';
 import { requestRank } from '../requestRank.js';
+import type { ServiceSpeeds } from '../speed/ServiceSpeeds.js';
 import type { CacheHolder } from './cacheFetch.js';
 import { bestHolders, chooseFetch, homeReplica } from './cacheFetch.js';
 import { createHashOrder } from './createHashOrder.js';
@@ -29,6 +30,25 @@
    * to the first.
    */
   readonly streamWeight: number;
+  /**
+   * The same weight where replicas are uneven. The time of long answers then
+   * differs many times as much between replicas as that of short ones, so that
+   * they go to fast ones.
+   */
+  readonly unevenStreamWeight: number;
+  /**
+   * Weight of the time to read the prompt where replicas are uneven, in addition to
+   * its part of the time to the first event. Reading holds up all other streams on
+   * the replica, on a slow one more than twice as long.
+   */
+  readonly unevenReadWeight: number;
+  /** Range of a random cost where replicas are uneven, in milliseconds. */
+  readonly unevenSpreadMs: number;
+  /**
+   * Cost of a replica that is known to reject requests because it is full, in
+   * milliseconds; more than all other costs together.
+   */
+  readonly fullMs: number;
   /**
    * Cost of a replica in another failure domain, in milliseconds; about one
    * round trip.
@@ -77,6 +97,8 @@
   /** Rank at which a replica would serve the request. */
   readonly rank: number;
   readonly isDeferred: boolean;
+  /** Undefined where replicas count as equally fast. */
+  readonly speeds: ServiceSpeeds | undefined;
 }
 
 function createToleranceSplit(
@@ -91,12 +113,16 @@
     loads: readonly BackendLoad[],
     all: readonly BackendLoad[],
     isDeferred: boolean,
+    speeds: ServiceSpeeds | undefined,
   ): RequestContext => {
     const { prompt, route, service } = request;
     const parts = prompt?.parts ?? [];
     const shared = sharedParts(request);
     const last = shared.at(-1);
-    const home = last && homeReplica(last, loads);
+    const capacityOf = speeds
+      ? (load: BackendLoad): number => speeds.capacityOf(load)
+      : null;
+    const home = last && homeReplica(last, loads, capacityOf);
     const paths = prefixPathsOf(parts);
     const sharedTokens = tokensOf(shared);
     const cached = new Map(
@@ -122,6 +148,7 @@
       cached,
       rank: requestRank(board, request, urgency),
       isDeferred,
+      speeds,
     };
   };
 
@@ -130,8 +157,9 @@
     load: BackendLoad,
     context: RequestContext,
   ): PlacedCandidate => {
-    const { promptTokens, sharedTokens, pieces, isDeferred } = context;
+    const { promptTokens, sharedTokens, pieces, isDeferred, speeds } = context;
     const { engine } = estimatesOf(board, request.service.id);
+    const speedFactor = speeds?.factorOf(load) ?? 1;
     const isHome = load === context.home;
     const cached = context.cached.get(load) ?? 0;
     const ownTokens = isHome
@@ -151,7 +179,7 @@
     const tokensAhead = tokensBefore + unreadTokens;
     const { priority } = request;
     const eventMs = (tokens: number): number =>
-      firstEventMs(engine, load, { priority, isDeferred, tokens });
+      firstEventMs(engine, load, { priority, isDeferred, tokens }, speedFactor);
     const predictedMs = copyMs + eventMs(tokensAhead);
     const ownReadMs = eventMs(tokensAhead) - eventMs(tokensBefore);
     // Tokens that are only likely to be cached may have to be read after all.
@@ -164,13 +192,26 @@
     const slots = request.service.engine?.slots ?? Infinity;
     const occupancy = load.totalInFlight / slots;
     const isRemote = load.replica.failureDomain !== board.failureDomain;
-    const streamMs = pieces * load.eventIntervalMs;
+    const streamMs =
+      pieces *
+      (speeds?.intervalMs(request.route.id, load) ?? load.eventIntervalMs);
+    const streamWeight = speeds
+      ? options.unevenStreamWeight
+      : options.streamWeight;
+    const fullMs = speeds && load.isFull ? options.fullMs : 0;
+    // The reports that instances decide by are old, so that all of them would choose
+    // the same replica.
+    const spreadMs = speeds ? board.random() * options.unevenSpreadMs : 0;
+    const harmMs = speeds ? ownReadMs * options.unevenReadWeight : 0;
     const cost =
       predictedMs +
       rereadMs +
-      options.streamWeight * streamMs +
+      streamWeight * streamMs +
       options.crowdMs * occupancy * occupancy +
-      (isRemote ? options.domainMs : 0);
+      (isRemote ? options.domainMs : 0) +
+      fullMs +
+      harmMs +
+      spreadMs;
     return {
       load,
       unreadTokens,
@@ -185,6 +226,7 @@
   };
 
   return (request, candidates, isDeferred) => {
+    const speeds = board.speeds.current(request.service.id);
     const ranked = orderByHash(candidates);
     // Only replicas without a limit are divided into groups, because they can
     // serve a group all the time. Requests of every group may use a replica
@@ -192,14 +234,23 @@
     // next.
     const unlimited = ranked.filter(({ limitPerS }) => limitPerS === null);
     const limited = ranked.filter(({ limitPerS }) => limitPerS !== null);
-    const { own, others } = segmentsFor(request, unlimited);
+    const { own, others } = segmentsFor(request, unlimited, speeds);
     const homeCandidates = own.length > 0 ? own : ranked;
     const ownCandidates = own.length > 0 ? [...own, ...limited] : ranked;
-    const context = createContext(request, homeCandidates, ranked, isDeferred);
+    const context = createContext(
+      request,
+      homeCandidates,
+      ranked,
+      isDeferred,
+      speeds,
+    );
     const placed = ownCandidates.map(load => evaluate(request, load, context));
     const borrowed = (own.length > 0 ? others : []).map(load => {
       const candidate = evaluate(request, load, context);
-      return { ...candidate, cost: candidate.cost + options.mixingMs };
+      return {
+        ...candidate,
+        cost: candidate.cost + options.mixingMs,
+      };
     });
     return [...placed, ...borrowed].sort((a, b) => a.cost - b.cost);
   };
@@ -225,6 +276,10 @@
     mixingMs: z.number().nonnegative().default(150),
     crowdMs: z.number().nonnegative().default(250),
     streamWeight: z.number().nonnegative().default(0.03),
+    unevenStreamWeight: z.number().nonnegative().default(0.1),
+    unevenReadWeight: z.number().nonnegative().default(3),
+    unevenSpreadMs: z.number().nonnegative().default(100),
+    fullMs: z.number().nonnegative().default(100_000),
     minDelicateShare: z.number().min(0).max(1).default(0.2),
     domainMs: z.number().nonnegative().default(2),
     rereadWeight: z.number().nonnegative().default(16),
--- /dev/null
+++ b/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
@@ -0,0 +1,170 @@
+import fc from 'fast-check';
+import type { Replica } from '@jujubecroft/types';
+import { describe } from '@jujubecroft/testing';
+
+import type { BackendLoad } from '../../../src/index.js';
+import { applySpeedReports } from '../../../src/index.js';
+import { homeReplica } from '../../../src/gateway/placement/cacheFetch.js';
+import { splitBySpeed } from '../../../src/gateway/placement/splitBySpeed.js';
+import { ReplicaSpeed } from '../../../src/gateway/speed/ReplicaSpeed.js';
+import type { GatewayFixture } from '../helpers/gatewayFixture.js';
+import { gatewayFixture, replica, route } from '../helpers/gatewayFixture.js';
+
+const REPLICAS = ['s-0', 's-1', 's-2'].map(name => replica(name, { slots: 2 }));
+const PARTS = [{ id: 'own', tokens: 400 }];
+const FAST_MS = 20;
+const SLOW_MS = 50;
+
+/** Three replicas, of which the last is fast once speeds are reported. */
+function fixture(replicas: readonly Replica[] = REPLICAS): GatewayFixture {
+  return gatewayFixture([route()], replicas);
+}
+
+function reportSpeeds({ board }: GatewayFixture): void {
+  applySpeedReports(
+    board,
+    REPLICAS.map(({ id, bornMs }) => ({
+      id,
+      bornMs,
+      samples: 40,
+      unitMs: id === 's-2' ? FAST_MS : SLOW_MS,
+      speedClass: 'usual',
+    })),
+  );
+}
+
+function rankedBy({ router, request }: GatewayFixture): string {
+  const decision = router.place(request(route(), PARTS), new Set());
+  return decision.kind === 'send' ? decision.placed.load.replica.id : '';
+}
+
+/** Makes a replica reject a request while it reports four others. */
+function rejectAsFull({ router, request }: GatewayFixture): BackendLoad {
+  const decision = router.place(request(route(), PARTS), new Set());
+  if (decision.kind !== 'send') {
+    throw new Error('a replica is free');
+  }
+  const attempt = router.beginAttempt(
+    request(route(), PARTS),
+    decision.placed,
+    1,
+  );
+  router.onReported(attempt, { running: 2, waiting: 2, slots: 2 });
+  router.onEnded(attempt, { kind: 'notRun', reason: 'status 503' });
+  return attempt.load;
+}
+
+describe('placement by the speed of replicas', ({ it }) => {
+  it('predicts a shorter time at a fast replica, and prefers it', t => {
+    const uneven = fixture();
+    reportSpeeds(uneven);
+    const placed = Array.from({ length: 10 }, () => rankedBy(uneven));
+    t.deepEqual([...new Set(placed)], ['s-2']);
+  });
+
+  it('avoids a replica that is as full as when it rejected a request', t => {
+    // Guards against requests with one attempt being lost at a full replica while
+    // another has room.
+    const uneven = fixture();
+    reportSpeeds(uneven);
+    const full = rejectAsFull(uneven);
+    t.true(full.isFull);
+    t.false(rankedBy(uneven) === full.replica.id);
+    uneven.clock.advance(5000);
+    t.false(full.isFull);
+  });
+
+  it('ignores the fullness of replicas that report no slowdown', t => {
+    const even = fixture();
+    const full = rejectAsFull(even);
+    t.true(full.isFull);
+    t.is(rankedBy(even), full.replica.id);
+  });
+
+  it('keeps the home of a prompt part while its replica stays in its class', t => {
+    const { board } = fixture();
+    const loads = [...board.backends.values()];
+    const parts = Array.from({ length: 300 }, (_, index) => ({
+      id: `p-${index}`,
+      tokens: 1,
+    }));
+    const homes = (of: (load: BackendLoad) => number): number =>
+      parts.filter(part => homeReplica(part, loads, of)?.replica.id === 's-2')
+        .length;
+    t.deepEqual(
+      parts.map(part => homeReplica(part, loads)),
+      parts.map(part => homeReplica(part, loads, () => 0.7)),
+    );
+    const doubled = homes(load => (load.replica.id === 's-2' ? 2 : 1));
+    t.true(doubled > 120 && doubled < 180, String(doubled));
+  });
+});
+
+describe('class of the speed of a replica', ({ it }) => {
+  it('does not change back and forth with samples around a bound', t => {
+    // Guards against groups that exchange replicas, and homes that move, with each
+    // sample.
+    const speed = new ReplicaSpeed();
+    const factors = [1.3, 1.2, 1.26, 1.15, 1.24, 1.2, 1.3, 1.14];
+    const classes = factors.map((factor, index) => {
+      const samples = 1000 + index;
+      const { speedClass } = speed;
+      speed.merge({ samples, unitMs: 10 * factor, speedClass }, index);
+      speed.relateTo(10, index);
+      return speed.speedClass;
+    });
+    t.deepEqual([...new Set(classes)], ['slow']);
+  });
+});
+
+describe('splitBySpeed', ({ it }) => {
+  const REPLICA_NAMES = ['f1', 's1', 'f2', 'u1', 's2', 'f3', 's3', 'f4', 'u2'];
+  const pace = {
+    classOf: (name: string) =>
+      name.startsWith('s') ? 'slow' : name.startsWith('f') ? 'fast' : 'usual',
+    capacityOf: (name: string) =>
+      name.startsWith('s') ? 0.6 : name.startsWith('f') ? 1.4 : 1,
+  } as const;
+  const need = (replicas: number, minReplicas = 1) => ({
+    replicas,
+    minReplicas,
+  });
+
+  it('keeps delicate streams off slow replicas, and gives those to short answers', t => {
+    // Guards against live answers that pause while a slow replica reads a prompt.
+    const [delicate, middle, last] = splitBySpeed(
+      [need(2.8), need(1.7), need(0)],
+      REPLICA_NAMES,
+      pace,
+      0.25,
+    );
+    t.deepEqual(delicate, ['f1', 'f2']);
+    t.deepEqual(middle, ['s1', 's2', 's3']);
+    t.deepEqual(last, ['u1', 'u2', 'f3', 'f4']);
+  });
+
+  it('gives each replica to one group, and each group a replica', t => {
+    fc.assert(
+      fc.property(
+        fc.uniqueArray(fc.constantFrom(...REPLICA_NAMES), { minLength: 3 }),
+        fc.array(fc.double({ min: 0, max: 20, noNaN: true }), {
+          minLength: 3,
+          maxLength: 3,
+        }),
+        (names, amounts) => {
+          const groups = splitBySpeed(
+            amounts.map(amount => need(amount)),
+            names,
+            pace,
+            0.25,
+          );
+          return (
+            groups.every(group => group.length > 0) &&
+            groups.flat().sort().join() === [...names].sort().join()
+          );
+        },
+      ),
+    );
+    t.pass();
+  });
+});
