fix(gateway): answer bodies that turn out too large

Since bodies are read by events, a body without a stated length that exceeded the limit destroyed the request and with it the connection, so the caller saw a closed connection in place of status 413.

--- a/packages/gateway/src/front/readBody.ts
+++ b/packages/gateway/src/front/readBody.ts
@@ -49,8 +49,10 @@
     req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes > maxBytes) {
+        // Discards the rest instead of destroying the request, which would also
+        // close the connection before the error response is written.
+        chunks.length = 0;
         resolve({ kind: 'tooLarge' });
-        req.destroy();
         return;
       }
       chunks.push(chunk);
