feat(decisions): divide short capacity among organisations

Callers saw one organisation at six times its usual load take the capacity of the others: no decision on a request considered its organisation.

While capacity is short for a priority of a service, it is divided by weighted max-min fairness over work (prompt tokens to read, output tokens with a weight, the time of plain services). Requests beyond the share of their organisation are refused first, with a Retry-After that grows with the excess; the part is drawn at random, since one instance gets too few requests to count them off. The capacity is the work that was sent while nothing showed a lack of it, so it needs no model of the replicas.

It is off unless the board is created with dividesCapacity, and without effect unless a first event was predicted beyond half of its target within the last second.

--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -21,6 +21,7 @@
 import { RetryBudget } from './RetryBudget.js';
 import { DemandTracker } from './RouteDemand.js';
 import type { RoutingTable } from './RoutingTable.js';
+import { OrganisationShares } from './shares/OrganisationShares.js';
 import { StoreClock } from './StoreClock.js';
 
 /**
@@ -37,6 +38,11 @@
    * none.
    */
   readonly duties?: DutySettings | null;
+  /**
+   * Whether capacity is divided among organisations while it is short; false if
+   * omitted.
+   */
+  readonly dividesCapacity?: boolean;
   /** Wall-clock time in Unix milliseconds. */
   readonly timeOfDay?: () => number;
 }
@@ -70,6 +76,8 @@
    * State of the duties, which one instance performs for all; null for none.
    */
   readonly duties: DutyBoard | null;
+  /** Shares of organisations; null where capacity is not divided. */
+  readonly shares: OrganisationShares | null;
   /** Load of each replica that is in use or still has attempts. */
   readonly backends: Map<BackendServerId, BackendLoad>;
   /**
@@ -107,6 +115,7 @@
 export function createGatewayBoard(options: GatewayBoardOptions): GatewayBoard {
   const { clock, random, instance, failureDomain, retryBudget } = options;
   const { duties: settings = null, timeOfDay = Date.now } = options;
+  const { dividesCapacity = false } = options;
   const storeClock = new StoreClock(clock);
   const replicas = new ReplicaRegistry(storeClock);
   return {
@@ -124,6 +133,9 @@
     storeClock,
     replicas,
     duties: settings && createDutyBoard({ settings, storeClock, timeOfDay }),
+    shares: dividesCapacity
+      ? new OrganisationShares({ clock, random, timeOfDay })
+      : null,
     backends: new Map(),
     supersededRuns: new Set(),
     estimates: new Map(),
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -66,6 +66,7 @@
       return false;
     }
     board.table = new RoutingTable(board.configurations.record(known, cfg));
+    board.shares?.retainServices(cfg.services.map(({ id }) => id));
     return true;
   }
 
@@ -360,6 +361,9 @@
   /** Records the work and the load reports that another instance sent. */
   onPeerUpdate(peer: InstanceId, update: PeerUpdate): void {
     this.#peerLoad.onPeerUpdate(peer, update);
+    if (update.work) {
+      this.board.shares?.onReport(peer, update.work);
+    }
   }
 
   /** Updates the set of live instances. */
@@ -367,6 +371,7 @@
     this.board.instances = Math.max(1, live.length);
     this.board.budget.onInstances(this.board.instances);
     this.board.limits.onInstances(live);
+    this.board.shares?.onInstances(live);
     this.#peerLoad.retainPeers(live);
   }
 }
--- a/packages/decisions/src/gateway/PeerLoadTracker.ts
+++ b/packages/decisions/src/gateway/PeerLoadTracker.ts
@@ -6,6 +6,7 @@
 import type { GatewayBoard } from './GatewayBoard.js';
 import { isSameRun } from './replicaRuns.js';
 import type { RouteDemand } from './RouteDemand.js';
+import type { WorkReport } from './shares/WorkReport.js';
 
 /** One run of a replica, from its start to its end. */
 interface ReplicaRun {
@@ -33,6 +34,8 @@
   readonly uses: readonly ReplicaUse[];
   readonly demands: readonly RouteDemand[];
   readonly lengths: readonly ObservedLength[];
+  /** Work by organisation; absent where capacity is not divided. */
+  readonly work?: WorkReport;
 }
 
 interface ReceivedUpdate extends PeerUpdate {
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -60,5 +60,7 @@
 export type { RetryBudgetRules } from './RetryBudget.js';
 export type { RouteDemand } from './RouteDemand.js';
 export { RoutingTable } from './RoutingTable.js';
+export type { OrganisationShare } from './shares/divideCapacity.js';
+export type { WorkGroup, WorkReport } from './shares/WorkReport.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -16,6 +16,8 @@
   PlacementPolicy,
 } from './placement/PlacementPolicy.js';
 import { isSameRun } from './replicaRuns.js';
+import type { OrganisationShare } from './shares/divideCapacity.js';
+import { holdBack, recordAdmission } from './shares/holdBack.js';
 import { usableCandidates } from './usableCandidates.js';
 
 /** Placement and admission policies of the gateway. */
@@ -44,6 +46,8 @@
       /** The best candidate; null if there was none. */
       readonly best: PlacedCandidate | null;
       readonly candidates: number;
+      /** Set if the request is beyond its organisation's share. */
+      readonly share?: OrganisationShare;
     };
 
 /** Shortest retry delay; nothing would have changed sooner. */
@@ -203,11 +207,23 @@
   }
   const admit = isPrompt ? policies.admitPrompt : policies.admitCall;
   const verdict = admit(request, best);
+  const held = holdBack(board, request, best);
+  if (held) {
+    return {
+      kind: 'refuse',
+      code: 'overloaded',
+      ...held,
+      verdict,
+      best,
+      candidates,
+    };
+  }
   // The cheapest replica may be the one that would not finish in time. The
   // request is rejected only if no other replica would serve it either.
   const placed = verdict.admit
     ? best
     : ranked.slice(1).find(other => admit(request, other).admit);
+  recordAdmission(board, request, placed ?? null);
   if (placed) {
     return { kind: 'send', placed, candidates };
   }
--- /dev/null
+++ b/packages/decisions/src/gateway/shares/OrganisationShares.ts
@@ -0,0 +1,187 @@
+import type { InstanceId, ServiceId } from '@jujubecroft/types';
+
+import type { Clock } from '../../blackboard/Blackboard.js';
+import type { GatewayRequest } from '../BackendLoad.js';
+import type { Division, OrganisationShare } from './divideCapacity.js';
+import { divideCapacity } from './divideCapacity.js';
+import { PeerWork } from './PeerWork.js';
+import type { WorkReport } from './WorkReport.js';
+import { WorkTracker } from './WorkTracker.js';
+
+/** Clocks and random source of one instance. */
+export interface ShareSources {
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Wall-clock time in Unix milliseconds. */
+  readonly timeOfDay: () => number;
+}
+
+/** What the shares need to know about a request. */
+type SharedRequest = Pick<
+  GatewayRequest,
+  'isCallerRetry' | 'organisation' | 'priority' | 'service'
+>;
+
+/** Division of one priority of a service, as computed at some time. */
+interface ComputedDivision {
+  readonly atMs: number;
+  /** Null while capacity is not short. */
+  readonly division: Division | null;
+}
+
+/** Time since a lack of capacity after which shares no longer apply. */
+const SHORT_MS = 1000;
+/**
+ * Time since a lack of capacity for which work is reported to peers; longer
+ * than `SHORT_MS`, so that the rates are known when it recurs.
+ */
+const REPORT_MS = 5000;
+/** Time for which computed shares are reused. */
+const DIVISION_MS = 100;
+/** Factor on its share up to which an organisation's use is tolerated. */
+const SHARE_TOLERANCE = 1.1;
+/**
+ * Factor on the median use up to which an organisation is not held back. Each
+ * instance sees a sample of the requests, in which the use of an organisation
+ * varies by about half.
+ */
+const MEDIAN_TOLERANCE = 2;
+
+function isAbove(
+  { usePerS, sharePerS }: OrganisationShare,
+  medianPerS: number,
+): boolean {
+  return (
+    usePerS >
+    Math.max(SHARE_TOLERANCE * sharePerS, MEDIAN_TOLERANCE * medianPerS)
+  );
+}
+
+/**
+ * Decides which requests are beyond the fair share of their organisation while
+ * capacity is short.
+ *
+ * Capacity is divided among the organisations whose requests have the same
+ * position in the priority order of a service. Requests without an
+ * organisation are neither counted nor held back.
+ */
+export class OrganisationShares {
+  readonly #work: WorkTracker;
+  readonly #peers: PeerWork;
+  readonly #divisions = new Map<ServiceId, Map<number, ComputedDivision>>();
+  #instances = 1;
+
+  constructor(private readonly sources: ShareSources) {
+    this.#work = new WorkTracker(sources.clock);
+    this.#peers = new PeerWork(sources.clock);
+  }
+
+  /**
+   * Records a request that a caller makes, and determines whether it is beyond
+   * its organisation's share.
+   *
+   * The part of an organisation's requests that is beyond its share is drawn at
+   * random, since one instance gets too few of them to count them off.
+   *
+   * @param request - the request, at its first placement
+   * @param work - its work
+   * @returns use and share of the organisation if the request is beyond the
+   *   share; null if it is served as usual
+   */
+  onOffered(request: SharedRequest, work: number): OrganisationShare | null {
+    const { service, priority, organisation, isCallerRetry } = request;
+    if (organisation === null) {
+      return null;
+    }
+    if (!isCallerRetry) {
+      this.#work.ratesOf(service.id, priority).onOffered(organisation, work);
+    }
+    const division = this.#divisionOf(service.id, priority);
+    const share = division?.shares.get(organisation);
+    if (!division || !share || !isAbove(share, division.medianPerS)) {
+      return null;
+    }
+    const excess = 1 - share.sharePerS / share.usePerS;
+    return this.sources.random() < excess ? share : null;
+  }
+
+  /** Records that a request was sent and is predicted to be on time. */
+  onSentOnTime(request: SharedRequest, work: number): void {
+    const { service, priority, organisation } = request;
+    if (organisation !== null) {
+      this.#work.ratesOf(service.id, priority).onTime(work);
+    }
+  }
+
+  /** Records that a request is predicted late or was refused. */
+  onShort({ service, priority, organisation }: SharedRequest): void {
+    if (organisation !== null) {
+      this.#work.ratesOf(service.id, priority).onShort();
+    }
+  }
+
+  /** Whether capacity for one priority of a service is short. */
+  isShort(service: ServiceId, priority: number): boolean {
+    return (
+      this.#work.ratesOf(service, priority).shortAgeMs <= SHORT_MS ||
+      this.#peers
+        .groupsOf(service, priority)
+        .some(({ shortAgeMs }) => shortAgeMs <= SHORT_MS)
+    );
+  }
+
+  /**
+   * Work at this instance, to be sent to the others; without groups unless
+   * capacity was short here or at a peer within the last seconds.
+   */
+  get report(): WorkReport {
+    return {
+      asOfMs: this.sources.timeOfDay(),
+      groups: this.#work.groups(
+        ({ service, priority, shortAgeMs }) =>
+          shortAgeMs <= REPORT_MS ||
+          this.#peers
+            .groupsOf(service, priority)
+            .some(group => group.shortAgeMs <= REPORT_MS),
+      ),
+    };
+  }
+
+  /** Records the work that another instance reported. */
+  onReport(peer: InstanceId, report: WorkReport): void {
+    this.#peers.onReport(peer, report);
+  }
+
+  /** Updates the set of live instances, this one included. */
+  onInstances(live: readonly InstanceId[]): void {
+    this.#instances = Math.max(1, live.length);
+    this.#peers.retainPeers(live);
+  }
+
+  /** Drops the state of services that the configuration no longer has. */
+  retainServices(services: readonly ServiceId[]): void {
+    this.#work.retainServices(services);
+    this.#divisions.clear();
+  }
+
+  /** Division in force; null while capacity is not short. */
+  #divisionOf(service: ServiceId, priority: number): Division | null {
+    const priorities =
+      this.#divisions.get(service) ?? new Map<number, ComputedDivision>();
+    this.#divisions.set(service, priorities);
+    const known = priorities.get(priority);
+    const nowMs = this.sources.clock();
+    if (known && nowMs - known.atMs < DIVISION_MS) {
+      return known.division;
+    }
+    const division = this.isShort(service, priority)
+      ? divideCapacity(
+          this.#work.ratesOf(service, priority).group,
+          this.#peers.groupsOf(service, priority),
+          this.#instances,
+        )
+      : null;
+    priorities.set(priority, { atMs: nowMs, division });
+    return division;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/shares/WorkTracker.ts
@@ -0,0 +1,107 @@
+import type { OrganisationId, ServiceId } from '@jujubecroft/types';
+
+import type { Clock } from '../../blackboard/Blackboard.js';
+import { DemandRate } from '../DemandRate.js';
+import type { WorkGroup } from './WorkReport.js';
+
+/**
+ * Time constant of the work rates, in milliseconds; short enough that a surge
+ * of some ten seconds is noticed in its first two.
+ */
+const SMOOTHING_MS = 3000;
+const MS_PER_SECOND = 1000;
+/** Work per second below which an organisation counts as idle. */
+const MIN_WORK_PER_S = 0.5;
+
+/** Rates of the requests of one priority at a service. */
+class GroupRates {
+  readonly #offered = new Map<OrganisationId, DemandRate>();
+  readonly #onTime: DemandRate;
+  #shortAtMs = -Infinity;
+
+  constructor(
+    readonly service: ServiceId,
+    readonly priority: number,
+    private readonly clock: Clock,
+  ) {
+    this.#onTime = new DemandRate(clock, SMOOTHING_MS);
+  }
+
+  /** Time since a request last met a lack of capacity, in milliseconds. */
+  get shortAgeMs(): number {
+    return this.clock() - this.#shortAtMs;
+  }
+
+  /** Rates at present, without organisations that have become idle. */
+  get group(): WorkGroup {
+    const { service, priority, shortAgeMs } = this;
+    const organisations = [...this.#offered].map(([organisation, rate]) => ({
+      organisation,
+      workPerS: rate.perMs * MS_PER_SECOND,
+    }));
+    organisations
+      .filter(({ workPerS }) => workPerS < MIN_WORK_PER_S)
+      .forEach(({ organisation }) => this.#offered.delete(organisation));
+    return {
+      service,
+      priority,
+      shortAgeMs,
+      onTimePerS: this.#onTime.perMs * MS_PER_SECOND,
+      organisations: organisations.filter(
+        ({ workPerS }) => workPerS >= MIN_WORK_PER_S,
+      ),
+    };
+  }
+
+  onOffered(organisation: OrganisationId, work: number): void {
+    const rate =
+      this.#offered.get(organisation) ??
+      new DemandRate(this.clock, SMOOTHING_MS);
+    this.#offered.set(organisation, rate);
+    rate.add(work);
+  }
+
+  onTime(work: number): void {
+    this.#onTime.add(work);
+  }
+
+  onShort(): void {
+    this.#shortAtMs = this.clock();
+  }
+}
+
+/**
+ * Tracks the work that organisations offer to this instance, by service and
+ * priority, and whether capacity is short.
+ */
+export class WorkTracker {
+  readonly #services = new Map<ServiceId, Map<number, GroupRates>>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Returns the rates of a priority at a service, from the first request on. */
+  ratesOf(service: ServiceId, priority: number): GroupRates {
+    const priorities =
+      this.#services.get(service) ?? new Map<number, GroupRates>();
+    const rates =
+      priorities.get(priority) ?? new GroupRates(service, priority, this.clock);
+    if (!priorities.has(priority)) {
+      this.#services.set(service, priorities.set(priority, rates));
+    }
+    return rates;
+  }
+
+  /** Returns the present rates of all priorities that meet a condition. */
+  groups(isWanted: (rates: GroupRates) => boolean): readonly WorkGroup[] {
+    return [...this.#services.values()].flatMap(priorities =>
+      [...priorities.values()].filter(isWanted).map(({ group }) => group),
+    );
+  }
+
+  /** Drops the rates of services that the configuration no longer has. */
+  retainServices(services: readonly ServiceId[]): void {
+    [...this.#services.keys()]
+      .filter(service => !services.includes(service))
+      .forEach(service => this.#services.delete(service));
+  }
+}
