--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -5,7 +5,11 @@
   GatewayRouter,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import type { BackendServerId, Replica } from '@jujubecroft/types';
+import type {
+  BackendServerId,
+  OrganisationId,
+  Replica,
+} from '@jujubecroft/types';
 import { assertDefined, brand, createRandom } from '@jujubecroft/types';
 
 import { EventQueue } from '../simulation/EventQueue.js';
@@ -43,10 +47,22 @@
 const NETWORK_DELAY_MS = 1;
 const NO_SOURCE_ENGINE = brand<BackendServerId>('');
 const MS_PER_SECOND = 1000;
+/** Added to the seed of a replay for the requests of a surge. */
+const SURGE_SEED = 1_000_000;
+
+/** Counts of the requests of one organisation and kind that arrived during the surge. */
+export interface OrganisationResult {
+  readonly organisation: OrganisationId | null;
+  readonly kind: string;
+  requests: number;
+  onTime: number;
+  refused: number;
+}
 
 /** Counters and record that the outcome of one request is written to. */
 interface OutcomeTargets {
   readonly result: KindResult;
+  readonly organisation: OrganisationResult;
   readonly replayed: ReplayedRequest;
 }
 
@@ -56,6 +72,7 @@
   readonly #engines = new Map<BackendServerId, PromptEngine>();
   readonly #routers: GatewayRouter[] = [];
   readonly #results = new Map<string, KindResult>();
+  readonly #organisations = new Map<string, OrganisationResult>();
   readonly #inversions: UrgencyWatch;
   /** By instance: callbacks that abort its requests in flight, called when it restarts. */
   readonly #abortCallbacks = new Map<GatewayRouter, Set<() => void>>();
@@ -63,6 +80,9 @@
   readonly #informed = new Set<string>();
   readonly #random: () => number;
   readonly #callers: ReplayCallers;
+  /** Separate random source of a surge, so that all other requests are the same without it. */
+  readonly #surgeRandom: () => number;
+  readonly #surgeCallers: ReplayCallers;
 
   constructor(
     private readonly createPolicies: GatewayPolicyFactory,
@@ -71,6 +91,8 @@
   ) {
     this.#random = createRandom(seed);
     this.#callers = new ReplayCallers(shape, this.#random);
+    this.#surgeRandom = createRandom(seed + SURGE_SEED);
+    this.#surgeCallers = new ReplayCallers(shape, this.#surgeRandom, 'surge');
     this.#inversions = new UrgencyWatch(shape.load.kinds);
   }
 
@@ -82,6 +104,11 @@
     );
   }
 
+  /** Counts by organisation and kind of the requests that arrived during the surge. */
+  get organisations(): readonly OrganisationResult[] {
+    return [...this.#organisations.values()];
+  }
+
   /** Number of preemptions that left a request of a less urgent route running. */
   get misorderedPreemptions(): number {
     return [...this.#engines.values()].reduce(
@@ -158,6 +185,7 @@
         cut: 0,
       });
       this.#scheduleNext(kind);
+      this.#scheduleSurge(kind);
     });
     this.#events.runUntil((LOAD_S + DRAIN_S) * MS_PER_SECOND);
     return [...this.#results.values()];
@@ -216,26 +244,89 @@
     });
   }
 
+  /** Schedules the requests that the first organisation sends beyond its usual ones. */
+  #scheduleSurge(kind: RequestKind): void {
+    const { surge, scale, load } = this.shape;
+    const callers = load.organisations ?? [];
+    const [caller] = callers;
+    if (!surge || !caller) {
+      return;
+    }
+    const perS = (scale * kind.perS * (surge.factor - 1)) / callers.length;
+    const random = this.#surgeRandom;
+    const scheduleNext = (fromMs: number): void => {
+      const atMs = fromMs + (-Math.log(1 - random()) * MS_PER_SECOND) / perS;
+      if (atMs < surge.toMs) {
+        this.#events.at(atMs, () => {
+          const router = this.#drawRouter(random);
+          this.#onRequest(
+            kind,
+            router,
+            this.#surgeCallers.drawRequest(kind, router, atMs, caller),
+          );
+          scheduleNext(atMs);
+        });
+      }
+    };
+    scheduleNext(surge.fromMs);
+  }
+
+  /** Returns the counts of an organisation and kind; not kept outside of the surge. */
+  #organisationOf({
+    organisation,
+    route,
+    arrivedMs,
+  }: GatewayRequest): OrganisationResult {
+    const { surge } = this.shape;
+    const key = `${organisation ?? ''} ${route.id}`;
+    const result = this.#organisations.get(key) ?? {
+      organisation,
+      kind: route.id,
+      requests: 0,
+      onTime: 0,
+      refused: 0,
+    };
+    if (surge && arrivedMs >= surge.fromMs && arrivedMs < surge.toMs) {
+      this.#organisations.set(key, result);
+      return result;
+    }
+    return { ...result };
+  }
+
   #onArrival(kind: RequestKind): void {
     const router = this.#drawRouter();
+    const { nowMs } = this.#events;
+    const request = this.#callers.drawRequest(kind, router, nowMs);
+    this.#onRequest(kind, router, request);
+  }
+
+  #onRequest(
+    kind: RequestKind,
+    router: GatewayRouter,
+    request: GatewayRequest,
+  ): void {
     const result = assertDefined(
       this.#results.get(kind.route.id),
       'every kind has a result',
     );
-    const { nowMs } = this.#events;
-    const request = this.#callers.drawRequest(kind, router, nowMs);
+    const organisation = this.#organisationOf(request);
     result.requests += 1;
+    organisation.requests += 1;
     const replayed = this.#inversions.onRequest({
       kind,
       priority: request.priority,
-      askedMs: nowMs,
+      askedMs: request.arrivedMs,
       promptTokens: request.prompt?.promptTokens ?? 0,
     });
-    this.#placeRequest(kind, router, request, { result, replayed });
+    this.#placeRequest(kind, router, request, {
+      result,
+      organisation,
+      replayed,
+    });
   }
 
-  #drawRouter(): GatewayRouter {
-    const index = Math.floor(this.#random() * this.shape.instances);
+  #drawRouter(random = this.#random): GatewayRouter {
+    const index = Math.floor(random() * this.shape.instances);
     return assertDefined(
       this.#routers[index],
       'index is below the number of instances',
@@ -256,6 +347,7 @@
     }
     if (this.shape.callersRetry !== true || request.isCallerRetry) {
       outcome.result.refused += 1;
+      outcome.organisation.refused += 1;
       return;
     }
     this.#events.after(decision.retryAfterMs, () => {
@@ -272,8 +364,9 @@
     kind: RequestKind,
     router: GatewayRouter,
     attempt: GatewayAttempt,
-    { result, replayed }: OutcomeTargets,
+    outcome: OutcomeTargets,
   ): void {
+    const { result, organisation, replayed } = outcome;
     const { request, load } = attempt;
     const [shared, own] = request.prompt?.parts ?? [];
     const engine = assertDefined(
@@ -332,6 +425,7 @@
         const isOnTime =
           firstEventLatencyMs <= latencyTargetMs && longestGapMs <= gapTargetMs;
         result[isOnTime ? 'onTime' : 'late'] += 1;
+        organisation.onTime += isOnTime ? 1 : 0;
       },
     };
     const abort = (reason: WithdrawReason): void => {
@@ -347,7 +441,7 @@
       this.rejections += 1;
       router.onPauseRequested(attempt, pauseMs);
       router.onEnded(attempt, { kind: 'notRun', reason: 'status 503' });
-      this.#placeRequest(kind, router, request, { result, replayed });
+      this.#placeRequest(kind, router, request, outcome);
     };
     const copyMs = attempt.fetch?.copyMs ?? 0;
     this.#events.after(NETWORK_DELAY_MS + copyMs, () => {
--- a/packages/bench/src/gateway/ReplayCallers.ts
+++ b/packages/bench/src/gateway/ReplayCallers.ts
@@ -22,11 +22,14 @@
 
   /**
    * @param shape - size of the fleet, with its load
-   * @param random - random source that everything in a replay draws from
+   * @param random - random source that everything in a replay draws from, except
+   *   for a surge
+   * @param names - prefix of the names of requests, unique in a replay
    */
   constructor(
     private readonly shape: ReplayShape,
     private readonly random: () => number,
+    private readonly names = 'q',
   ) {}
 
   /**
@@ -35,23 +38,26 @@
    * @param kind - kind of the request
    * @param router - decision logic of the instance that receives it
    * @param nowMs - time of arrival, in milliseconds
+   * @param caller - organisation that sends it; drawn if omitted
    */
   drawRequest(
     kind: RequestKind,
     router: GatewayRouter,
     nowMs: number,
+    caller = this.#drawCaller(),
   ): GatewayRequest {
     const { sharedTokens, sharedParts, medianOwnTokens } = kind;
     const { route, service, organisation, priority } = this.#match(
       kind,
       router,
+      caller,
     );
     this.#requestCount += 1;
     const sharedPart = Math.floor(
       this.random() * sharedParts * this.shape.scale,
     );
     const own = this.#drawOwnTokens(medianOwnTokens);
-    const name = `q-${this.#requestCount}`;
+    const name = `${this.names}-${this.#requestCount}`;
     return {
       id: brand<RequestId>(name),
       route,
@@ -63,7 +69,7 @@
         maxOutputTokens: kind.outputTokens,
         parts: [
           { id: `${route.id}-${sharedPart}`, tokens: sharedTokens },
-          { id: `own-${this.#requestCount}`, tokens: own },
+          { id: `own-${name}`, tokens: own },
         ],
         expectedOutputTokens: null,
       },
@@ -74,8 +80,12 @@
     };
   }
 
-  #match({ route }: RequestKind, router: GatewayRouter): Matched {
-    const key = this.#drawCaller()?.keys[0] ?? null;
+  #match(
+    { route }: RequestKind,
+    router: GatewayRouter,
+    caller: RoutedOrganisation | undefined,
+  ): Matched {
+    const key = caller?.keys[0] ?? null;
     const match = router.match(route.host, `${route.prefix}one`, key);
     if (match.kind === 'refused') {
       throw new Error(`the load's own route was refused: ${match.code}`);
--- a/packages/bench/src/gateway/createReplayRouter.ts
+++ b/packages/bench/src/gateway/createReplayRouter.ts
@@ -63,6 +63,8 @@
     instance: brand<InstanceId>(`entry-${index}`),
     failureDomain: domainOf(index),
     retryBudget: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    dividesCapacity: shape.dividesCapacity ?? false,
+    timeOfDay: clock,
   });
   const router = new GatewayRouter(board, createPolicies(board));
   router.configure({
--- a/packages/bench/src/gateway/exchangeWork.ts
+++ b/packages/bench/src/gateway/exchangeWork.ts
@@ -29,6 +29,7 @@
       demands: board.demand.own,
       reports: loadReports,
       lengths: board.lengths.own,
+      ...(board.shares ? { work: board.shares.report } : {}),
     },
   };
 }
--- a/packages/bench/src/gateway/organisationPriorityLoads.ts
+++ b/packages/bench/src/gateway/organisationPriorityLoads.ts
@@ -36,3 +36,31 @@
     organisation('fourth', 1),
   ],
 };
+
+/** Number of organisations of the load in which one of them surges. */
+const SURGE_ORGANISATIONS = 24;
+/**
+ * Factor on the usual rate of long prompts at which the engines are just able to
+ * serve them without a surge.
+ */
+const NEARLY_FULL_FACTOR = 2.3;
+
+/**
+ * Long prompts of 24 organisations of equal priority, at a rate that leaves
+ * nearly no capacity. All requests have the same priority, since capacity is
+ * not divided across priorities.
+ */
+export const NEARLY_FULL_LOAD: ReplayLoad = {
+  ...BURST_LOAD,
+  kinds: BURST_LOAD.kinds
+    .filter(({ route }) => route.id === 'long')
+    .map(kind => ({
+      ...kind,
+      perS: NEARLY_FULL_FACTOR * kind.perS,
+      burst: 1,
+      route: { ...kind.route, isPublic: false },
+    })),
+  organisations: Array.from({ length: SURGE_ORGANISATIONS }, (_, index) =>
+    organisation(`team-${index}`, 1),
+  ),
+};
--- a/packages/bench/src/gateway/replayShapes.ts
+++ b/packages/bench/src/gateway/replayShapes.ts
@@ -25,6 +25,10 @@
   readonly restarts?: readonly ReplayRestart[];
   /** Engines that reject all requests for a while; none if omitted. */
   readonly overload?: ReplayOverload;
+  /** Whether instances divide short capacity among organisations; false if omitted. */
+  readonly dividesCapacity?: boolean;
+  /** Time in which the first organisation sends more requests; none if omitted. */
+  readonly surge?: ReplaySurge;
   /** Engines that announce their leave in answers; none if omitted. */
   readonly leave?: ReplayLeave;
 }
@@ -45,6 +49,14 @@
   readonly engines: number;
 }
 
+/** A time in which the first organisation sends several times its usual requests. */
+export interface ReplaySurge {
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Factor on the organisation's arrival rates; 1 for a replay without a surge. */
+  readonly factor: number;
+}
+
 /** A simultaneous restart of several instances. */
 export interface ReplayRestart {
   readonly atMs: number;
