feat(gateway): instances tell each other the work of organisations

An instance of sixty sees a sixtieth of an organisation's requests, too few to tell a surge from chance. A report has the time of its sender's clock, so that a late or repeated one does not replace a newer one. Instances of earlier versions leave the fields out and ignore them.

--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -31,6 +31,7 @@
   toReports,
   toUses,
 } from './gatewayState.js';
+import { NO_WORK_FIELDS, toWorkFields } from './workMessage.js';
 
 /**
  * Maximum number of replica changes in one datagram. Each takes some 90 bytes, so that
@@ -68,10 +69,18 @@
   readonly viewOnly: boolean;
 }
 
-type LoadFields = Pick<proto.GatewayState, 'demands' | 'reports' | 'uses'>;
+type LoadFields = Pick<
+  proto.GatewayState,
+  'demands' | 'reports' | 'uses' | 'work' | 'workAsOfMs'
+>;
 
 /** Load fields of a message that carries the view only. */
-const NO_LOAD_FIELDS: LoadFields = { demands: [], reports: [], uses: [] };
+const NO_LOAD_FIELDS: LoadFields = {
+  demands: [],
+  reports: [],
+  uses: [],
+  ...NO_WORK_FIELDS,
+};
 
 /** Versions up to which an instance's view is complete. */
 export interface KnownVersions {
@@ -214,11 +223,12 @@
   /** Load of this instance, and the load reports that it has from backend servers. */
   get #loadFields(): LoadFields {
     const { router } = this.context;
-    const { demand, lengths } = router.board;
+    const { demand, lengths, shares } = router.board;
     return {
       uses: toUses(router.ownReplicaUses),
       demands: toDemands(demand.own, route => lengths.ownLength(route)),
       reports: toReports(router.loadReports),
+      ...toWorkFields(shares?.report ?? null),
     };
   }
 
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -18,6 +18,8 @@
 } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
+import { fromWorkFields } from './workMessage.js';
+
 /** Stands on the wire for the removal time of an entry that hasn't been removed. */
 const NOT_GONE = -1;
 /** Stands on the wire for a time that is unknown or never came. */
@@ -183,12 +185,11 @@
 }
 
 /** @returns the load of another instance, and the load reports that it has */
-export function toPeerUpdate({
-  uses,
-  demands,
-  reports,
-}: proto.GatewayState): PeerUpdate {
+export function toPeerUpdate(state: proto.GatewayState): PeerUpdate {
+  const { uses, demands, reports } = state;
+  const work = fromWorkFields(state);
   return {
+    ...(work ? { work } : {}),
     reports: reports.map(report => ({
       id: brand<BackendServerId>(report.backendServer),
       bornMs: runStartOf(report),
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -1,6 +1,11 @@
 import { describe } from '@jujubecroft/testing';
 import { GatewayState } from '@jujubecroft/operator/peers';
-import type { BackendServerId, RouteId } from '@jujubecroft/types';
+import type {
+  BackendServerId,
+  OrganisationId,
+  RouteId,
+  ServiceId,
+} from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
 import { NO_CONFIGURATION } from '../../src/state/configurationMessage.js';
@@ -14,6 +19,7 @@
   toReplicaFields,
   toUses,
 } from '../../src/state/gatewayState.js';
+import { NO_WORK_FIELDS, toWorkFields } from '../../src/state/workMessage.js';
 
 const id = brand<BackendServerId>('s-1');
 const route = brand<RouteId>('r');
@@ -46,6 +52,7 @@
       ...toCrashFields({ crashes: [], cleared: [] }),
       limits: [],
       ...toDutyFields(null, false),
+      ...NO_WORK_FIELDS,
       replicasChangedAt: 4,
       ...toReplicaFields({
         version: 9,
@@ -65,6 +72,38 @@
     t.deepEqual(work.lengths, [{ route, pieces: 4.5, answers: 7 }]);
   });
 
+  // Messages of older instances have no work; an empty report must not replace
+  // the one in force.
+  it('carries the work of organisations, and none where there is none', t => {
+    const report = {
+      asOfMs: 1_764_000_000_123,
+      groups: [
+        {
+          service: brand<ServiceId>('x'),
+          priority: 2,
+          onTimePerS: 1024,
+          shortAgeMs: Infinity,
+          organisations: [
+            { organisation: brand<OrganisationId>('o'), workPerS: 12.5 },
+          ],
+        },
+      ],
+    };
+    const encode = (fields: Partial<GatewayState>): Uint8Array =>
+      GatewayState.encode(GatewayState.fromPartial(fields)).finish();
+    const carried = toPeerUpdate(
+      GatewayState.decode(encode(toWorkFields(report))),
+    );
+    t.deepEqual(carried.work, {
+      ...report,
+      groups: [{ ...report.groups[0], shortAgeMs: 60_000 }],
+    });
+    const empty = encode(toWorkFields({ asOfMs: 5, groups: [] }));
+    t.is(empty.length, 0);
+    t.is(toPeerUpdate(GatewayState.decode(empty)).work, undefined);
+    t.is(encode(toWorkFields(null)).length, 0);
+  });
+
   it('encodes and decodes existing, removed and lapsed replica entries', t => {
     const replica = {
       id,
