--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -33,6 +33,13 @@
   return `${behind}${copies}`;
 }
 
+/** Describes why an organisation was held back; empty where it wasn't. */
+function describeShare(fields: Fields): string {
+  return fields.because === 'aboveShare'
+    ? `; its organisation offers work of ${formatValue(fields.organisationUsePerS)} per second and its share of the short capacity is ${formatValue(fields.organisationSharePerS)}`
+    : '';
+}
+
 /** Sentence for each kind of line; other kinds are shown with all their fields. */
 const SENTENCES: Readonly<Record<string, (fields: Fields) => string>> = {
   requestPlaced: f =>
@@ -119,7 +126,7 @@
     case 'requestRefused':
       return failed
         ? describeFailure(failed)
-        : `it was refused and did not run: ${formatValue(end.fields.code)}`;
+        : `it was refused and did not run: ${formatValue(end.fields.code)}${describeShare(end.fields)}`;
     default:
       return failed ? describeFailure(failed) : formatValue(end.fields.code);
   }
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -34,6 +34,11 @@
   readonly retryBudget: RetryBudgetRules;
   /** Duties that one instance performs for all; null if there are none. */
   readonly duties: DutySettings | null;
+  /**
+   * Whether instances divide capacity among organisations while it is short;
+   * false if omitted.
+   */
+  readonly dividesCapacity?: boolean;
   /**
    * Time within which changes of configuration and replicas must take effect,
    * in milliseconds.
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -58,6 +58,7 @@
     failureDomain,
     retryBudget,
     duties: settings.duties,
+    dividesCapacity: settings.dividesCapacity ?? false,
     ...(timeOfDay ? { timeOfDay } : {}),
   });
   const membership = new Membership(
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -26,6 +26,7 @@
   queueFields,
   RequestRecorder,
   admissionFields,
+  shareFields,
 } from './RequestRecorder.js';
 
 /** A caller's request as it was received. */
@@ -160,8 +161,12 @@
       return false;
     }
     if (decision.kind === 'refuse') {
+      if (decision.share) {
+        this.#recorder.heldBack();
+      }
       this.#finishWithCode(decision.code, decision.retryAfterMs, {
         ...admissionFields(decision.verdict),
+        ...shareFields(decision.share),
         ...queueFields(decision.best, this.request),
         ...crashFields(router.board, this.request),
         candidates: decision.candidates,
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -4,6 +4,7 @@
   GatewayBoard,
   GatewayRequest,
   GatewayVerdict,
+  OrganisationShare,
   PlacedCandidate,
   Recovery,
 } from '@jujubecroft/decisions';
@@ -54,6 +55,23 @@
     : {};
 }
 
+/**
+ * Log fields of a request that is refused since its organisation uses more than
+ * its share of a short capacity.
+ *
+ * @param share - use and share of the organisation; undefined if that isn't why
+ * @returns the reason, and work per second over all instances
+ */
+export function shareFields(share: OrganisationShare | undefined): LogFields {
+  return share
+    ? {
+        because: 'aboveShare',
+        organisationUsePerS: Math.round(share.usePerS),
+        organisationSharePerS: Math.round(share.sharePerS),
+      }
+    : {};
+}
+
 /**
  * Log fields of the queue at the best replica for a refused request.
  *
@@ -221,6 +239,13 @@
     });
   }
 
+  /** Counts a request that is beyond the share of its organisation. */
+  heldBack(): void {
+    const { metrics } = this.context;
+    const service = this.request.service.id;
+    metrics.heldBack.inc({ service, priority: this.#labels.priority });
+  }
+
   /** Records a request that ended without a complete response. */
   ended(
     event: UnansweredOutcome,
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -27,6 +27,12 @@
     labelNames: ['code', 'priority'] as const,
     registers: this.#registers,
   });
+  readonly heldBack = new Counter({
+    name: 'jujubecroft_gateway_above_share_total',
+    help: 'Requests refused since their organisation used more than its share of a short capacity.',
+    labelNames: ['service', 'priority'] as const,
+    registers: this.#registers,
+  });
   readonly attempts = new Counter({
     name: 'jujubecroft_gateway_attempts_total',
     help: 'Attempts at backend servers by result.',
