fix(decisions): tell surges from chance and late answers from predictions

An instance knows of three or four requests of each organisation, and a single long prompt doubles their work.

At 195 instances, predictions were too good to show that capacity was short.

--- a/packages/decisions/src/gateway/attemptLifecycle.ts
+++ b/packages/decisions/src/gateway/attemptLifecycle.ts
@@ -3,6 +3,7 @@
 import { recordCrashEvidence } from './crashes/recordCrashEvidence.js';
 import type { GatewayBoard } from './GatewayBoard.js';
 import { estimatesOf } from './GatewayBoard.js';
+import { recordFirstEvent } from './shares/holdBack.js';
 import { updateReplicaHealth } from './updateReplicaHealth.js';
 import type { PlacedCandidate } from './placement/PlacementPolicy.js';
 import type { Urgency } from './placement/serviceRank.js';
@@ -129,6 +130,7 @@
     countStartedRequest(board, attempt);
   }
   attempt.load.onFirstByte(attempt);
+  recordFirstEvent(board, attempt);
   const { request, load, predictedMs, tokensAhead, sentMs } = attempt;
   const tookMs = nowMs - sentMs;
   const copyMs = attempt.fetch?.copyMs ?? 0;
--- a/packages/decisions/src/gateway/shares/OrganisationShares.ts
+++ b/packages/decisions/src/gateway/shares/OrganisationShares.ts
@@ -22,11 +22,17 @@
   'isCallerRetry' | 'organisation' | 'priority' | 'service'
 >;
 
+/** A division, with the use up to which organisations are not held back. */
+interface ToleratedDivision extends Division {
+  /** Work per second. */
+  readonly toleratedPerS: number;
+}
+
 /** Division of one priority of a service, as computed at some time. */
 interface ComputedDivision {
   readonly atMs: number;
   /** Null while capacity is not short. */
-  readonly division: Division | null;
+  readonly division: ToleratedDivision | null;
 }
 
 /** Time since a lack of capacity after which shares no longer apply. */
@@ -41,19 +47,26 @@
 /** Factor on its share up to which an organisation's use is tolerated. */
 const SHARE_TOLERANCE = 1.1;
 /**
- * Factor on the median use up to which an organisation is not held back. Each
- * instance sees a sample of the requests, in which the use of an organisation
- * varies by about half.
+ * Standard deviations by which an organisation's use has to exceed the median
+ * use. Each instance knows of a sample of the requests; with three or four
+ * requests of each organisation, chance alone doubles the use of some.
  */
-const MEDIAN_TOLERANCE = 2;
+const MIN_DEVIATIONS = 2.5;
 
-function isAbove(
-  { usePerS, sharePerS }: OrganisationShare,
-  medianPerS: number,
-): boolean {
+/**
+ * Returns the use up to which organisations are not held back, in work per
+ * second.
+ *
+ * @param division - division of the capacity
+ * @param sampledRequests - number of requests of the median organisation that
+ *   the rates stand for
+ */
+function toleratedPerS(
+  { medianPerS }: Division,
+  sampledRequests: number,
+): number {
   return (
-    usePerS >
-    Math.max(SHARE_TOLERANCE * sharePerS, MEDIAN_TOLERANCE * medianPerS)
+    medianPerS * (1 + MIN_DEVIATIONS / Math.sqrt(Math.max(1, sampledRequests)))
   );
 }
 
@@ -98,7 +111,10 @@
     }
     const division = this.#divisionOf(service.id, priority);
     const share = division?.shares.get(organisation);
-    if (!division || !share || !isAbove(share, division.medianPerS)) {
+    if (!division || !share || share.usePerS <= division.toleratedPerS) {
+      return null;
+    }
+    if (share.usePerS <= SHARE_TOLERANCE * share.sharePerS) {
       return null;
     }
     const excess = 1 - share.sharePerS / share.usePerS;
@@ -165,7 +181,7 @@
   }
 
   /** Division in force; null while capacity is not short. */
-  #divisionOf(service: ServiceId, priority: number): Division | null {
+  #divisionOf(service: ServiceId, priority: number): ToleratedDivision | null {
     const priorities =
       this.#divisions.get(service) ?? new Map<number, ComputedDivision>();
     this.#divisions.set(service, priorities);
@@ -175,13 +191,20 @@
       return known.division;
     }
     const division = this.isShort(service, priority)
-      ? divideCapacity(
-          this.#work.ratesOf(service, priority).group,
-          this.#peers.groupsOf(service, priority),
-          this.#instances,
-        )
+      ? this.#divide(service, priority)
       : null;
     priorities.set(priority, { atMs: nowMs, division });
     return division;
   }
+  #divide(service: ServiceId, priority: number): ToleratedDivision | null {
+    const rates = this.#work.ratesOf(service, priority);
+    const peers = this.#peers.groupsOf(service, priority);
+    const division = divideCapacity(rates.group, peers, this.#instances);
+    if (!division) {
+      return null;
+    }
+    const sampledShare = (1 + peers.length) / this.#instances;
+    const requests = sampledShare * rates.requestsIn(division.medianPerS);
+    return { ...division, toleratedPerS: toleratedPerS(division, requests) };
+  }
 }
--- a/packages/decisions/src/gateway/shares/WorkTracker.ts
+++ b/packages/decisions/src/gateway/shares/WorkTracker.ts
@@ -10,6 +10,14 @@
  */
 const SMOOTHING_MS = 3000;
 const MS_PER_SECOND = 1000;
+/** Smoothing factor of the mean work of a request. */
+const MEAN_WEIGHT = 0.05;
+/**
+ * Factor on the mean work up to which a request counts. A single very long
+ * prompt would otherwise make its organisation look like one that surges, since
+ * an instance knows of a few requests of each only.
+ */
+const MAX_WORK_FACTOR = 2;
 /** Work per second below which an organisation counts as idle. */
 const MIN_WORK_PER_S = 0.5;
 
@@ -18,6 +26,8 @@
   readonly #offered = new Map<OrganisationId, DemandRate>();
   readonly #onTime: DemandRate;
   #shortAtMs = -Infinity;
+  /** Mean work of a request; null before the first. */
+  #meanWork: number | null = null;
 
   constructor(
     readonly service: ServiceId,
@@ -46,23 +56,39 @@
       service,
       priority,
       shortAgeMs,
-      onTimePerS: this.#onTime.perMs * MS_PER_SECOND,
+      onTimePerS: Math.max(0, this.#onTime.perMs * MS_PER_SECOND),
       organisations: organisations.filter(
         ({ workPerS }) => workPerS >= MIN_WORK_PER_S,
       ),
     };
   }
 
+  /**
+   * Returns the number of requests that a rate stands for.
+   *
+   * @param workPerS - the rate, in work per second
+   */
+  requestsIn(workPerS: number): number {
+    const work = (workPerS * SMOOTHING_MS) / MS_PER_SECOND;
+    return this.#meanWork === null ? 0 : work / this.#meanWork;
+  }
+
   onOffered(organisation: OrganisationId, work: number): void {
     const rate =
       this.#offered.get(organisation) ??
       new DemandRate(this.clock, SMOOTHING_MS);
     this.#offered.set(organisation, rate);
-    rate.add(work);
+    this.#meanWork ??= work;
+    this.#meanWork += MEAN_WEIGHT * (work - this.#meanWork);
+    rate.add(this.#bounded(work));
   }
 
   onTime(work: number): void {
-    this.#onTime.add(work);
+    this.#onTime.add(Math.sign(work) * this.#bounded(Math.abs(work)));
+  }
+
+  #bounded(work: number): number {
+    return Math.min(work, MAX_WORK_FACTOR * (this.#meanWork ?? work));
   }
 
   onShort(): void {
--- a/packages/decisions/src/gateway/shares/holdBack.ts
+++ b/packages/decisions/src/gateway/shares/holdBack.ts
@@ -1,4 +1,4 @@
-import type { GatewayRequest } from '../BackendLoad.js';
+import type { GatewayAttempt, GatewayRequest } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import type { PlacedCandidate } from '../placement/PlacementPolicy.js';
 import { promptSizeAllowanceMs } from '../promptSizeAllowanceMs.js';
@@ -102,3 +102,31 @@
     shares.onShort(request);
   }
 }
+
+/**
+ * Records the first event of an answer. A late one shows that capacity is
+ * short, also where predictions were too low to show it.
+ *
+ * @param board - the blackboard
+ * @param attempt - the attempt, whose first event has just arrived
+ */
+export function recordFirstEvent(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+): void {
+  const { shares } = board;
+  const { request, number, sentMs, predictedMs } = attempt;
+  const { arrivedMs, route } = request;
+  if (!shares || number > 1) {
+    return;
+  }
+  if (board.clock() - arrivedMs <= route.latencyTargetMs) {
+    return;
+  }
+  shares.onShort(request);
+  const wasOnTime =
+    sentMs - arrivedMs + predictedMs <= SHORT_SHARE * route.latencyTargetMs;
+  if (wasOnTime) {
+    shares.onSentOnTime(request, -workOf(board, request, attempt));
+  }
+}
--- a/packages/decisions/src/gateway/shares/workOf.ts
+++ b/packages/decisions/src/gateway/shares/workOf.ts
@@ -21,7 +21,7 @@
 export function workOf(
   board: GatewayBoard,
   { service, route, prompt }: GatewayRequest,
-  { unreadTokens }: PlacedCandidate,
+  { unreadTokens }: Pick<PlacedCandidate, 'unreadTokens'>,
 ): number {
   if (!service.engine) {
     return estimatesOf(board, service.id).answerMs;
