--- a/packages/bench/src/gateway/exchangeWork.ts
+++ b/packages/bench/src/gateway/exchangeWork.ts
@@ -32,6 +32,7 @@
       demands: board.demand.own,
       reports: loadReports,
       lengths: board.lengths.own,
+      ...(board.shares ? { work: board.shares.report } : {}),
     },
     speeds: createSpeedReports(board),
   };
--- a/packages/bench/src/gateway/replayShapes.ts
+++ b/packages/bench/src/gateway/replayShapes.ts
@@ -27,6 +27,10 @@
   readonly restarts?: readonly ReplayRestart[];
   /** Engines that reject all requests for a while; none if omitted. */
   readonly overload?: ReplayOverload;
+  /** Whether instances divide short capacity among organisations; false if omitted. */
+  readonly dividesCapacity?: boolean;
+  /** Time in which the first organisation sends more requests; none if omitted. */
+  readonly surge?: ReplaySurge;
   /** Engines that announce their leave in answers; none if omitted. */
   readonly leave?: ReplayLeave;
   /** Hosts of different speed; all are the same if omitted. */
@@ -51,6 +55,14 @@
   readonly engines: number;
 }
 
+/** A time in which the first organisation sends several times its usual requests. */
+export interface ReplaySurge {
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Factor on the organisation's arrival rates; 1 for a replay without a surge. */
+  readonly factor: number;
+}
+
 /** A simultaneous restart of several instances. */
 export interface ReplayRestart {
   readonly atMs: number;
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -67,5 +67,7 @@
   createAllSpeedReports,
   createSpeedReports,
 } from './speed/speedReports.js';
+export type { OrganisationShare } from './shares/divideCapacity.js';
+export type { WorkGroup, WorkReport } from './shares/WorkReport.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -38,6 +38,7 @@
   toUses,
 } from './gatewayState.js';
 import { fromSpeeds, toSpeeds } from './speedMessage.js';
+import { NO_WORK_FIELDS, toWorkFields } from './workMessage.js';
 
 /**
  * Maximum number of replica changes in one datagram. Each takes some 90 bytes, so that
@@ -77,7 +78,7 @@
 
 type LoadFields = Pick<
   proto.GatewayState,
-  'demands' | 'reports' | 'speeds' | 'uses'
+  'demands' | 'reports' | 'speeds' | 'uses' | 'work' | 'workAsOfMs'
 >;
 
 /** Load fields of a message that carries the view only. */
@@ -86,6 +87,7 @@
   reports: [],
   speeds: [],
   uses: [],
+  ...NO_WORK_FIELDS,
 };
 
 /** Versions up to which an instance's view is complete. */
@@ -230,12 +232,13 @@
   /** Load of this instance, and the load reports that it has from backend servers. */
   get #loadFields(): LoadFields {
     const { router } = this.context;
-    const { demand, lengths } = router.board;
+    const { demand, lengths, shares } = router.board;
     return {
       uses: toUses(router.ownReplicaUses),
       demands: toDemands(demand.own, route => lengths.ownLength(route)),
       reports: toReports(router.loadReports),
       speeds: toSpeeds(createSpeedReports(router.board)),
+      ...toWorkFields(shares?.report ?? null),
     };
   }
 
