fix(bundle): the warm-up run ends when it fails or the build is killed

If no ports were free or the settings could not be written, the stand-ins kept listening and the build never ended. If the build was killed, the second instance ran on and kept its ports; it now ends by itself. An instance that cannot be spawned no longer ends the build with an unhandled error.

--- a/scripts/warmUp.mjs
+++ b/scripts/warmUp.mjs
@@ -1,7 +1,6 @@
 // Runs the bundle once, so that its code cache contains the code of a start, of first
 // requests, of messages between instances and of store reads.
 import { spawn } from 'node:child_process';
-import { once } from 'node:events';
 import { writeFileSync } from 'node:fs';
 import { createServer, request } from 'node:http';
 import { createServer as createListener } from 'node:net';
@@ -117,7 +116,7 @@
 }
 
 /** The calls of the platform's store that a gateway makes. */
-function createStore(replicaAddress) {
+function createStore(replica) {
   const startedMs = Date.now();
   const instances = new Map();
   let version = 10;
@@ -130,7 +129,7 @@
     ['model', 'model', 'model', 'plain', 'plain'].map((service, index) =>
       toRow(`replica-${index}`, {
         service,
-        address: replicaAddress,
+        address: `${HOST}:${replica.address().port}`,
         zone: `zone-${index % 2}`,
         version: '1',
         slots: 8,
@@ -251,54 +250,70 @@
  *
  * @param target - folder of the bundle
  * @param flags - flags of Node.js with which the bundle will run
+ * @param timeLimitMs - time after which the instances end in any case
  * @returns the status codes of the answers; the cache is useful whatever they are
  */
-export async function warmUp(target, flags) {
+export async function warmUp(target, flags, timeLimitMs = TIME_LIMIT_MS) {
   const replica = createReplica();
-  const replicaPort = await listenAt(replica);
-  const store = createStore(`${HOST}:${replicaPort}`);
-  const storePort = await listenAt(store);
-  const firstPort = await findPorts(2 * PORTS);
-  const start = (index, env) => {
-    const at = offset => `${HOST}:${firstPort + PORTS * index + offset}`;
-    const settings = path.join(target, `warm-up-${index}.json`);
-    writeFileSync(
-      settings,
-      JSON.stringify({
-        node_name: `warm-up-${index}`,
-        ip: HOST,
-        zone: `zone-${index}`,
-        listen: { front: at(2), ready: at(3), directory: at(4) },
-        internal_port_range: [
-          firstPort + PORTS * index,
-          firstPort + PORTS * index + 1,
-        ],
-        platform: { address: `${HOST}:${storePort}` },
-        cloud: { address: `${HOST}:${storePort}`, duties: ['usage_reporting'] },
-      }),
-    );
-    const child = spawn(
-      process.execPath,
-      [
-        ...flags,
-        path.join(target, 'start.cjs'),
-        'gateway',
-        '--settings',
-        settings,
-      ],
-      {
-        env: { PATH: process.env.PATH, JUJUBECROFT_BOOT: settings, ...env },
-        stdio: 'ignore',
-      },
-    );
-    return { child, front: at(2), ready: at(3), directory: at(4) };
+  const store = createStore(replica);
+  const children = [];
+  const killAll = () => {
+    children.forEach(child => child.kill('SIGKILL'));
   };
-  const peer = start(1, {});
-  const writer = start(0, { JUJUBECROFT_KEEP_CODE_MS: String(WRITE_AFTER_MS) });
-  const exited = once(writer.child, 'exit');
-  const limit = setTimeout(() => writer.child.kill('SIGKILL'), TIME_LIMIT_MS);
+  const limit = setTimeout(killAll, timeLimitMs);
   const answers = [];
   try {
+    await listenAt(replica);
+    const storePort = await listenAt(store);
+    const firstPort = await findPorts(2 * PORTS);
+    const start = (index, { nodeFlags = [], env = {} }) => {
+      const at = offset => `${HOST}:${firstPort + PORTS * index + offset}`;
+      const settings = path.join(target, `warm-up-${index}.json`);
+      writeFileSync(
+        settings,
+        JSON.stringify({
+          node_name: `warm-up-${index}`,
+          ip: HOST,
+          zone: `zone-${index}`,
+          listen: { front: at(2), ready: at(3), directory: at(4) },
+          internal_port_range: [
+            firstPort + PORTS * index,
+            firstPort + PORTS * index + 1,
+          ],
+          platform: { address: `${HOST}:${storePort}` },
+          cloud: {
+            address: `${HOST}:${storePort}`,
+            duties: ['usage_reporting'],
+          },
+        }),
+      );
+      const child = spawn(
+        process.execPath,
+        [
+          ...flags,
+          ...nodeFlags,
+          path.join(target, 'start.cjs'),
+          'gateway',
+          '--settings',
+          settings,
+        ],
+        {
+          env: { PATH: process.env.PATH, JUJUBECROFT_BOOT: settings, ...env },
+          stdio: 'ignore',
+        },
+      );
+      children.push(child);
+      const ended = new Promise(resolve => {
+        child.once('exit', resolve).once('error', resolve);
+      });
+      return { child, ended, front: at(2), ready: at(3), directory: at(4) };
+    };
+    // The peer must end by itself: if the build is killed, nobody else ends it.
+    const exitInTime = `data:text/javascript,setTimeout(process.exit,${timeLimitMs})`;
+    start(1, { nodeFlags: ['--import', exitInTime] });
+    const writer = start(0, {
+      env: { JUJUBECROFT_KEEP_CODE_MS: String(WRITE_AFTER_MS) },
+    });
     await waitUntilReady(writer.ready);
     for (let round = 0; round < ROUNDS; round += 1) {
       answers.push(...(await sendRound(writer.front, round)));
@@ -308,10 +323,10 @@
       await sleep(ROUND_MS);
     }
     writer.child.kill('SIGTERM');
-    await exited;
+    await writer.ended;
   } finally {
     clearTimeout(limit);
-    [writer, peer].forEach(({ child }) => child.kill('SIGKILL'));
+    killAll();
     [replica, store].forEach(server => {
       server.close();
       server.closeAllConnections();
