fix(gateway): orders of replicas go by the latest loads of peers

Totals of what peers report are summed when they are read. The check for orders read them without that, so that they could be one round of 250 ms old.

--- a/packages/gateway/src/duties/ReplicaOrdering.ts
+++ b/packages/gateway/src/duties/ReplicaOrdering.ts
@@ -107,6 +107,7 @@
     }
     this.#isRunning = true;
     this.#lastCheckMs = nowMs;
+    this.context.router.refreshPeerLoad();
     try {
       const due = this.#scaledServices.flatMap(service =>
         this.#dueOrders(service),
