docs(decisions): which replicas each group gets

The most delicate group gets fast replicas, middle groups slow ones and the last group what is left; a comment and the design page said otherwise.

--- a/packages/bench/tests/unevenReplay.test.ts
+++ b/packages/bench/tests/unevenReplay.test.ts
@@ -84,8 +84,8 @@
       t.true(after.onTime > 0.95, facts);
       t.true(after.unfinished < before.unfinished, facts);
       t.true(after.labelsOnTime > before.labelsOnTime, facts);
-      // Slow replicas take live answers, of which somewhat more have a long pause while
-      // a slow replica is slower still.
+      // Live answers go to fast replicas, but also pause there while a host is slowed
+      // down for the moment.
       t.true(after.liveOnTime > 0.9, facts);
     });
 
