fix(decisions): speeds of replicas stay numbers, current and complete

- Events that arrive together gave a time of 0 per unit of work, with which factors and predictions were not numbers.
- Speeds of gone and superseded runs were kept, and counted in the metrics, until the next placement.
- With more news than fits a message, the rest was never sent as news; the first of the other speeds was selected less often than the rest.
- A slowdown stated by a replica of a plain service was not expected in the ratio of its answers, so that a true one counted twice and a false one had its whole effect forever.
- Calls were withdrawn from slow replicas of plain services after the time of a usual one.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -74,7 +74,7 @@
    * that are gone and have no attempts.
    */
   syncReplicas(): void {
-    const { replicas, backends } = this.board;
+    const { replicas, backends, speeds } = this.board;
     replicas.replicas.forEach(replica => {
       this.#syncReplica(replica);
     });
@@ -83,7 +83,10 @@
         ({ replica, inFlight }) =>
           inFlight === 0 && replicas.find(replica.id) === undefined,
       )
-      .forEach(({ replica }) => backends.delete(replica.id));
+      .forEach(load => {
+        backends.delete(load.replica.id);
+        speeds.forget(load);
+      });
   }
 
   /**
@@ -94,7 +97,7 @@
    * healthy replica would be avoided because of the failures of the crash.
    */
   #syncReplica(replica: Replica): void {
-    const { backends, supersededRuns, table, clock } = this.board;
+    const { backends, supersededRuns, table, clock, speeds } = this.board;
     const load = backends.get(replica.id);
     if (load && !isLaterRun(replica, load.replica)) {
       load.replica = replica;
@@ -102,6 +105,7 @@
     }
     if (load) {
       supersededRuns.add(load);
+      speeds.forget(load);
     }
     const service = table?.service(replica.service);
     backends.set(replica.id, new BackendLoad(replica, service, clock));
--- a/packages/decisions/src/gateway/attemptLifecycle.ts
+++ b/packages/decisions/src/gateway/attemptLifecycle.ts
@@ -191,7 +191,10 @@
     const factor = board.speeds.factorOf(load);
     estimates.answerMs +=
       ANSWER_WEIGHT * (tookMs / factor - estimates.answerMs);
-    load.onDuration(FIFO_PRIORITY, tookMs, estimates.answerMs * factor);
+    // Placement multiplies the ratio by the stated slowdown. Expecting the slowdown here
+    // keeps a true one from counting twice, and lets answers outweigh a false one.
+    const expectedMs = estimates.answerMs * factor * load.slowdown;
+    load.onDuration(FIFO_PRIORITY, tookMs, expectedMs);
     board.speeds.onAnswer(load, tookMs);
   }
 }
--- a/packages/decisions/src/gateway/speed/FleetSpeeds.ts
+++ b/packages/decisions/src/gateway/speed/FleetSpeeds.ts
@@ -37,13 +37,19 @@
   /** The speeds at a service, brought up to date; undefined as for `find`. */
   current(service: ServiceId): ServiceSpeeds | undefined {
     const speeds = this.#services.get(service);
-    speeds?.refresh(
-      load => this.backends.get(load.replica.id) === load,
-      this.clock(),
-    );
+    speeds?.refresh(load => this.#isCurrent(load), this.clock());
     return speeds;
   }
 
+  /** Removes what is known of a run of a replica that is gone or superseded. */
+  forget(load: BackendLoad): void {
+    this.#services.get(load.replica.service)?.forget(load);
+  }
+
+  #isCurrent(load: BackendLoad): boolean {
+    return this.backends.get(load.replica.id) === load;
+  }
+
   /** Records that a replica of a service states its slowdown of the moment. */
   activate(service: ServiceId): ServiceSpeeds {
     const known = this.#services.get(service);
@@ -63,7 +69,7 @@
   /** Records the interval between two events of a stream, in milliseconds. */
   onInterval(load: BackendLoad, route: RouteId, ms: number): void {
     const speeds = this.#services.get(load.replica.service);
-    if (!speeds) {
+    if (!speeds || !this.#isCurrent(load)) {
       return;
     }
     speeds.onInterval(route, load, ms);
@@ -73,7 +79,7 @@
   /** Records the time of a whole answer of a plain service, in milliseconds. */
   onAnswer(load: BackendLoad, ms: number): void {
     const speeds = this.#services.get(load.replica.service);
-    if (speeds) {
+    if (speeds && this.#isCurrent(load)) {
       this.#measure(speeds, load, ms, ANSWER_SAMPLE);
     }
   }
--- a/packages/decisions/src/gateway/speed/ReplicaSpeed.ts
+++ b/packages/decisions/src/gateway/speed/ReplicaSpeed.ts
@@ -39,6 +39,11 @@
 const MIN_BOUNDING_SAMPLES = 4;
 /** Factor by which a bounded sample may differ from the mean. */
 const MAX_SAMPLE_RATIO = 2;
+/**
+ * Shortest time of a unit of work, in milliseconds; the resolution of messages. Events
+ * that arrive together have intervals of 0, which would make factors not a number.
+ */
+const MIN_UNIT_MS = 0.001;
 /** Weight of the assumption that a replica is as fast as the mean, in samples. */
 const PRIOR_SAMPLES = 2;
 const MIN_FACTOR = 0.25;
@@ -116,7 +121,8 @@
     }
     this.#measured.sort((a, b) => a - b);
     this.fullness = fullnessNow();
-    this.#add((this.#measured[rule.position] ?? ms) / this.fullness, nowMs);
+    const sampleMs = (this.#measured[rule.position] ?? ms) / this.fullness;
+    this.#add(Math.max(MIN_UNIT_MS, sampleMs), nowMs);
     this.#measured.length = 0;
     return true;
   }
--- a/packages/decisions/src/gateway/speed/ServiceSpeeds.ts
+++ b/packages/decisions/src/gateway/speed/ServiceSpeeds.ts
@@ -110,6 +110,13 @@
     return usualMs * this.factorOf(load) * fullnessOf(load);
   }
 
+  /** Removes what is known of a replica, and marks the factors as out of date. */
+  forget(load: BackendLoad): void {
+    if (this.#speeds.delete(load)) {
+      this.#isStale = true;
+    }
+  }
+
   /** Marks the factors as out of date. */
   markStale(): void {
     this.#isStale = true;
--- a/packages/decisions/src/gateway/speed/speedReports.ts
+++ b/packages/decisions/src/gateway/speed/speedReports.ts
@@ -1,3 +1,4 @@
+import { firstRotated } from '../../util/rotated.js';
 import type { BackendLoad } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import type { ReplicaRun } from '../replicaRuns.js';
@@ -57,10 +58,12 @@
   const all = allKnown(board);
   const news = all.filter(({ newsMs }) => newsMs >= sinceMs);
   const others = all.filter(({ newsMs }) => newsMs < sinceMs);
-  const start = Math.floor(board.random() * others.length);
+  // Starting at a random one lets those beyond the maximum reach others as soon.
   return [
-    ...news.slice(0, MAX_NEWS),
-    ...others.slice(start, start + MAX_OTHERS),
+    ...(news.length > MAX_NEWS
+      ? firstRotated(news, board.random, MAX_NEWS)
+      : news),
+    ...firstRotated(others, board.random, MAX_OTHERS),
   ].map(toReport);
 }
 
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -234,7 +234,8 @@
   }
   const usualMs = request.service.engine
     ? attempt.predictedMs
-    : estimatesOf(board, request.service.id).answerMs;
+    : estimatesOf(board, request.service.id).answerMs *
+      board.speeds.factorOf(load);
   const timeoutMs = Math.max(
     MIN_FIRST_BYTE_TIMEOUT_MS,
     PREDICTION_MULTIPLE * usualMs,
--- a/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
+++ b/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
@@ -4,11 +4,18 @@
 
 import type { BackendLoad } from '../../../src/index.js';
 import { applySpeedReports } from '../../../src/index.js';
+import { estimatesOf } from '../../../src/gateway/GatewayBoard.js';
 import { homeReplica } from '../../../src/gateway/placement/cacheFetch.js';
 import { splitBySpeed } from '../../../src/gateway/placement/splitBySpeed.js';
 import { ReplicaSpeed } from '../../../src/gateway/speed/ReplicaSpeed.js';
 import type { GatewayFixture } from '../helpers/gatewayFixture.js';
-import { gatewayFixture, replica, route } from '../helpers/gatewayFixture.js';
+import {
+  gatewayFixture,
+  PLAIN,
+  replica,
+  route,
+  SERVICE,
+} from '../helpers/gatewayFixture.js';
 
 const REPLICAS = ['s-0', 's-1', 's-2'].map(name => replica(name, { slots: 2 }));
 const PARTS = [{ id: 'own', tokens: 400 }];
@@ -74,6 +81,86 @@
     t.false(full.isFull);
   });
 
+  it('lets the answers of a plain service outweigh a false slowdown', t => {
+    // Guards against a replica that escapes its share of the work by stating a
+    // slowdown that its answers don't show.
+    const plainRoute = route({ shares: [{ service: PLAIN, weight: 1 }] });
+    const { router, request, clock } = gatewayFixture(
+      [plainRoute],
+      [replica('p-0', { service: PLAIN })],
+    );
+    const predictions = Array.from({ length: 60 }, () => {
+      const of = { ...request(plainRoute), prompt: null };
+      const service = { id: PLAIN, maxConnections: 96, engine: null };
+      const decision = router.place({ ...of, service }, new Set());
+      if (decision.kind !== 'send') {
+        throw new Error('the replica is free');
+      }
+      const attempt = router.beginAttempt(
+        { ...of, service },
+        decision.placed,
+        1,
+      );
+      clock.advance(50);
+      router.onReported(attempt, {
+        running: 1,
+        waiting: 0,
+        slots: 64,
+        slowdown: 99,
+      });
+      router.onBytes(attempt);
+      router.onEnded(attempt, { kind: 'answered', status: 200 });
+      return decision.placed.predictedMs;
+    });
+    const last = predictions.at(-1) ?? NaN;
+    t.true(last < 70, String(last));
+  });
+
+  it('waits longer for a slow replica of a plain service before moving a call', t => {
+    // Guards against calls that are withdrawn from a slow replica although they run
+    // there at its usual pace, and run once more elsewhere.
+    const plainRoute = route({
+      kind: 'safe',
+      maxAttempts: 2,
+      shares: [{ service: PLAIN, weight: 1 }],
+    });
+    const replicas = ['p-0', 'p-1', 'p-2'].map(name =>
+      replica(name, { service: PLAIN }),
+    );
+    const { router, board, request, clock } = gatewayFixture(
+      [plainRoute],
+      replicas,
+    );
+    applySpeedReports(
+      board,
+      replicas.map(({ id }) => ({
+        id,
+        bornMs: null,
+        samples: 1000,
+        unitMs: id === 'p-0' ? 400 : 100,
+        speedClass: 'usual',
+      })),
+    );
+    board.speeds.current(PLAIN);
+    const answerMs = 200;
+    estimatesOf(board, PLAIN).answerMs = answerMs;
+    const service = { id: PLAIN, maxConnections: 96, engine: null };
+    const of = { ...request(plainRoute), prompt: null, service };
+    const decision = router.place(
+      of,
+      new Set(replicas.slice(1).map(({ id }) => id)),
+    );
+    if (decision.kind !== 'send') {
+      throw new Error('the replica is free');
+    }
+    const attempt = router.beginAttempt(of, decision.placed, 1);
+    t.is(String(attempt.load.replica.id), 'p-0');
+    clock.advance(2.6 * answerMs);
+    t.deepEqual(router.findAttemptsToMove(), []);
+    clock.advance(2.6 * answerMs);
+    t.deepEqual(router.findAttemptsToMove(), [attempt]);
+  });
+
   it('ignores the fullness of replicas that report no slowdown', t => {
     const even = fixture();
     const full = rejectAsFull(even);
@@ -82,6 +169,40 @@
   });
 
   it('keeps the home of a prompt part while its replica stays in its class', t => {
+    // Guards against homes that move, and prompts that are read again, with each sample.
+    const { board } = fixture();
+    const loads = [...board.backends.values()];
+    const parts = Array.from({ length: 300 }, (_, index) => ({
+      id: `p-${index}`,
+      tokens: 1,
+    }));
+    const homesAt = (samples: number, slowMs: number) => {
+      applySpeedReports(
+        board,
+        REPLICAS.map(({ id, bornMs }) => ({
+          id,
+          bornMs,
+          samples,
+          unitMs: id === 's-2' ? FAST_MS : slowMs,
+          speedClass: id === 's-2' ? 'fast' : 'slow',
+        })),
+      );
+      const speeds = board.speeds.current(SERVICE);
+      return {
+        factors: loads.map(load => speeds?.factorOf(load)),
+        homes: parts.map(part => homeReplica(part, loads, speeds?.capacityOf)),
+      };
+    };
+    const before = homesAt(40, SLOW_MS);
+    const after = homesAt(41, 1.1 * SLOW_MS);
+    t.notDeepEqual(after.factors, before.factors);
+    t.deepEqual(
+      after.homes.map(home => home?.replica.id),
+      before.homes.map(home => home?.replica.id),
+    );
+  });
+
+  it('gives homes in proportion to capacity, and by hash alone if it is equal', t => {
     const { board } = fixture();
     const loads = [...board.backends.values()];
     const parts = Array.from({ length: 300 }, (_, index) => ({
--- a/packages/gateway/src/side/serveMetrics.ts
+++ b/packages/gateway/src/side/serveMetrics.ts
@@ -27,8 +27,8 @@
     metrics.backends.inc({ service: replica.service, verdict });
   });
   metrics.speeds.reset();
-  board.speeds.services.forEach((speeds, service) => {
-    speeds.known.forEach(({ speedClass }) => {
+  board.speeds.services.forEach((_, service) => {
+    board.speeds.current(service)?.known.forEach(({ speedClass }) => {
       metrics.speeds.inc({ service, speed: speedClass });
     });
   });
