--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -287,7 +287,13 @@
   /** Records the load that the replica reported with an answer. */
   onReported({ running, waiting, slowdown }: ReportedLoad): void {
     const atMs = this.clock();
-    this.#report = { total: running + waiting, atMs };
+    const total = running + waiting;
+    this.#report = { total, atMs };
+    if (this.#queueWhenFull !== null) {
+      // It accepts as many as it holds; the rejection had another reason.
+      const queue = total - this.replica.slots;
+      this.#queueWhenFull = Math.max(this.#queueWhenFull, queue);
+    }
     if (slowdown !== undefined) {
       this.#slowdown = Math.min(MAX_SLOWDOWN, Math.max(1, slowdown));
       this.#slowdownAtMs = atMs;
--- a/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
+++ b/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
@@ -81,6 +81,18 @@
     t.false(full.isFull);
   });
 
+  it('takes a replica for full no earlier than at the most that it reported', t => {
+    // Guards against a replica that once rejected a request for another reason, and
+    // whose queue is then left empty for good.
+    const load = rejectAsFull(fixture());
+    t.true(load.isFull);
+    load.onReported({ running: 2, waiting: 9, slots: 2 });
+    load.onReported({ running: 2, waiting: 8, slots: 2 });
+    t.false(load.isFull);
+    load.onReported({ running: 2, waiting: 9, slots: 2 });
+    t.true(load.isFull);
+  });
+
   it('lets the answers of a plain service outweigh a false slowdown', t => {
     // Guards against a replica that escapes its share of the work by stating a
     // slowdown that its answers don't show.
