fix(decisions): all instances agree on the class of a replica

A change of the class kept the number of samples, so that instances that knew the estimate with the class before ignored it until the next sample, and of two classes the one that was heard of first stayed.

--- a/packages/decisions/src/gateway/speed/ReplicaSpeed.ts
+++ b/packages/decisions/src/gateway/speed/ReplicaSpeed.ts
@@ -6,7 +6,7 @@
 
 /** What the instances know of the lasting speed of one run of a replica. */
 export interface SpeedEstimate {
-  /** Number of samples; of two estimates of one run, the one with more wins. */
+  /** Number of samples and of changes of the class; of two estimates of one run, the one with more wins. */
   readonly samples: number;
   /**
    * Time of a unit of work, in milliseconds: an interval between events of a
@@ -73,11 +73,12 @@
  * of any two, so that the order and the number of messages don't matter.
  */
 function isPreferred(now: SpeedEstimate, known: SpeedEstimate | null): boolean {
-  return (
-    known === null ||
-    now.samples > known.samples ||
-    (now.samples === known.samples && now.unitMs < known.unitMs)
-  );
+  if (now.samples !== known?.samples) {
+    return now.samples > (known?.samples ?? 0);
+  }
+  return now.unitMs === known.unitMs
+    ? now.speedClass < known.speedClass
+    : now.unitMs < known.unitMs;
 }
 
 /** Lasting speed of one run of a replica. */
@@ -161,7 +162,8 @@
     this.factor = Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
     const speedClass = classOf(this.factor, estimate.speedClass);
     if (speedClass !== estimate.speedClass) {
-      this.#replace({ ...estimate, speedClass }, nowMs);
+      // Counted as a sample, so that the change wins over the class before it.
+      this.#replace({ samples: samples + 1, unitMs, speedClass }, nowMs);
     }
   }
 
--- a/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
+++ b/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
@@ -234,6 +234,33 @@
 });
 
 describe('class of the speed of a replica', ({ it }) => {
+  it('is the same at all instances, whichever class they heard of first', t => {
+    // Guards against groups that differ between instances for as long as a replica
+    // is between the bounds of two classes and there are no new samples.
+    const instances = [new ReplicaSpeed(), new ReplicaSpeed()];
+    const estimate = { samples: 20, unitMs: 12 };
+    const classes = ['slow', 'usual'] as const;
+    instances.forEach((speed, index) => {
+      (index === 0 ? classes : [...classes].reverse()).forEach(speedClass => {
+        speed.merge({ ...estimate, speedClass }, 0);
+      });
+      speed.relateTo(10, 0);
+    });
+    t.is(instances[0]?.speedClass, instances[1]?.speedClass);
+  });
+
+  it('reaches an instance that knows the estimate with the class before', t => {
+    const [own, other] = [new ReplicaSpeed(), new ReplicaSpeed()];
+    const estimate = { samples: 20, unitMs: 20, speedClass: 'usual' as const };
+    own.merge(estimate, 0);
+    other.merge(estimate, 0);
+    own.relateTo(10, 0);
+    t.is(own.speedClass, 'slow');
+    t.true(own.estimate !== null && other.merge(own.estimate, 0));
+    t.is(other.speedClass, 'slow');
+    t.false(own.merge(estimate, 0));
+  });
+
   it('does not change back and forth with samples around a bound', t => {
     // Guards against groups that exchange replicas, and homes that move, with each
     // sample.
