fix(decisions): shares need competition, and reports a monotonic time

An organisation's rate took some 20 s after a large request to decay. Organisations now count as idle nine seconds after their last request, and idle ones are dropped with each configuration, so that state is bounded where capacity is never short.

Reports carried the wall clock, so peers ignored them for up to three seconds after it was set back. They now carry the wall clock at the start plus the monotonic clock.

The tests of priorities and of silent peers also passed with one organisation only or without expiry; they are stricter now.

--- a/packages/decisions/src/gateway/shares/OrganisationShares.ts
+++ b/packages/decisions/src/gateway/shares/OrganisationShares.ts
@@ -82,9 +82,12 @@
   readonly #work: WorkTracker;
   readonly #peers: PeerWork;
   readonly #divisions = new Map<ServiceId, Map<number, ComputedDivision>>();
+  /** Wall-clock time minus the monotonic clock, when this instance started. */
+  readonly #clockOffsetMs: number;
   #instances = 1;
 
   constructor(private readonly sources: ShareSources) {
+    this.#clockOffsetMs = sources.timeOfDay() - sources.clock();
     this.#work = new WorkTracker(sources.clock);
     this.#peers = new PeerWork(sources.clock);
   }
@@ -152,7 +155,9 @@
    */
   get report(): WorkReport {
     return {
-      asOfMs: this.sources.timeOfDay(),
+      // Peers ignore reports with earlier times, so a wall clock that is set
+      // back must not affect the order.
+      asOfMs: this.#clockOffsetMs + this.sources.clock(),
       groups: this.#work.groups(
         ({ service, priority, shortAgeMs }) =>
           shortAgeMs <= REPORT_MS ||
@@ -196,6 +201,7 @@
     priorities.set(priority, { atMs: nowMs, division });
     return division;
   }
+
   #divide(service: ServiceId, priority: number): ToleratedDivision | null {
     const rates = this.#work.ratesOf(service, priority);
     const peers = this.#peers.groupsOf(service, priority);
--- a/packages/decisions/src/gateway/shares/WorkReport.ts
+++ b/packages/decisions/src/gateway/shares/WorkReport.ts
@@ -27,8 +27,8 @@
 /** Work at one instance, as reported to the others. */
 export interface WorkReport {
   /**
-   * Time of the report by the sender's clock, in Unix milliseconds; orders the
-   * reports of one instance.
+   * Time of the report in Unix milliseconds, by the sender's wall clock when it
+   * started and its monotonic clock since; orders the reports of one instance.
    */
   readonly asOfMs: number;
   readonly groups: readonly WorkGroup[];
--- a/packages/decisions/src/gateway/shares/WorkTracker.ts
+++ b/packages/decisions/src/gateway/shares/WorkTracker.ts
@@ -18,12 +18,22 @@
  * an instance knows of a few requests of each only.
  */
 const MAX_WORK_FACTOR = 2;
-/** Work per second below which an organisation counts as idle. */
-const MIN_WORK_PER_S = 0.5;
+/**
+ * Time since its last request after which an organisation no longer competes.
+ * Its rate is then down to a twentieth; until it decays to nothing, a single
+ * other organisation would be held back for some 20 s without competition.
+ */
+const IDLE_MS = 3 * SMOOTHING_MS;
+
+/** Offered work of one organisation. */
+interface OfferedRate {
+  readonly rate: DemandRate;
+  lastAtMs: number;
+}
 
 /** Rates of the requests of one priority at a service. */
 class GroupRates {
-  readonly #offered = new Map<OrganisationId, DemandRate>();
+  readonly #offered = new Map<OrganisationId, OfferedRate>();
   readonly #onTime: DemandRate;
   #shortAtMs = -Infinity;
   /** Mean work of a request; null before the first. */
@@ -45,24 +55,34 @@
   /** Rates at present, without organisations that have become idle. */
   get group(): WorkGroup {
     const { service, priority, shortAgeMs } = this;
-    const organisations = [...this.#offered].map(([organisation, rate]) => ({
-      organisation,
-      workPerS: rate.perMs * MS_PER_SECOND,
-    }));
-    organisations
-      .filter(({ workPerS }) => workPerS < MIN_WORK_PER_S)
-      .forEach(({ organisation }) => this.#offered.delete(organisation));
+    this.dropIdle();
     return {
       service,
       priority,
       shortAgeMs,
       onTimePerS: Math.max(0, this.#onTime.perMs * MS_PER_SECOND),
-      organisations: organisations.filter(
-        ({ workPerS }) => workPerS >= MIN_WORK_PER_S,
-      ),
+      organisations: [...this.#offered].map(([organisation, { rate }]) => ({
+        organisation,
+        workPerS: rate.perMs * MS_PER_SECOND,
+      })),
     };
   }
 
+  /** Drops organisations that have become idle. */
+  dropIdle(): void {
+    const nowMs = this.clock();
+    this.#offered.forEach(({ lastAtMs }, organisation) => {
+      if (nowMs - lastAtMs > IDLE_MS) {
+        this.#offered.delete(organisation);
+      }
+    });
+  }
+
+  /** Number of organisations with state. */
+  get size(): number {
+    return this.#offered.size;
+  }
+
   /**
    * Returns the number of requests that a rate stands for.
    *
@@ -74,13 +94,16 @@
   }
 
   onOffered(organisation: OrganisationId, work: number): void {
-    const rate =
-      this.#offered.get(organisation) ??
-      new DemandRate(this.clock, SMOOTHING_MS);
-    this.#offered.set(organisation, rate);
+    const nowMs = this.clock();
+    const offered = this.#offered.get(organisation) ?? {
+      rate: new DemandRate(this.clock, SMOOTHING_MS),
+      lastAtMs: nowMs,
+    };
+    offered.lastAtMs = nowMs;
+    this.#offered.set(organisation, offered);
     this.#meanWork ??= work;
     this.#meanWork += MEAN_WEIGHT * (work - this.#meanWork);
-    rate.add(this.#bounded(work));
+    offered.rate.add(this.#bounded(work));
   }
 
   onTime(work: number): void {
@@ -124,10 +147,19 @@
     );
   }
 
-  /** Drops the rates of services that the configuration no longer has. */
+  /**
+   * Drops the rates of services that the configuration no longer has, and of
+   * idle organisations, which it may no longer have either. While capacity is
+   * not short, nothing else drops them.
+   */
   retainServices(services: readonly ServiceId[]): void {
     [...this.#services.keys()]
       .filter(service => !services.includes(service))
       .forEach(service => this.#services.delete(service));
+    this.#services.forEach(priorities => {
+      priorities.forEach(rates => {
+        rates.dropIdle();
+      });
+    });
   }
 }
--- a/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
+++ b/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
@@ -13,7 +13,11 @@
 } from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
 
-import type { GatewayBoard, GatewayRequest } from '../../../src/index.js';
+import type {
+  GatewayBoard,
+  GatewayBoardOptions,
+  GatewayRequest,
+} from '../../../src/index.js';
 import {
   createGatewayBoard,
   defaultGatewayPolicies,
@@ -129,6 +133,7 @@
 export function gatewayFixture(
   routes: readonly Route[],
   replicas: readonly Replica[],
+  options: Partial<GatewayBoardOptions> = {},
 ): GatewayFixture {
   const clock = manualClock();
   const board = createGatewayBoard({
@@ -137,6 +142,7 @@
     instance: brand<InstanceId>('i-1'),
     failureDomain: brand<FailureDomainId>('d-1'),
     retryBudget: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    ...options,
   });
   const router = new GatewayRouter(board, defaultGatewayPolicies(board));
   router.configure(configuration(routes));
--- a/packages/decisions/tests/gateway/shares/OrganisationShares.test.ts
+++ b/packages/decisions/tests/gateway/shares/OrganisationShares.test.ts
@@ -88,12 +88,29 @@
     t.deepEqual(offerSecond(shares, clock, true, ['a']), { a: 0 });
   });
 
+  // The rate of an organisation decays for some 20 s after a large request.
+  // Organisations are idle after 9 s; computed shares are reused for 100 ms.
+  it('holds back none that has had no competition for ten seconds', t => {
+    const clock = manualClock();
+    const shares = sharesOn(clock);
+    shares.onOffered(requestOf('b'), 10 * WORK);
+    const held = Array.from({ length: 12 }).map(
+      () => offerSecond(shares, clock, true, ['a']).a ?? 0,
+    );
+    t.true((held[0] ?? 0) > 0, 'the division was not in force');
+    t.deepEqual(held.slice(10), [0, 0]);
+  });
+
   it('does not hold back requests of a priority because another is short', t => {
     const clock = manualClock();
     const shares = sharesOn(clock);
-    offerSecond(shares, clock, true);
+    const names = ['a', 'a', 'a', 'a', 'a', 'a', 'b', 'c', 'd'];
+    const heldAtOther = Array.from({ length: 20 }).flatMap(() => {
+      offerSecond(shares, clock, true);
+      return names.filter(name => shares.onOffered(requestOf(name, 1), WORK));
+    });
     t.false(shares.isShort(SERVICE, 1));
-    t.is(shares.onOffered(requestOf('a', 1), WORK), null);
+    t.deepEqual(heldAtOther, []);
   });
 
   it('ends one second after the last lack of capacity', t => {
@@ -138,6 +155,24 @@
     clock.advance(3001);
     t.false(shares.isShort(SERVICE, 0));
     t.is(shares.onOffered(requestOf('a'), WORK), null);
+    // Alone, its own requests are of one organisation, without competition.
+    t.deepEqual(offerSecond(shares, clock, true, ['a']), { a: 0 });
+  });
+
+  // Peers ignore reports with earlier times for seconds, for example after the
+  // wall clock was corrected.
+  it('orders its reports by time also if the wall clock is set back', t => {
+    const clock = manualClock();
+    let offsetMs = 1_764_000_000_000;
+    const shares = new OrganisationShares({
+      clock: clock.now,
+      random: createRandom(3),
+      timeOfDay: () => offsetMs + clock.now(),
+    });
+    const before = shares.report.asOfMs;
+    offsetMs -= 5000;
+    clock.advance(50);
+    t.is(shares.report.asOfMs, before + 50);
   });
 
   it('drops the state of services that the configuration no longer has', t => {
