fix(gateway): work of organisations fits into a datagram

With 400 organisations and 12 priorities the rates of work took 105 kB, more than a datagram can hold, so that heartbeats would have been lost just while capacity is short. A message now has at most 200 rates, the largest of each group.

--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -68,6 +68,10 @@
   createSpeedReports,
 } from './speed/speedReports.js';
 export type { OrganisationShare } from './shares/divideCapacity.js';
-export type { WorkGroup, WorkReport } from './shares/WorkReport.js';
+export type {
+  OrganisationWork,
+  WorkGroup,
+  WorkReport,
+} from './shares/WorkReport.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
--- a/packages/gateway/src/state/workMessage.ts
+++ b/packages/gateway/src/state/workMessage.ts
@@ -1,4 +1,4 @@
-import type { WorkReport } from '@jujubecroft/decisions';
+import type { OrganisationWork, WorkReport } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator/peers';
 import type { OrganisationId, ServiceId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
@@ -9,11 +9,30 @@
 /** Largest time on the wire; any longer one means the same. */
 const MAX_AGE_MS = 60_000;
 
+/**
+ * Number of rates in a message, each of which takes some 22 bytes. The message
+ * stays far below the largest datagram with any number of organisations.
+ */
+const MAX_RATES = 200;
+
+/** The organisations that offer most work, of which a message has room for some. */
+function largestOf(
+  organisations: readonly OrganisationWork[],
+  limit: number,
+): readonly OrganisationWork[] {
+  return organisations.length <= limit
+    ? organisations
+    : [...organisations]
+        .sort((a, b) => b.workPerS - a.workPerS)
+        .slice(0, limit);
+}
+
 /** Fields of a message without work. */
 export const NO_WORK_FIELDS: WorkFields = { work: [], workAsOfMs: 0 };
 
 /**
- * Converts the work at this instance to message fields.
+ * Converts the work at this instance to message fields: of each group, the
+ * organisations that offer most.
  *
  * @param report - the work; null where capacity is not divided
  * @returns the fields
@@ -22,16 +41,21 @@
   if (!report || report.groups.length === 0) {
     return NO_WORK_FIELDS;
   }
+  const groups = report.groups.slice(0, MAX_RATES);
+  const limit = Math.floor(MAX_RATES / groups.length);
   return {
     workAsOfMs: report.asOfMs,
-    work: report.groups.map(group => ({
-      service: group.service,
-      priority: group.priority,
-      onTimePerS: group.onTimePerS,
-      shortAgeMs: Math.round(Math.min(MAX_AGE_MS, group.shortAgeMs)),
-      organisations: group.organisations.map(entry => entry.organisation),
-      workPerS: group.organisations.map(entry => entry.workPerS),
-    })),
+    work: groups.map(group => {
+      const organisations = largestOf(group.organisations, limit);
+      return {
+        service: group.service,
+        priority: group.priority,
+        onTimePerS: group.onTimePerS,
+        shortAgeMs: Math.round(Math.min(MAX_AGE_MS, group.shortAgeMs)),
+        organisations: organisations.map(entry => entry.organisation),
+        workPerS: organisations.map(entry => entry.workPerS),
+      };
+    }),
   };
 }
 
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -73,6 +73,24 @@
     t.deepEqual(work.lengths, [{ route, pieces: 4.5, answers: 7 }]);
   });
 
+  it('limits the work of many organisations to the largest, so that it fits into a datagram', t => {
+    const organisations = Array.from({ length: 400 }, (_, index) => ({
+      organisation: brand<OrganisationId>(`organisation-${index}`),
+      workPerS: index,
+    }));
+    const groups = Array.from({ length: 12 }, (_, priority) => ({
+      service: brand<ServiceId>('s'),
+      priority,
+      onTimePerS: 1,
+      shortAgeMs: 0,
+      organisations,
+    }));
+    const { work } = toWorkFields({ asOfMs: 1, groups });
+    t.is(work.length, 12);
+    t.is(work[0]?.workPerS[0], 399);
+    t.true(work.flatMap(({ workPerS }) => workPerS).length <= 200);
+  });
+
   // Messages of older instances have no work; an empty report must not replace
   // the one in force.
   it('carries the work of organisations, and none where there is none', t => {
