--- a/packages/cli/src/commands/GatewayCommand.ts
+++ b/packages/cli/src/commands/GatewayCommand.ts
@@ -33,6 +33,11 @@
       'host and port at which other instances reach this one, if they differ from those it listens on',
   });
 
+  readonly divideCapacity = Option.Boolean('--divide-capacity', false, {
+    description:
+      'divide the capacity of a service equally among organisations while it is short',
+  });
+
   async execute(): Promise<number> {
     // Imported on demand, so that other commands do not hold it in memory.
     const { runGateway, SETTINGS_VARIABLE } =
@@ -46,6 +51,7 @@
     }
     const gateway = await runGateway(file, {
       peerAddress: this.peerAddress,
+      dividesCapacity: this.divideCapacity,
       held: this.context.held ?? null,
     });
     process.on('SIGHUP', gateway.reload);
--- a/packages/decisions/src/gateway/shares/holdBack.ts
+++ b/packages/decisions/src/gateway/shares/holdBack.ts
@@ -14,10 +14,10 @@
 
 /**
  * Share of the latency target from which a predicted first event counts as a
- * lack of capacity. A smaller share protects other organisations sooner, but
- * refuses requests of large organisations that would have been on time.
+ * lack of capacity. When predictions reach the whole target, what has been
+ * accepted by then makes requests late for seconds.
  */
-const SHORT_SHARE = 1;
+const SHORT_SHARE = 0.5;
 /** Retry delay for a use of twice the share, in milliseconds. */
 const RETRY_MS = 1000;
 const MIN_RETRY_MS = 300;
--- a/packages/gateway/src/runFromSettings.ts
+++ b/packages/gateway/src/runFromSettings.ts
@@ -31,6 +31,11 @@
    * omitted.
    */
   readonly peerAddress?: string | undefined;
+  /**
+   * Whether instances divide capacity among organisations while it is short;
+   * false if omitted.
+   */
+  readonly dividesCapacity?: boolean;
   /**
    * Connections of callers that were accepted while the program was loading.
    */
@@ -61,14 +66,17 @@
 
 function readOrThrow<Settings extends { readonly gateway: GatewaySettings }>(
   { file, read }: SettingsSource<Settings>,
-  peerAddress: string | undefined,
+  { peerAddress, dividesCapacity = false }: RunOptions,
 ): Settings {
   const result = read();
   if (result.ok) {
     const { settings } = result;
-    return peerAddress === undefined
-      ? settings
-      : { ...settings, gateway: { ...settings.gateway, peerAddress } };
+    const gateway = {
+      ...settings.gateway,
+      dividesCapacity,
+      ...(peerAddress === undefined ? {} : { peerAddress }),
+    };
+    return { ...settings, gateway };
   }
   const faults = result.faults
     .map(({ path, message }) => `  ${path}: ${message}`)
@@ -88,9 +96,10 @@
   Settings extends { readonly gateway: GatewaySettings },
 >(
   source: SettingsSource<Settings>,
-  { peerAddress, held = null, createLog = logToStdout }: RunOptions = {},
+  options: RunOptions = {},
 ): Promise<GatewayProcess> {
-  const settings = readOrThrow(source, peerAddress);
+  const { held = null, createLog = logToStdout } = options;
+  const settings = readOrThrow(source, options);
   const log = createLog(settings.gateway);
   const ports = source.createPorts(settings, log);
   const running = await startGateway(settings.gateway, ports, log, held);
@@ -98,7 +107,7 @@
 
   const reload = (): void => {
     try {
-      const next = readOrThrow(source, peerAddress).gateway;
+      const next = readOrThrow(source, options).gateway;
       const serialized = JSON.stringify(next);
       if (serialized !== inForce) {
         inForce = serialized;
