--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -3,9 +3,14 @@
   GatewayAttempt,
   GatewayRequest,
   GatewayRouter,
+  ReportedLoad,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import type { BackendServerId, Replica } from '@jujubecroft/types';
+import type {
+  BackendServerId,
+  OrganisationId,
+  Replica,
+} from '@jujubecroft/types';
 import { assertDefined, brand, createRandom } from '@jujubecroft/types';
 
 import { EventQueue } from '../simulation/EventQueue.js';
@@ -13,6 +18,7 @@
 import type { GatewayPolicyFactory } from './createReplayRouter.js';
 import { createReplayRouter, createReplica } from './createReplayRouter.js';
 import { exchangeWork } from './exchangeWork.js';
+import { HostPace } from './HostPace.js';
 import type { PromptJob } from './PromptEngine.js';
 import { PromptEngine } from './PromptEngine.js';
 import { ReplayCallers } from './ReplayCallers.js';
@@ -43,10 +49,22 @@
 const NETWORK_DELAY_MS = 1;
 const NO_SOURCE_ENGINE = brand<BackendServerId>('');
 const MS_PER_SECOND = 1000;
+/** Added to the seed of a replay for the requests of a surge. */
+const SURGE_SEED = 1_000_000;
+
+/** Counts of the requests of one organisation and kind that arrived during the surge. */
+export interface OrganisationResult {
+  readonly organisation: OrganisationId | null;
+  readonly kind: string;
+  requests: number;
+  onTime: number;
+  refused: number;
+}
 
 /** Counters and record that the outcome of one request is written to. */
 interface OutcomeTargets {
   readonly result: KindResult;
+  readonly organisation: OrganisationResult;
   readonly replayed: ReplayedRequest;
 }
 
@@ -54,8 +72,10 @@
 export class GatewayReplay {
   readonly #events = new EventQueue();
   readonly #engines = new Map<BackendServerId, PromptEngine>();
+  readonly #paces = new Map<BackendServerId, HostPace>();
   readonly #routers: GatewayRouter[] = [];
   readonly #results = new Map<string, KindResult>();
+  readonly #organisations = new Map<string, OrganisationResult>();
   readonly #inversions: UrgencyWatch;
   /** By instance: callbacks that abort its requests in flight, called when it restarts. */
   readonly #abortCallbacks = new Map<GatewayRouter, Set<() => void>>();
@@ -63,6 +83,9 @@
   readonly #informed = new Set<string>();
   readonly #random: () => number;
   readonly #callers: ReplayCallers;
+  /** Separate random source of a surge, so that all other requests are the same without it. */
+  readonly #surgeRandom: () => number;
+  readonly #surgeCallers: ReplayCallers;
 
   constructor(
     private readonly createPolicies: GatewayPolicyFactory,
@@ -71,6 +94,8 @@
   ) {
     this.#random = createRandom(seed);
     this.#callers = new ReplayCallers(shape, this.#random);
+    this.#surgeRandom = createRandom(seed + SURGE_SEED);
+    this.#surgeCallers = new ReplayCallers(shape, this.#surgeRandom, 'surge');
     this.#inversions = new UrgencyWatch(shape.load.kinds);
   }
 
@@ -82,6 +107,11 @@
     );
   }
 
+  /** Counts by organisation and kind of the requests that arrived during the surge. */
+  get organisations(): readonly OrganisationResult[] {
+    return [...this.#organisations.values()];
+  }
+
   /** Number of preemptions that left a request of a less urgent route running. */
   get misorderedPreemptions(): number {
     return [...this.#engines.values()].reduce(
@@ -107,8 +137,15 @@
     return this.#informed.size;
   }
 
+  /** Time for which each engine was working, in milliseconds, in their order. */
+  get busyMs(): readonly number[] {
+    return [...this.#engines.values()].map(({ busyMs }) => busyMs);
+  }
+
   /** Requests that engines rejected with a requested pause. */
   rejections = 0;
+  /** Requests that engines rejected since they were full. */
+  rejectedFull = 0;
   /** Requests that reached an engine although its leave was known to their instance. */
   requestsAfterLeave = 0;
 
@@ -123,8 +160,18 @@
       createReplica(index, slots),
     );
     const engine = { ...this.shape.load.engine, slots };
-    replicas.forEach(({ id }) => {
-      this.#engines.set(id, new PromptEngine(this.#events, engine));
+    replicas.forEach(({ id }, index) => {
+      const pace = new HostPace(
+        index,
+        this.shape.uneven ?? null,
+        () => this.#events.nowMs,
+        createRandom(this.seed * replicas.length + index),
+      );
+      this.#paces.set(id, pace);
+      this.#engines.set(
+        id,
+        new PromptEngine(this.#events, engine, () => pace.factor),
+      );
     });
     Array.from({ length: this.shape.instances }).forEach((_, index) => {
       this.#routers[index] = this.#startRouter(index, replicas);
@@ -158,6 +205,7 @@
         cut: 0,
       });
       this.#scheduleNext(kind);
+      this.#scheduleSurge(kind);
     });
     this.#events.runUntil((LOAD_S + DRAIN_S) * MS_PER_SECOND);
     return [...this.#results.values()];
@@ -187,6 +235,15 @@
     return isOverloaded ? overload.pauseMs : null;
   }
 
+  /** Load that an engine reports now. */
+  #reportOf(id: BackendServerId): ReportedLoad {
+    const { slots, uneven } = this.shape;
+    const { running = 0, waiting = 0 } = this.#engines.get(id) ?? {};
+    const load = { running, waiting, slots };
+    const slowdown = this.#paces.get(id)?.moment ?? 1;
+    return uneven?.isReported === true ? { ...load, slowdown } : load;
+  }
+
   /** Whether the answers of an engine announce its leave now. */
   #isLeaving(id: BackendServerId): boolean {
     const { leave } = this.shape;
@@ -216,26 +273,89 @@
     });
   }
 
+  /** Schedules the requests that the first organisation sends beyond its usual ones. */
+  #scheduleSurge(kind: RequestKind): void {
+    const { surge, scale, load } = this.shape;
+    const callers = load.organisations ?? [];
+    const [caller] = callers;
+    if (!surge || !caller) {
+      return;
+    }
+    const perS = (scale * kind.perS * (surge.factor - 1)) / callers.length;
+    const random = this.#surgeRandom;
+    const scheduleNext = (fromMs: number): void => {
+      const atMs = fromMs + (-Math.log(1 - random()) * MS_PER_SECOND) / perS;
+      if (atMs < surge.toMs) {
+        this.#events.at(atMs, () => {
+          const router = this.#drawRouter(random);
+          this.#onRequest(
+            kind,
+            router,
+            this.#surgeCallers.drawRequest(kind, router, atMs, caller),
+          );
+          scheduleNext(atMs);
+        });
+      }
+    };
+    scheduleNext(surge.fromMs);
+  }
+
+  /** Returns the counts of an organisation and kind; not kept outside of the surge. */
+  #organisationOf({
+    organisation,
+    route,
+    arrivedMs,
+  }: GatewayRequest): OrganisationResult {
+    const { surge } = this.shape;
+    const key = `${organisation ?? ''} ${route.id}`;
+    const result = this.#organisations.get(key) ?? {
+      organisation,
+      kind: route.id,
+      requests: 0,
+      onTime: 0,
+      refused: 0,
+    };
+    if (surge && arrivedMs >= surge.fromMs && arrivedMs < surge.toMs) {
+      this.#organisations.set(key, result);
+      return result;
+    }
+    return { ...result };
+  }
+
   #onArrival(kind: RequestKind): void {
     const router = this.#drawRouter();
+    const { nowMs } = this.#events;
+    const request = this.#callers.drawRequest(kind, router, nowMs);
+    this.#onRequest(kind, router, request);
+  }
+
+  #onRequest(
+    kind: RequestKind,
+    router: GatewayRouter,
+    request: GatewayRequest,
+  ): void {
     const result = assertDefined(
       this.#results.get(kind.route.id),
       'every kind has a result',
     );
-    const { nowMs } = this.#events;
-    const request = this.#callers.drawRequest(kind, router, nowMs);
+    const organisation = this.#organisationOf(request);
     result.requests += 1;
+    organisation.requests += 1;
     const replayed = this.#inversions.onRequest({
       kind,
       priority: request.priority,
-      askedMs: nowMs,
+      askedMs: request.arrivedMs,
       promptTokens: request.prompt?.promptTokens ?? 0,
     });
-    this.#placeRequest(kind, router, request, { result, replayed });
+    this.#placeRequest(kind, router, request, {
+      result,
+      organisation,
+      replayed,
+    });
   }
 
-  #drawRouter(): GatewayRouter {
-    const index = Math.floor(this.#random() * this.shape.instances);
+  #drawRouter(random = this.#random): GatewayRouter {
+    const index = Math.floor(random() * this.shape.instances);
     return assertDefined(
       this.#routers[index],
       'index is below the number of instances',
@@ -256,6 +376,7 @@
     }
     if (this.shape.callersRetry !== true || request.isCallerRetry) {
       outcome.result.refused += 1;
+      outcome.organisation.refused += 1;
       return;
     }
     this.#events.after(decision.retryAfterMs, () => {
@@ -272,8 +393,9 @@
     kind: RequestKind,
     router: GatewayRouter,
     attempt: GatewayAttempt,
-    { result, replayed }: OutcomeTargets,
+    outcome: OutcomeTargets,
   ): void {
+    const { result, organisation, replayed } = outcome;
     const { request, load } = attempt;
     const [shared, own] = request.prompt?.parts ?? [];
     const engine = assertDefined(
@@ -308,9 +430,7 @@
         if (firstEventMs === null) {
           firstEventMs = nowMs;
           replayed.firstEventMs = nowMs;
-          const { running, waiting } = engine;
-          const { slots } = this.shape;
-          router.onReported(attempt, { running, waiting, slots });
+          router.onReported(attempt, this.#reportOf(id));
           if (this.#isLeaving(id)) {
             router.onLeaveAnnounced(attempt);
             this.#informed.add(`${id} ${router.board.instance}`);
@@ -332,6 +452,7 @@
         const isOnTime =
           firstEventLatencyMs <= latencyTargetMs && longestGapMs <= gapTargetMs;
         result[isOnTime ? 'onTime' : 'late'] += 1;
+        organisation.onTime += isOnTime ? 1 : 0;
       },
     };
     const abort = (reason: WithdrawReason): void => {
@@ -347,13 +468,27 @@
       this.rejections += 1;
       router.onPauseRequested(attempt, pauseMs);
       router.onEnded(attempt, { kind: 'notRun', reason: 'status 503' });
-      this.#placeRequest(kind, router, request, { result, replayed });
+      this.#placeRequest(kind, router, request, outcome);
+    };
+    const rejectFull = (): void => {
+      ended = true;
+      abortCallbacks?.delete(onInstanceStop);
+      this.rejectedFull += 1;
+      router.onReported(attempt, this.#reportOf(id));
+      router.onEnded(attempt, { kind: 'notRun', reason: 'status 503' });
+      result.refused += 1;
     };
     const copyMs = attempt.fetch?.copyMs ?? 0;
     this.#events.after(NETWORK_DELAY_MS + copyMs, () => {
       const pauseMs = this.#requestedPauseMs(id);
       if (!ended && pauseMs !== null) {
         reject(pauseMs);
+      } else if (
+        !ended &&
+        engine.running >= this.shape.slots &&
+        engine.waiting >= (this.shape.queue ?? Infinity)
+      ) {
+        rejectFull();
       } else if (!ended) {
         engine.submit(job);
       }
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -95,6 +95,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How many times as long as usual work takes on the replica's host at this
+   * moment; absent if the replica doesn't state it.
+   */
+  readonly slowdown?: number;
 }
 
 /** A load report with the local time at which the replica sent it. */
@@ -116,6 +121,16 @@
 
 /** Age up to which a load report is used. */
 const MAX_REPORT_AGE_MS = 1000;
+/**
+ * Age up to which a slowdown of the moment is used; hosts change it about every
+ * 600 ms.
+ */
+const MAX_SLOWDOWN_AGE_MS = 300;
+/**
+ * Largest slowdown of the moment that is believed, which bounds the effect of a
+ * false one.
+ */
+const MAX_SLOWDOWN = 2.5;
 /**
  * Key that stands for all priorities at replicas that serve in order of
  * arrival.
@@ -152,6 +167,9 @@
   eventIntervalMs = INITIAL_EVENT_INTERVAL_MS;
   lastByteMs = -Infinity;
   #report: TimestampedLoad | null = null;
+  #slowdown = 1;
+  #slowdownAtMs = -Infinity;
+  #queueWhenFull: number | null = null;
   #limit: AnnouncedLimit | null = null;
   readonly #latencyRatios = new Map<number, number>();
 
@@ -196,6 +214,9 @@
   }
 
   #reportedOthers(report: TimestampedLoad): number {
+    if (this.attempts.size === 0) {
+      return Math.max(0, report.total);
+    }
     const ownIncluded = [...this.attempts].filter(
       ({ sentMs }) => sentMs <= report.atMs,
     );
@@ -233,9 +254,10 @@
    */
   unreadTokensAhead(rank: number): number {
     const own = this.#ownUnread(attempt => attempt.rank <= rank);
-    const others = this.peers.unreadByRank
-      .slice(0, rank + 1)
-      .reduce((sum, tokens) => sum + tokens, 0);
+    let others = 0;
+    this.peers.unreadByRank.forEach((tokens, otherRank) => {
+      others += otherRank <= rank ? tokens : 0;
+    });
     return own + others;
   }
 
@@ -254,14 +276,61 @@
   }
 
   #ownUnread(isCounted: (attempt: GatewayAttempt) => boolean): number {
+    if (this.attempts.size === 0) {
+      return 0;
+    }
     return this.#waiting
       .filter(isCounted)
       .reduce((sum, { unreadTokens }) => sum + unreadTokens, 0);
   }
 
   /** Records the load that the replica reported with an answer. */
-  onReported({ running, waiting }: ReportedLoad): void {
-    this.#report = { total: running + waiting, atMs: this.clock() };
+  onReported({ running, waiting, slowdown }: ReportedLoad): void {
+    const atMs = this.clock();
+    const total = running + waiting;
+    this.#report = { total, atMs };
+    if (this.#queueWhenFull !== null) {
+      // It accepts as many as it holds; the rejection had another reason.
+      const queue = total - this.replica.slots;
+      this.#queueWhenFull = Math.max(this.#queueWhenFull, queue);
+    }
+    if (slowdown !== undefined) {
+      this.#slowdown = Math.min(MAX_SLOWDOWN, Math.max(1, slowdown));
+      this.#slowdownAtMs = atMs;
+    }
+  }
+
+  /**
+   * How many times as long as usual work takes on the replica's host now, from 1;
+   * 1 if no recent report says so.
+   */
+  get slowdown(): number {
+    return this.clock() - this.#slowdownAtMs <= MAX_SLOWDOWN_AGE_MS
+      ? this.#slowdown
+      : 1;
+  }
+
+  /**
+   * Records that the replica rejected a request unrun, which it does when it is
+   * full. To be called when the attempt has ended. A replica with free slots had
+   * another reason.
+   */
+  onRejected(): void {
+    const queue = this.totalInFlight - this.replica.slots;
+    if (queue >= 0) {
+      this.#queueWhenFull = queue;
+    }
+  }
+
+  /**
+   * Whether the replica holds as many requests as when it last rejected one.
+   * False if it never did, since its queue may have any length then.
+   */
+  get isFull(): boolean {
+    return (
+      this.#queueWhenFull !== null &&
+      this.totalInFlight >= this.replica.slots + this.#queueWhenFull
+    );
   }
 
   /** Records a load report that another instance received, if it is newer. */
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -21,6 +21,8 @@
 import { RetryBudget } from './RetryBudget.js';
 import { DemandTracker } from './RouteDemand.js';
 import type { RoutingTable } from './RoutingTable.js';
+import { FleetSpeeds } from './speed/FleetSpeeds.js';
+import { OrganisationShares } from './shares/OrganisationShares.js';
 import { StoreClock } from './StoreClock.js';
 
 /**
@@ -37,6 +39,11 @@
    * none.
    */
   readonly duties?: DutySettings | null;
+  /**
+   * Whether capacity is divided among organisations while it is short; false if
+   * omitted.
+   */
+  readonly dividesCapacity?: boolean;
   /** Wall-clock time in Unix milliseconds. */
   readonly timeOfDay?: () => number;
 }
@@ -70,6 +77,8 @@
    * State of the duties, which one instance performs for all; null for none.
    */
   readonly duties: DutyBoard | null;
+  /** Shares of organisations; null where capacity is not divided. */
+  readonly shares: OrganisationShares | null;
   /** Load of each replica that is in use or still has attempts. */
   readonly backends: Map<BackendServerId, BackendLoad>;
   /**
@@ -78,6 +87,8 @@
    */
   readonly supersededRuns: Set<BackendLoad>;
   readonly estimates: Map<ServiceId, ServiceEstimates>;
+  /** Lasting speeds of replicas, where they are uneven. */
+  readonly speeds: FleetSpeeds;
   readonly configurations: ConfigurationHistory;
   /** Look-up tables of the configuration in force; null until one is known. */
   table: RoutingTable | null;
@@ -107,8 +118,10 @@
 export function createGatewayBoard(options: GatewayBoardOptions): GatewayBoard {
   const { clock, random, instance, failureDomain, retryBudget } = options;
   const { duties: settings = null, timeOfDay = Date.now } = options;
+  const { dividesCapacity = false } = options;
   const storeClock = new StoreClock(clock);
   const replicas = new ReplicaRegistry(storeClock);
+  const backends = new Map<BackendServerId, BackendLoad>();
   return {
     clock,
     random,
@@ -124,9 +137,13 @@
     storeClock,
     replicas,
     duties: settings && createDutyBoard({ settings, storeClock, timeOfDay }),
-    backends: new Map(),
+    shares: dividesCapacity
+      ? new OrganisationShares({ clock, random, timeOfDay })
+      : null,
+    backends,
     supersededRuns: new Set(),
     estimates: new Map(),
+    speeds: new FleetSpeeds(clock, backends),
     configurations: new ConfigurationHistory(clock),
     table: null,
     configurationAsOfMs: -Infinity,
@@ -167,10 +184,12 @@
   board: GatewayBoard,
   service: ServiceId,
 ): readonly BackendLoad[] {
-  return [...board.backends.values()].filter(
-    ({ replica }) =>
-      replica.service === service &&
-      !replica.leaving &&
-      board.replicas.find(replica.id) !== undefined,
-  );
+  const candidates: BackendLoad[] = [];
+  board.backends.forEach(load => {
+    const { id, service: own, leaving } = load.replica;
+    if (own === service && !leaving && board.replicas.has(id)) {
+      candidates.push(load);
+    }
+  });
+  return candidates;
 }
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -66,6 +66,7 @@
       return false;
     }
     board.table = new RoutingTable(board.configurations.record(known, cfg));
+    board.shares?.retainServices(cfg.services.map(({ id }) => id));
     return true;
   }
 
@@ -74,7 +75,7 @@
    * that are gone and have no attempts.
    */
   syncReplicas(): void {
-    const { replicas, backends } = this.board;
+    const { replicas, backends, speeds } = this.board;
     replicas.replicas.forEach(replica => {
       this.#syncReplica(replica);
     });
@@ -83,7 +84,10 @@
         ({ replica, inFlight }) =>
           inFlight === 0 && replicas.find(replica.id) === undefined,
       )
-      .forEach(({ replica }) => backends.delete(replica.id));
+      .forEach(load => {
+        backends.delete(load.replica.id);
+        speeds.forget(load);
+      });
   }
 
   /**
@@ -94,7 +98,7 @@
    * healthy replica would be avoided because of the failures of the crash.
    */
   #syncReplica(replica: Replica): void {
-    const { backends, supersededRuns, table, clock } = this.board;
+    const { backends, supersededRuns, table, clock, speeds } = this.board;
     const load = backends.get(replica.id);
     if (load && !isLaterRun(replica, load.replica)) {
       load.replica = replica;
@@ -102,6 +106,7 @@
     }
     if (load) {
       supersededRuns.add(load);
+      speeds.forget(load);
     }
     const service = table?.service(replica.service);
     backends.set(replica.id, new BackendLoad(replica, service, clock));
@@ -151,6 +156,7 @@
     request: GatewayRequest,
     tried: ReadonlySet<BackendServerId>,
   ): PlacementDecision {
+    this.refreshPeerLoad();
     return placeRequest(this.board, this.policies, request, tried);
   }
 
@@ -203,8 +209,11 @@
   }
 
   /** Records the load that a replica reported with an answer. */
-  onReported(attempt: GatewayAttempt, reported: ReportedLoad): void {
-    attempt.load.onReported(reported);
+  onReported({ load }: GatewayAttempt, reported: ReportedLoad): void {
+    load.onReported(reported);
+    if (reported.slowdown !== undefined) {
+      this.board.speeds.activate(load.replica.service);
+    }
   }
 
   /**
@@ -278,11 +287,15 @@
    * become unresponsive or has lost the answer.
    */
   findAttemptsToMove(): readonly GatewayAttempt[] {
-    return [...this.board.backends.values()].flatMap(load =>
-      [...load.attempts].filter(attempt =>
-        shouldMoveElsewhere(this.board, attempt),
-      ),
-    );
+    const attempts: GatewayAttempt[] = [];
+    this.board.backends.forEach(load => {
+      load.attempts.forEach(attempt => {
+        if (shouldMoveElsewhere(this.board, attempt)) {
+          attempts.push(attempt);
+        }
+      });
+    });
+    return attempts;
   }
 
   /**
@@ -311,6 +324,9 @@
    */
   takeOrphanedAttempts(): readonly GatewayAttempt[] {
     const { supersededRuns } = this.board;
+    if (supersededRuns.size === 0) {
+      return [];
+    }
     const orphans = [...supersededRuns].flatMap(({ attempts }) => [
       ...attempts,
     ]);
@@ -320,22 +336,25 @@
 
   /** Number of attempts of this instance that have not ended. */
   get inFlight(): number {
-    return [...this.board.backends.values()].reduce(
-      (sum, { inFlight }) => sum + inFlight,
-      0,
-    );
+    let sum = 0;
+    this.board.backends.forEach(({ inFlight }) => {
+      sum += inFlight;
+    });
+    return sum;
   }
 
   /** This instance's use of each replica, to be sent to other instances. */
   get ownReplicaUses(): readonly ReplicaUse[] {
-    return [...this.board.backends.values()]
-      .filter(({ inFlight }) => inFlight > 0)
-      .map(({ replica, inFlight, ownUnreadByRank }) => ({
-        id: replica.id,
-        bornMs: replica.bornMs,
-        inFlight,
-        unreadByRank: ownUnreadByRank,
-      }));
+    const uses: ReplicaUse[] = [];
+    this.board.backends.forEach(load => {
+      const { inFlight, replica } = load;
+      if (inFlight > 0) {
+        const { id, bornMs } = replica;
+        const unreadByRank = load.ownUnreadByRank;
+        uses.push({ id, bornMs, inFlight, unreadByRank });
+      }
+    });
+    return uses;
   }
 
   /**
@@ -348,18 +367,31 @@
    */
   get loadReports(): readonly RelayedLoadReport[] {
     const nowMs = this.board.clock();
-    return [...this.board.backends.values()].flatMap(load => {
-      const report = load.freshReport;
-      const { id, bornMs } = load.replica;
-      return report
-        ? [{ id, bornMs, total: report.total, ageMs: nowMs - report.atMs }]
-        : [];
+    const reports: RelayedLoadReport[] = [];
+    this.board.backends.forEach(({ freshReport, replica }) => {
+      if (freshReport) {
+        const { total, atMs } = freshReport;
+        const { id, bornMs } = replica;
+        reports.push({ id, bornMs, total, ageMs: nowMs - atMs });
+      }
     });
+    return reports;
   }
 
   /** Records the work and the load reports that another instance sent. */
   onPeerUpdate(peer: InstanceId, update: PeerUpdate): void {
     this.#peerLoad.onPeerUpdate(peer, update);
+    if (update.work) {
+      this.board.shares?.onReport(peer, update.work);
+    }
+  }
+
+  /**
+   * Brings the totals of the other instances' work on the blackboard up to
+   * date. Placements and each change of the set of instances do so as well.
+   */
+  refreshPeerLoad(): void {
+    this.#peerLoad.refresh();
   }
 
   /** Updates the set of live instances. */
@@ -367,6 +399,7 @@
     this.board.instances = Math.max(1, live.length);
     this.board.budget.onInstances(this.board.instances);
     this.board.limits.onInstances(live);
+    this.board.shares?.onInstances(live);
     this.#peerLoad.retainPeers(live);
   }
 }
--- a/packages/decisions/src/gateway/attemptLifecycle.ts
+++ b/packages/decisions/src/gateway/attemptLifecycle.ts
@@ -3,6 +3,7 @@
 import { recordCrashEvidence } from './crashes/recordCrashEvidence.js';
 import type { GatewayBoard } from './GatewayBoard.js';
 import { estimatesOf } from './GatewayBoard.js';
+import { recordFirstEvent } from './shares/holdBack.js';
 import { updateReplicaHealth } from './updateReplicaHealth.js';
 import type { PlacedCandidate } from './placement/PlacementPolicy.js';
 import type { Urgency } from './placement/serviceRank.js';
@@ -76,7 +77,8 @@
   const { service, priority } = attempt.request;
   const { engine } = estimatesOf(board, service.id);
   const aheadMs = attempt.tokensAhead / engine.queueTokensPerMs(priority);
-  engine.onDeferredWait(priority, tookMs, aheadMs + engine.baseMs);
+  const factor = board.speeds.factorOf(attempt.load);
+  engine.onDeferredWait(priority, tookMs / factor, aheadMs + engine.baseMs);
 }
 
 /**
@@ -117,7 +119,12 @@
     board.crashes.onBytes(attempt.load.replica);
   }
   if (attempt.lastByteMs !== null) {
-    attempt.load.onEventInterval(nowMs - attempt.lastByteMs);
+    const pauseMs = nowMs - attempt.lastByteMs;
+    attempt.load.onEventInterval(pauseMs);
+    // Parts of the answer of a plain service arrive at no particular pace.
+    if (attempt.request.service.engine) {
+      board.speeds.onInterval(attempt.load, attempt.request.route.id, pauseMs);
+    }
   }
   attempt.lastByteMs = nowMs;
   attempt.pieces += 1;
@@ -129,6 +136,7 @@
     countStartedRequest(board, attempt);
   }
   attempt.load.onFirstByte(attempt);
+  recordFirstEvent(board, attempt);
   const { request, load, predictedMs, tokensAhead, sentMs } = attempt;
   const tookMs = nowMs - sentMs;
   const copyMs = attempt.fetch?.copyMs ?? 0;
@@ -138,7 +146,9 @@
   }
   if (request.service.engine) {
     const { engine } = estimatesOf(board, request.service.id);
-    engine.onFirstEvent(request.priority, tokensAhead, tookMs - copyMs);
+    // The estimates are those of a replica of usual speed.
+    const usualMs = (tookMs - copyMs) / board.speeds.factorOf(load);
+    engine.onFirstEvent(request.priority, tokensAhead, usualMs);
     const expectedMs = Math.max(predictedMs, engine.baseMs);
     load.onDuration(request.priority, tookMs, expectedMs);
   }
@@ -155,6 +165,9 @@
   if (result.kind === 'unsent') {
     board.limits.refund(load);
   }
+  if (result.kind === 'notRun') {
+    load.onRejected();
+  }
   if (request.prompt) {
     board.demand.onEnded(request.route.id);
   }
@@ -177,7 +190,13 @@
   if (result.kind === 'answered' && !request.service.engine) {
     const estimates = estimatesOf(board, request.service.id);
     const tookMs = board.clock() - attempt.sentMs;
-    estimates.answerMs += ANSWER_WEIGHT * (tookMs - estimates.answerMs);
-    load.onDuration(FIFO_PRIORITY, tookMs, estimates.answerMs);
+    const factor = board.speeds.factorOf(load);
+    estimates.answerMs +=
+      ANSWER_WEIGHT * (tookMs / factor - estimates.answerMs);
+    // Placement multiplies the ratio by the stated slowdown. Expecting the slowdown here
+    // keeps a true one from counting twice, and lets answers outweigh a false one.
+    const expectedMs = estimates.answerMs * factor * load.slowdown;
+    load.onDuration(FIFO_PRIORITY, tookMs, expectedMs);
+    board.speeds.onAnswer(load, tookMs);
   }
 }
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -60,5 +60,18 @@
 export type { RetryBudgetRules } from './RetryBudget.js';
 export type { RouteDemand } from './RouteDemand.js';
 export { RoutingTable } from './RoutingTable.js';
+export type { SpeedClass } from './speed/ReplicaSpeed.js';
+export type { SpeedReport } from './speed/speedReports.js';
+export {
+  applySpeedReports,
+  createAllSpeedReports,
+  createSpeedReports,
+} from './speed/speedReports.js';
+export type { OrganisationShare } from './shares/divideCapacity.js';
+export type {
+  OrganisationWork,
+  WorkGroup,
+  WorkReport,
+} from './shares/WorkReport.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
--- a/packages/gateway/src/front/readBody.ts
+++ b/packages/gateway/src/front/readBody.ts
@@ -1,17 +1,23 @@
 import type { IncomingMessage } from 'node:http';
 
+import { headerValue } from '../util/headers.js';
+
 /** Result of reading a body. */
 export type BodyReadResult =
   | { readonly kind: 'whole'; readonly body: Buffer | null }
   | { readonly kind: 'tooLarge' }
   | { readonly kind: 'broken' };
 
+/** Length of the body that the request head states, in bytes; 0 for none. */
+function statedLength({ rawHeaders }: IncomingMessage): number {
+  return Number(headerValue(rawHeaders, 'content-length') ?? 0);
+}
+
 /** Whether the request head announces a body. */
 function hasBody(req: IncomingMessage): boolean {
-  const { headers } = req;
   return (
-    headers['transfer-encoding'] !== undefined ||
-    Number(headers['content-length'] ?? 0) > 0
+    statedLength(req) > 0 ||
+    headerValue(req.rawHeaders, 'transfer-encoding') !== undefined
   );
 }
 
@@ -34,22 +40,34 @@
   if (!hasBody(req)) {
     return { kind: 'whole', body: null };
   }
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+  if (statedLength(req) > maxBytes) {
     return { kind: 'tooLarge' };
   }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of req as AsyncIterable<Buffer>) {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes > maxBytes) {
-        return { kind: 'tooLarge' };
+        // Discards the rest instead of destroying the request, which would also
+        // close the connection before the error response is written.
+        chunks.length = 0;
+        resolve({ kind: 'tooLarge' });
+        return;
       }
       chunks.push(chunk);
-    }
-  } catch {
+    });
+    req.once('end', () => {
+      const [first = null] = chunks;
+      const body = chunks.length > 1 ? Buffer.concat(chunks) : first;
+      resolve({ kind: 'whole', body: body ?? Buffer.alloc(0) });
+    });
     // The caller closed the connection; nobody is left to receive a response.
-    return { kind: 'broken' };
-  }
-  return { kind: 'whole', body: Buffer.concat(chunks) };
+    // Both events also follow the end, which has settled the result then.
+    const onBroken = (): void => {
+      resolve({ kind: 'broken' });
+    };
+    req.on('error', onBroken);
+    req.once('close', onBroken);
+  });
 }
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -27,6 +27,12 @@
     labelNames: ['code', 'priority'] as const,
     registers: this.#registers,
   });
+  readonly heldBack = new Counter({
+    name: 'jujubecroft_gateway_above_share_total',
+    help: 'Requests refused since their organisation used more than its share of a short capacity.',
+    labelNames: ['service', 'priority'] as const,
+    registers: this.#registers,
+  });
   readonly attempts = new Counter({
     name: 'jujubecroft_gateway_attempts_total',
     help: 'Attempts at backend servers by result.',
@@ -116,6 +122,12 @@
     labelNames: ['service', 'verdict'] as const,
     registers: this.#registers,
   });
+  readonly speeds = new Gauge({
+    name: 'jujubecroft_gateway_backend_servers_by_speed',
+    help: 'Backend servers by service and class of lasting speed, where it is uneven.',
+    labelNames: ['service', 'speed'] as const,
+    registers: this.#registers,
+  });
   readonly inFlight = new Gauge({
     name: 'jujubecroft_gateway_requests_in_flight',
     help: 'Requests that have not ended.',
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -1,6 +1,11 @@
 import { describe } from '@jujubecroft/testing';
 import { GatewayState } from '@jujubecroft/operator/peers';
-import type { BackendServerId, RouteId } from '@jujubecroft/types';
+import type {
+  BackendServerId,
+  OrganisationId,
+  RouteId,
+  ServiceId,
+} from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
 import { NO_CONFIGURATION } from '../../src/state/configurationMessage.js';
@@ -14,6 +19,7 @@
   toReplicaFields,
   toUses,
 } from '../../src/state/gatewayState.js';
+import { NO_WORK_FIELDS, toWorkFields } from '../../src/state/workMessage.js';
 
 const id = brand<BackendServerId>('s-1');
 const route = brand<RouteId>('r');
@@ -45,7 +51,9 @@
       ...NO_CONFIGURATION,
       ...toCrashFields({ crashes: [], cleared: [] }),
       limits: [],
+      speeds: [],
       ...toDutyFields(null, false),
+      ...NO_WORK_FIELDS,
       replicasChangedAt: 4,
       ...toReplicaFields({
         version: 9,
@@ -65,6 +73,56 @@
     t.deepEqual(work.lengths, [{ route, pieces: 4.5, answers: 7 }]);
   });
 
+  it('limits the work of many organisations to the largest, so that it fits into a datagram', t => {
+    const organisations = Array.from({ length: 400 }, (_, index) => ({
+      organisation: brand<OrganisationId>(`organisation-${index}`),
+      workPerS: index,
+    }));
+    const groups = Array.from({ length: 12 }, (_, priority) => ({
+      service: brand<ServiceId>('s'),
+      priority,
+      onTimePerS: 1,
+      shortAgeMs: 0,
+      organisations,
+    }));
+    const { work } = toWorkFields({ asOfMs: 1, groups });
+    t.is(work.length, 12);
+    t.is(work[0]?.workPerS[0], 399);
+    t.true(work.flatMap(({ workPerS }) => workPerS).length <= 200);
+  });
+
+  // Messages of older instances have no work; an empty report must not replace
+  // the one in force.
+  it('carries the work of organisations, and none where there is none', t => {
+    const report = {
+      asOfMs: 1_764_000_000_123,
+      groups: [
+        {
+          service: brand<ServiceId>('x'),
+          priority: 2,
+          onTimePerS: 1024,
+          shortAgeMs: Infinity,
+          organisations: [
+            { organisation: brand<OrganisationId>('o'), workPerS: 12.5 },
+          ],
+        },
+      ],
+    };
+    const encode = (fields: Partial<GatewayState>): Uint8Array =>
+      GatewayState.encode(GatewayState.fromPartial(fields)).finish();
+    const carried = toPeerUpdate(
+      GatewayState.decode(encode(toWorkFields(report))),
+    );
+    t.deepEqual(carried.work, {
+      ...report,
+      groups: [{ ...report.groups[0], shortAgeMs: 60_000 }],
+    });
+    const empty = encode(toWorkFields({ asOfMs: 5, groups: [] }));
+    t.is(empty.length, 0);
+    t.is(toPeerUpdate(GatewayState.decode(empty)).work, undefined);
+    t.is(encode(toWorkFields(null)).length, 0);
+  });
+
   it('encodes and decodes existing, removed and lapsed replica entries', t => {
     const replica = {
       id,
