--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -46,9 +46,12 @@
   parseCount,
   parseNumber,
   parseRetryAfterMs,
+  parseSlowdown,
 } from './util/headerNumbers.js';
 export { formatRowContent, parseRowContent } from './util/rowContent.js';
+export { keepLast } from './util/keepLast.js';
 export {
+  addOptionalHeader,
   createHeaderFilter,
   headerMap,
   optionalHeader,
--- a/packages/gateway/src/util/headerNumbers.ts
+++ b/packages/gateway/src/util/headerNumbers.ts
@@ -3,6 +3,7 @@
  */
 const MAX_REQUESTS = 1_000_000;
 const MS_PER_SECOND = 1000;
+const PERCENT = 100;
 
 /**
  * Parses a finite number.
@@ -43,6 +44,18 @@
   return Number.isInteger(value) ? value : null;
 }
 
+/**
+ * Parses how long work takes on the host of a backend server at this moment, in per
+ * cent of the usual time.
+ *
+ * @param text - part of a header
+ * @returns the factor; null without a number above 0
+ */
+export function parseSlowdown(text: string | undefined): number | null {
+  const percent = parseNumber(text);
+  return percent !== null && percent > 0 ? percent / PERCENT : null;
+}
+
 /**
  * Parses a `Retry-After` header that states a number of seconds.
  *
--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -102,6 +102,23 @@
   };
 }
 
+/**
+ * Adds a header to a list, unless there is no value.
+ *
+ * @param headers - names and values in alternation
+ * @param name - name of the header
+ * @param value - its value; null for none
+ */
+export function addOptionalHeader(
+  headers: string[],
+  name: string,
+  value: string | null,
+): void {
+  if (value !== null) {
+    headers.push(name, value);
+  }
+}
+
 /** @returns the header as name and value, or nothing if the value is null */
 export function optionalHeader(name: string, value: string | null): string[] {
   return value === null ? [] : [name, value];
