feat(gateway): logs and metrics on the age of the view at a send

A request reached a replica too long after its leave, and the logs could not tell whether the view was old, incomplete, or current and the way too long.

Sends by a view older than half of the bound are logged with the version of the entry, the state of the view and the source that confirmed it last; so is the beginning and end of a bypass of the view lease, and each time that all replicas are taken over at once. Sends are counted by state of the view; a histogram has the time from the last check to the first byte. No decision changes.

--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -102,6 +102,11 @@
    * store's clock.
    */
   peersAsOfMs: number;
+  /**
+   * Source that last confirmed the view of the replicas, for the log: `store` or
+   * the id of an instance; null before the first.
+   */
+  replicasConfirmedBy: string | null;
   /** Number of live instances, including this one. */
   instances: number;
 }
@@ -148,6 +153,7 @@
     table: null,
     configurationAsOfMs: -Infinity,
     peersAsOfMs: -Infinity,
+    replicasConfirmedBy: null,
     instances: 1,
   };
 }
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -112,6 +112,11 @@
     return (this.#records.get(id)?.replica ?? null) !== null;
   }
 
+  /** Returns the store version of the newest row of an entry; 0 for none. */
+  rowVersionOf(id: BackendServerId): number {
+    return this.#records.get(id)?.rowVersion ?? 0;
+  }
+
   /**
    * Records that a replica announced in an answer that it is leaving.
    *
--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -44,6 +44,8 @@
 const SENTENCES: Readonly<Record<string, (fields: Fields) => string>> = {
   requestPlaced: f =>
     `attempt ${formatValue(f.attempt)} is sent to ${formatValue(f.backendServer)} at rank ${formatValue(f.rank)}, the best of ${formatValue(f.candidates)} candidates: first byte expected after ${formatValue(f.predictedMs)} ms with ${formatValue(f.tokensAhead)} prompt tokens ahead and ${formatValue(f.inFlight)} requests there; replicas as of version ${formatValue(f.replicasVersion)}, ${formatValue(f.replicasAgeMs)} ms old, configuration ${formatValue(f.configuration)}; ${formatValue(f.leftMs)} ms left${describePlacement(f)}`,
+  sentOnOldView: f =>
+    `sent to ${formatValue(f.backendServer)} by a view that ${formatValue(f.confirmedBy)} confirmed last, ${formatValue(f.viewAgeMs)} ms ago (${formatValue(f.state)}); entry as of version ${formatValue(f.rowVersion)}, replicas as of version ${formatValue(f.replicasVersion)}`,
   attemptFailed: f =>
     `the attempt ends: ${formatValue(f.result)} (${formatValue(f.reason ?? f.status)}); next: ${formatValue(f.next)}; sent ${formatValue(f.sent)} times, retries left in the budget: ${formatValue(f.budgetLeft)}, idempotent ${formatValue(f.idempotent)}`,
   requestAnswered: f =>
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -125,6 +125,29 @@
     summary:
       'The store was restored from an older copy; its versions are assigned again.',
   },
+  replicasReloaded: {
+    number: 310,
+    level: 'info',
+    summary:
+      'All backend servers were read anew, from the store or another instance.',
+  },
+  sentOnOldView: {
+    number: 311,
+    level: 'warn',
+    summary:
+      'A request was sent by a view of the backend servers that was confirmed long ago.',
+  },
+  viewLeaseBypassed: {
+    number: 312,
+    level: 'warn',
+    summary:
+      'Requests are placed by an outdated view, since no instance is known to have a current one.',
+  },
+  viewLeaseRestored: {
+    number: 313,
+    level: 'info',
+    summary: 'Requests are no longer placed by an outdated view.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -16,6 +16,7 @@
 import { PEER_PERIOD_MS } from './state/PeerLoop.js';
 import { peerFanout } from './state/peerFanout.js';
 import { refutationMs } from './state/refutationMs.js';
+import { createBypassLogger } from './state/createBypassLogger.js';
 import { ViewLease } from './state/ViewLease.js';
 
 /** Interval of the periodic tasks of an instance. */
@@ -93,5 +94,6 @@
     leaving: false,
     stopPlan: null,
   };
+  context.lease.onBypass(createBypassLogger(context));
   return context;
 }
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -201,7 +201,7 @@
     placed,
     candidates,
   }: SendDecision): Promise<FinishedAttempt> {
-    const { router, connections, lease, metrics } = this.context;
+    const { router, connections, metrics } = this.context;
     const { request } = this;
     const { replica } = placed.load;
     const attempt = router.beginAttempt(
@@ -223,7 +223,7 @@
         body: this.call.body,
       },
       {
-        maySend: () => lease.isUsable && router.mayReceive(attempt),
+        maySend: () => this.#maySend(attempt),
         onStart: (status, headers) =>
           assembler.start(status, headers) && this.#onHead(attempt, assembler),
         onData: chunk => {
@@ -247,6 +247,16 @@
     return { attempt, result };
   }
 
+  /** Checks an attempt for the last time before its first byte is sent. */
+  #maySend(attempt: GatewayAttempt): boolean {
+    const { lease, router } = this.context;
+    const maySend = lease.isUsable && router.mayReceive(attempt);
+    if (maySend) {
+      this.#recorder.sending(attempt);
+    }
+    return maySend;
+  }
+
   #createAssembler(): ResponseAssembler {
     return new ResponseAssembler({
       requestId: this.request.id,
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -8,7 +8,11 @@
   PlacedCandidate,
   Recovery,
 } from '@jujubecroft/decisions';
-import { isIdempotent } from '@jujubecroft/decisions';
+import {
+  determineViewState,
+  isIdempotent,
+  viewAgeMs,
+} from '@jujubecroft/decisions';
 import { formatStoreVersion } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
@@ -37,6 +41,11 @@
 }
 
 const MS_PER_SECOND = 1000;
+/**
+ * Age of the view from which a send is logged by itself, as a share of the time within
+ * which a change must be in force.
+ */
+const OLD_VIEW_SHARE = 0.5;
 
 /**
  * Log fields of an admission decision.
@@ -133,6 +142,8 @@
 /** Logs the events of one request and counts them in the metrics. */
 export class RequestRecorder {
   readonly #labels: { readonly kind: string; readonly priority: string };
+  /** When the last attempt was checked and sent, in milliseconds; null before. */
+  #sendingMs: number | null = null;
 
   constructor(
     private readonly context: GatewayContext,
@@ -178,14 +189,49 @@
     });
   }
 
+  /** Records that an attempt has passed the last check and is being sent. */
+  sending(attempt: GatewayAttempt): void {
+    const { context, request } = this;
+    const { board } = context.router;
+    const { replica } = attempt.load;
+    const { freshWithinMs } = context.settings;
+    const ageMs = viewAgeMs(board);
+    const state = determineViewState(board, freshWithinMs);
+    const isOld = ageMs > OLD_VIEW_SHARE * freshWithinMs;
+    this.#sendingMs = context.clock();
+    context.metrics.sends.inc({
+      view: state === 'current' && isOld ? 'old' : state,
+    });
+    if (isOld) {
+      context.log.write('sentOnOldView', {
+        request: request.id,
+        backendServer: replica.id,
+        bornMs: replica.bornMs,
+        rowVersion: formatStoreVersion(board.replicas.rowVersionOf(replica.id)),
+        replicasVersion: formatStoreVersion(board.replicas.version),
+        replicasAgeMs: Math.round(board.replicas.ageMs),
+        viewAgeMs: Math.round(ageMs),
+        state,
+        confirmedBy: board.replicasConfirmedBy,
+      });
+    }
+  }
+
   /** Records the first byte of a response. */
   firstByte({ sentMs, predictedMs }: GatewayAttempt): void {
     const { context, request } = this;
-    const tookMs = context.clock() - sentMs;
+    const service = request.service.id;
+    const nowMs = context.clock();
     context.metrics.predictionError.observe(
-      { service: request.service.id },
-      tookMs - predictedMs,
+      { service },
+      nowMs - sentMs - predictedMs,
     );
+    if (this.#sendingMs !== null) {
+      context.metrics.sendToFirstByte.observe(
+        { service },
+        (nowMs - this.#sendingMs) / MS_PER_SECOND,
+      );
+    }
   }
 
   /** Records that the replica of an attempt announced its leave. */
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -106,6 +106,24 @@
     labelNames: ['view'] as const,
     registers: this.#registers,
   });
+  readonly sends = new Counter({
+    name: 'jujubecroft_gateway_sends_total',
+    help: 'Requests sent to backend servers, by state of the view when they were sent.',
+    labelNames: ['view'] as const,
+    registers: this.#registers,
+  });
+  readonly leaseBypasses = new Counter({
+    name: 'jujubecroft_gateway_view_lease_bypasses_total',
+    help: 'Times at which requests began to be placed by an outdated view.',
+    registers: this.#registers,
+  });
+  readonly sendToFirstByte = new Histogram({
+    name: 'jujubecroft_gateway_send_to_first_byte_seconds',
+    help: 'Time from the last check before a request is sent to the first byte of its answer.',
+    labelNames: ['service'] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: this.#registers,
+  });
   readonly version = new Gauge({
     name: 'jujubecroft_gateway_configuration_version',
     help: 'Version of the configuration in force.',
--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -72,6 +72,35 @@
     }
   }
 
+  /**
+   * Records which source has confirmed the view of the replicas.
+   *
+   * @param asOfMs - time on the store's clock at which the view was current before, in
+   *   milliseconds
+   * @param source - `store` or the id of a peer
+   */
+  noteConfirmation(asOfMs: number, source: string): void {
+    const { board } = this.context.router;
+    if (board.replicas.asOfMs > asOfMs) {
+      board.replicasConfirmedBy = source;
+    }
+  }
+
+  /**
+   * Logs that the replicas were taken over as a whole, so that removals before may be
+   * unknown.
+   *
+   * @param source - `store` or the id of a peer
+   */
+  logWholeView(source: string): void {
+    const { replicas } = this.context.router.board;
+    this.context.log.write('replicasReloaded', {
+      source,
+      replicasVersion: formatStoreVersion(replicas.version),
+      replicas: replicas.replicas.length,
+    });
+  }
+
   /**
    * Updates routing and connections after replicas changed in the registry.
    *
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -330,7 +330,7 @@
 
   #receiveReplicas(state: proto.GatewayState, peer: InstanceId): void {
     const { replicas } = this.context.router.board;
-    const known = replicas.version;
+    const { asOfMs, version: known } = replicas;
     if (state.replicasVersion < known) {
       return;
     }
@@ -340,11 +340,16 @@
         state.replicasVersion,
         fromStoreTime(state.replicasAsOfMs),
       );
+      this.view.noteConfirmation(asOfMs, peer);
       return;
     }
     const changes = fromReplicaFields(state);
     if (replicas.followsWithoutGap(changes)) {
       this.view.applyReplicaChanges(replicas.merge(changes), peer);
+      this.view.noteConfirmation(asOfMs, peer);
+      if (changes.complete) {
+        this.view.logWholeView(peer);
+      }
       return;
     }
     // An answer contains all changes that fit into a datagram; pull if it isn't enough.
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -201,6 +201,7 @@
   async #readReplicas(): Promise<void> {
     const { replicas } = this.context.router.board;
     const askedMs = this.context.clock();
+    const { asOfMs } = replicas;
     const changed: ReplicaRead | typeof HISTORY_GONE =
       replicas.version > 0
         ? await this.store.changedReplicas(replicas.version)
@@ -215,6 +216,7 @@
         replicas.applyRows(rows, version, storeMs),
         'store',
       );
+      this.view.noteConfirmation(asOfMs, 'store');
       return;
     }
     const { rows, version, storeMs } = await this.store.readReplicas();
@@ -223,6 +225,8 @@
     this.#onAnswered();
     const changes = replicas.applySnapshot(rows, version, storeMs);
     this.view.applyReplicaChanges(changes, 'store');
+    this.view.noteConfirmation(asOfMs, 'store');
+    this.view.logWholeView('store');
   }
 
   async #tryCall(call: StoreCall, run: () => Promise<void>): Promise<boolean> {
--- a/packages/gateway/src/state/ViewLease.ts
+++ b/packages/gateway/src/state/ViewLease.ts
@@ -16,6 +16,9 @@
 /** Whether requests may be placed; `behind` if another instance has a newer view. */
 export type ViewLeaseState = 'behind' | 'usable';
 
+/** Called when requests begin or cease to be placed by an outdated view. */
+export type BypassListener = (isBypassed: boolean) => void;
+
 /**
  * Permission to place requests according to this instance's view.
  *
@@ -30,6 +33,9 @@
   #renewal: Promise<void> | null = null;
   #renewView: RenewView = () => Promise.resolve(false);
   #onCurrent: () => void = () => undefined;
+  #onBypass: BypassListener = () => undefined;
+  /** Whether requests are placed by an outdated view. */
+  #isBypassed = false;
   /** Whether the view was still outdated after the last renewal. */
   #lastRenewalFailed = false;
 
@@ -50,6 +56,11 @@
     this.#renewView = renewView;
   }
 
+  /** Sets the function that is called when a bypass begins and when it ends. */
+  onBypass(listener: BypassListener): void {
+    this.#onBypass = listener;
+  }
+
   /**
    * Determines whether requests may be placed, after a renewal if the lease has
    * expired.
@@ -60,13 +71,16 @@
   async obtain(): Promise<ViewLeaseState> {
     if (this.#state === 'current') {
       this.#lastRenewalFailed = false;
+      this.#setBypassed(false);
       return 'usable';
     }
     if (!this.#lastRenewalFailed) {
       this.#renewal ??= this.#renew();
       await this.#renewal;
     }
-    return this.#state === 'behind' ? 'behind' : 'usable';
+    const state = this.#state;
+    this.#setBypassed(state === 'unknown');
+    return state === 'behind' ? 'behind' : 'usable';
   }
 
   /** Whether requests may be placed now, without waiting for a renewal. */
@@ -88,6 +102,13 @@
     return determineViewState(this.board, this.boundMs());
   }
 
+  #setBypassed(isBypassed: boolean): void {
+    if (isBypassed !== this.#isBypassed) {
+      this.#isBypassed = isBypassed;
+      this.#onBypass(isBypassed);
+    }
+  }
+
   async #renew(): Promise<void> {
     const isCurrent = new Promise<void>(resolve => {
       this.#onCurrent = resolve;
--- a/packages/gateway/tests/state/ViewLease.test.ts
+++ b/packages/gateway/tests/state/ViewLease.test.ts
@@ -114,6 +114,21 @@
       t.is(renewals.length, 1);
     });
 
+    test('reports when requests begin and cease to be placed by an outdated view', async t => {
+      const { time, lease, obtain, confirm } = createFixture(
+        () => () => Promise.resolve(false),
+      );
+      const bypasses: boolean[] = [];
+      lease.onBypass(isBypassed => bypasses.push(isBypassed));
+      await time.run(TOO_OLD_MS);
+      await obtain();
+      await obtain();
+      t.deepEqual(bypasses, [true]);
+      confirm();
+      await obtain();
+      t.deepEqual(bypasses, [true, false]);
+    });
+
     test('delays only the first requests, by 250 ms, if the renewal gets no answer', async t => {
       const { time, obtain } = createFixture(() => never);
       await time.run(TOO_OLD_MS);
