test(gateway): removals of replicas while instances restart, known red

Replicas that leave by the removal of their entry get requests long after it while instances restart in series. An instance that has just started reads the entries that exist, and answers for all changes since any earlier version; it never knew the removed entries. Views that merge the answer count as complete and keep the replica. If both readers of the store do, no instance ever learns of the removal.

The property test of the registry left out reads of all entries and restarts, and the fleet in virtual time had contact with its peers before it read the store, which hid the fault.

--- a/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
+++ b/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
@@ -172,10 +172,57 @@
     t.deepEqual(idsOf(registry), ['b']);
   });
 
+  // Guards against requests to replicas whose removal was never learnt: an instance
+  // that had read all entries answered for removals before that read, which it
+  // did not know, and the view of the other one counted as complete.
+  group('after all entries were read', ({ it: case_ }) => {
+    const readAll = (): ReplicaRegistry => {
+      const registry = new ReplicaRegistry(storeClockOn(manualClock()));
+      registry.applySnapshot([row('b', 2)], 4, 0);
+      return registry;
+    };
+    const behindBy = (rows: readonly ReplicaRow[]): ReplicaRegistry => {
+      const registry = new ReplicaRegistry(storeClockOn(manualClock()));
+      registry.applyRows(rows, 2, 0);
+      return registry;
+    };
+
+    case_('sends a complete view to an instance that is further behind', t => {
+      const started = readAll();
+      const behind = behindBy([row('a', 1), row('b', 2)]);
+      behind.merge(started.changesSince(behind.version));
+      t.deepEqual(idsOf(behind), ['b']);
+    });
+
+    case_('sends no changes from before that read as the newest', t => {
+      const behind = behindBy([row('a', 1), row('b', 2)]);
+      t.false(behind.followsWithoutGap(readAll().newestChanges(10)));
+    });
+
+    case_(
+      'does not state that nothing has changed since before that read',
+      t => {
+        t.true(readAll().changedAt > 2);
+      },
+    );
+
+    case_(
+      'does not answer for earlier changes once another took it over',
+      t => {
+        const taken = new ReplicaRegistry(storeClockOn(manualClock()));
+        taken.merge(readAll().changesSince(0));
+        const behind = behindBy([row('a', 1), row('b', 2)]);
+        behind.merge(taken.changesSince(behind.version));
+        t.deepEqual(idsOf(behind), ['b']);
+        t.true(taken.changedAt > 2);
+      },
+    );
+  });
+
   it('agrees with the store however its changes are relayed between instances', t => {
     // Instances relay changes while messages are lost, delayed, repeated and
-    // reordered. A view at some version must equal the contents of the store at
-    // that version.
+    // reordered, and restart. A view at some version must equal the contents of the
+    // store at that version.
     fc.assert(
       fc.property(
         fc.array(
@@ -189,7 +236,12 @@
           fc.record({
             from: fc.integer({ min: 0, max: 3 }),
             to: fc.integer({ min: 0, max: 3 }),
-            reads: fc.boolean(),
+            reads: fc.constantFrom(
+              'changes',
+              'nothing',
+              'whole',
+              'afterRestart',
+            ),
             repeat: fc.boolean(),
             selection: fc.constantFrom('all', 'few', 'newest'),
           }),
@@ -227,17 +279,35 @@
               : source.changesSince(since);
           };
           steps.forEach(({ from, to, reads, repeat, selection }, index) => {
+            if (reads === 'afterRestart') {
+              views[to] = new ReplicaRegistry(storeClockOn(clock));
+            }
             const target = views[to];
             const source = views[from];
             if (!target || !source) {
               return;
             }
-            if (reads) {
-              const upTo = Math.min(rows.length, index + 1);
+            const upTo = Math.min(rows.length, index + 1);
+            if (reads === 'whole' || reads === 'afterRestart') {
+              const listed = contentsAt(upTo);
+              const current = rows
+                .slice(0, upTo)
+                .filter(
+                  ({ id }, at, all) =>
+                    listed.includes(id) &&
+                    !all.slice(at + 1).some(later => later.id === id),
+                );
+              target.applySnapshot(current, upTo, 0);
+            } else if (reads === 'changes') {
               const fresh = rows
                 .slice(0, upTo)
                 .filter(entry => entry.rowVersion > target.version);
               target.applyRows(fresh, Math.max(target.version, upTo), 0);
+            } else if (
+              target.version > 0 &&
+              target.version >= source.changedAt
+            ) {
+              target.confirm(source.version, 0);
             } else if (source.version > target.version) {
               const changes = changesOf(source, selection, target.version);
               if (!target.followsWithoutGap(changes)) {
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -30,6 +30,9 @@
 import { VirtualStore } from './VirtualStore.js';
 import { VirtualProcess, VirtualTime } from './VirtualTime.js';
 
+/** Time that an instance takes to start its servers, before it has contact with peers. */
+const SERVER_START_MS = 50;
+
 /** Mean interval between requests at an instance. */
 const REQUEST_INTERVAL_MS = 100;
 
@@ -52,6 +55,8 @@
   readonly routes?: number;
   /** Time that replicas take to answer; if omitted, requests are placed but not sent. */
   readonly answerMs?: number;
+  /** Interval at which replicas write their entries; if omitted, they write them once. */
+  readonly heartbeatMs?: number;
 }
 
 /** Time that a replica takes to reject a request. */
@@ -124,7 +129,7 @@
    * Number of requests refused because their instance's view was behind that of others.
    */
   refusedAsBehind = 0;
-  readonly instances: readonly VirtualInstance[];
+  readonly instances: VirtualInstance[];
   readonly #peers: VirtualPeers;
   readonly #random: () => number;
   readonly #inFlight = new Set<InFlightRequest>();
@@ -137,6 +142,8 @@
   readonly #pauses = new Map<BackendServerId, number>();
   /** Replicas that announce their leave in answers. */
   readonly #leaving = new Set<BackendServerId>();
+  /** Replicas that don't renew their entries. */
+  readonly #withoutHeartbeats = new Set<BackendServerId>();
   #requestCount = 0;
   #configurationVersion = 1;
 
@@ -150,18 +157,51 @@
     this.#peers = new VirtualPeers(this.time, () => this.#random() < loss);
     Array.from({ length: replicas }, (_, index) => {
       this.store.put(createReplica(`s-${index}`));
+      this.#scheduleHeartbeats(brand<BackendServerId>(`s-${index}`));
     });
     const names = Array.from({ length: instances }, (_, at) => `entry-${at}`);
-    this.instances = names.map(name => this.#createInstance(name));
-    this.instances.forEach(({ name, context }) => {
-      const others = names.filter(other => other !== name);
-      context.membership.onList(others.map(createListedMember));
-    });
+    this.instances = names.map(name => this.#createInstance(name, names));
   }
 
   /** Writes to the store that a replica leaves. */
   leave(index: number): void {
-    this.store.put(createReplica(`s-${index}`, true));
+    const replica = createReplica(`s-${index}`, true);
+    this.#withoutHeartbeats.add(replica.id);
+    this.store.put(replica);
+  }
+
+  /** Removes the entry of a replica, which leaves without having announced it. */
+  leaveUnannounced(index: number): void {
+    const id = brand<BackendServerId>(`s-${index}`);
+    this.#withoutHeartbeats.add(id);
+    this.store.remove(id);
+    this.store.leaves.push({ id, atMs: this.time.nowMs });
+  }
+
+  /** Kills an instance, and starts it again without any state. */
+  restart(index: number): void {
+    const before = this.instances[index];
+    if (!before) {
+      throw new Error(`there is no instance ${index}`);
+    }
+    before.process.stalledUntilMs = Infinity;
+    const names = this.instances.map(({ name }) => name);
+    const instance = this.#createInstance(before.name, names);
+    this.instances[index] = instance;
+    void this.#start(instance);
+  }
+
+  #scheduleHeartbeats(id: BackendServerId): void {
+    const { heartbeatMs } = this.conditions;
+    if (heartbeatMs === undefined) {
+      return;
+    }
+    this.time.after(heartbeatMs * (0.5 + this.#random()), () => {
+      if (!this.#withoutHeartbeats.has(id)) {
+        this.store.put(createReplica(id));
+        this.#scheduleHeartbeats(id);
+      }
+    });
   }
 
   /**
@@ -198,7 +238,7 @@
     this.sent.length = 0;
   }
 
-  #createInstance(name: string): VirtualInstance {
+  #createInstance(name: string, names: readonly string[]): VirtualInstance {
     const process = new VirtualProcess();
     const { time } = this;
     const link = new VirtualLink(
@@ -206,7 +246,16 @@
       this.conditions.linkBitsPerS ?? Infinity,
     );
     const { freshWithinMs } = this.conditions;
-    const context = createVirtualContext(name, freshWithinMs, time, process);
+    const context = createVirtualContext(
+      name,
+      freshWithinMs,
+      time,
+      process,
+      null,
+      1 + time.nowMs,
+    );
+    const others = names.filter(other => other !== name);
+    context.membership.onList(others.map(createListedMember));
     return { name, process, link, context };
   }
 
@@ -221,6 +270,10 @@
       () => undefined,
     );
     reader.start();
+    // As in `startGateway`, the store is read while the instance starts its servers.
+    await new Promise<void>(resolve => {
+      this.time.after(SERVER_START_MS, resolve, process);
+    });
     await peers.start();
     this.#scheduleStalls(process);
     this.#scheduleRequests(name, process, context);
@@ -228,7 +281,7 @@
 
   #scheduleStalls(process: VirtualProcess): void {
     const { meanStallMs, meanStallIntervalMs } = this.conditions;
-    if (meanStallMs === 0) {
+    if (meanStallMs === 0 || process.stalledUntilMs === Infinity) {
       return;
     }
     this.time.after(2 * meanStallIntervalMs * this.#random(), () => {
--- a/packages/gateway/tests/helpers/virtualDeployment.ts
+++ b/packages/gateway/tests/helpers/virtualDeployment.ts
@@ -127,6 +127,7 @@
  * @param time - the clock of all instances
  * @param process - process that the instance runs in
  * @param duties - options for duties; null if the fleet has none
+ * @param startedMs - start time of the process, which grows from run to run
  */
 export function createVirtualContext(
   instance: string,
@@ -134,6 +135,7 @@
   time: VirtualTime,
   process: VirtualProcess,
   duties: VirtualDutyOptions | null = null,
+  startedMs = duties?.startedMs ?? 1,
 ): GatewayContext {
   return createContext(
     {
@@ -160,7 +162,7 @@
       log: SILENT_LOG,
       clock: () => time.nowMs,
       timers: createVirtualTimers(time, process),
-      startedMs: duties?.startedMs ?? 1,
+      startedMs,
       ...(duties ? { timeOfDay: duties.timeOfDay } : {}),
     },
   );
