fix(decisions): a view knows removals only since all entries were read

Callers saw nothing; replicas whose entries had been removed got requests for seconds longer than a leave may take, until they exited.

Cause: the registry answered for all changes since any version, as long as it had pruned none. An instance that has just started, that read everything anew since the store's history was gone, or that took a whole view over from a peer doesn't know which entries were removed before. A view behind that version merged its answer, or was confirmed by it, and counted as complete without the removal. Readers of the store then asked only for changes after it.

Now a registry that took over all entries answers for changes from that version on. Views before it get the complete list, and don't count as unchanged. It works since every way by which a view reaches a version is now the changes since the version before, or the whole list.

--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -59,7 +59,8 @@
   #version = 0;
   #changedAt = 0;
   #asOfMs = -Infinity;
-  #newestPrunedVersion = 0;
+  /** Store version from which all removals are known. */
+  #removalsFrom = 0;
   #lapseGraceUntilMs = -Infinity;
 
   constructor(private readonly storeClock: StoreClock) {
@@ -188,7 +189,9 @@
     const removed = [...this.#records.values()]
       .filter(({ id, goneAtMs }) => !listed.has(id) && goneAtMs === null)
       .map(({ id }) => ({ id, replica: null, rowVersion: version }));
-    return this.applyRows([...rows, ...removed], version, asOfMs);
+    const changes = this.applyRows([...rows, ...removed], version, asOfMs);
+    this.#startHistory(version);
+    return changes;
   }
 
   /**
@@ -238,7 +241,7 @@
 
   /** Store version from which all changes are kept. */
   get #historyFrom(): number {
-    return Math.max(this.#newestPrunedVersion, startOfEra(this.#version));
+    return Math.max(this.#removalsFrom, startOfEra(this.#version));
   }
 
   #isEarlierEra(version: number): boolean {
@@ -281,6 +284,9 @@
     const merged = changes.records.flatMap(record => this.#mergeRecord(record));
     const dropped = changes.complete ? this.#dropUnlisted(changes) : [];
     this.#advance(changes.version, changes.asOfMs);
+    if (changes.complete) {
+      this.#startHistory(changes.version);
+    }
     return [...merged, ...dropped];
   }
 
@@ -479,6 +485,16 @@
     this.#asOfMs = Math.max(this.#asOfMs, asOfMs);
   }
 
+  /**
+   * Forgets removals before a version at which all entries were read. Entries that
+   * were removed earlier may never have been known here.
+   */
+  #startHistory(version: number): void {
+    this.#removalsFrom = Math.max(this.#removalsFrom, version);
+    // Views before that version must not count as unchanged.
+    this.#changedAt = Math.max(this.#changedAt, version);
+  }
+
   #prune(): void {
     const removed = [...this.#records.values()].filter(
       ({ replica }) => replica === null,
@@ -491,10 +507,7 @@
       .slice(0, removed.length - MAX_TOMBSTONES)
       .forEach(({ id, changedAt }) => {
         this.#records.delete(id);
-        this.#newestPrunedVersion = Math.max(
-          this.#newestPrunedVersion,
-          changedAt,
-        );
+        this.#removalsFrom = Math.max(this.#removalsFrom, changedAt);
       });
   }
 }
--- a/packages/decisions/src/gateway/listChanges.ts
+++ b/packages/decisions/src/gateway/listChanges.ts
@@ -14,16 +14,15 @@
  *
  * @param records - all records of the view
  * @param version - store version that the receiver's view is complete for
- * @param prunedVersion - store version of the newest change that has been
- *   pruned
- * @returns the changes; all entries if earlier changes may have been pruned
+ * @param historyFrom - store version from which all changes are known
+ * @returns the changes; all entries if earlier changes may be unknown
  */
 export function changesSince(
   records: readonly ReplicaRecord[],
   version: number,
-  prunedVersion: number,
+  historyFrom: number,
 ): ChangeSelection {
-  const complete = version < prunedVersion || version === 0;
+  const complete = version < historyFrom || version === 0;
   return {
     complete,
     from: version,
@@ -39,19 +38,18 @@
  *
  * @param records - all records of the view
  * @param limit - largest number of changes to list
- * @param prunedVersion - store version of the newest change that has been
- *   pruned
+ * @param historyFrom - store version from which all changes are known
  */
 export function newestChanges(
   records: readonly ReplicaRecord[],
   limit: number,
-  prunedVersion: number,
+  historyFrom: number,
 ): ChangeSelection {
   const newestFirst = [...records].sort((a, b) => b.changedAt - a.changedAt);
   const from = newestFirst[limit]?.changedAt ?? 0;
   return {
     complete: false,
-    from: Math.max(from, prunedVersion),
+    from: Math.max(from, historyFrom),
     records: newestFirst
       .slice(0, limit)
       .filter(({ changedAt }) => changedAt > from),
