--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -87,43 +87,58 @@
   }
 
   /**
-   * Logs that the replicas were taken over as a whole, so that removals before may be
-   * unknown.
+   * Updates routing and connections after replicas changed in the registry.
    *
-   * @param source - `store` or the id of a peer
+   * @param changes - changes that the registry has already applied
+   * @param source - where they came from, for the log
+   */
+  applyReplicaChanges(changes: readonly ReplicaChange[], source: string): void {
+    this.#logReplicaChanges(changes, source);
+    this.#useReplicaChanges(changes);
+  }
+
+  /**
+   * Does the same after the registry took over all replicas.
+   *
+   * The added ones are logged as a number only: an instance that starts would use up
+   * the log's limit with them, and removals in its first second would be left out.
+   *
+   * @param changes - changes that the registry has already applied
+   * @param source - where they came from, for the log
    */
-  logWholeView(source: string): void {
+  applyAllReplicas(changes: readonly ReplicaChange[], source: string): void {
     const { replicas } = this.context.router.board;
+    const others = changes.filter(({ kind }) => kind !== 'added');
     this.context.log.write('replicasReloaded', {
       source,
       replicasVersion: formatStoreVersion(replicas.version),
       replicas: replicas.replicas.length,
+      added: changes.length - others.length,
     });
+    this.#logReplicaChanges(others, source);
+    this.#useReplicaChanges(changes);
   }
 
-  /**
-   * Updates routing and connections after replicas changed in the registry.
-   *
-   * @param changes - changes that the registry has already applied
-   * @param source - where they came from, for the log
-   */
-  applyReplicaChanges(changes: readonly ReplicaChange[], source: string): void {
-    if (changes.length === 0) {
-      return;
-    }
-    const { router, log, connections } = this.context;
-    router.syncReplicas();
-    connections.keepOnly(
-      [...router.board.backends.values()].map(({ replica }) => replica),
-    );
+  #logReplicaChanges(changes: readonly ReplicaChange[], source: string): void {
     changes.forEach(({ id, kind, rowVersion }) => {
-      log.write('replicaChanged', {
+      this.context.log.write('replicaChanged', {
         backendServer: id,
         change: kind,
         rowVersion: formatStoreVersion(rowVersion),
         source,
       });
     });
+  }
+
+  #useReplicaChanges(changes: readonly ReplicaChange[]): void {
+    if (changes.length === 0) {
+      return;
+    }
+    const { router, connections } = this.context;
+    router.syncReplicas();
+    connections.keepOnly(
+      [...router.board.backends.values()].map(({ replica }) => replica),
+    );
     if (changes.some(({ kind }) => URGENT_CHANGES.includes(kind))) {
       this.#notifyListeners();
     }
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -345,10 +345,12 @@
     }
     const changes = fromReplicaFields(state);
     if (replicas.followsWithoutGap(changes)) {
-      this.view.applyReplicaChanges(replicas.merge(changes), peer);
+      const merged = replicas.merge(changes);
       this.view.noteConfirmation(asOfMs, peer);
       if (changes.complete) {
-        this.view.logWholeView(peer);
+        this.view.applyAllReplicas(merged, peer);
+      } else {
+        this.view.applyReplicaChanges(merged, peer);
       }
       return;
     }
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -224,9 +224,8 @@
     this.#updateStoreClock(storeMs, askedMs);
     this.#onAnswered();
     const changes = replicas.applySnapshot(rows, version, storeMs);
-    this.view.applyReplicaChanges(changes, 'store');
     this.view.noteConfirmation(asOfMs, 'store');
-    this.view.logWholeView('store');
+    this.view.applyAllReplicas(changes, 'store');
   }
 
   async #tryCall(call: StoreCall, run: () => Promise<void>): Promise<boolean> {
