fix(decisions): a view that was taken over knows the history of its source

A complete list now states the version from which its sender knows all changes, and the receiver takes that over.

The test "answers for changes since that read once another took it over" fails on the code before.

--- a/packages/decisions/src/gateway/ReplicaRecord.ts
+++ b/packages/decisions/src/gateway/ReplicaRecord.ts
@@ -39,7 +39,7 @@
    * exist.
    */
   readonly complete: boolean;
-  /** Store version after which every change is listed. */
+  /** Store version after which every change is listed, removals included. */
   readonly from: number;
   readonly records: readonly ReplicaRecord[];
 }
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -285,7 +285,7 @@
     const dropped = changes.complete ? this.#dropUnlisted(changes) : [];
     this.#advance(changes.version, changes.asOfMs);
     if (changes.complete) {
-      this.#startHistory(changes.version);
+      this.#startHistory(changes.from);
     }
     return [...merged, ...dropped];
   }
@@ -486,8 +486,8 @@
   }
 
   /**
-   * Forgets removals before a version at which all entries were read. Entries that
-   * were removed earlier may never have been known here.
+   * Limits the known history to changes after a version, since the entries were taken
+   * over as a whole. Those that were removed before may never have been known here.
    */
   #startHistory(version: number): void {
     this.#removalsFrom = Math.max(this.#removalsFrom, version);
--- a/packages/decisions/src/gateway/listChanges.ts
+++ b/packages/decisions/src/gateway/listChanges.ts
@@ -25,7 +25,7 @@
   const complete = version < historyFrom || version === 0;
   return {
     complete,
-    from: version,
+    from: complete ? historyFrom : version,
     records: records.filter(
       record =>
         (complete && record.replica !== null) || record.changedAt > version,
--- a/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
+++ b/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
@@ -206,6 +206,21 @@
       },
     );
 
+    // Otherwise each instance that takes a view over makes all that are behind it do
+    // the same, at an ever later version.
+    case_(
+      'answers for changes since that read once another took it over',
+      t => {
+        const started = readAll();
+        started.applyRows([row('c', 9)], 9, 0);
+        started.applyRows([row('c', 12)], 12, 0);
+        const taken = new ReplicaRegistry(storeClockOn(manualClock()));
+        taken.merge(started.changesSince(0));
+        t.false(taken.changesSince(4).complete);
+        t.is(taken.changedAt, 9);
+      },
+    );
+
     case_(
       'does not answer for earlier changes once another took it over',
       t => {
