fix(decisions): the leave of a replica is final within its run

Suspected, not seen: the store may carry out a call without an answer seconds later. If that is the last report of a ready replica and its leave was acknowledged meanwhile, the entry is ready again until the next report, and every instance would send requests to it longer than a leave may take.

An entry that is ready after the same run was known as leaving keeps the leave, as one of an older copy of the store already did; a later run is used. A fresh instance that reads the entry in between doesn't know better.

--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -12,7 +12,7 @@
 } from './ReplicaRecord.js';
 import type { ReplicaRun } from './replicaRuns.js';
 import { isEarlierRun, changeKindOf, latestStartMs } from './replicaRuns.js';
-import { contradictionOf, isMissingInCopy } from './restoredRows.js';
+import { contradictionOf, isMissingInCopy } from './contradictions.js';
 import type { StoreClock } from './StoreClock.js';
 
 /**
@@ -381,7 +381,7 @@
     return kind && { kind, id, rowVersion };
   }
 
-  /** Keeps a leave of the era before that an entry of a new era doesn't state. */
+  /** Keeps a leave that a newer entry of the same run doesn't state. */
   #keepEarlierLeave(
     before: ReplicaRecord | undefined,
     replica: Replica,
--- a/packages/decisions/src/gateway/restoredRows.ts
+++ b/packages/decisions/src/gateway/contradictions.ts
@@ -30,12 +30,14 @@
 }
 
 /**
- * How an entry of a new era contradicts what was known of the same run.
+ * How an entry contradicts what was known of the same run.
  *
- * `leaving`: the run was leaving and, by the entry, is not. `removed`: the entry
- * was removed and exists again, under a version that the copy may contain.
+ * `leaving`: the run was leaving and, by the entry, is not. Leaves are final, so
+ * the entry is an earlier report that the store applied late, or belongs to an
+ * older copy. `removed`: the entry was removed and exists again in a new era,
+ * under a version that the copy may contain.
  *
- * @param known - the record of the era before
+ * @param known - the record known so far
  * @param replica - the replica in the entry
  * @param rowVersion - store version of the entry
  * @returns the kind; null if there is no contradiction
@@ -45,17 +47,14 @@
   replica: Replica,
   rowVersion: number,
 ): 'leaving' | 'removed' | null {
-  const isComparable =
-    isLaterEra(rowVersion, known) &&
-    isSameRun(replica, known) &&
-    !replica.leaving;
-  if (!isComparable) {
+  if (replica.leaving || !isSameRun(replica, known)) {
     return null;
   }
   if (known.replica) {
     return known.replica.leaving ? 'leaving' : null;
   }
-  return versionInEra(rowVersion) < versionInEra(known.rowVersion)
+  return isLaterEra(rowVersion, known) &&
+    versionInEra(rowVersion) < versionInEra(known.rowVersion)
     ? 'removed'
     : null;
 }
--- a/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
+++ b/packages/decisions/tests/gateway/ReplicaRegistry.test.ts
@@ -49,6 +49,29 @@
     t.is(registry.version, 8);
   });
 
+  // Guards against requests to a leaving replica whose earlier report the store applies
+  // after the leave: a call without an answer may be carried out seconds later.
+  it('keeps a leave if an entry of the same run is ready again', t => {
+    const id = brand<BackendServerId>('a');
+    const report = (version: number, bornMs: number, leaving = false) => ({
+      id,
+      rowVersion: version,
+      replica: replica('a', { bornMs, leaving }),
+    });
+    const source = new ReplicaRegistry(storeClockOn(manualClock()));
+    source.applyRows([report(1, 5)], 1, 0);
+    const peer = new ReplicaRegistry(storeClockOn(manualClock()));
+    peer.merge(source.changesSince(0));
+    source.applyRows([report(2, 5, true)], 2, 0);
+    peer.merge(source.changesSince(1));
+    source.applyRows([report(3, 5)], 3, 0);
+    peer.merge(source.changesSince(2));
+    t.true(source.find(id)?.leaving);
+    t.true(peer.find(id)?.leaving);
+    source.applyRows([report(4, 6)], 4, 0);
+    t.false(source.find(id)?.leaving, 'a later run is used');
+  });
+
   // A replica may leave while an instance is disconnected. A datagram with only
   // the newest changes must not make that instance's view count as complete: it
   // would keep sending to the replica, and no instance would report the change
