feat(soak): judge leaves as strictly as promised, and run at full size

The check on leaving replicas excused more than the promise does: any fault of the store or of the gateway from before the leave until the request. Now only the store's faults before the acknowledgement and faults of both before the request count; a gateway that restarted in between is judged. The umbrella of a rolling stop excused all gateways for its whole length; its stops count one by one.

A replica whose entry is removed without notice now says nothing in answers either. Gateways that had not learnt of the removal stopped sending after the first answer, which hid that they never would.

Load and probes are limited to what one process can send; messages between gateways pass through relays only if these are to fail; gateways start with the code cache, as deployed.

--- a/packages/cli/src/commands/soakCommands.ts
+++ b/packages/cli/src/commands/soakCommands.ts
@@ -68,6 +68,10 @@
     description: 'total number of gateways and backend servers',
     validator: positiveInteger,
   });
+  readonly gateways = Option.String('--gateways', {
+    description: 'number of gateways among the processes; half by default',
+    validator: positiveInteger,
+  });
   readonly folder = Option.String('--folder', 'target/soak', {
     description: 'folder for logs and notes',
   });
@@ -101,6 +105,7 @@
         seed,
         seconds: this.seconds,
         processes: this.processes,
+        ...(this.gateways === undefined ? {} : { gateways: this.gateways }),
         folder: path.resolve(this.folder, `seed-${seed}`),
         untimed: this.untimed,
         ...(kinds.length > 0 ? { kinds } : {}),
--- a/packages/soak/src/SoakFleet.ts
+++ b/packages/soak/src/SoakFleet.ts
@@ -24,10 +24,21 @@
    */
   readonly networkOctet: number;
   readonly seed: number;
+  /**
+   * Whether messages between gateways pass through links that can fail. In a large
+   * fleet without such faults, relaying them takes more time than one process has.
+   */
+  readonly relaysPeers: boolean;
 }
 
 /** Names of the services that the replicas run. */
 export const SERVICES: readonly string[] = ['stock', 'words'];
+/** Options of Node.js in deployments; the code cache is valid only with them. */
+const GATEWAY_NODE_ARGS: readonly string[] = [
+  '--max-old-space-size=160',
+  '--max-semi-space-size=4',
+  '--interrupt-budget=300000',
+];
 const FAILURE_DOMAIN_COUNT = 3;
 const LOOPBACK_HOST = '127.0.0.1';
 const GATEWAY_PORTS: SoakGatewayPorts = {
@@ -146,7 +157,9 @@
     await Promise.all(programs.map(({ program }) => program.kill()));
     this.gateways.forEach(({ storeLink, peerLink }) => {
       storeLink.close();
-      peerLink.close();
+      if (this.options.relaysPeers) {
+        peerLink.close();
+      }
     });
     this.replicas.forEach(({ link }) => {
       link.close();
@@ -204,7 +217,9 @@
     const storeLink = new FaultLink(this.store.host, this.store.port);
     const storePort = await storeLink.listen(LOOPBACK_HOST);
     const peerLink = new PeerFaultLink(host, GATEWAY_PORTS.peers);
-    const peerPort = await peerLink.listen(host);
+    const peerPort = this.options.relaysPeers
+      ? await peerLink.listen(host)
+      : GATEWAY_PORTS.peers;
     const peerAddress = `${host}:${peerPort}`;
     const seeds = this.gateways
       .slice(0, MAX_SEEDS)
@@ -232,6 +247,7 @@
     };
     rewriteSettings();
     const program = new SoakProcess(() => ({
+      nodeArgs: GATEWAY_NODE_ARGS,
       args: ['gateway', '--settings', file, '--peer-address', peerAddress],
       outFile: this.#pathOf(`gateway-${index}.log`),
     }));
--- a/packages/soak/src/SoakOptions.ts
+++ b/packages/soak/src/SoakOptions.ts
@@ -7,6 +7,8 @@
   readonly seconds: number;
   /** Number of gateways and replicas together. */
   readonly processes: number;
+  /** Number of gateways among them; half if omitted. */
+  readonly gateways?: number;
   /** Folder for logs and notes. */
   readonly folder: string;
   /** Whether to skip invariants that compare times. */
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -24,11 +24,15 @@
 import type { SoakOptions } from './SoakOptions.js';
 
 const CALLERS_PER_GATEWAY = 3;
-const MEAN_THINK_TIME_MS = 60;
+const MIN_MEAN_THINK_TIME_MS = 60;
+/** Rates that one process can send, relay and record without delay. */
+const MAX_REQUESTS_PER_S = 300;
+const MAX_PROBES_PER_S = 30;
+const MS_PER_SECOND = 1000;
 const BURST_CALLERS = 12;
 const BURST_MEAN_THINK_TIME_MS = 5;
 const ADDRESS_REFRESH_INTERVAL_MS = 500;
-const PROBE_INTERVAL_MS = 400;
+const MIN_PROBE_INTERVAL_MS = 400;
 const PROBE_TIME_LIMIT_MS = 1000;
 const START_TIMEOUT_MS = 60_000;
 const READINESS_POLL_INTERVAL_MS = 100;
@@ -93,7 +97,8 @@
     // Faults such as a slow stop may take longer than planned, so the fault-free
     // period starts only after the last one has ended.
     const cooldownFromMs = soakNow();
-    const remainingMs = startMs + 1000 * this.options.seconds - cooldownFromMs;
+    const remainingMs =
+      startMs + MS_PER_SECOND * this.options.seconds - cooldownFromMs;
     await sleep(Math.max(COOLDOWN_MS, remainingMs));
     const endMs = soakNow();
     this.#stopped = true;
@@ -175,12 +180,20 @@
 
   #startCallers(): void {
     const count = CALLERS_PER_GATEWAY * this.fleet.gateways.length;
+    const meanThinkMs = Math.max(
+      MIN_MEAN_THINK_TIME_MS,
+      (count * MS_PER_SECOND) / MAX_REQUESTS_PER_S,
+    );
+    const probeIntervalMs = Math.max(
+      MIN_PROBE_INTERVAL_MS,
+      (this.fleet.gateways.length * MS_PER_SECOND) / MAX_PROBES_PER_S,
+    );
     Array.from({ length: count }).forEach((_, index) => {
-      this.#addCaller(MEAN_THINK_TIME_MS, index % 2 === 0);
+      this.#addCaller(meanThinkMs, index % 2 === 0);
     });
     this.#repeat(ADDRESS_REFRESH_INTERVAL_MS, () => this.#refreshAddresses());
     this.fleet.gateways.forEach(gateway => {
-      this.#repeat(PROBE_INTERVAL_MS, () => this.#probe(gateway));
+      this.#repeat(probeIntervalMs, () => this.#probe(gateway));
     });
   }
 
--- a/packages/soak/src/faults/faultTargets.ts
+++ b/packages/soak/src/faults/faultTargets.ts
@@ -11,6 +11,15 @@
   'gateway-stop',
   'key-added',
   'replica-drain',
+  'replicas-drain-together',
+];
+
+/** Faults of the links between gateways. */
+export const PEER_LINK_KINDS: readonly FaultKind[] = [
+  'gateway-cut',
+  'peer-link-cut',
+  'peer-link-delay',
+  'peer-link-silent',
 ];
 
 /** Whether a kind is a planned operation rather than a failure. */
@@ -38,7 +47,7 @@
   ) {
     return { component: 'configuration', index: null };
   }
-  if (kind === 'crashing-request') {
+  if (kind === 'crashing-request' || kind === 'replicas-drain-together') {
     return { component: 'replica', index: null };
   }
   if (kind.startsWith('replica')) {
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -3,6 +3,7 @@
 
 import type { InjectedFault, SoakBounds } from '../evidence.js';
 import type { SoakFleet, SoakGateway, SoakReplicaSlot } from '../SoakFleet.js';
+import { SERVICES } from '../SoakFleet.js';
 import type { ReplicaFault, StoreFault } from '../SoakEnvironment.js';
 import { soakNow } from '../soakNow.js';
 import type { SoakProcess } from '../processes/SoakProcess.js';
@@ -47,7 +48,17 @@
 const MIN_PAUSE_MS = 1000;
 const MAX_PAUSE_MS = 3000;
 /** Time that a leaving replica keeps serving beyond the drain time. */
-const LINGER_MS = 500;
+const LINGER_MS = 1500;
+/** Share of the leaves that are announced; in the others, the entry is removed. */
+const ANNOUNCED_SHARE = 0.6;
+/** One in so many replicas leaves when several leave together. */
+const TOGETHER_GROUPS = 3;
+/** Difference in strength between replicas that leave together, so that some announce it. */
+const STRENGTH_STEP = 0.37;
+/** Maximum number of gateways in one rolling stop. */
+const MAX_ROLLING_STOPS = 16;
+/** One in so many gateways is stopped at the same time in a rolling stop. */
+const ROLLING_GROUPS = 8;
 
 const gatewayOf = (
   context: FaultContext,
@@ -96,6 +107,21 @@
   program.resume();
 }
 
+/** Makes a replica leave, and starts the next one at its address. */
+async function drainReplica(
+  { program }: SoakReplicaSlot,
+  { forMs, strength }: PlannedFault,
+  { bounds }: FaultContext,
+): Promise<void> {
+  program.sendMessage({
+    order: 'leave',
+    announces: strength < ANNOUNCED_SHARE,
+    forMs: bounds.drainMs + LINGER_MS,
+  });
+  await program.ended(2 * bounds.drainMs + forMs);
+  await restart(program);
+}
+
 /** Returns an injector for a fault that takes effect at once and is not undone. */
 function immediate(
   action: (context: FaultContext, fault: PlannedFault) => void,
@@ -197,17 +223,23 @@
     }
   }),
   'gateway-rolling-stop': async (fault, context, onStart) => {
-    for (const { index } of context.fleet.gateways) {
-      // Each stop is recorded separately, so that the invariant on graceful stops
-      // checks it.
-      const stop: PlannedFault = {
-        ...fault,
-        kind: 'gateway-stop',
-        target: index,
-      };
-      await injectFault(stop, context, onStart);
-      await sleep(ROLLING_GAP_MS);
-    }
+    const { gateways } = context.fleet;
+    const left = [...gateways.keys()]
+      .map(at => (fault.target + at) % gateways.length)
+      .slice(0, MAX_ROLLING_STOPS);
+    const stopInTurn = async (): Promise<void> => {
+      let target = left.shift();
+      while (target !== undefined) {
+        // Each stop is recorded separately, so that the invariant on graceful stops
+        // checks it.
+        const stop: PlannedFault = { ...fault, kind: 'gateway-stop', target };
+        await injectFault(stop, context, onStart);
+        await sleep(ROLLING_GAP_MS);
+        target = left.shift();
+      }
+    };
+    const together = Math.max(1, Math.floor(gateways.length / ROLLING_GROUPS));
+    await Promise.all(Array.from({ length: together }, stopInTurn));
   },
   'gateway-stop': (fault, context) =>
     stopGateway(gatewayOf(context, fault), context),
@@ -224,16 +256,8 @@
   'peer-link-silent': immediate((context, fault) => {
     peerLinkOf(context, fault).silenceAll();
   }),
-  'replica-drain': async (fault, context) => {
-    const { program } = replicaOf(context, fault);
-    program.sendMessage({
-      order: 'leave',
-      announces: fault.strength < 0.6,
-      forMs: context.bounds.drainMs + LINGER_MS,
-    });
-    await program.ended(2 * context.bounds.drainMs + fault.forMs);
-    await restart(program);
-  },
+  'replica-drain': (fault, context) =>
+    drainReplica(replicaOf(context, fault), fault, context),
   'replica-flap': async (fault, context) => {
     const { program } = replicaOf(context, fault);
     for (let times = 0; times < 3; times += 1) {
@@ -281,6 +305,23 @@
     program.sendMessage({ order: 'shed', pauseMs: null });
   },
   'replica-truncates': replicaFault('truncates'),
+  'replicas-drain-together': async (fault, context) => {
+    const untilMs = soakNow() + fault.forMs;
+    for (let group = fault.target; soakNow() < untilMs; group += 1) {
+      // The first replicas stay, so that each service keeps some.
+      const leaving = context.fleet.replicas.filter(
+        ({ index }) =>
+          index >= SERVICES.length &&
+          index % TOGETHER_GROUPS === group % TOGETHER_GROUPS,
+      );
+      await Promise.all(
+        leaving.map(slot => {
+          const strength = (fault.strength + slot.index * STRENGTH_STEP) % 1;
+          return drainReplica(slot, { ...fault, forMs: 0, strength }, context);
+        }),
+      );
+    }
+  },
   'store-away': storeFault('away'),
   'store-forgets': immediate(({ fleet }) => {
     fleet.store.discardHistory();
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -44,6 +44,7 @@
   'replica-leave-in-answers',
   'replica-requests-pauses',
   'store-restored',
+  'replicas-drain-together',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/src/processes/SoakProcess.ts
+++ b/packages/soak/src/processes/SoakProcess.ts
@@ -8,6 +8,8 @@
 export interface LaunchOptions {
   /** Arguments after those that run this program itself. */
   readonly args: readonly string[];
+  /** Options of Node.js, in addition to those of this process. */
+  readonly nodeArgs?: readonly string[];
   /** File to which standard output and standard error are appended. */
   readonly outFile: string;
 }
@@ -58,11 +60,14 @@
       return;
     }
     this.#incarnation += 1;
-    const { args, outFile } = this.launchOptionsOf(this.#incarnation);
+    const options = this.launchOptionsOf(this.#incarnation);
+    const { args, nodeArgs = [], outFile } = options;
     const out = openSync(outFile, 'a');
-    const child = spawn(process.execPath, [...ownCommand(), ...args], {
-      stdio: ['ignore', out, out, 'ipc'],
-    });
+    const child = spawn(
+      process.execPath,
+      [...nodeArgs, ...ownCommand(), ...args],
+      { stdio: ['ignore', out, out, 'ipc'] },
+    );
     closeSync(out);
     this.#child = child;
     RUNNING_CHILDREN.add(child);
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -19,7 +19,10 @@
 export type ReplicaControlMessage =
   | {
       readonly order: 'leave';
-      /** Whether to mark the entry as leaving; otherwise the entry is removed. */
+      /**
+       * Whether to mark the entry as leaving and announce the leave in answers; otherwise
+       * the entry is removed, and answers say nothing.
+       */
       readonly announces: boolean;
       /** Time for which the replica keeps serving after the store has acknowledged. */
       readonly forMs: number;
@@ -104,10 +107,13 @@
       this.#writeNote({ type: 'limit', replica, atMs: soakNow(), perS });
       return;
     }
-    this.#announceLeaveInAnswers();
     if (order.order === 'leaveInAnswers') {
+      this.#announceLeaveInAnswers();
       return;
     }
+    if (order.announces) {
+      this.#announceLeaveInAnswers();
+    }
     this.#leaving = true;
     this.#sequence += 1;
     const state = order.announces ? 'leaving' : 'removed';
--- a/packages/soak/src/promises/EvidenceIndex.ts
+++ b/packages/soak/src/promises/EvidenceIndex.ts
@@ -89,6 +89,32 @@
     return faults.length > 0;
   }
 
+  /**
+   * Whether the store had no fault at a time or in the `faultFreeMs` before it.
+   *
+   * @param atMs - the time
+   */
+  isStoreStable(atMs: number): boolean {
+    const sinceMs = atMs - this.evidence.bounds.faultFreeMs;
+    const faults = this.faultsIn(
+      ({ component }) => component === 'store',
+      sinceMs,
+      atMs,
+    );
+    return faults.length === 0;
+  }
+
+  /**
+   * Whether neither the store nor a gateway had a fault at a time or in the
+   * `faultFreeMs` before it.
+   *
+   * @param gateway - index of the gateway
+   * @param atMs - the time
+   */
+  isInTouch(gateway: number, atMs: number): boolean {
+    return this.isGatewayFaultFree(gateway, atMs, atMs);
+  }
+
   /**
    * Whether time bounds apply to a gateway in a span of time: neither the gateway nor
    * the store had a fault in the span or in the `faultFreeMs` before it.
@@ -96,9 +122,12 @@
   isGatewayFaultFree(gateway: number, fromMs: number, toMs: number): boolean {
     const sinceMs = fromMs - this.evidence.bounds.faultFreeMs;
     const faults = this.faultsIn(
-      ({ component, index }) =>
+      ({ component, index }, { kind }) =>
         component === 'store' ||
-        (component === 'gateway' && (index === null || index === gateway)),
+        (component === 'gateway' &&
+          // Its stops are recorded one by one as well.
+          kind !== 'gateway-rolling-stop' &&
+          (index === null || index === gateway)),
       sinceMs,
       toMs,
     );
--- a/packages/soak/src/promises/leaving-replicas.ts
+++ b/packages/soak/src/promises/leaving-replicas.ts
@@ -1,24 +1,26 @@
+import { groupBy } from '@jujubecroft/types';
+
 import type { SoakInvariant } from './SoakInvariant.js';
 
 /** A leaving replica gets no new requests after a bounded time. */
 export const leavingReplicas: SoakInvariant = {
   name: 'leaving-replicas',
   description:
-    'Gateways without faults send nothing to a leaving replica once the drain time has passed since the store acknowledged that it leaves.',
+    'Gateways without recent faults send nothing to a leaving replica once the drain time has passed since the store, also without recent faults, acknowledged that it leaves. Faults between the two times excuse nothing.',
   timed: true,
   check: ({ leaving, notes, bounds }, index) => {
     const received = notes.filter(note => note.type === 'got');
-    return leaving.flatMap(({ replica, ackedMs, returnedMs }) => {
+    const byReplica = groupBy(received, ({ replica }) => replica);
+    const judged = leaving.filter(({ ackedMs }) =>
+      index.isStoreStable(ackedMs),
+    );
+    return judged.flatMap(({ replica, ackedMs, returnedMs }) => {
       const deadlineMs = ackedMs + bounds.drainMs + bounds.slackMs;
-      return received
-        .filter(note => note.replica === replica)
+      return (byReplica.get(replica) ?? [])
         .filter(({ atMs }) => atMs > deadlineMs && atMs <= returnedMs)
         .filter(({ id, atMs }) => {
           const gateway = index.sent(id)?.gateway;
-          return (
-            gateway !== undefined &&
-            index.isGatewayFaultFree(gateway, ackedMs, atMs)
-          );
+          return gateway !== undefined && index.isInTouch(gateway, atMs);
         })
         .map(({ id, atMs }) => ({
           request: id,
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,4 +1,5 @@
 import type { Evidence, InjectedFault } from './evidence.js';
+import { PEER_LINK_KINDS } from './faults/faultTargets.js';
 import { planFaults } from './faults/planFaults.js';
 import { ALL_INVARIANTS } from './promises/allPromises.js';
 import { EvidenceIndex } from './promises/EvidenceIndex.js';
@@ -67,18 +68,20 @@
   environment: SoakEnvironment,
   options: SoakOptions,
 ): Promise<SoakResult> {
-  const gateways = Math.max(2, Math.floor(options.processes / 2));
+  const gateways =
+    options.gateways ?? Math.max(2, Math.floor(options.processes / 2));
+  const plan = planFaults(options.seed, options.seconds, options.kinds);
   const fleetOptions = {
     gateways,
     replicas: Math.max(4, options.processes - gateways),
     folder: options.folder,
     networkOctet: networkOctetOf(),
     seed: options.seed,
+    relaysPeers: plan.some(({ kind }) => PEER_LINK_KINDS.includes(kind)),
   };
   const fleet = await SoakFleet.start(environment, fleetOptions, SOAK_BOUNDS);
   try {
     const soak = new SoakRun(fleet, environment, options);
-    const plan = planFaults(options.seed, options.seconds, options.kinds);
     const evidence = await soak.run(plan);
     const verdicts = verdictsOf(evidence, options.untimed);
     const answers = [...evidence.answers.values()];
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -49,6 +49,7 @@
 const afterLeave = [10_000, 13_000].map((sentMs, index) =>
   requestOf(`a-${index}`, 'safe', { sentMs }),
 );
+const wholeStore = { component: 'store', index: null } as const;
 const announcedLeave = {
   type: 'leaving',
   replica: 'r-1',
@@ -247,6 +248,31 @@
     },
     broken: [],
   },
+  {
+    title:
+      'report such a request if the pause and an outage of the store ended long before',
+    seen: {
+      sent: [safe],
+      notes: [executionOf(safe, 'r-1')],
+      leaving: [{ replica: 'r-1', ackedMs: 2000, returnedMs: Infinity }],
+      faults: [
+        faultOf('gateway-pause', gateway0, { fromMs: 2500, toMs: 6500 }),
+        faultOf('store-away', wholeStore, { fromMs: 2500, toMs: 6500 }),
+      ],
+    },
+    broken: ['leaving-replicas'],
+  },
+  {
+    title:
+      'accept a late request after a leave that the store acknowledged after an outage',
+    seen: {
+      sent: [safe],
+      notes: [executionOf(safe, 'r-1')],
+      leaving: [{ replica: 'r-1', ackedMs: 6000, returnedMs: Infinity }],
+      faults: [faultOf('store-away', wholeStore, { fromMs: 2500, toMs: 5000 })],
+    },
+    broken: [],
+  },
   {
     title:
       'report a request to a replica long after its gateway passed on its leave',
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -25,7 +25,6 @@
 const script = new vm.Script(source, { filename: bundle, cachedData });
 const bundled = new Module(bundle, null);
 bundled.filename = bundle;
-process.argv[1] = bundle;
 if (WRITE_CACHE_AFTER_MS > 0) {
   const { setFlagsFromString } = require('node:v8');
   // V8 drops the compiled code of functions that have not run for a while. The flag is
