fix(gateway): an outage of the store needs the answers of other instances

Two places went on when they could not know, and an instance that is slow or cut off got there by itself:

- The view lease let requests pass on a view of any age as soon as no instance was known to have a current view.
One that hears from nobody knows of none.
- An instance whose calls had failed for 0.8 s kept removed replicas for 2.5 s more, and relayed them, unless it knew that another could read meanwhile.

An outage now counts as confirmed only if calls of this instance fail, or get no answer for 0.4 s, and two other instances have answered a probe in the last 1.5 s without a current view of theirs; after a stall of the event loop of 0.3 s evidence is gathered anew. Without it requests are refused at once, with a retry after 50 ms, and others serve them; removed replicas are dropped. Instances that can't be reached count as such that would have to answer, since to one that is cut off all others seem to have failed.

--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -24,6 +24,7 @@
 import { FleetSpeeds } from './speed/FleetSpeeds.js';
 import { OrganisationShares } from './shares/OrganisationShares.js';
 import { StoreClock } from './StoreClock.js';
+import { StoreOutage } from './StoreOutage.js';
 
 /**
  * Settings and dependencies that are fixed for the lifetime of one instance.
@@ -72,6 +73,7 @@
   readonly lengths: AnswerLengths;
   readonly retryGain: RetryGain;
   readonly storeClock: StoreClock;
+  readonly outage: StoreOutage;
   readonly replicas: ReplicaRegistry;
   /**
    * State of the duties, which one instance performs for all; null for none.
@@ -109,6 +111,11 @@
   replicasConfirmedBy: string | null;
   /** Number of live instances, including this one. */
   instances: number;
+  /**
+   * Number of other instances that have not left, whether or not they can be
+   * reached.
+   */
+  otherMembers: number;
 }
 
 /** Mean answer time assumed before any answer was observed. */
@@ -140,6 +147,7 @@
     lengths: new AnswerLengths(),
     retryGain: new RetryGain(),
     storeClock,
+    outage: new StoreOutage(clock),
     replicas,
     duties: settings && createDutyBoard({ settings, storeClock, timeOfDay }),
     shares: dividesCapacity
@@ -155,6 +163,7 @@
     peersAsOfMs: -Infinity,
     replicasConfirmedBy: null,
     instances: 1,
+    otherMembers: 0,
   };
 }
 
--- a/packages/decisions/src/gateway/determineViewState.ts
+++ b/packages/decisions/src/gateway/determineViewState.ts
@@ -12,7 +12,9 @@
   /** Another instance has a current view, but this one doesn't. */
   | 'behind'
   | 'current'
-  /** No instance is known to have a current view. */
+  /** No instance has a current view, since the store is unavailable. */
+  | 'outage'
+  /** It is not known whether another instance has a current view. */
   | 'unknown';
 
 /**
@@ -44,7 +46,8 @@
   if (viewAgeMs(board) <= usableMs) {
     return 'current';
   }
-  return board.storeClock.ageOf(board.peersAsOfMs) <= usableMs
-    ? 'behind'
-    : 'unknown';
+  if (board.storeClock.ageOf(board.peersAsOfMs) <= usableMs) {
+    return 'behind';
+  }
+  return board.outage.isConfirmed(board.otherMembers) ? 'outage' : 'unknown';
 }
--- a/packages/gateway/src/EventLoopDelayMonitor.ts
+++ b/packages/gateway/src/EventLoopDelayMonitor.ts
@@ -20,12 +20,17 @@
     this.#lastMs = clock();
   }
 
-  /** Records a run of the timer; call it once per period. */
-  note(): void {
+  /**
+   * Records a run of the timer; call it once per period.
+   *
+   * @returns the delay of this run, in milliseconds
+   */
+  note(): number {
     const nowMs = this.clock();
     const delayMs = nowMs - this.#lastMs - this.periodMs;
     this.#lastMs = nowMs;
     this.#longestMs = Math.max(this.#longestMs, delayMs);
+    return delayMs;
   }
 
   /**
--- a/packages/gateway/src/forward/placeWhenViewUsable.ts
+++ b/packages/gateway/src/forward/placeWhenViewUsable.ts
@@ -23,8 +23,7 @@
   request: GatewayRequest,
   tried: ReadonlySet<BackendServerId>,
 ): Promise<PlacementDecision> {
-  const state = await lease.obtain();
-  return state === 'usable'
+  return (await lease.obtain()) === 'usable'
     ? router.place(request, tried)
     : {
         kind: 'refuse',
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -136,7 +136,7 @@
     refuse(context, res, 'requestIdMissing', null, { target });
     return;
   }
-  if ((await context.lease.obtain()) === 'behind') {
+  if ((await context.lease.obtain()) === 'outdated') {
     refuse(context, res, 'viewOutdated', head.id);
     return;
   }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -63,6 +63,8 @@
 /** Share of the grace period after which unfinished requests are aborted. */
 const CUT_SHARE = 0.95;
 const IDLE_CHECK_INTERVAL_MS = 50;
+/** Delay of the event loop above which calls may have failed for it, in milliseconds. */
+const STALL_MS = 300;
 
 async function listenForCallers(
   { app, server }: CallerServer,
@@ -183,7 +185,9 @@
 
   const runHousekeeping = (): void => {
     const { replicas } = context.router.board;
-    context.delays.note();
+    if (context.delays.note() > STALL_MS) {
+      context.router.board.outage.onStall();
+    }
     view.applyReplicaChanges(replicas.tick(), 'lapse');
     avoidanceLogger.logChanges();
     barredRequestLogger.logChanges();
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -164,7 +164,7 @@
     }
   }
 
-  /** Probes some members for their state, for a process that was suspended. */
+  /** Probes some members for their state. */
   probeRandomMembers(): void {
     this.#randomMembers().forEach(member => {
       this.#sendProbe(member.peerAddress, member);
@@ -196,6 +196,9 @@
       this.probeReader();
     }
     router.onInstances(membership.instances);
+    router.board.otherMembers = membership.members.filter(
+      ({ state }) => state !== 'leaving',
+    ).length;
     metrics.members.set(membership.instances.length);
     this.#logMemberChanges();
   }
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -263,7 +263,7 @@
     router.board.crashes.onPeer(fromCrashFields(state));
     applyLimitReports(router.board, fromLimits(state.limits));
     this.#receiveDuties(state, peer);
-    this.#receiveStoreTimes(state, askedMs);
+    this.#receiveStoreTimes(state, peer, askedMs);
     this.#receiveConfiguration(state, peer);
     this.#receiveReplicas(state, peer);
     applySpeedReports(router.board, fromSpeeds(state.speeds));
@@ -292,7 +292,11 @@
    * reading of the store's clock. This process was then suspended without noticing, so
    * its reading is wrong and is discarded.
    */
-  #receiveStoreTimes(state: proto.GatewayState, askedMs: number | null): void {
+  #receiveStoreTimes(
+    state: proto.GatewayState,
+    peer: InstanceId,
+    askedMs: number | null,
+  ): void {
     const { board } = this.context.router;
     const { storeClock } = board;
     const asOfMs = fromStoreTime(
@@ -305,6 +309,9 @@
       storeClock.read(state.storeMs, askedMs);
     }
     board.peersAsOfMs = Math.max(board.peersAsOfMs, asOfMs);
+    if (askedMs !== null && asOfMs > -Infinity) {
+      board.outage.onPeerAnswer(peer, askedMs);
+    }
   }
 
   #receiveConfiguration(state: proto.GatewayState, peer: InstanceId): void {
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -229,13 +229,19 @@
   }
 
   async #tryCall(call: StoreCall, run: () => Promise<void>): Promise<boolean> {
-    const { metrics } = this.context;
+    const { metrics, router } = this.context;
+    const { outage } = router.board;
+    if (call === 'replicas') {
+      outage.onCall();
+    }
     try {
       await run();
       this.#onAnswered();
+      outage.onAnswer();
       metrics.storeCalls.inc({ call, result: 'ok' });
       return true;
     } catch (err) {
+      outage.onFailure();
       metrics.storeCalls.inc({ call, result: 'failed' });
       this.#onFailed(call, err);
       return false;
@@ -248,13 +254,17 @@
     if (this.#failingSinceMs === null) {
       return;
     }
-    const { replicas } = router.board;
+    const { otherMembers, outage, replicas } = router.board;
     const awayMs = clock() - this.#failingSinceMs;
     this.#failingSinceMs = null;
-    // Calls may also have failed because of this instance's own congested link. If
-    // other instances read the store meanwhile, entries of live replicas have not
+    // Calls may also have failed because this instance is slow or its link congested. If
+    // other instances could read the store meanwhile, entries of live replicas have not
     // expired.
-    if (awayMs >= MIN_OUTAGE_MS && replicas.ageMs >= awayMs) {
+    if (
+      awayMs >= MIN_OUTAGE_MS &&
+      replicas.ageMs >= awayMs &&
+      outage.isConfirmed(otherMembers)
+    ) {
       replicas.beginLapseGracePeriod(RECOVERY_MS);
     }
     log.write('platformBack', { awayMs: Math.round(awayMs) });
--- a/packages/gateway/src/state/ViewLease.ts
+++ b/packages/gateway/src/state/ViewLease.ts
@@ -13,8 +13,8 @@
  */
 export type RenewView = () => Promise<boolean>;
 
-/** Whether requests may be placed; `behind` if another instance has a newer view. */
-export type ViewLeaseState = 'behind' | 'usable';
+/** Whether requests may be placed; if the view is `outdated`, others serve the callers. */
+export type ViewLeaseState = 'outdated' | 'usable';
 
 /** Called when requests begin or cease to be placed by an outdated view. */
 export type BypassListener = (isBypassed: boolean) => void;
@@ -25,9 +25,9 @@
  * Like a lease, it expires unless the view is confirmed to be current. This guards
  * against requests to replicas that announced long ago that they leave: without it, an
  * instance that lacks CPU time, or whose reads fail, would use an outdated view
- * indefinitely. If no instance is known to have a current view, for example while the
- * store is unavailable, requests are still placed. If another instance has one, they
- * are refused, since that instance can serve them.
+ * indefinitely. Requests are still placed while the store is unavailable to all
+ * instances. If that isn't confirmed, they are refused, since another instance may have a
+ * current view and can serve them.
  */
 export class ViewLease {
   #renewal: Promise<void> | null = null;
@@ -69,7 +69,7 @@
    * again.
    */
   async obtain(): Promise<ViewLeaseState> {
-    if (this.#state === 'current') {
+    if (this.#determineState() === 'current') {
       this.#lastRenewalFailed = false;
       this.#setBypassed(false);
       return 'usable';
@@ -78,27 +78,27 @@
       this.#renewal ??= this.#renew();
       await this.#renewal;
     }
-    const state = this.#state;
-    this.#setBypassed(state === 'unknown');
-    return state === 'behind' ? 'behind' : 'usable';
+    const state = this.#determineState();
+    this.#setBypassed(state === 'outage');
+    return state === 'current' || state === 'outage' ? 'usable' : 'outdated';
   }
 
   /** Whether requests may be placed now, without waiting for a renewal. */
   get isUsable(): boolean {
-    const state = this.#state;
+    const state = this.#determineState();
     return (
-      state === 'current' || (state === 'unknown' && this.#lastRenewalFailed)
+      state === 'current' || (state === 'outage' && this.#lastRenewalFailed)
     );
   }
 
   /** Ends the wait for a renewal if the view has become current. */
   onViewUpdated(): void {
-    if (this.#renewal && this.#state === 'current') {
+    if (this.#renewal && this.#determineState() === 'current') {
       this.#onCurrent();
     }
   }
 
-  get #state(): ViewState {
+  #determineState(): ViewState {
     return determineViewState(this.board, this.boundMs());
   }
 
@@ -121,7 +121,7 @@
     // An answer that has already arrived is read only after the timers of this turn of
     // the event loop.
     await this.timers.nextTurn();
-    this.#lastRenewalFailed = this.#state !== 'current';
+    this.#lastRenewalFailed = this.#determineState() !== 'current';
     this.#renewal = null;
   }
 }
--- a/packages/gateway/src/state/createViewSync.ts
+++ b/packages/gateway/src/state/createViewSync.ts
@@ -44,6 +44,8 @@
   });
   context.lease.setRenewal(() => {
     peers.probeReader();
+    // Their answers show whether the store is unavailable to them, too.
+    peers.probeRandomMembers();
     return reader.refresh();
   });
   return { view, reader, peers };
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -126,9 +126,9 @@
   /** Requests for which a replica was chosen. */
   readonly sent: DispatchedRequest[] = [];
   /**
-   * Number of requests refused because their instance's view was behind that of others.
+   * Number of requests refused because their instance's view was outdated.
    */
-  refusedAsBehind = 0;
+  refusedAsOutdated = 0;
   readonly instances: VirtualInstance[];
   readonly #peers: VirtualPeers;
   readonly #random: () => number;
@@ -178,6 +178,15 @@
     this.store.leaves.push({ id, atMs: this.time.nowMs });
   }
 
+  /** Cuts an instance off from the store and all other instances, but not from replicas. */
+  isolate(index: number): void {
+    const process = this.instances[index]?.process;
+    if (process) {
+      this.store.unreachableFrom.add(process);
+      this.#peers.isolated.add(process);
+    }
+  }
+
   /** Kills an instance, and starts it again without any state. */
   restart(index: number): void {
     const before = this.instances[index];
@@ -382,7 +391,7 @@
       const viewAgeMs = context.router.board.replicas.ageMs;
       this.sent.push({ atMs, instance: name, missedLeaveMs, viewAgeMs });
     } else if (decision.code === 'viewOutdated') {
-      this.refusedAsBehind += 1;
+      this.refusedAsOutdated += 1;
     }
     return { ...decision, request };
   }
--- a/packages/gateway/tests/helpers/VirtualPeers.ts
+++ b/packages/gateway/tests/helpers/VirtualPeers.ts
@@ -21,6 +21,8 @@
 export class VirtualPeers {
   readonly #peers = new Map<string, VirtualPeer>();
   readonly #receivers = new Map<string, PeerReceiver>();
+  /** Instances that no other one can reach, and that reach no other one. */
+  readonly isolated = new Set<VirtualProcess>();
 
   /**
    * @param time - the clock of all instances
@@ -91,6 +93,9 @@
     bytes: number,
     run: () => void,
   ): void {
+    if (this.isolated.has(from.process) || this.isolated.has(to.process)) {
+      return;
+    }
     const arrivesMs = from.link.sendTo(to.link, bytes, ONE_WAY_MS);
     this.time.after(arrivesMs, run, to.process, 'read');
   }
--- a/packages/gateway/tests/helpers/VirtualStore.ts
+++ b/packages/gateway/tests/helpers/VirtualStore.ts
@@ -74,6 +74,8 @@
   calls = 0;
   /** Whether calls get no answer. */
   isSilent = false;
+  /** Instances whose calls get no answer. */
+  readonly unreachableFrom = new Set<VirtualProcess>();
 
   constructor(
     private readonly time: VirtualTime,
@@ -141,7 +143,7 @@
     ) =>
       new Promise<Answer>((resolve, reject) => {
         this.calls += 1;
-        if (this.isSilent) {
+        if (this.isSilent || this.unreachableFrom.has(process)) {
           this.time.after(
             TIMEOUT_MS,
             () => {
--- a/packages/gateway/tests/state/StoreReader.test.ts
+++ b/packages/gateway/tests/state/StoreReader.test.ts
@@ -108,6 +108,21 @@
       t.false(fixture.isReplicaKnown);
     });
 
+    // Guards against requests to a replica for 2.5 s longer than its leave may take: an
+    // instance that stood still, or that nothing reaches, takes its failed calls for an
+    // outage, and relays the removed entry as one that may come back.
+    test('drops a removed replica if no other instance confirmed an outage', async t => {
+      const fixture = new ReaderFixture();
+      fixture.context.router.board.otherMembers = 2;
+      await fixture.time.run(1000);
+      fixture.isStoreReachable = false;
+      await fixture.time.run(2000);
+      fixture.remove();
+      fixture.isStoreReachable = true;
+      await fixture.time.run(1500);
+      t.false(fixture.isReplicaKnown);
+    });
+
     // An instance with a congested link takes its failed calls for an outage while the
     // store serves all others. It then keeps a replica that has left for another 2.5 s
     // and spreads that to its peers, so that requests are sent there three seconds
--- a/packages/gateway/tests/state/ViewLease.test.ts
+++ b/packages/gateway/tests/state/ViewLease.test.ts
@@ -66,6 +66,14 @@
   return { time, board, lease, renewals, confirm, obtain };
 }
 
+/** Adds the evidence of an outage: a failed call, and answers of two instances. */
+function confirmOutage(board: GatewayBoard, time: VirtualTime): void {
+  board.outage.onFailure();
+  ['i-2', 'i-3'].forEach(id => {
+    board.outage.onPeerAnswer(brand<InstanceId>(id), time.nowMs);
+  });
+}
+
 const never: RenewView = () => new Promise(() => undefined);
 
 describe('ViewLease', ({ it, describe: group }) => {
@@ -104,23 +112,54 @@
   group('after a failed renewal', ({ it: test }) => {
     // While the store is unavailable, no instance can know whether a replica leaves. If
     // requests waited or were refused, all instances would needlessly fail all of them.
-    test('lets requests pass if no instance is known to have a current view', async t => {
-      const { time, obtain, renewals } = createFixture(
+    test('lets requests pass during an outage that other instances confirm', async t => {
+      const { time, board, obtain, renewals } = createFixture(
         () => () => Promise.resolve(false),
       );
       await time.run(TOO_OLD_MS);
+      confirmOutage(board, time);
       t.deepEqual(await obtain(), { state: 'usable', waitedMs: 0 });
       t.deepEqual(await obtain(), { state: 'usable', waitedMs: 0 });
       t.is(renewals.length, 1);
     });
 
+    // Guards against requests to replicas that left long ago: an instance whose calls
+    // fail and whose peers are silent can't know that, and others may.
+    test('refuses requests while no other instance confirms an outage', async t => {
+      const { time, board, lease, obtain } = createFixture(
+        () => () => Promise.resolve(false),
+      );
+      board.otherMembers = 2;
+      await time.run(TOO_OLD_MS);
+      board.outage.onFailure();
+      t.is((await obtain()).state, 'outdated');
+      board.outage.onPeerAnswer(brand<InstanceId>('i-2'), time.nowMs);
+      t.is((await obtain()).state, 'outdated');
+      t.false(lease.isUsable);
+      confirmOutage(board, time);
+      t.is((await obtain()).state, 'usable');
+      await time.run(2 * OBTAIN_MS);
+      t.is((await obtain()).state, 'outdated', 'the answers are old');
+    });
+
+    test('refuses requests while the calls of this instance to the store succeed', async t => {
+      const { time, board, obtain } = createFixture(
+        () => () => Promise.resolve(false),
+      );
+      await time.run(TOO_OLD_MS);
+      confirmOutage(board, time);
+      board.outage.onAnswer();
+      t.is((await obtain()).state, 'outdated');
+    });
+
     test('reports when requests begin and cease to be placed by an outdated view', async t => {
-      const { time, lease, obtain, confirm } = createFixture(
+      const { time, board, lease, obtain, confirm } = createFixture(
         () => () => Promise.resolve(false),
       );
       const bypasses: boolean[] = [];
       lease.onBypass(isBypassed => bypasses.push(isBypassed));
       await time.run(TOO_OLD_MS);
+      confirmOutage(board, time);
       await obtain();
       await obtain();
       t.deepEqual(bypasses, [true]);
@@ -130,8 +169,9 @@
     });
 
     test('delays only the first requests, by 250 ms, if the renewal gets no answer', async t => {
-      const { time, obtain } = createFixture(() => never);
+      const { time, board, obtain } = createFixture(() => never);
       await time.run(TOO_OLD_MS);
+      confirmOutage(board, time);
       t.deepEqual(await obtain(), { state: 'usable', waitedMs: 250 });
       t.deepEqual(await obtain(), { state: 'usable', waitedMs: 0 });
     });
@@ -144,12 +184,13 @@
       );
       await time.run(TOO_OLD_MS);
       board.peersAsOfMs = TOO_OLD_MS - 100;
-      t.deepEqual(await obtain(), { state: 'behind', waitedMs: 0 });
+      t.deepEqual(await obtain(), { state: 'outdated', waitedMs: 0 });
       // By now, the other instance's view is outdated as well.
       await time.run(OBTAIN_MS);
+      confirmOutage(board, time);
       t.deepEqual(await obtain(), { state: 'usable', waitedMs: 0 });
       board.peersAsOfMs = time.nowMs - 100;
-      t.deepEqual(await obtain(), { state: 'behind', waitedMs: 0 });
+      t.deepEqual(await obtain(), { state: 'outdated', waitedMs: 0 });
       confirm();
       t.is((await obtain()).state, 'usable');
     });
--- a/packages/gateway/tests/state/configurationSpread.test.ts
+++ b/packages/gateway/tests/state/configurationSpread.test.ts
@@ -31,7 +31,7 @@
     const version = fleet.configure(1450);
     await fleet.time.run(BOUND_MS);
     t.is(fleet.versions.filter(known => known < version).length, 0);
-    t.is(fleet.refusedAsBehind, 0);
+    t.is(fleet.refusedAsOutdated, 0);
   });
 
   it('takes effect in time at sixty instances after each of several quick changes', async t => {
@@ -43,7 +43,7 @@
     await fleet.start();
     await fleet.time.run(5000);
     t.true(fleet.versions.every(version => version === 1));
-    const before = fleet.refusedAsBehind;
+    const before = fleet.refusedAsOutdated;
     const missing: number[] = [];
     for (let change = 0; change < CHANGES; change += 1) {
       const version = fleet.configure();
@@ -57,6 +57,6 @@
       missing,
       missing.map(() => 0),
     );
-    t.is(fleet.refusedAsBehind, before);
+    t.is(fleet.refusedAsOutdated, before);
   });
 });
