feat(soak): leaves without notice at the moment a gateway starts

Real processes did not show the fault of views that lack a removal: leaves and restarts rarely met within the half second in which it arises, and replicas had exited before a request came too late. drains-at-restarts kills a gateway again and again, and removes the entry of a replica about when it reads the store; these replicas serve for six seconds longer.

--- a/packages/soak/src/faults/faultTargets.ts
+++ b/packages/soak/src/faults/faultTargets.ts
@@ -6,6 +6,7 @@
 const PLANNED_KINDS: readonly FaultKind[] = [
   'configuration-change',
   'configuration-storm',
+  'drains-at-restarts',
   'gateway-reload',
   'gateway-rolling-stop',
   'gateway-stop',
@@ -47,7 +48,11 @@
   ) {
     return { component: 'configuration', index: null };
   }
-  if (kind === 'crashing-request' || kind === 'replicas-drain-together') {
+  if (
+    kind === 'crashing-request' ||
+    kind === 'drains-at-restarts' ||
+    kind === 'replicas-drain-together'
+  ) {
     return { component: 'replica', index: null };
   }
   if (kind.startsWith('replica')) {
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -49,10 +49,14 @@
 const MAX_PAUSE_MS = 3000;
 /** Time that a leaving replica keeps serving beyond the drain time. */
 const LINGER_MS = 1500;
+/** The same for replicas that take longer to exit. */
+const LONG_LINGER_MS = 6000;
 /** Share of the leaves that are announced; in the others, the entry is removed. */
 const ANNOUNCED_SHARE = 0.6;
 /** One in so many replicas leaves when several leave together. */
 const TOGETHER_GROUPS = 3;
+/** Time within which a gateway reads the store after its start. */
+const MAX_START_MS = 400;
 /** Difference in strength between replicas that leave together, so that some announce it. */
 const STRENGTH_STEP = 0.37;
 /** Maximum number of gateways in one rolling stop. */
@@ -112,13 +116,14 @@
   { program }: SoakReplicaSlot,
   { forMs, strength }: PlannedFault,
   { bounds }: FaultContext,
+  lingerMs = LINGER_MS,
 ): Promise<void> {
   program.sendMessage({
     order: 'leave',
     announces: strength < ANNOUNCED_SHARE,
-    forMs: bounds.drainMs + LINGER_MS,
+    forMs: bounds.drainMs + lingerMs,
   });
-  await program.ended(2 * bounds.drainMs + forMs);
+  await program.ended(2 * bounds.drainMs + lingerMs + forMs);
   await restart(program);
 }
 
@@ -201,6 +206,36 @@
   },
   'crashing-request': ({ forMs }, context) =>
     context.sendCrashingRequests(forMs),
+  'drains-at-restarts': async (fault, context, onStart) => {
+    const { gateways, replicas } = context.fleet;
+    const untilMs = soakNow() + fault.forMs;
+    const drains: Promise<void>[] = [];
+    // Each round, one gateway starts about when the entry of one replica is removed.
+    for (let round = fault.target; soakNow() < untilMs; round += 1) {
+      const kind = 'gateway-kill';
+      const target = round % gateways.length;
+      void injectFault({ ...fault, kind, target }, context, onStart);
+      await sleep(
+        RESTART_DELAY_MS + MAX_START_MS * ((round * STRENGTH_STEP) % 1),
+      );
+      const slot =
+        replicas[
+          SERVICES.length + (round % (replicas.length - SERVICES.length))
+        ];
+      if (slot?.program.isRunning === true) {
+        drains.push(
+          drainReplica(
+            slot,
+            { ...fault, forMs: 0, strength: 1 },
+            context,
+            LONG_LINGER_MS,
+          ),
+        );
+      }
+      await sleep(ROLLING_GAP_MS);
+    }
+    await Promise.all(drains);
+  },
   'gateway-cut': async (fault, context) => {
     const { storeLink, peerLink } = gatewayOf(context, fault);
     const mode = cutMode(fault);
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -45,6 +45,7 @@
   'replica-requests-pauses',
   'store-restored',
   'replicas-drain-together',
+  'drains-at-restarts',
 ] as const;
 
 /** All kinds of faults and planned operations. */
