--- a/packages/decisions/src/gateway/StoreOutage.ts
+++ b/packages/decisions/src/gateway/StoreOutage.ts
@@ -5,9 +5,9 @@
 /** Time without an answer after which a call counts as failing, in milliseconds. */
 const SILENT_MS = 400;
 /** Time for which the answer of another instance counts, in milliseconds. */
-const WITNESS_MS = 1500;
+const PEER_ANSWER_VALID_MS = 1500;
 /** Number of other instances that must have answered, if there are as many. */
-const WITNESSES = 2;
+const REQUIRED_PEER_ANSWERS = 2;
 
 /**
  * Whether the store is unavailable, as opposed to this instance being slow or cut off.
@@ -23,7 +23,7 @@
   /** Start of the oldest unanswered call on the local clock; null for none. */
   #pendingSinceMs: number | null = null;
   /** When the latest answered probe of each instance was sent, on the local clock. */
-  readonly #witnesses = new Map<InstanceId, number>();
+  readonly #peerAnswers = new Map<InstanceId, number>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -51,12 +51,12 @@
    * @param askedMs - local time at which the probe was sent, in milliseconds
    */
   onPeerAnswer(instance: InstanceId, askedMs: number): void {
-    this.#witnesses.delete(instance);
-    this.#witnesses.set(instance, askedMs);
-    const sinceMs = this.clock() - WITNESS_MS;
-    this.#witnesses.forEach((atMs, id) => {
+    this.#peerAnswers.delete(instance);
+    this.#peerAnswers.set(instance, askedMs);
+    const sinceMs = this.clock() - PEER_ANSWER_VALID_MS;
+    this.#peerAnswers.forEach((atMs, id) => {
       if (atMs < sinceMs) {
-        this.#witnesses.delete(id);
+        this.#peerAnswers.delete(id);
       }
     });
   }
@@ -67,7 +67,7 @@
    */
   onStall(): void {
     this.#hasFailed = false;
-    this.#witnesses.clear();
+    this.#peerAnswers.clear();
     if (this.#pendingSinceMs !== null) {
       this.#pendingSinceMs = this.clock();
     }
@@ -81,11 +81,13 @@
    *   is cut off, all others seem to have failed
    */
   isConfirmed(others: number): boolean {
-    const sinceMs = this.clock() - WITNESS_MS;
-    const witnesses = [...this.#witnesses.values()].filter(
+    const sinceMs = this.clock() - PEER_ANSWER_VALID_MS;
+    const valid = [...this.#peerAnswers.values()].filter(
       atMs => atMs >= sinceMs,
     );
-    return this.#isFailing && witnesses.length >= Math.min(WITNESSES, others);
+    return (
+      this.#isFailing && valid.length >= Math.min(REQUIRED_PEER_ANSWERS, others)
+    );
   }
 
   get #isFailing(): boolean {
--- a/packages/decisions/tests/gateway/StoreOutage.test.ts
+++ b/packages/decisions/tests/gateway/StoreOutage.test.ts
@@ -17,7 +17,7 @@
     clock,
     outage,
     /** Lets two instances answer probes that are sent now. */
-    bearWitness: () => {
+    answerProbes: () => {
       [ONE, TWO].forEach(id => {
         outage.onPeerAnswer(id, clock.now());
       });
@@ -48,9 +48,9 @@
   });
 
   it('is no longer confirmed once the answers are old', t => {
-    const { clock, outage, bearWitness } = createFixture();
+    const { clock, outage, answerProbes } = createFixture();
     outage.onFailure();
-    bearWitness();
+    answerProbes();
     clock.advance(1400);
     t.true(outage.isConfirmed(2));
     clock.advance(200);
@@ -71,13 +71,13 @@
     // Guards against an instance that takes its own stall for an outage: its calls time
     // out although the store has answered them.
     test('needs new evidence', t => {
-      const { clock, outage, bearWitness } = createFixture();
+      const { clock, outage, answerProbes } = createFixture();
       outage.onCall();
-      bearWitness();
+      answerProbes();
       clock.advance(1000);
       outage.onStall();
       t.false(outage.isConfirmed(2));
-      bearWitness();
+      answerProbes();
       t.false(outage.isConfirmed(2));
       clock.advance(400);
       t.true(outage.isConfirmed(2));
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -141,7 +141,7 @@
     number: 312,
     level: 'warn',
     summary:
-      'Requests are placed by an outdated view, since no instance is known to have a current one.',
+      'Requests are placed by an outdated view, since the store is unavailable to all instances.',
   },
   viewLeaseRestored: {
     number: 313,
