--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -63,7 +63,10 @@
 /** Share of the grace period after which unfinished requests are aborted. */
 const CUT_SHARE = 0.95;
 const IDLE_CHECK_INTERVAL_MS = 50;
-/** Delay of the event loop above which calls may have failed for it, in milliseconds. */
+/**
+ * Delay of the event loop above which failed calls are no evidence of an outage, in
+ * milliseconds.
+ */
 const STALL_MS = 300;
 
 async function listenForCallers(
