fix(gateway): only an outage of two heartbeat intervals lets entries lapse

Replicas that left by the removal of their entry were used for 2.5 s more, at an instance whose calls to the store had failed for 0.8 s, and at those it told.

Cause: any confirmed fault of the store of 0.8 s counted as an outage in which entries of live replicas expire. They expire after three heartbeat intervals without a report, so not before two intervals of outage, 2.4 s in the deployment of the record.

The interval is read from the settings. StoreReader.test.ts "drops a removed replica if the outage was too short for entries to expire" failed before.

--- a/packages/cli/src/commands/soakCommands.ts
+++ b/packages/cli/src/commands/soakCommands.ts
@@ -18,6 +18,7 @@
     served,
     refused,
     storeCalls,
+    longestDelayMs,
     faults,
     verdicts,
     invariantsHeld: kept,
@@ -33,7 +34,7 @@
         ),
   );
   return [
-    `seed ${seed}: ${kept ? 'kept' : 'BROKEN'}; ${sent} requests, ${served} served, ${refused} refused; ${storeCalls} calls of the store; ${faults.length} faults: ${kinds.join(', ')}`,
+    `seed ${seed}: ${kept ? 'kept' : 'BROKEN'}; ${sent} requests, ${served} served, ${refused} refused; ${storeCalls} calls of the store; own delay at most ${longestDelayMs} ms; ${faults.length} faults: ${kinds.join(', ')}`,
     ...broken,
   ];
 }
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -44,6 +44,8 @@
    * in milliseconds.
    */
   readonly freshWithinMs: number;
+  /** Interval at which backend servers renew their entries, in milliseconds. */
+  readonly heartbeatMs: number;
   /**
    * Time from the request to stop until the process is killed, in milliseconds.
    */
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -37,6 +37,12 @@
  * if no other instance could read either.
  */
 const MIN_OUTAGE_MS = 800;
+/**
+ * Shortest outage after which entries of live replicas may have expired, in heartbeat
+ * intervals. They expire after three, and the last one may have come an interval before
+ * the outage.
+ */
+const MIN_LAPSE_INTERVALS = 2;
 /**
  * Time for live replicas to renew their entries after an outage, in milliseconds. The
  * platform states about two seconds.
@@ -250,7 +256,7 @@
 
   /** Ends a run of failures, and tolerates expired entries if it was an outage. */
   #onAnswered(): void {
-    const { clock, log, router } = this.context;
+    const { clock, log, router, settings } = this.context;
     if (this.#failingSinceMs === null) {
       return;
     }
@@ -263,6 +269,7 @@
     if (
       awayMs >= MIN_OUTAGE_MS &&
       replicas.ageMs >= awayMs &&
+      replicas.ageMs >= MIN_LAPSE_INTERVALS * settings.heartbeatMs &&
       outage.isConfirmed(otherMembers)
     ) {
       replicas.beginLapseGracePeriod(RECOVERY_MS);
--- a/packages/gateway/tests/helpers/virtualDeployment.ts
+++ b/packages/gateway/tests/helpers/virtualDeployment.ts
@@ -151,6 +151,7 @@
       duties: duties?.settings ?? null,
       retryBudget: { ratio: 0.2, extra: 50, windowMs: 10_000 },
       freshWithinMs,
+      heartbeatMs: 1000,
       graceMs: 8000,
       maxAddressAgeMs: 5000,
       logLevel: 'info',
--- a/packages/gateway/tests/startGateway.test.ts
+++ b/packages/gateway/tests/startGateway.test.ts
@@ -27,6 +27,7 @@
     seeds: [],
     duties: null,
     retryBudget: { ratio: 0.2, extra: 10, windowMs: 10_000 },
+    heartbeatMs: 1000,
     freshWithinMs: 2000,
     graceMs: 1000,
     maxAddressAgeMs: 5000,
--- a/packages/gateway/tests/state/StoreReader.test.ts
+++ b/packages/gateway/tests/state/StoreReader.test.ts
@@ -91,6 +91,19 @@
     t.false(fixture.isReplicaKnown);
   });
 
+  // Guards against requests to a replica that left during a short fault of the store: no
+  // entry of a live replica can expire within two heartbeat intervals.
+  it('drops a removed replica if the outage was too short for entries to expire', async t => {
+    const fixture = new ReaderFixture();
+    await fixture.time.run(1000);
+    fixture.isStoreReachable = false;
+    await fixture.time.run(900);
+    fixture.remove();
+    fixture.isStoreReachable = true;
+    await fixture.time.run(1500);
+    t.false(fixture.isReplicaKnown);
+  });
+
   group('after two seconds of failed calls', ({ it: test }) => {
     // During an outage of the store, entries of live replicas expire; they are renewed
     // within seconds. If they were dropped, no request could be served until then.
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,3 +1,5 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+
 import type { Evidence, InjectedFault } from './evidence.js';
 import { PEER_LINK_KINDS } from './faults/faultTargets.js';
 import { planFaults } from './faults/planFaults.js';
@@ -29,11 +31,17 @@
   readonly refused: number;
   /** Calls to the store, including heartbeats of replicas. */
   readonly storeCalls: number;
+  /**
+   * Longest delay of the event loop of the soak itself, in milliseconds. The store, the
+   * links and the callers stand still meanwhile.
+   */
+  readonly longestDelayMs: number;
   readonly verdicts: readonly InvariantVerdict[];
   /** Whether every checked invariant held. */
   readonly invariantsHeld: boolean;
 }
 
+const NS_PER_MS = 1e6;
 const HTTP_OK = 200;
 const REFUSED_STATUSES: readonly number[] = [429, 503];
 
@@ -82,7 +90,10 @@
   const fleet = await SoakFleet.start(environment, fleetOptions, SOAK_BOUNDS);
   try {
     const soak = new SoakRun(fleet, environment, options);
+    const delays = monitorEventLoopDelay();
+    delays.enable();
     const evidence = await soak.run(plan);
+    delays.disable();
     const verdicts = verdictsOf(evidence, options.untimed);
     const answers = [...evidence.answers.values()];
     return {
@@ -95,6 +106,7 @@
         REFUSED_STATUSES.includes(status ?? 0),
       ).length,
       storeCalls: fleet.store.calls(),
+      longestDelayMs: Math.round(delays.max / NS_PER_MS),
       verdicts,
       invariantsHeld: verdicts.every(
         ({ violations: breaches }) => breaches.length === 0,
