--- a/packages/gateway/tests/state/StoreReader.test.ts
+++ b/packages/gateway/tests/state/StoreReader.test.ts
@@ -45,6 +45,18 @@
     return this.context.router.board.replicas.find(REPLICA) !== undefined;
   }
 
+  /**
+   * Lets calls to the store fail for a while, and removes the replica's entry at the end.
+   *
+   * @param ms - length of the outage, in milliseconds
+   */
+  async removeInOutage(ms: number): Promise<void> {
+    this.isStoreReachable = false;
+    await this.time.run(ms);
+    this.remove();
+    this.isStoreReachable = true;
+  }
+
   /** Removes the replica's entry from the store. */
   remove(): void {
     this.#rows = [removed];
@@ -96,10 +108,7 @@
   it('drops a removed replica if the outage was too short for entries to expire', async t => {
     const fixture = new ReaderFixture();
     await fixture.time.run(1000);
-    fixture.isStoreReachable = false;
-    await fixture.time.run(900);
-    fixture.remove();
-    fixture.isStoreReachable = true;
+    await fixture.removeInOutage(900);
     await fixture.time.run(1500);
     t.false(fixture.isReplicaKnown);
   });
@@ -110,10 +119,7 @@
     test('keeps a removed replica for a while if no other instance could read either', async t => {
       const fixture = new ReaderFixture();
       await fixture.time.run(1000);
-      fixture.isStoreReachable = false;
-      await fixture.time.run(2000);
-      fixture.remove();
-      fixture.isStoreReachable = true;
+      await fixture.removeInOutage(2000);
       await fixture.time.run(1500);
       t.true(fixture.isReplicaKnown);
       await fixture.time.run(2500);
@@ -128,10 +134,7 @@
       const fixture = new ReaderFixture();
       fixture.context.router.board.otherMembers = 2;
       await fixture.time.run(1000);
-      fixture.isStoreReachable = false;
-      await fixture.time.run(2000);
-      fixture.remove();
-      fixture.isStoreReachable = true;
+      await fixture.removeInOutage(2000);
       await fixture.time.run(1500);
       t.false(fixture.isReplicaKnown);
     });
--- a/packages/types/src/resultCodes.ts
+++ b/packages/types/src/resultCodes.ts
@@ -159,7 +159,7 @@
     httpStatus: 503,
     ran: 'no',
     summary:
-      'Other instances know more of configuration and backend servers than this one.',
+      'Other instances may know more of configuration and backend servers than this one.',
     action: 'Ask another instance.',
   },
   crashesBackends: {
