feat(gateway): logs and metrics tell how the end of a response was determined

Whether an answer was complete could not be told from the logs: requestAnswered said so of each answer that was not reset, whatever proved its end. requestAnswered and attemptFailed now state the framing of the response (self-delimited by a length or chunks, or close-delimited) and whether a stream ended inside an event; explain says both, and jujubecroft_gateway_responses_total counts them. No change of logic.

--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -40,6 +40,17 @@
     : '';
 }
 
+/** Describes how an answer ended where that does not prove it complete. */
+function describeEnd({ framing, insideEvent }: Fields): string {
+  const byClose =
+    framing === 'closeDelimited'
+      ? '; its end is the end of the connection, which does not prove it complete'
+      : '';
+  return insideEvent === true
+    ? `${byClose}; it ended inside an event`
+    : byClose;
+}
+
 /** Sentence for each kind of line; other kinds are shown with all their fields. */
 const SENTENCES: Readonly<Record<string, (fields: Fields) => string>> = {
   requestPlaced: f =>
@@ -47,9 +58,9 @@
   sentOnOldView: f =>
     `sent to ${formatValue(f.backendServer)} by a view that ${formatValue(f.confirmedBy)} confirmed last, ${formatValue(f.viewAgeMs)} ms ago (${formatValue(f.state)}); entry as of version ${formatValue(f.rowVersion)}, replicas as of version ${formatValue(f.replicasVersion)}`,
   attemptFailed: f =>
-    `the attempt ends: ${formatValue(f.result)} (${formatValue(f.reason ?? f.status)}); next: ${formatValue(f.next)}; sent ${formatValue(f.sent)} times, retries left in the budget: ${formatValue(f.budgetLeft)}, idempotent ${formatValue(f.idempotent)}`,
+    `the attempt ends: ${formatValue(f.result)} (${formatValue(f.reason ?? f.status)}); next: ${formatValue(f.next)}; sent ${formatValue(f.sent)} times, retries left in the budget: ${formatValue(f.budgetLeft)}, idempotent ${formatValue(f.idempotent)}${describeEnd(f)}`,
   requestAnswered: f =>
-    `answered with ${formatValue(f.status)} after ${formatValue(f.wholeMs)} ms, first byte after ${formatValue(f.firstMs)} ms against a target of ${formatValue(f.targetMs)} ms`,
+    `answered with ${formatValue(f.status)} after ${formatValue(f.wholeMs)} ms, first byte after ${formatValue(f.firstMs)} ms against a target of ${formatValue(f.targetMs)} ms${describeEnd(f)}`,
   requestRefused: f =>
     `refused as ${formatValue(f.code)} after ${formatValue(f.afterMs)} ms: first byte predicted after ${formatValue(f.predictedMs)} ms, allowed ${formatValue(f.allowedMs)} ms; complete answer predicted after ${formatValue(f.predictedWholeMs)} ms, allowed ${formatValue(f.allowedWholeMs)} ms; ${formatValue(f.tokensAhead)} prompt tokens ahead, ${formatValue(f.lessUrgentTokens)} unread ones of less urgent requests of this instance; ${formatValue(f.candidates)} candidates; the caller may retry after ${formatValue(f.retryAfterMs)} ms`,
   requestCut: f =>
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -244,6 +244,7 @@
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     this.#countAttempt(result, replica.id);
+    this.#recorder.responseEnded(attempt, result, assembler.progress);
     return { attempt, result };
   }
 
@@ -260,6 +261,7 @@
   #createAssembler(): ResponseAssembler {
     return new ResponseAssembler({
       requestId: this.request.id,
+      method: this.call.method,
       kind: this.request.route.kind,
       dialect: this.context.dialect,
       answer: this.#response,
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -16,6 +16,7 @@
 import { formatStoreVersion } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
+import type { ResponseProgress } from './ResponseAssembler.js';
 
 /** Outcomes of a request without a complete response. */
 export type UnansweredOutcome = 'callerLeft' | 'requestCut' | 'requestRefused';
@@ -139,11 +140,28 @@
   return known ? { speed: Number(known.factorOf(load).toFixed(2)) } : {};
 }
 
+/**
+ * Log fields of a response.
+ *
+ * @param progress - progress of the response; null if there was none
+ * @returns how its end is determined, and whether it ended inside an event
+ */
+function responseFields(progress: ResponseProgress | null): LogFields {
+  return progress
+    ? {
+        framing: progress.framing,
+        ...(progress.isInsideEvent ? { insideEvent: true } : {}),
+      }
+    : {};
+}
+
 /** Logs the events of one request and counts them in the metrics. */
 export class RequestRecorder {
   readonly #labels: { readonly kind: string; readonly priority: string };
   /** When the last attempt was checked and sent, in milliseconds; null before. */
   #sendingMs: number | null = null;
+  /** Progress of the latest response at its end; null if there was none. */
+  #response: ResponseProgress | null = null;
 
   constructor(
     private readonly context: GatewayContext,
@@ -253,6 +271,22 @@
     });
   }
 
+  /** Records how far the response of an attempt came. */
+  responseEnded(
+    attempt: GatewayAttempt,
+    result: AttemptResult,
+    progress: ResponseProgress | null,
+  ): void {
+    this.#response = progress;
+    if (progress) {
+      this.context.metrics.responses.inc({
+        service: attempt.request.service.id,
+        framing: progress.framing,
+        end: progress.isInsideEvent ? 'insideEvent' : result.kind,
+      });
+    }
+  }
+
   /** Records an attempt without a response for the caller. */
   failed(
     { load }: GatewayAttempt,
@@ -272,6 +306,7 @@
       result: result.kind,
       ...('reason' in result ? { reason: result.reason } : {}),
       ...('status' in result ? { status: result.status } : {}),
+      ...responseFields(this.#response),
       next: recovery.kind,
       sent,
       budgetLeft: Math.floor(context.router.board.budget.left(service)),
@@ -299,6 +334,7 @@
       longestPauseMs: Math.round(longestPauseMs),
       pauseTargetMs: request.route.gapTargetMs,
       attempts: sent + unsent,
+      ...responseFields(this.#response),
     });
   }
 
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -1,22 +1,38 @@
 import type { AttemptResult, ReportedLoad } from '@jujubecroft/decisions';
 import type { RequestId, RouteKind } from '@jujubecroft/types';
 
+import type { BodyFraming } from '../backends/bodyFraming.js';
+import { bodyFraming } from '../backends/bodyFraming.js';
 import type {
   ResponseHead,
   CallerDialect,
   RawHeaders,
 } from '../ports/CallerDialect.js';
 import type { CallerResponse, CompleteResponse } from './CallerResponse.js';
+import { SseBoundary } from './SseBoundary.js';
 import type { SseEventBuffer } from './SseEventBuffer.js';
+import { headerValue } from '../util/headers.js';
 
+const EVENT_STREAM_TYPE = 'text/event-stream';
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Responses up to this size are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
+/**
+ * Whether a response on a route for streams has events. One that states no
+ * content type is taken for what its route declares.
+ */
+function isEventStream(headers: RawHeaders): boolean {
+  const type = headerValue(headers, 'content-type') ?? EVENT_STREAM_TYPE;
+  return type.trim().toLowerCase().startsWith(EVENT_STREAM_TYPE);
+}
+
 /** Settings and collaborators of a `ResponseAssembler`. */
 export interface ResponseAssemblerOptions {
   readonly requestId: RequestId;
+  /** Method of the request. */
+  readonly method: string;
   readonly kind: RouteKind;
   readonly dialect: CallerDialect;
   readonly answer: CallerResponse;
@@ -29,6 +45,13 @@
   readonly resume: () => void;
 }
 
+/** How far a response has come and how its end is determined. */
+export interface ResponseProgress {
+  readonly framing: BodyFraming;
+  /** Whether it is a stream of events that stands inside one of them. */
+  readonly isInsideEvent: boolean;
+}
+
 /** Outcome of a complete response. */
 export interface ResponseAssemblyResult {
   readonly result: AttemptResult;
@@ -50,6 +73,8 @@
   #status = 0;
   #headers: RawHeaders = [];
   #isRelaying = false;
+  /** Null unless the response is a stream of events. */
+  #boundary: SseBoundary | null = null;
 
   constructor(private readonly options: ResponseAssemblerOptions) {}
 
@@ -97,6 +122,20 @@
     return head?.requestId === this.options.requestId ? head : null;
   }
 
+  /** Progress of the response; null before its head was accepted. */
+  get progress(): ResponseProgress | null {
+    return this.#head
+      ? {
+          framing: bodyFraming(
+            this.options.method,
+            this.#status,
+            this.#headers,
+          ),
+          isInsideEvent: this.#boundary?.isInsideEvent ?? false,
+        }
+      : null;
+  }
+
   /** Whether the body is relayed to the caller as it arrives. */
   get isRelaying(): boolean {
     return this.#isRelaying;
@@ -123,6 +162,9 @@
     this.#status = status;
     this.#headers = headers;
     this.#isRelaying = kind === 'streaming' && isSuccess && !head.notRun;
+    if (this.#isRelaying && isEventStream(headers)) {
+      this.#boundary = new SseBoundary();
+    }
     return true;
   }
 
@@ -132,6 +174,7 @@
    * @returns false if the replica should pause
    */
   push(chunk: Buffer): boolean {
+    this.#boundary?.push(chunk);
     if (this.#isRelaying) {
       return this.#relay(this.options.events?.push(chunk) ?? chunk);
     }
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -39,6 +39,12 @@
     labelNames: ['service', 'result'] as const,
     registers: this.#registers,
   });
+  readonly responses = new Counter({
+    name: 'jujubecroft_gateway_responses_total',
+    help: 'Responses of backend servers by framing and end: a result, or insideEvent for streams cut off there.',
+    labelNames: ['service', 'framing', 'end'] as const,
+    registers: this.#registers,
+  });
   readonly retries = new Counter({
     name: 'jujubecroft_gateway_retries_total',
     help: 'Attempts beyond the first, by what the one before came to.',
