fix(gateway): a stream that ends inside an event was cut off

Cause: the end of a connection counts as the end of an answer with neither a length nor chunks, and a process that dies closes its connections like one that is done. Nobody looked at where a stream stood: one that can't be resumed was relayed unread, and of others the half event was passed on as their last bytes. Such an attempt also counted as a success of its replica and cleared its content of crashes.

A stream that ends inside an event is lost, whatever its framing says: it is resumed where that is allowed, and cut otherwise, and its replica's health and the crash ledger see a failure. Comments after the last event don't count.

--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -19,12 +19,9 @@
 /** Responses up to this size are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
-/**
- * Whether a response on a route for streams has events. One that states no
- * content type is taken for what its route declares.
- */
+/** Whether a response states that it is a stream of server-sent events. */
 function isEventStream(headers: RawHeaders): boolean {
-  const type = headerValue(headers, 'content-type') ?? EVENT_STREAM_TYPE;
+  const type = headerValue(headers, 'content-type') ?? '';
   return type.trim().toLowerCase().startsWith(EVENT_STREAM_TYPE);
 }
 
@@ -147,7 +144,7 @@
    * @returns whether the response belongs to this request
    */
   start(status: number, headers: RawHeaders): boolean {
-    const { requestId, kind, dialect } = this.options;
+    const { requestId, kind, dialect, events } = this.options;
     const head = dialect.readResponse(status, headers);
     // A late response to another request can arrive in place of the expected
     // one.
@@ -162,7 +159,7 @@
     this.#status = status;
     this.#headers = headers;
     this.#isRelaying = kind === 'streaming' && isSuccess && !head.notRun;
-    if (this.#isRelaying && isEventStream(headers)) {
+    if (this.#isRelaying && (events !== null || isEventStream(headers))) {
       this.#boundary = new SseBoundary();
     }
     return true;
@@ -189,8 +186,10 @@
   }
 
   /**
-   * Finishes a complete response and sends it to the caller unless it is an
-   * error that a retry may replace.
+   * Finishes a response that has ended regularly and sends it to the caller
+   * unless it is an error that a retry may replace.
+   *
+   * A stream that ends inside an event was cut off, whatever its framing says.
    */
   complete(): ResponseAssemblyResult {
     if (!this.#head) {
@@ -201,6 +200,10 @@
       const reason = `status ${status}`;
       return { result: { kind: 'notRun', reason }, failure: null };
     }
+    if (this.#boundary?.isInsideEvent === true) {
+      const reason = 'stream ended inside an event';
+      return { result: { kind: 'lost', reason }, failure: null };
+    }
     if (this.#isRelaying) {
       this.#relay(this.options.events?.flush() ?? Buffer.alloc(0));
       this.#endRelay();
--- a/packages/gateway/src/forward/SseEventBuffer.ts
+++ b/packages/gateway/src/forward/SseEventBuffer.ts
@@ -73,8 +73,8 @@
   }
 
   /**
-   * Releases the bytes after the last event, once the stream has ended
-   * regularly.
+   * Releases what follows the last complete event, such as comments, once the
+   * stream has ended between two events.
    *
    * @returns the remaining bytes
    */
