fix(gateway): a cut response that only its connection delimits is reset

Callers without chunked coding (HTTP/1.0) got half an answer that ended like a whole one: the end of the connection is all that delimits such a body, and a response that was cut, or that was in progress when the instance stopped, was closed regularly. The rest of the answers without framing depends on it as well.

CallerResponse.cut resets the connection where neither a length nor chunks prove the body complete; others end as before, so that what was written still arrives. The last step of a stop cuts the responses in progress.

--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -46,6 +46,7 @@
 export class CallerResponse {
   /** Connection on which the head and a first chunk were written. */
   #socket: Socket | null = null;
+  #hasLength = false;
   /** What emits `drain` after the latest write. */
   #drained: ServerResponse | Socket;
 
@@ -71,12 +72,18 @@
     return this.res.destroyed || this.res.writableEnded;
   }
 
+  /** Whether the framing of the response proves that its body is complete. */
+  get #isSelfDelimited(): boolean {
+    return this.res.chunkedEncoding || this.#hasLength;
+  }
+
   /** Writes the head of a response whose body follows. */
   start(status: number, headers: readonly string[]): void {
     // Closing the connection after this response makes the caller connect to
     // another instance.
     const closing = this.isStopping() ? ['connection', 'close'] : [];
     this.res.sendDate = false;
+    this.#hasLength = hasHeader(headers, 'content-length');
     this.res.writeHead(status, [...headers, ...closing]);
   }
 
@@ -133,8 +140,15 @@
   /**
    * Aborts the connection, so that a partial response is not mistaken for a
    * complete one.
+   *
+   * A regular end of the connection would complete a body that only the
+   * connection delimits, such as that of a caller without chunked coding.
    */
   cut(): void {
+    const { socket } = this.res;
+    if (this.hasStarted && !this.#isSelfDelimited && !this.isClosed) {
+      socket?.resetAndDestroy();
+    }
     this.res.destroy();
   }
 }
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -126,6 +126,11 @@
     this.#exchange?.abort();
   }
 
+  /** Aborts the response to the caller. */
+  cutResponse(): void {
+    this.#response.cut();
+  }
+
   /** Whether an attempt is the one in progress. */
   isRunning(attempt: GatewayAttempt): boolean {
     return this.#attempt === attempt;
--- a/packages/gateway/src/front/InFlightRequests.ts
+++ b/packages/gateway/src/front/InFlightRequests.ts
@@ -42,6 +42,13 @@
     }
   }
 
+  /** Aborts the responses to all callers. */
+  cutResponses(): void {
+    this.#requests.forEach(request => {
+      request.cutResponse();
+    });
+  }
+
   /** Stops the checks. */
   stop(): void {
     if (this.#timer) {
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -232,6 +232,7 @@
       sideServer.close();
       sideServer.closeAllConnections();
     });
+    inFlight.cutResponses();
     callerServer.server.closeAllConnections();
     await callerServer.app.close();
     context.connections.destroy();
