fix(gateway): a response without framing leaves without framing

Cause: the replica's answer had neither a length nor chunks, so the end of its connection was all that said it was complete, and that end also follows when the replica dies. The gateway stated more than it had been told.

The framing of a response is carried to the caller and never raised: a close-delimited body, buffered or relayed, a success or a kept failure, is sent close-delimited. A resumed stream that began with chunks can't end so; such an attempt is lost, and the stream is resumed once more or cut. The price is the caller's connection, which ends with the answer; answers with a length or chunks keep it as before. Weighed against a last chunk for streams that end between events: callers could then not tell a replica that died there.

--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -1,11 +1,15 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import type { BodyFraming } from '../backends/bodyFraming.js';
+
 /** Status, headers and body of a complete response. */
 export interface CompleteResponse {
   readonly status: number;
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Framing with which the body was received. */
+  readonly framing: BodyFraming;
 }
 
 const BODYLESS_STATUSES: readonly number[] = [204, 304];
@@ -77,8 +81,21 @@
     return this.res.chunkedEncoding || this.#hasLength;
   }
 
-  /** Writes the head of a response whose body follows. */
-  start(status: number, headers: readonly string[]): void {
+  /**
+   * Writes the head of a response whose body follows.
+   *
+   * A body that only the end of the connection delimits is sent the same way,
+   * since a length or a last chunk would state that it is complete.
+   */
+  start(
+    status: number,
+    headers: readonly string[],
+    framing: BodyFraming,
+  ): void {
+    if (framing === 'closeDelimited') {
+      this.res.useChunkedEncodingByDefault = false;
+      this.res.shouldKeepAlive = false;
+    }
     // Closing the connection after this response makes the caller connect to
     // another instance.
     const closing = this.isStopping() ? ['connection', 'close'] : [];
@@ -121,19 +138,30 @@
     this.#drained.once('drain', listener);
   }
 
+  /**
+   * Whether a body may end here. The end of a connection does not prove what
+   * the end of a self-delimited response states.
+   *
+   * @param framing - framing with which the end of the body was received
+   */
+  mayEnd(framing: BodyFraming): boolean {
+    return framing === 'selfDelimited' || !this.#isSelfDelimited;
+  }
+
   end(): void {
     this.res.end();
   }
 
   /** Writes a complete response. */
-  send({ status, headers, body }: CompleteResponse): void {
+  send({ status, headers, body, framing }: CompleteResponse): void {
     const isHead = this.res.req.method === 'HEAD';
     const needsLength =
+      framing === 'selfDelimited' &&
       !isHead &&
       !BODYLESS_STATUSES.includes(status) &&
       !hasHeader(headers, 'content-length');
     const length = needsLength ? ['content-length', String(body.length)] : [];
-    this.start(status, [...headers, ...length]);
+    this.start(status, [...headers, ...length], framing);
     this.res.end(body);
   }
 
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -69,6 +69,7 @@
   #head: ResponseHead | null = null;
   #status = 0;
   #headers: RawHeaders = [];
+  #framing: BodyFraming = 'closeDelimited';
   #isRelaying = false;
   /** Null unless the response is a stream of events. */
   #boundary: SseBoundary | null = null;
@@ -123,11 +124,7 @@
   get progress(): ResponseProgress | null {
     return this.#head
       ? {
-          framing: bodyFraming(
-            this.options.method,
-            this.#status,
-            this.#headers,
-          ),
+          framing: this.#framing,
           isInsideEvent: this.#boundary?.isInsideEvent ?? false,
         }
       : null;
@@ -144,7 +141,7 @@
    * @returns whether the response belongs to this request
    */
   start(status: number, headers: RawHeaders): boolean {
-    const { requestId, kind, dialect, events } = this.options;
+    const { requestId, method, kind, dialect, events } = this.options;
     const head = dialect.readResponse(status, headers);
     // A late response to another request can arrive in place of the expected
     // one.
@@ -158,6 +155,7 @@
     this.#head = head;
     this.#status = status;
     this.#headers = headers;
+    this.#framing = bodyFraming(method, status, headers);
     this.#isRelaying = kind === 'streaming' && isSuccess && !head.notRun;
     if (this.#isRelaying && (events !== null || isEventStream(headers))) {
       this.#boundary = new SseBoundary();
@@ -205,6 +203,11 @@
       return { result: { kind: 'lost', reason }, failure: null };
     }
     if (this.#isRelaying) {
+      if (!this.options.answer.mayEnd(this.#framing)) {
+        const reason =
+          'end of the connection does not prove the end of a stream';
+        return { result: { kind: 'lost', reason }, failure: null };
+      }
       this.#relay(this.options.events?.flush() ?? Buffer.alloc(0));
       this.#endRelay();
       return { result: { kind: 'answered', status }, failure: null };
@@ -219,6 +222,7 @@
       status,
       headers: dialect.toCallerHeaders(this.#headers),
       body: Buffer.concat(this.#buffered),
+      framing: this.#framing,
     };
     if (status >= MIN_SERVER_ERROR_STATUS || answer.hasStarted) {
       return { result: { kind: 'failed', status }, failure: response };
@@ -256,7 +260,11 @@
   #startRelay(): void {
     const { answer, dialect } = this.options;
     if (!answer.hasStarted) {
-      answer.start(this.#status, dialect.toCallerHeaders(this.#headers));
+      answer.start(
+        this.#status,
+        dialect.toCallerHeaders(this.#headers),
+        this.#framing,
+      );
     }
   }
 }
--- a/packages/gateway/src/forward/gatewayResponse.ts
+++ b/packages/gateway/src/forward/gatewayResponse.ts
@@ -29,6 +29,7 @@
       'application/json',
       ...dialect.gatewayResponseHeaders(requestId, retryAfterMs),
     ],
+    framing: 'selfDelimited',
     body: Buffer.from(JSON.stringify({ error })),
   };
 }
--- a/packages/gateway/tests/forward/CallerResponse.test.ts
+++ b/packages/gateway/tests/forward/CallerResponse.test.ts
@@ -66,7 +66,7 @@
   answer: CallerResponse,
   chunks: readonly Buffer[],
 ): Promise<void> {
-  answer.start(200, []);
+  answer.start(200, [], 'selfDelimited');
   for (const chunk of chunks) {
     answer.write(chunk);
     await nextTurn();
@@ -135,7 +135,7 @@
     const drained = new Promise<void>(resolve => {
       void withServer(
         answer => {
-          answer.start(200, []);
+          answer.start(200, [], 'selfDelimited');
           answer.write(chunk);
           const fill = (): void => {
             if (answer.write(chunk)) {
