test(gateway): many resets that are read late are all recognised

Hypothesis 2 of the truncated answers: 60 responses without framing are reset at once while the event loop is blocked for 300 ms.

--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -12,6 +12,8 @@
 
 const HOST = '127.0.0.1';
 const SETTLED_MS = 40;
+const RESET_COUNT = 60;
+const BLOCKED_MS = 300;
 
 interface Fixture {
   /**
@@ -25,6 +27,7 @@
 
 async function withServer(
   body: (fixture: Fixture) => Promise<void>,
+  maxConnections = 1,
 ): Promise<void> {
   const held: ServerResponse[] = [];
   const server: Server = createServer((_req, res) => {
@@ -32,7 +35,7 @@
   });
   const port = await listenOn(server, HOST);
   const agent = new KeepAliveAgent({
-    maxConnections: 1,
+    maxConnections,
     connectTimeoutMs: 400,
   });
   const pool: BackendPool = { host: HOST, port, agent };
@@ -51,7 +54,29 @@
   }
 }
 
-describe('sendAttempt', ({ it }) => {
+describe('sendAttempt', ({ it, itAlone }) => {
+  // Guards against a reset that is taken for the end of a response without
+  // framing because many connections are reset at once while the event loop is
+  // blocked.
+  itAlone('recognises all of many resets that are read late', async t => {
+    await withServer(async ({ held, send }) => {
+      const sent = Array.from({ length: RESET_COUNT }, () => send(() => true));
+      while (held.length < RESET_COUNT) {
+        await sleep(SETTLED_MS);
+      }
+      held.forEach(({ socket }) => {
+        socket?.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+        socket?.resetAndDestroy();
+      });
+      const untilMs = performance.now() + BLOCKED_MS;
+      while (performance.now() < untilMs) {
+        // Blocks the event loop.
+      }
+      const ends = await Promise.all(sent.map(({ ended }) => ended));
+      t.deepEqual([...new Set(ends.map(({ kind }) => kind))], ['failed']);
+    }, RESET_COUNT);
+  });
+
   // Guards against requests to a replica that is stopping: the replica
   // announced its stop while the request waited for a connection.
   it('does not send a request that is no longer permitted when a connection becomes free', async t => {
