--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -195,6 +195,7 @@
   let stamp: string | null = null;
   let body = '';
   let whole = false;
+  let isFramed = true;
   let isReusable = false;
   context.onSent(request);
   try {
@@ -212,6 +213,9 @@
     });
     status = res.statusCode;
     stamp = context.environment.readStamp(res.headers);
+    isFramed =
+      res.headers['content-length'] !== undefined ||
+      res.headers['transfer-encoding'] !== undefined;
     for await (const chunk of res.body as AsyncIterable<Buffer>) {
       body += chunk.toString('utf8');
     }
@@ -230,6 +234,7 @@
     status,
     body,
     whole,
+    isFramed,
     leftMs,
     stamp,
   };
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -40,6 +40,8 @@
 /** Maximum number of requests that wait for a slot; more are refused. */
 const MAX_QUEUED = 24;
 const HEARTBEAT_MS = 400;
+/** Share of the responses without a length or chunks. */
+const UNFRAMED_SHARE = 0.15;
 /** Share of the requests that a fault affects. */
 const FAULTY_SHARE = 0.5;
 const HTTP_OK = 200;
@@ -245,12 +247,14 @@
     if (isFaulty && this.#writeFaultyResponse(headers, res)) {
       return;
     }
+    if (this.#random() < UNFRAMED_SHARE) {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+    }
     if (work.events === 0) {
       const text = plainBody(id, stamp);
       if (isFaulty) {
-        // Sends less than the content length announces.
-        res.writeHead(HTTP_OK, { ...headers, 'content-length': text.length });
-        res.write(text.slice(0, text.length / 2), () => res.destroy());
+        this.#truncatePlain(text, headers, res);
         return;
       }
       res.writeHead(HTTP_OK, headers);
@@ -274,6 +278,24 @@
     res.end();
   }
 
+  /** Sends less than the content length announces, or resets the connection. */
+  #truncatePlain(
+    text: string,
+    headers: Record<string, string>,
+    res: ServerResponse,
+  ): void {
+    const isFramed = res.useChunkedEncodingByDefault;
+    const length = isFramed ? { 'content-length': text.length } : {};
+    res.writeHead(HTTP_OK, { ...headers, ...length });
+    res.write(text.slice(0, text.length / 2), () => {
+      if (isFramed) {
+        res.destroy();
+      } else {
+        res.socket?.resetAndDestroy();
+      }
+    });
+  }
+
   /**
    * Responds as the current fault requires.
    *
--- a/packages/soak/tests/promises/evidenceFixture.ts
+++ b/packages/soak/tests/promises/evidenceFixture.ts
@@ -96,6 +96,7 @@
     status: 200,
     body: isStreaming ? streamBody(id, 1, EVENT_COUNT) : plainBody(id, stamp),
     whole: true,
+    isFramed: true,
     leftMs: null,
     stamp,
     ...changes,
