fix(soak): callers tell a reset from the end of an answer without framing

Callers now watch their connections for resets, so whole-own-answers judges what came over the wire.

--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -1,10 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Client, request } from 'undici';
+import { request } from 'undici';
 import { createRandom } from '@jujubecroft/types';
 
 import type { WorkOrder } from './answers.js';
 import type { CallerContext, GatewayEndpoint } from './callers/SoakCaller.js';
-import { sendRequest, SoakCaller } from './callers/SoakCaller.js';
+import {
+  ResetAwareClient,
+  sendRequest,
+  SoakCaller,
+} from './callers/SoakCaller.js';
 import type {
   Evidence,
   InjectedFault,
@@ -226,7 +230,7 @@
       return;
     }
     const address = this.fleet.addressOf(gateway);
-    const client = new Client(`http://${address}`);
+    const client = new ResetAwareClient(address);
     const { answer } = await sendRequest(
       client,
       this.#callerContext(),
@@ -299,7 +303,7 @@
   }
 
   async #sendCrashingRequest(endpoint: GatewayEndpoint): Promise<void> {
-    const client = new Client(`http://${endpoint.address}`);
+    const client = new ResetAwareClient(endpoint.address);
     const { answer } = await sendRequest(
       client,
       this.#callerContext(),
--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -1,4 +1,5 @@
-import { Client } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, Client } from 'undici';
 
 import type { WorkOrder } from '../answers.js';
 import type { ObservedResponse, SentRequest, SoakKind } from '../evidence.js';
@@ -46,9 +47,54 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const NO_GATEWAY_RETRY_MS = 150;
 
+/**
+ * Client of one gateway that tells resets from regular ends.
+ *
+ * The HTTP client takes a reset for the end of a response without framing.
+ */
+export class ResetAwareClient extends Client {
+  #wasReset = false;
+
+  /** @param address - host and port of the gateway */
+  constructor(address: string) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    super(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (options, callback) => {
+        connect(options, (...args) => {
+          const [err, socket] = args;
+          if (err === null) {
+            this.#watch(socket);
+          }
+          callback(...args);
+        });
+      },
+    });
+  }
+
+  /** Whether a connection was reset since the client was created. */
+  get wasReset(): boolean {
+    return this.#wasReset;
+  }
+
+  #watch(socket: Socket): void {
+    socket.prependListener('error', (err: NodeJS.ErrnoException) => {
+      this.#wasReset ||= err.code === 'ECONNRESET';
+    });
+    socket.prependListener('end', () => {
+      // A reset that arrives together with the last bytes is reported as an end.
+      if (socket.remoteAddress === undefined) {
+        this.#wasReset = true;
+      }
+    });
+  }
+}
+
 /** A caller that sends requests one at a time over a persistent connection. */
 export class SoakCaller {
-  #client: Client | null = null;
+  #client: ResetAwareClient | null = null;
   #endpoint: GatewayEndpoint | null = null;
   #stopped = false;
 
@@ -111,12 +157,7 @@
     }
     this.#endpoint = this.context.chooseGateway();
     this.#client = this.#endpoint
-      ? new Client(`http://${this.#endpoint.address}`, {
-          pipelining: 1,
-          connectTimeout: CONNECT_TIMEOUT_MS,
-          headersTimeout: 0,
-          bodyTimeout: 0,
-        })
+      ? new ResetAwareClient(this.#endpoint.address)
       : null;
     return this.#endpoint;
   }
@@ -180,7 +221,7 @@
  * @returns the response as far as it was received; never rejects
  */
 export async function sendRequest(
-  client: Client,
+  client: ResetAwareClient,
   context: Pick<CallerContext, 'environment' | 'keyOf' | 'onSent'>,
   request: SentRequest,
   abandonAfterMs: number,
@@ -219,7 +260,7 @@
     for await (const chunk of res.body as AsyncIterable<Buffer>) {
       body += chunk.toString('utf8');
     }
-    whole = true;
+    whole = isFramed || !client.wasReset;
     isReusable = res.headers.connection !== 'close';
   } catch {
     // The connection failed or the caller aborted. The invariants judge the
