feat(gateway): failed attempts log whether their connection was kept; a port to open connections

The hypotheses on lost paths to replicas differ in whether kept connections fail or new ones: attemptFailed states it as "reused", explain says it. Connections to backend servers are opened through an optional port, so that tests can cut the paths of one instance; opening a socket moves out of KeepAliveAgent unchanged.

--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -58,7 +58,7 @@
   sentOnOldView: f =>
     `sent to ${formatValue(f.backendServer)} by a view that ${formatValue(f.confirmedBy)} confirmed last, ${formatValue(f.viewAgeMs)} ms ago (${formatValue(f.state)}); entry as of version ${formatValue(f.rowVersion)}, replicas as of version ${formatValue(f.replicasVersion)}`,
   attemptFailed: f =>
-    `the attempt ends: ${formatValue(f.result)} (${formatValue(f.reason ?? f.status)}); next: ${formatValue(f.next)}; sent ${formatValue(f.sent)} times, retries left in the budget: ${formatValue(f.budgetLeft)}, idempotent ${formatValue(f.idempotent)}${describeEnd(f)}`,
+    `the attempt ends: ${formatValue(f.result)} (${formatValue(f.reason ?? f.status)})${f.reused === true ? ' on a kept connection' : ''}; next: ${formatValue(f.next)}; sent ${formatValue(f.sent)} times, retries left in the budget: ${formatValue(f.budgetLeft)}, idempotent ${formatValue(f.idempotent)}${describeEnd(f)}`,
   requestAnswered: f =>
     `answered with ${formatValue(f.status)} after ${formatValue(f.wholeMs)} ms, first byte after ${formatValue(f.firstMs)} ms against a target of ${formatValue(f.targetMs)} ms${describeEnd(f)}`,
   requestRefused: f =>
--- a/packages/gateway/src/backends/BackendConnections.ts
+++ b/packages/gateway/src/backends/BackendConnections.ts
@@ -1,6 +1,7 @@
 import type { Replica } from '@jujubecroft/types';
 
 import { KeepAliveAgent } from './KeepAliveAgent.js';
+import type { SocketFactory } from './openSocket.js';
 
 /** Timeout for opening a connection; a round trip takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -19,11 +20,16 @@
   return `${id} ${address} ${bornMs ?? ''}`;
 }
 
-function createPool({ address }: Replica, maxConnections: number): BackendPool {
+function createPool(
+  { address }: Replica,
+  maxConnections: number,
+  factory: SocketFactory | undefined,
+): BackendPool {
   const [host = '', port = ''] = address.split(':');
   const agent = new KeepAliveAgent({
     maxConnections,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    factory,
   });
   return { host, port: Number(port), agent };
 }
@@ -37,6 +43,9 @@
 export class BackendConnections {
   readonly #pools = new Map<string, BackendPool>();
 
+  /** @param factory - opens connections; `connect` of `node:net` if omitted */
+  constructor(private readonly factory?: SocketFactory) {}
+
   /**
    * Returns the pool of a replica and creates it on first use.
    *
@@ -52,7 +61,7 @@
       existing.agent.maxSockets = maxConnections;
       return existing;
     }
-    const pool = createPool(replica, maxConnections);
+    const pool = createPool(replica, maxConnections, this.factory);
     this.#pools.set(key, pool);
     return pool;
   }
--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -5,10 +5,10 @@
 } from 'node:http';
 import { Agent } from 'node:http';
 import type { Socket } from 'node:net';
-import { connect } from 'node:net';
 
 import { headerValue } from '../util/headers.js';
-import { nextTurn } from '../util/nextTurn.js';
+import type { SocketFactory } from './openSocket.js';
+import { openSocket } from './openSocket.js';
 
 /** Idle timeout of a connection whose server states none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 900;
@@ -24,18 +24,13 @@
  * operating system.
  */
 const RESET_ERROR_CODE = 'RESET_BY_SERVER';
-/**
- * Memory that the connections of all servers read into, one after another. The
- * HTTP parser copies what it passes on, so nothing refers to the bytes after
- * the `data` event.
- */
-const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
-
 /** Connection limit and timeout for one server. */
 export interface KeepAliveOptions {
   readonly maxConnections: number;
   /** Timeout for opening a connection, in milliseconds. */
   readonly connectTimeoutMs: number;
+  /** Opens connections; `connect` of `node:net` if omitted. */
+  readonly factory?: SocketFactory | undefined;
 }
 
 /**
@@ -62,19 +57,6 @@
   this.destroy();
 }
 
-/**
- * Passes on bytes that were read into the common buffer.
- *
- * Bytes that the server sends while no request uses the connection belong to no
- * response, so they close it.
- */
-function emitRead(this: Socket, bytes: number): true {
-  if (!this.emit('data', READ_BUFFER.subarray(0, bytes))) {
-    this.destroy();
-  }
-  return true;
-}
-
 /**
  * Opens the connections to one server and keeps them alive.
  *
@@ -121,30 +103,13 @@
    * address, whereas it still has one after a regular close.
    */
   override createConnection({ host, port }: ClientRequestArgs): Socket {
-    const { connectTimeoutMs } = this.limits;
-    const socket = connect({
+    const { connectTimeoutMs: timeoutMs, factory } = this.limits;
+    const socket = openSocket({
       host: host ?? '',
       port: Number(port),
-      // Without it, each read allocates 64 KiB and passes the stream's queue.
-      onread: { buffer: READ_BUFFER, callback: emitRead },
+      timeoutMs,
+      factory,
     });
-    socket.setNoDelay(true);
-    const timer = setTimeout(() => {
-      // If the event loop was blocked, the connection may be open although the
-      // event is still pending.
-      void nextTurn().then(() => {
-        if (socket.connecting) {
-          socket.destroy(
-            new Error(`no connection within ${connectTimeoutMs} ms`),
-          );
-        }
-      });
-    }, connectTimeoutMs);
-    const stopTimer = (): void => {
-      clearTimeout(timer);
-    };
-    socket.once('connect', stopTimer);
-    socket.once('close', stopTimer);
     socket.prependListener('error', (err: NodeJS.ErrnoException) => {
       if (err.code === 'ECONNRESET') {
         err.code = RESET_ERROR_CODE;
--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -24,7 +24,13 @@
  */
 export type ExchangeEnd =
   | { readonly kind: 'complete' }
-  | { readonly kind: 'failed'; readonly sent: boolean; readonly reason: string }
+  | {
+      readonly kind: 'failed';
+      readonly sent: boolean;
+      readonly reason: string;
+      /** Whether the request used a connection that had served another one. */
+      readonly reused: boolean;
+    }
   | { readonly kind: 'aborted'; readonly sent: boolean };
 
 /** Callbacks of an exchange in progress. */
@@ -64,6 +70,9 @@
 /** Set for every body, so that Node.js does not use chunked encoding. */
 const CONTENT_LENGTH = 'Content-Length';
 
+/** Connections that were given to a request. */
+const USED_SOCKETS = new WeakSet<Socket>();
+
 function contentLengthHeader({ method, body }: BackendRequest): string[] {
   if (body !== null) {
     return [CONTENT_LENGTH, String(body.length)];
@@ -91,6 +100,7 @@
   let response: IncomingMessage | null = null;
   let sent = false;
   let aborted = false;
+  let reused = false;
   let settle: (end: ExchangeEnd) => void = () => undefined;
   const ended = new Promise<ExchangeEnd>(resolve => {
     settle = resolve;
@@ -106,7 +116,7 @@
     // Data after a complete response is an error of the connection, not of the
     // response.
     if (response?.complete !== true) {
-      settle({ kind: 'failed', sent, reason: err.message });
+      settle({ kind: 'failed', sent, reason: err.message, reused });
     }
   };
 
@@ -126,6 +136,8 @@
   };
 
   const onSocket = (socket: Socket): void => {
+    reused = USED_SOCKETS.has(socket);
+    USED_SOCKETS.add(socket);
     if (socket.connecting) {
       socket.once('connect', onOpen);
     } else if (!socket.destroyed) {
@@ -148,6 +160,7 @@
           ? {
               kind: 'failed',
               sent,
+              reused,
               reason:
                 'connection reset together with the last bytes of the response',
             }
@@ -180,7 +193,7 @@
     req.end(call.body ?? undefined);
   } catch (err) {
     const reason = err instanceof Error ? err.message : String(err);
-    settle({ kind: 'failed', sent, reason });
+    settle({ kind: 'failed', sent, reason, reused });
   }
 
   return {
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -9,6 +9,7 @@
 import { createRandom } from '@jujubecroft/types';
 
 import { BackendConnections } from './backends/BackendConnections.js';
+import type { SocketFactory } from './backends/openSocket.js';
 import type { GatewayContext } from './GatewayContext.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js';
@@ -33,6 +34,8 @@
    * back, the instance refutes the entry of its earlier run.
    */
   readonly startedMs: number;
+  /** Opens connections to backend servers; `connect` of `node:net` if omitted. */
+  readonly connect?: SocketFactory | undefined;
   /** Time of day in Unix milliseconds; the system clock if omitted. */
   readonly timeOfDay?: () => number;
 };
@@ -46,7 +49,15 @@
  */
 export function createContext(
   settings: GatewaySettings,
-  { clock, dialect, log, timers, startedMs, timeOfDay }: ContextDependencies,
+  {
+    clock,
+    dialect,
+    log,
+    timers,
+    startedMs,
+    connect,
+    timeOfDay,
+  }: ContextDependencies,
 ): GatewayContext {
   const { instance, failureDomain, retryBudget } = settings;
   // The seed differs from run to run; otherwise all instances would repeat
@@ -84,7 +95,7 @@
     router: new GatewayRouter(board, defaultGatewayPolicies(board)),
     membership,
     lease: new ViewLease(board, timers, () => context.settings.freshWithinMs),
-    connections: new BackendConnections(),
+    connections: new BackendConnections(connect),
     dialect,
     metrics: new GatewayMetrics(),
     log,
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -44,6 +44,8 @@
 interface FinishedAttempt {
   readonly attempt: GatewayAttempt;
   readonly result: AttemptResult;
+  /** Whether it used a connection that had served another request. */
+  readonly reused: boolean;
 }
 
 /**
@@ -179,7 +181,7 @@
       });
       return false;
     }
-    const { attempt, result } = await this.#sendTo(decision);
+    const { attempt, result, reused } = await this.#sendTo(decision);
     if (result.kind === 'answered') {
       this.#recorder.answered(result.status, this.#progress);
       return false;
@@ -189,7 +191,10 @@
       unsent: this.#unsent,
       mayHaveRun: this.#mayHaveRun,
     });
-    this.#recorder.failed(attempt, result, recovery, this.#sent);
+    this.#recorder.failed(attempt, result, recovery, {
+      sent: this.#sent,
+      reused,
+    });
     return this.#applyRecovery(recovery);
   }
 
@@ -250,7 +255,8 @@
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     this.#countAttempt(result, replica.id);
     this.#recorder.responseEnded(attempt, result, assembler.progress);
-    return { attempt, result };
+    const reused = exchangeEnd.kind === 'failed' && exchangeEnd.reused;
+    return { attempt, result, reused };
   }
 
   /** Checks an attempt for the last time before its first byte is sent. */
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -41,6 +41,14 @@
   readonly longestPauseMs: number;
 }
 
+/** How a failed attempt was sent. */
+interface FailedSend {
+  /** Attempts of the request of which some bytes may have left this instance. */
+  readonly sent: number;
+  /** Whether the attempt used a connection that had served another request. */
+  readonly reused: boolean;
+}
+
 const MS_PER_SECOND = 1000;
 /**
  * Age of the view from which a send is logged by itself, as a share of the time within
@@ -292,7 +300,7 @@
     { load }: GatewayAttempt,
     result: AttemptResult,
     recovery: Recovery,
-    sent: number,
+    { sent, reused }: FailedSend,
   ): void {
     const { context, request } = this;
     const service = request.service.id;
@@ -309,6 +317,7 @@
       ...responseFields(this.#response),
       next: recovery.kind,
       sent,
+      reused,
       budgetLeft: Math.floor(context.router.board.budget.left(service)),
       idempotent: isIdempotent(request.route),
     });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
   JsonReply,
 } from './backends/JsonClient.js';
 export { JsonClient } from './backends/JsonClient.js';
+export type { SocketFactory } from './backends/openSocket.js';
 export { sendHttpRequest } from './backends/sendHttpRequest.js';
 export type { GatewayContext } from './GatewayContext.js';
 export { isReady } from './GatewayContext.js';
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -9,6 +9,7 @@
 import type { CallerServer } from './front/createCallerServer.js';
 import { DutyLoop } from './duties/DutyLoop.js';
 import { createCallerServer } from './front/createCallerServer.js';
+import type { SocketFactory } from './backends/openSocket.js';
 import type { EarlyConnections } from './front/acceptEarlyConnections.js';
 import { InFlightRequests } from './front/InFlightRequests.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -36,6 +37,8 @@
   readonly sideRoutes: SideRoutes;
   /** Omitted if no duties are performed by one instance for all. */
   readonly duties?: DutyPorts | undefined;
+  /** Opens connections to backend servers; `connect` of `node:net` if omitted. */
+  readonly connect?: SocketFactory | undefined;
 }
 
 /** A started instance of the gateway. */
@@ -163,6 +166,7 @@
     log,
     clock,
     timers: RUNTIME_TIMERS,
+    connect: ports.connect,
     startedMs: Date.now(),
   });
   const inFlight = new InFlightRequests(context);
--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -91,6 +91,7 @@
         kind: 'failed',
         sent: false,
         reason: 'replica may no longer receive the request',
+        reused: true,
       });
       await sleep(SETTLED_MS);
       t.is(held.length, 1);
