fix(gateway): requests reach replicas through other instances while own paths are lost

Cause: whether a replica can be reached is a property of a path, but the instance knew no way but its own. It tried three replicas over paths that were lost together and refused. It also took the failures of the paths for those of replicas: all were avoided, and requests counted as lost in crashes.

A connection to a replica is opened directly or, if that fails or takes 100 ms, through another instance (method CONNECT on the internal port); the first one that opens is used. No byte of a request is sent before, so trying both never runs a request twice. The other instance only passes bytes on, and connects directly or not at all, so there is one hop, and everything about a request is decided where it is: attempts, budget, rank, time left, pauses, limits, leaves; a caller's leave and a reset pass through. A path counts as lost if another instance connects and this one can't (ReplicaPaths). Then connections go through others at once, kept ones are closed, the replica's failures are forgotten, and silence on the lost path says nothing of it. Lost paths are tried again a few at a time. RelayPeers prefers instances that reach replicas, carry few connections and cause no detour; instances tell how many paths they lost.

--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -14,6 +14,8 @@
 import { CrashLedger } from './crashes/CrashLedger.js';
 import { EngineEstimator } from './EngineEstimator.js';
 import { ReplicaLimits } from './limits/ReplicaLimits.js';
+import { RelayPeers } from './paths/RelayPeers.js';
+import { ReplicaPaths } from './paths/ReplicaPaths.js';
 import { RetryGain } from './recovery/RetryGain.js';
 import { ReplicaPauses } from './ReplicaPauses.js';
 import { ReplicaRegistry } from './ReplicaRegistry.js';
@@ -69,6 +71,10 @@
   readonly crashes: CrashLedger;
   readonly limits: ReplicaLimits;
   readonly pauses: ReplicaPauses;
+  /** Paths from this instance to replicas. */
+  readonly paths: ReplicaPaths;
+  /** Other instances as ways to replicas. */
+  readonly relays: RelayPeers;
   readonly demand: DemandTracker;
   readonly lengths: AnswerLengths;
   readonly retryGain: RetryGain;
@@ -143,6 +149,8 @@
     crashes: new CrashLedger(clock),
     limits: new ReplicaLimits({ instance, clock, replicas }),
     pauses: new ReplicaPauses(clock, random),
+    paths: new ReplicaPaths(clock, random),
+    relays: new RelayPeers(clock, random),
     demand: new DemandTracker(clock),
     lengths: new AnswerLengths(),
     retryGain: new RetryGain(),
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -33,7 +33,7 @@
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
 import { isLaterRun } from './replicaRuns.js';
-import { shouldMoveElsewhere } from './usableCandidates.js';
+import { isUnresponsive, shouldMoveElsewhere } from './usableCandidates.js';
 import { RoutingTable } from './RoutingTable.js';
 
 /**
@@ -75,7 +75,7 @@
    * that are gone and have no attempts.
    */
   syncReplicas(): void {
-    const { replicas, backends, speeds } = this.board;
+    const { replicas, backends, speeds, paths } = this.board;
     replicas.replicas.forEach(replica => {
       this.#syncReplica(replica);
     });
@@ -88,6 +88,7 @@
         backends.delete(load.replica.id);
         speeds.forget(load);
       });
+    paths.retain(new Set(backends.keys()));
   }
 
   /**
@@ -298,6 +299,34 @@
     return attempts;
   }
 
+  /**
+   * Returns the replicas that are silent although they have requests of this
+   * instance, and whose path may be checked now.
+   */
+  findPathsToCheck(): readonly Replica[] {
+    const { board } = this;
+    return [...board.backends.values()]
+      .filter(load => isUnresponsive(board, load))
+      .map(({ replica }) => replica)
+      .filter(replica => board.paths.takeCheck(replica));
+  }
+
+  /**
+   * Records that another instance connected to a replica while this one could
+   * not.
+   *
+   * @returns whether the path was not lost before
+   */
+  onPathLost(replica: Replica): boolean {
+    const { backends, paths } = this.board;
+    const isNew = paths.onRelayed(replica);
+    if (isNew) {
+      // Its failures since the loss were those of the path.
+      backends.get(replica.id)?.health.reset();
+    }
+    return isNew;
+  }
+
   /**
    * Returns the attempts without a first byte whose content has crashed several
    * other replicas and may crash this one.
@@ -399,6 +428,7 @@
     this.board.instances = Math.max(1, live.length);
     this.board.budget.onInstances(this.board.instances);
     this.board.limits.onInstances(live);
+    this.board.relays.retain(live);
     this.board.shares?.onInstances(live);
     this.#peerLoad.retainPeers(live);
   }
--- a/packages/decisions/src/gateway/ReplicaHealth.ts
+++ b/packages/decisions/src/gateway/ReplicaHealth.ts
@@ -116,6 +116,18 @@
     }
   }
 
+  /** Forgets all failures, which were not those of the replica. */
+  reset(): void {
+    this.#consecutiveFailures = 0;
+    this.#outcomes = 0;
+    this.#failureShare = 0;
+    this.#avoidUntilMs = -Infinity;
+    this.#avoidMs = INITIAL_AVOID_MS;
+    this.#onProbation = false;
+    this.#successfulProbes = 0;
+    this.#probesInFlight = 0;
+  }
+
   #count(failure: number): void {
     this.#outcomes += 1;
     this.#failureShare += OUTCOME_WEIGHT * (failure - this.#failureShare);
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -40,6 +40,10 @@
   createLimitReports,
   applyLimitReports,
 } from './limits/createLimitReports.js';
+export type { RelayEnds } from './paths/RelayPeers.js';
+export { RelayPeers } from './paths/RelayPeers.js';
+export type { ConnectionPlan } from './paths/ReplicaPaths.js';
+export { ReplicaPaths } from './paths/ReplicaPaths.js';
 export { leastBusy } from './placement/least-busy.js';
 export { toleranceSplit } from './placement/tolerance-split.js';
 export type { PlacedCandidate } from './placement/PlacementPolicy.js';
--- a/packages/decisions/src/gateway/updateReplicaHealth.ts
+++ b/packages/decisions/src/gateway/updateReplicaHealth.ts
@@ -20,16 +20,20 @@
  * Whether the end of an attempt says nothing about its replica.
  *
  * This holds when the caller leaves, unless the replica seems to have lost the
- * answer, and for requests that a replica rejected or did not get because of a
- * pause that it requested.
+ * answer, for requests that a replica rejected or did not get because of a
+ * pause that it requested, and for those sent before the path to it was lost.
  */
 function isInconclusive(
   board: GatewayBoard,
   attempt: GatewayAttempt,
   result: AttemptResult,
 ): boolean {
+  const { load, sentMs } = attempt;
+  if (sentMs < board.paths.lastLostMs(load.replica)) {
+    return true;
+  }
   if (result.kind === 'notRun' || result.kind === 'unsent') {
-    return board.pauses.isPaused(attempt.load.replica);
+    return board.pauses.isPaused(load.replica);
   }
   return (
     result.kind === 'withdrawn' &&
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -95,13 +95,25 @@
   );
 }
 
+/**
+ * Returns the attempts at a replica that were sent since its path was last lost.
+ * The silence of others says nothing about the replica.
+ */
+function attemptsOnPath(
+  { paths }: GatewayBoard,
+  { attempts, replica }: BackendLoad,
+): readonly GatewayAttempt[] {
+  const lostMs = paths.lastLostMs(replica);
+  return [...attempts].filter(({ sentMs }) => sentMs >= lostMs);
+}
+
 /** Whether a replica seems to lose answers. */
 function losesAnswers(board: GatewayBoard, load: BackendLoad): boolean {
   if (load.inFlight < MIN_LOST_ANSWERS) {
     return false;
   }
   let lost = 0;
-  load.attempts.forEach(attempt => {
+  attemptsOnPath(board, load).forEach(attempt => {
     lost += isAnswerLost(board, attempt) ? 1 : 0;
   });
   return lost >= MIN_LOST_ANSWERS;
@@ -110,13 +122,19 @@
 /**
  * Whether a replica has not sent anything for too long while it has requests of
  * this instance.
+ *
+ * @param board - the blackboard
+ * @param load - load of the replica
  */
-function isUnresponsive(board: GatewayBoard, load: BackendLoad): boolean {
+export function isUnresponsive(
+  board: GatewayBoard,
+  load: BackendLoad,
+): boolean {
   if (load.inFlight === 0) {
     return false;
   }
   const nowMs = board.clock();
-  return [...load.attempts].some(attempt => {
+  return attemptsOnPath(board, load).some(attempt => {
     const sinceMs = Math.max(load.lastByteMs, attempt.sentMs);
     const timeoutMs =
       attempt.firstByteMs === null
@@ -222,7 +240,8 @@
   if (isAnswerLost(board, attempt)) {
     return true;
   }
-  if (nowMs - load.lastByteMs < STALL_TIMEOUT_MS) {
+  const isOnLostPath = attempt.sentMs < board.paths.lastLostMs(load.replica);
+  if (!isOnLostPath && nowMs - load.lastByteMs < STALL_TIMEOUT_MS) {
     return false;
   }
   if (attempt.lastByteMs !== null) {
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -148,6 +148,17 @@
     level: 'info',
     summary: 'Requests are no longer placed by an outdated view.',
   },
+  pathLost: {
+    number: 314,
+    level: 'warn',
+    summary:
+      'Another instance connects to a backend server and this one does not; requests go through other instances.',
+  },
+  pathRestored: {
+    number: 315,
+    level: 'info',
+    summary: 'This instance connects to a backend server again.',
+  },
   memberChanged: {
     number: 401,
     level: 'info',
@@ -159,6 +170,18 @@
     summary:
       'Newer state could not be fetched from another instance; the next one that announces it is asked.',
   },
+  tunnelOpened: {
+    number: 403,
+    level: 'info',
+    summary:
+      'A connection to a backend server was opened for another instance.',
+  },
+  tunnelRefused: {
+    number: 404,
+    level: 'info',
+    summary:
+      'Another instance asked for a connection to a backend server and got none.',
+  },
   requestFailed: {
     number: 501,
     level: 'warn',
@@ -201,6 +224,12 @@
     summary:
       'Requests with this fingerprint are barred since they crashed several backend servers, or allowed again.',
   },
+  requestRelayed: {
+    number: 509,
+    level: 'info',
+    summary:
+      'A request is sent to its backend server through another instance.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -11,6 +11,8 @@
 import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
 import type { Timers } from './ports/Timers.js';
+import type { RelayConnector } from './relay/RelayConnector.js';
+import type { ReplicaConnector } from './relay/ReplicaConnector.js';
 import type { ViewLease } from './state/ViewLease.js';
 
 /** State and services that the parts of one instance share. */
@@ -21,6 +23,10 @@
   readonly membership: Membership;
   readonly lease: ViewLease;
   readonly connections: BackendConnections;
+  /** Opens connections to replicas. */
+  readonly replicaConnector: ReplicaConnector;
+  /** Opens connections to replicas through other instances. */
+  readonly relay: RelayConnector;
   readonly dialect: CallerDialect;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
--- a/packages/gateway/src/backends/BackendConnections.ts
+++ b/packages/gateway/src/backends/BackendConnections.ts
@@ -1,10 +1,12 @@
+import type { Socket } from 'node:net';
 import type { Replica } from '@jujubecroft/types';
 
+import type { RelayConnector } from '../relay/RelayConnector.js';
+import type { ReplicaConnector } from '../relay/ReplicaConnector.js';
+import type { RelayedConnection } from '../relay/RelayedConnection.js';
+
 import { KeepAliveAgent } from './KeepAliveAgent.js';
-import type { SocketFactory } from './openSocket.js';
 
-/** Timeout for opening a connection; a round trip takes a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 400;
 /** Time for the last responses of a removed replica to finish. */
 const DRAIN_TIMEOUT_MS = 30_000;
 
@@ -13,6 +15,14 @@
   readonly host: string;
   readonly port: number;
   readonly agent: KeepAliveAgent;
+  /** Returns how a connection is relayed; null if it is direct. */
+  readonly relayOf: (socket: Socket) => RelayedConnection | null;
+}
+
+/** What opens the connections to replicas. */
+export interface ReplicaConnectors {
+  readonly replicas: Pick<ReplicaConnector, 'connect' | 'isPathLost'>;
+  readonly relay: Pick<RelayConnector, 'isUsable' | 'openCount' | 'relayOf'>;
 }
 
 /** Key of one run of a replica at one address. */
@@ -21,17 +31,24 @@
 }
 
 function createPool(
-  { address }: Replica,
+  replica: Replica,
   maxConnections: number,
-  factory: SocketFactory | undefined,
+  { replicas, relay }: ReplicaConnectors,
 ): BackendPool {
-  const [host = '', port = ''] = address.split(':');
+  const [host = '', port = ''] = replica.address.split(':');
   const agent = new KeepAliveAgent({
     maxConnections,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    factory,
+    open: () => replicas.connect(replica),
+    mayKeep: socket =>
+      relay.relayOf(socket) === null ||
+      (relay.isUsable(socket) && replicas.isPathLost(replica)),
   });
-  return { host, port: Number(port), agent };
+  return {
+    host,
+    port: Number(port),
+    agent,
+    relayOf: socket => relay.relayOf(socket),
+  };
 }
 
 /**
@@ -43,8 +60,8 @@
 export class BackendConnections {
   readonly #pools = new Map<string, BackendPool>();
 
-  /** @param factory - opens connections; `connect` of `node:net` if omitted */
-  constructor(private readonly factory?: SocketFactory) {}
+  /** @param connectors - open the connections */
+  constructor(private readonly connectors: ReplicaConnectors) {}
 
   /**
    * Returns the pool of a replica and creates it on first use.
@@ -61,7 +78,7 @@
       existing.agent.maxSockets = maxConnections;
       return existing;
     }
-    const pool = createPool(replica, maxConnections, this.factory);
+    const pool = createPool(replica, maxConnections, this.connectors);
     this.#pools.set(key, pool);
     return pool;
   }
@@ -80,6 +97,29 @@
       });
   }
 
+  /** Closes the idle connections to a replica, whose path is doubtful. */
+  closeIdle(replica: Replica): void {
+    this.#pools.get(poolKey(replica))?.agent.closeIdle();
+  }
+
+  /** Closes the idle connections to a replica that go through other instances. */
+  closeRelayed(replica: Replica): void {
+    const { relay } = this.connectors;
+    this.#pools
+      .get(poolKey(replica))
+      ?.agent.closeIdle(socket => relay.relayOf(socket) !== null);
+  }
+
+  /** Closes idle connections through instances that no longer serve. */
+  closeUnusable(): void {
+    const { relay } = this.connectors;
+    if (relay.openCount > 0) {
+      this.#pools.forEach(({ agent }) => {
+        agent.closeIdle(socket => !relay.isUsable(socket));
+      });
+    }
+  }
+
   /** Closes all connections at once. */
   destroy(): void {
     this.#pools.forEach(({ agent }) => {
--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -7,9 +7,9 @@
 import type { Socket } from 'node:net';
 
 import { headerValue } from '../util/headers.js';
-import type { SocketFactory } from './openSocket.js';
 import { openSocket } from './openSocket.js';
 
+const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 /** Idle timeout of a connection whose server states none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 900;
 /**
@@ -23,14 +23,21 @@
  * Error code for a reset by the server; replaces the code `ECONNRESET` of the
  * operating system.
  */
-const RESET_ERROR_CODE = 'RESET_BY_SERVER';
+export const RESET_ERROR_CODE = 'RESET_BY_SERVER';
 /** Connection limit and timeout for one server. */
 export interface KeepAliveOptions {
   readonly maxConnections: number;
-  /** Timeout for opening a connection, in milliseconds. */
-  readonly connectTimeoutMs: number;
-  /** Opens connections; `connect` of `node:net` if omitted. */
-  readonly factory?: SocketFactory | undefined;
+  /**
+   * Timeout for opening a connection, in milliseconds; not used with `open`.
+   */
+  readonly connectTimeoutMs?: number;
+  /**
+   * Opens a connection to the server; if omitted, one is opened to the host and
+   * port of the request.
+   */
+  readonly open?: () => Promise<Socket>;
+  /** Whether an idle connection may be kept; all may if omitted. */
+  readonly mayKeep?: (socket: Socket) => boolean;
 }
 
 /**
@@ -87,8 +94,18 @@
    */
   close(): void {
     this.#closing = true;
+    this.closeIdle();
+  }
+
+  /**
+   * Closes idle connections.
+   *
+   * @param isClosed - selects the connections to close; all if omitted
+   */
+  closeIdle(isClosed: (socket: Socket) => boolean = () => true): void {
     Object.values(this.freeSockets)
       .flatMap(sockets => sockets ?? [])
+      .filter(isClosed)
       .forEach(socket => {
         socket.destroy();
       });
@@ -102,14 +119,35 @@
    * bytes, Node.js reports an end and no error. The socket then has no remote
    * address, whereas it still has one after a regular close.
    */
-  override createConnection({ host, port }: ClientRequestArgs): Socket {
-    const { connectTimeoutMs: timeoutMs, factory } = this.limits;
-    const socket = openSocket({
-      host: host ?? '',
-      port: Number(port),
-      timeoutMs,
-      factory,
-    });
+  override createConnection(
+    { host, port }: ClientRequestArgs,
+    callback?: (err: Error | null, socket: Socket) => void,
+  ): Socket | undefined {
+    const { connectTimeoutMs: timeoutMs = DEFAULT_CONNECT_TIMEOUT_MS, open } =
+      this.limits;
+    if (!open) {
+      const socket = openSocket({
+        host: host ?? '',
+        port: Number(port),
+        timeoutMs,
+        reader: 'httpParser',
+      });
+      return this.#watch(socket);
+    }
+    open().then(
+      socket => {
+        callback?.(null, this.#watch(socket));
+      },
+      (err: unknown) => {
+        const fail = callback as ((err: unknown) => void) | undefined;
+        fail?.(err);
+      },
+    );
+    return undefined;
+  }
+
+  /** Notes whether a connection is reset at its end. */
+  #watch(socket: Socket): Socket {
     socket.prependListener('error', (err: NodeJS.ErrnoException) => {
       if (err.code === 'ECONNRESET') {
         err.code = RESET_ERROR_CODE;
@@ -133,7 +171,8 @@
    */
   override keepSocketAlive(socket: KeptSocket): boolean {
     const idleMs = idleTimeoutMs(socket);
-    if (this.#closing || idleMs <= 0) {
+    const { mayKeep = () => true } = this.limits;
+    if (this.#closing || idleMs <= 0 || !mayKeep(socket)) {
       return false;
     }
     socket.setTimeout(idleMs);
--- a/packages/gateway/src/backends/openSocket.ts
+++ b/packages/gateway/src/backends/openSocket.ts
@@ -6,12 +6,19 @@
 /** Opens a TCP connection, as `connect` of `node:net` does. */
 export type SocketFactory = (options: TcpNetConnectOpts) => Socket;
 
+/**
+ * What reads from a connection. The memory that an HTTP parser reads from is
+ * used again for the next read, since it copies what it passes on.
+ */
+export type SocketReader = 'httpParser' | 'stream';
+
 /** A server to connect to, and how. */
 export interface SocketTarget {
   readonly host: string;
   readonly port: number;
   /** Timeout for opening the connection, in milliseconds. */
   readonly timeoutMs: number;
+  readonly reader: SocketReader;
   /** Opens the connection; `connect` of `node:net` if omitted. */
   readonly factory?: SocketFactory | undefined;
 }
@@ -37,9 +44,9 @@
 }
 
 /**
- * Opens a connection that an HTTP client reads from.
+ * Opens a connection.
  *
- * @param target - the server, the timeout and the way to connect
+ * @param target - the server, the timeout, and what reads from it
  * @returns the connection, not yet open; it is destroyed with an error if it
  *   does not open in time
  */
@@ -47,13 +54,16 @@
   host,
   port,
   timeoutMs,
+  reader,
   factory = connect,
 }: SocketTarget): Socket {
   const socket = factory({
     host,
     port,
     // Without it, each read allocates 64 KiB and passes the stream's queue.
-    onread: { buffer: READ_BUFFER, callback: emitRead },
+    ...(reader === 'httpParser'
+      ? { onread: { buffer: READ_BUFFER, callback: emitRead } }
+      : {}),
   });
   socket.setNoDelay(true);
   const timer = setTimeout(() => {
--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -3,6 +3,8 @@
 import type { Socket } from 'node:net';
 
 import type { RawHeaders } from '../ports/CallerDialect.js';
+import { RESET_ERROR_CODE } from './KeepAliveAgent.js';
+import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import type { BackendPool } from './BackendConnections.js';
 
 /** Limit for the head of a response. */
@@ -30,6 +32,8 @@
       readonly reason: string;
       /** Whether the request used a connection that had served another one. */
       readonly reused: boolean;
+      /** Whether the connection was reset. */
+      readonly wasReset: boolean;
     }
   | { readonly kind: 'aborted'; readonly sent: boolean };
 
@@ -37,9 +41,10 @@
 export interface ExchangeListener {
   /**
    * Called when a connection is open, just before the first byte is sent; false
-   * cancels the request.
+   * cancels the request. `relay` tells how the connection is relayed; null if it
+   * is direct.
    */
-  readonly maySend: () => boolean;
+  readonly maySend: (relay: RelayedConnection | null) => boolean;
   /**
    * Called with the head of the response.
    *
@@ -70,6 +75,13 @@
 /** Set for every body, so that Node.js does not use chunked encoding. */
 const CONTENT_LENGTH = 'Content-Length';
 
+/** Error codes of a connection that was reset, or closed without a response. */
+const RESET_CODES: readonly unknown[] = [RESET_ERROR_CODE, 'ECONNRESET'];
+
+function isReset(err: Error): boolean {
+  return 'code' in err && RESET_CODES.includes(err.code);
+}
+
 /** Connections that were given to a request. */
 const USED_SOCKETS = new WeakSet<Socket>();
 
@@ -92,7 +104,7 @@
  * @returns the exchange; its promise `ended` never rejects
  */
 export function sendAttempt(
-  { host, port, agent }: BackendPool,
+  { host, port, agent, relayOf }: BackendPool,
   call: BackendRequest,
   listener: ExchangeListener,
 ): RunningExchange {
@@ -116,7 +128,13 @@
     // Data after a complete response is an error of the connection, not of the
     // response.
     if (response?.complete !== true) {
-      settle({ kind: 'failed', sent, reason: err.message, reused });
+      settle({
+        kind: 'failed',
+        sent,
+        reason: err.message,
+        reused,
+        wasReset: isReset(err),
+      });
     }
   };
 
@@ -127,8 +145,8 @@
    * connection. As nothing has been sent yet, the request can go to another
    * replica.
    */
-  const onOpen = (): void => {
-    if (listener.maySend()) {
+  const onOpen = (socket: Socket): void => {
+    if (listener.maySend(relayOf(socket))) {
       sent = true;
     } else {
       req?.destroy(NOT_ALLOWED_ERROR);
@@ -139,9 +157,11 @@
     reused = USED_SOCKETS.has(socket);
     USED_SOCKETS.add(socket);
     if (socket.connecting) {
-      socket.once('connect', onOpen);
+      socket.once('connect', () => {
+        onOpen(socket);
+      });
     } else if (!socket.destroyed) {
-      onOpen();
+      onOpen(socket);
     }
   };
 
@@ -161,6 +181,7 @@
               kind: 'failed',
               sent,
               reused,
+              wasReset: true,
               reason:
                 'connection reset together with the last bytes of the response',
             }
@@ -193,7 +214,7 @@
     req.end(call.body ?? undefined);
   } catch (err) {
     const reason = err instanceof Error ? err.message : String(err);
-    settle({ kind: 'failed', sent, reason, reused });
+    settle({ kind: 'failed', sent, reason, reused, wasReset: false });
   }
 
   return {
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -11,6 +11,9 @@
 import { BackendConnections } from './backends/BackendConnections.js';
 import type { SocketFactory } from './backends/openSocket.js';
 import type { GatewayContext } from './GatewayContext.js';
+import { onPathLost } from './relay/onPathLost.js';
+import { RelayConnector } from './relay/RelayConnector.js';
+import { ReplicaConnector } from './relay/ReplicaConnector.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js';
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -90,12 +93,37 @@
       incarnation: startedMs,
     },
   );
+  const router = new GatewayRouter(board, defaultGatewayPolicies(board));
+  const relay = new RelayConnector(membership, board.relays);
+  const replicaConnector = new ReplicaConnector({
+    board,
+    relay,
+    factory: connect,
+    onRelayed: (replica, socket) => {
+      onPathLost(context, replica, socket);
+    },
+    onRelayDoubtful: replica => {
+      context.connections.closeRelayed(replica);
+    },
+    onDirect: replica => {
+      if (board.paths.onDirect(replica)) {
+        log.write('pathRestored', {
+          backendServer: replica.id,
+          service: replica.service,
+          lostPaths: board.paths.lostCount,
+        });
+        context.connections.closeRelayed(replica);
+      }
+    },
+  });
   const context: GatewayContext = {
     settings,
-    router: new GatewayRouter(board, defaultGatewayPolicies(board)),
+    router,
     membership,
     lease: new ViewLease(board, timers, () => context.settings.freshWithinMs),
-    connections: new BackendConnections(connect),
+    connections: new BackendConnections({ replicas: replicaConnector, relay }),
+    replicaConnector,
+    relay,
     dialect,
     metrics: new GatewayMetrics(),
     log,
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -8,13 +8,18 @@
   WithdrawReason,
 } from '@jujubecroft/decisions';
 import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
-import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
+import type {
+  BackendServerId,
+  Replica,
+  ResultCodeId,
+} from '@jujubecroft/types';
 
 import type { ExchangeEnd, RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RequestHead, RawHeaders } from '../ports/CallerDialect.js';
 import { headerValue } from '../util/headers.js';
+import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import { ResponseAssembler } from './ResponseAssembler.js';
 import { ResponseTimings } from './ResponseTimings.js';
 import type { CallerResponse } from './CallerResponse.js';
@@ -233,7 +238,7 @@
         body: this.call.body,
       },
       {
-        maySend: () => this.#maySend(attempt),
+        maySend: relay => this.#maySend(attempt, relay),
         onStart: (status, headers) =>
           assembler.start(status, headers) && this.#onHead(attempt, assembler),
         onData: chunk => {
@@ -256,15 +261,29 @@
     this.#countAttempt(result, replica.id);
     this.#recorder.responseEnded(attempt, result, assembler.progress);
     const reused = exchangeEnd.kind === 'failed' && exchangeEnd.reused;
+    if (exchangeEnd.kind === 'failed' && exchangeEnd.wasReset) {
+      this.#checkPath(replica);
+    }
     return { attempt, result, reused };
   }
 
+  /**
+   * Checks the path to a replica that reset a connection: if it is lost, kept
+   * connections are of no use either.
+   */
+  #checkPath(replica: Replica): void {
+    const { router, replicaConnector } = this.context;
+    if (router.board.paths.takeCheck(replica)) {
+      void replicaConnector.check(replica);
+    }
+  }
+
   /** Checks an attempt for the last time before its first byte is sent. */
-  #maySend(attempt: GatewayAttempt): boolean {
+  #maySend(attempt: GatewayAttempt, relay: RelayedConnection | null): boolean {
     const { lease, router } = this.context;
     const maySend = lease.isUsable && router.mayReceive(attempt);
     if (maySend) {
-      this.#recorder.sending(attempt);
+      this.#recorder.sending(attempt, relay);
     }
     return maySend;
   }
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -16,6 +16,7 @@
 import { formatStoreVersion } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
+import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import type { ResponseProgress } from './ResponseAssembler.js';
 
 /** Outcomes of a request without a complete response. */
@@ -216,7 +217,7 @@
   }
 
   /** Records that an attempt has passed the last check and is being sent. */
-  sending(attempt: GatewayAttempt): void {
+  sending(attempt: GatewayAttempt, relay: RelayedConnection | null): void {
     const { context, request } = this;
     const { board } = context.router;
     const { replica } = attempt.load;
@@ -225,6 +226,14 @@
     const state = determineViewState(board, freshWithinMs);
     const isOld = ageMs > OLD_VIEW_SHARE * freshWithinMs;
     this.#sendingMs = context.clock();
+    if (relay) {
+      context.metrics.relayed.inc({ service: request.service.id });
+      context.log.write('requestRelayed', {
+        request: request.id,
+        backendServer: replica.id,
+        ...relay,
+      });
+    }
     context.metrics.sends.inc({
       view: state === 'current' && isOld ? 'old' : state,
     });
--- a/packages/gateway/src/front/InFlightRequests.ts
+++ b/packages/gateway/src/front/InFlightRequests.ts
@@ -87,7 +87,10 @@
    * Withdraws attempts that must move to another replica or must not continue.
    */
   #checkAttempts(): void {
-    const { router } = this.context;
+    const { router, replicaConnector } = this.context;
+    router.findPathsToCheck().forEach(replica => {
+      void replicaConnector.check(replica);
+    });
     this.#withdraw(router.findAttemptsToMove(), 'silent');
     this.#withdraw(router.takeOrphanedAttempts(), 'replicaRestarted');
     this.#withdraw(router.findBarredAttempts(), 'crashesBackends');
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -45,6 +45,23 @@
     labelNames: ['service', 'framing', 'end'] as const,
     registers: this.#registers,
   });
+  readonly relayed = new Counter({
+    name: 'jujubecroft_gateway_relayed_requests_total',
+    help: 'Requests that were sent to a backend server through another instance.',
+    labelNames: ['service'] as const,
+    registers: this.#registers,
+  });
+  readonly tunnels = new Gauge({
+    name: 'jujubecroft_gateway_tunnels',
+    help: 'Connections to backend servers through another instance, by whether this instance uses or carries them.',
+    labelNames: ['role'] as const,
+    registers: this.#registers,
+  });
+  readonly lostPaths = new Gauge({
+    name: 'jujubecroft_gateway_lost_paths',
+    help: 'Backend servers that other instances reach and this one does not.',
+    registers: this.#registers,
+  });
   readonly retries = new Counter({
     name: 'jujubecroft_gateway_retries_total',
     help: 'Attempts beyond the first, by what the one before came to.',
--- a/packages/gateway/src/side/serveMetrics.ts
+++ b/packages/gateway/src/side/serveMetrics.ts
@@ -5,7 +5,12 @@
 const MS_PER_SECOND = 1000;
 
 /** Sets the gauges to the current state; called for each scrape. */
-function updateGauges({ router, metrics, delays }: GatewayContext): void {
+function updateGauges({
+  router,
+  metrics,
+  delays,
+  relay,
+}: GatewayContext): void {
   const { board } = router;
   const { rss, heapUsed } = process.memoryUsage();
   metrics.memory.set({ part: 'resident' }, rss);
@@ -20,6 +25,8 @@
     board.storeClock.ageOf(board.configurationAsOfMs) / MS_PER_SECOND,
   );
   metrics.inFlight.set(router.inFlight);
+  metrics.lostPaths.set(board.paths.lostCount);
+  metrics.tunnels.set({ role: 'used' }, relay.openCount);
   metrics.barred.set(board.crashes.barred.length);
   metrics.backends.reset();
   board.backends.forEach(({ replica, health }) => {
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -19,6 +19,7 @@
 import type { DiscoveryStore } from './ports/DiscoveryStore.js';
 import type { DutyPorts } from './ports/DutyPorts.js';
 import type { SideRoutes } from './side/createSideApp.js';
+import { TunnelServer } from './relay/TunnelServer.js';
 import { createSideApp } from './side/createSideApp.js';
 import { startHttpServer } from './side/startHttpServer.js';
 import { createPeerLink } from './state/createPeerLink.js';
@@ -171,9 +172,13 @@
   });
   const inFlight = new InFlightRequests(context);
   const callerServer = createCallerServer(context, inFlight);
+  const tunnels = new TunnelServer(context, ports.connect);
   const { view, reader, peers } = createViewSync(
     context,
-    { store: ports.store, link: createPeerLink(settings.peers) },
+    {
+      store: ports.store,
+      link: createPeerLink(settings.peers, tunnels.handle),
+    },
     callerServer.limit,
   );
   const { duties: dutyBoard } = context.router.board;
@@ -199,6 +204,9 @@
     avoidanceLogger.logChanges();
     barredRequestLogger.logChanges();
     limitLogger.logChanges();
+    context.connections.closeUnusable();
+    context.replicaConnector.probeLostPaths();
+    context.metrics.tunnels.set({ role: 'carried' }, tunnels.count);
     const suspendedMs = takeSuspendedMs();
     if (suspendedMs > 0) {
       log.write('wokeUp', { stoodStillMs: Math.round(suspendedMs) });
@@ -237,6 +245,7 @@
       sideServer.closeAllConnections();
     });
     inFlight.cutResponses();
+    tunnels.close();
     callerServer.server.closeAllConnections();
     await callerServer.app.close();
     context.connections.destroy();
@@ -254,7 +263,7 @@
     // Callers cache addresses for a while and keep using open connections until
     // a response closes them.
     await sleep(ANNOUNCE_SHARE * settings.graceMs);
-    while (inFlight.count > 0 && clock() < cutMs) {
+    while (inFlight.count + tunnels.count > 0 && clock() < cutMs) {
       await sleep(IDLE_CHECK_INTERVAL_MS);
     }
     log.write('instanceStopped', { cut: inFlight.count });
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -224,6 +224,7 @@
       replicasChangedAt: board.replicas.changedAt,
       ...toCrashFields(board.crashes.news),
       limits: toLimits(createLimitReports(board)),
+      lostPaths: board.paths.lostCount,
       ...toDutyFields(board.duties, false),
       ...purpose,
     };
@@ -260,6 +261,7 @@
     if (!state.viewOnly) {
       router.onPeerUpdate(peer, toPeerUpdate(state));
     }
+    router.board.relays.onReport(peer, state.lostPaths);
     router.board.crashes.onPeer(fromCrashFields(state));
     applyLimitReports(router.board, fromLimits(state.limits));
     this.#receiveDuties(state, peer);
--- a/packages/gateway/src/state/createPeerLink.ts
+++ b/packages/gateway/src/state/createPeerLink.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { FastifyInstance } from 'fastify';
 
 import type { ListenAddress } from '../GatewaySettings.js';
@@ -6,19 +8,27 @@
 import { PeerSocket } from './PeerSocket.js';
 import { pullState } from './pullState.js';
 
+/** Handles a request for a tunnel, which takes over its connection. */
+export type TunnelListener = (req: IncomingMessage, socket: Socket) => void;
+
 /**
  * Creates the link to other instances: a datagram socket, and an HTTP server for state
  * that is too large for a datagram.
  *
  * @param address - address at which this instance listens for both
+ * @param onTunnel - called with requests of other instances for a connection to a replica
  * @returns the link, not yet listening
  */
-export function createPeerLink(address: ListenAddress): PeerLink {
+export function createPeerLink(
+  address: ListenAddress,
+  onTunnel: TunnelListener,
+): PeerLink {
   let server: FastifyInstance | null = null;
   let socket: PeerSocket | null = null;
   return {
     listen: async ({ onDatagram, onPull, onSendError }) => {
       server = createPeerServer(onPull);
+      server.server.on('connect', onTunnel);
       socket = new PeerSocket(onDatagram, onSendError);
       await server.listen({ host: address.host, port: address.port });
       await socket.listen(address);
--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -38,7 +38,7 @@
     maxConnections,
     connectTimeoutMs: 400,
   });
-  const pool: BackendPool = { host: HOST, port, agent };
+  const pool: BackendPool = { host: HOST, port, agent, relayOf: () => null };
   const send = (maySend: () => boolean): RunningExchange =>
     sendAttempt(
       pool,
@@ -92,6 +92,7 @@
         sent: false,
         reason: 'replica may no longer receive the request',
         reused: true,
+        wasReset: false,
       });
       await sleep(SETTLED_MS);
       t.is(held.length, 1);
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -52,6 +52,7 @@
       ...toCrashFields({ crashes: [], cleared: [] }),
       limits: [],
       speeds: [],
+      lostPaths: 0,
       ...toDutyFields(null, false),
       ...NO_WORK_FIELDS,
       replicasChangedAt: 4,
