feat(soak): gateways that lose their paths to all replicas

gateways-lose-paths cuts the links of up to seven in ten gateways to all replicas for nine seconds: connections are reset and new ones refused, or live on while new ones are refused, or fall silent while new ones hang. For all other promises such a gateway counts as healthy.

--- a/packages/cli/src/commands/soakCommands.ts
+++ b/packages/cli/src/commands/soakCommands.ts
@@ -3,9 +3,14 @@
 import { Command, Option } from 'clipanion';
 import { cascade, isInteger, isNumber, isPositive } from 'typanion';
 
-import type { SoakReplicaConfig, SoakResult } from '@jujubecroft/soak';
+import type {
+  LinkOrder,
+  SoakReplicaConfig,
+  SoakResult,
+} from '@jujubecroft/soak';
 
 import { EXIT } from '../exitCodes.js';
+import { waitForStopSignal } from '../waitForStopSignal.js';
 
 const positiveInteger = cascade(isNumber(), isInteger(), isPositive());
 /** Breaches printed per promise; the number of all is printed with them. */
@@ -118,6 +123,35 @@
   }
 }
 
+/**
+ * Runs one gateway of a soak whose links to replicas can be cut; internal,
+ * started by {@link SoakCommand}.
+ */
+export class SoakGatewayCommand extends Command {
+  static override paths = [['soak', 'gateway']];
+
+  readonly settings = Option.String('--settings', { required: true });
+  readonly peerAddress = Option.String('--peer-address', { required: true });
+
+  async execute(): Promise<number> {
+    const { ReplicaLinks } = await import('@jujubecroft/soak');
+    const { runGateway } = await import('@jujubecroft/platform');
+    const links = new ReplicaLinks();
+    process.on('message', ({ mode, open }: LinkOrder) => {
+      links.cut(mode, open);
+    });
+    const gateway = await runGateway(this.settings, {
+      peerAddress: this.peerAddress,
+      connect: links.connect,
+    });
+    process.on('SIGHUP', gateway.reload);
+    await waitForStopSignal();
+    await gateway.stop();
+    process.disconnect();
+    return EXIT.ok;
+  }
+}
+
 /**
  * Runs one backend server of a soak; internal, started by {@link SoakCommand}.
  */
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -24,7 +24,11 @@
 import { LoadCommand } from './commands/LoadCommand.js';
 import { ReportCommand } from './commands/ReportCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
-import { SoakCommand, SoakReplicaCommand } from './commands/soakCommands.js';
+import {
+  SoakCommand,
+  SoakGatewayCommand,
+  SoakReplicaCommand,
+} from './commands/soakCommands.js';
 import { StandInCommand } from './commands/StandInCommand.js';
 import { VERSION } from './version.js';
 
@@ -55,6 +59,7 @@
   ReportCommand,
   ServeCommand,
   SoakCommand,
+  SoakGatewayCommand,
   SoakReplicaCommand,
   StandInCommand,
   ...['config', 'ctl', 'experiment', 'stand-in'].map(createGroupHelp),
--- a/packages/gateway/src/runFromSettings.ts
+++ b/packages/gateway/src/runFromSettings.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@jujubecroft/events';
 import { createBoundedLog } from '@jujubecroft/events';
 
+import type { SocketFactory } from './backends/openSocket.js';
 import type { EarlyConnections } from './front/acceptEarlyConnections.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import type { GatewayPorts, RunningGateway } from './startGateway.js';
@@ -40,6 +41,8 @@
    * Connections of callers that were accepted while the program was loading.
    */
   readonly held?: EarlyConnections | null;
+  /** Opens connections to backend servers; `connect` of `node:net` if omitted. */
+  readonly connect?: SocketFactory;
   /** Creates the log; writes to standard output if omitted. */
   readonly createLog?: LogFactory;
 }
@@ -98,10 +101,10 @@
   source: SettingsSource<Settings>,
   options: RunOptions = {},
 ): Promise<GatewayProcess> {
-  const { held = null, createLog = logToStdout } = options;
+  const { held = null, createLog = logToStdout, connect } = options;
   const settings = readOrThrow(source, options);
   const log = createLog(settings.gateway);
-  const ports = source.createPorts(settings, log);
+  const ports = { ...source.createPorts(settings, log), connect };
   const running = await startGateway(settings.gateway, ports, log, held);
   let inForce = JSON.stringify(settings.gateway);
 
--- a/packages/soak/src/SoakFleet.ts
+++ b/packages/soak/src/SoakFleet.ts
@@ -29,6 +29,8 @@
    * fleet without such faults, relaying them takes more time than one process has.
    */
   readonly relaysPeers: boolean;
+  /** Whether gateways run with links to replicas that can be cut. */
+  readonly cutsPaths: boolean;
 }
 
 /** Names of the services that the replicas run. */
@@ -248,7 +250,14 @@
     rewriteSettings();
     const program = new SoakProcess(() => ({
       nodeArgs: GATEWAY_NODE_ARGS,
-      args: ['gateway', '--settings', file, '--peer-address', peerAddress],
+      args: [
+        ...(this.options.cutsPaths ? ['soak'] : []),
+        'gateway',
+        '--settings',
+        file,
+        '--peer-address',
+        peerAddress,
+      ],
       outFile: this.#pathOf(`gateway-${index}.log`),
     }));
     this.gateways.push({
--- a/platform/tests/stand-in/ReplicaLinks.ts
+++ b/packages/soak/src/faults/ReplicaLinks.ts
@@ -1,6 +1,5 @@
-import type { Socket } from 'node:net';
+import type { Socket, TcpNetConnectOpts } from 'node:net';
 import { connect } from 'node:net';
-import type { SocketFactory } from '@jujubecroft/gateway';
 
 /** What happens to new connections: opened, refused, or never answered. */
 export type LinkMode = 'refused' | 'silent' | 'well';
@@ -10,15 +9,22 @@
 /** A port of loopback addresses on which nothing listens. */
 const CLOSED_PORT = 1;
 
-/** The links of one instance to all replicas, which a test can cut. */
+/** A cut of the links to all replicas, or their repair. */
+export interface LinkOrder {
+  readonly order: 'links';
+  readonly mode: LinkMode;
+  readonly open: OpenConnectionFate;
+}
+
+/** The links of one gateway to all replicas, which can be cut. */
 export class ReplicaLinks {
   #mode: LinkMode = 'well';
   readonly #sockets = new Set<Socket>();
-  /** Number of connections that the instance tried to open. */
+  /** Number of connections that the gateway tried to open. */
   attempts = 0;
 
   /** Opens a connection as the links allow it now. */
-  readonly connect: SocketFactory = options => {
+  readonly connect = (options: TcpNetConnectOpts): Socket => {
     this.attempts += 1;
     const socket = this.#open(options);
     this.#sockets.add(socket);
@@ -50,7 +56,7 @@
     this.#mode = 'well';
   }
 
-  #open(options: Parameters<SocketFactory>[0]): Socket {
+  #open(options: TcpNetConnectOpts): Socket {
     switch (this.#mode) {
       case 'refused':
         return connect({ ...options, port: CLOSED_PORT });
--- a/packages/soak/src/faults/faultTargets.ts
+++ b/packages/soak/src/faults/faultTargets.ts
@@ -23,6 +23,12 @@
   'peer-link-silent',
 ];
 
+/** Faults of the links from gateways to all replicas. */
+export const PATH_KINDS: readonly string[] = [
+  'gateway-loses-paths',
+  'gateways-lose-paths',
+];
+
 /** Whether a kind is a planned operation rather than a failure. */
 export function isPlanned(kind: FaultKind): boolean {
   return PLANNED_KINDS.includes(kind);
@@ -38,7 +44,11 @@
   { kind, target }: PlannedFault,
   fleet: Pick<SoakFleet, 'gateways' | 'replicas'>,
 ): FaultTarget {
-  if (kind === 'gateway-rolling-stop' || kind === 'gateways-kill-all') {
+  if (
+    kind === 'gateway-rolling-stop' ||
+    kind === 'gateways-kill-all' ||
+    kind === 'gateways-lose-paths'
+  ) {
     return { component: 'gateway', index: null };
   }
   if (
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -8,6 +8,7 @@
 import { soakNow } from '../soakNow.js';
 import type { SoakProcess } from '../processes/SoakProcess.js';
 import type { FaultLink, LinkMode } from './FaultLink.js';
+import type { LinkOrder } from './ReplicaLinks.js';
 import type { PeerFaultLink } from './PeerFaultLink.js';
 import { isPlanned, targetOf } from './faultTargets.js';
 import type { FaultKind, PlannedFault } from './planFaults.js';
@@ -59,6 +60,8 @@
 const MAX_START_MS = 400;
 /** Difference in strength between replicas that leave together, so that some announce it. */
 const STRENGTH_STEP = 0.37;
+/** Maximum share of the gateways that lose their paths together. */
+const MAX_CUT_SHARE = 0.7;
 /** Maximum number of gateways in one rolling stop. */
 const MAX_ROLLING_STOPS = 16;
 /** One in so many gateways is stopped at the same time in a rolling stop. */
@@ -247,6 +250,37 @@
   },
   'gateway-kill': (fault, context) =>
     kill(gatewayOf(context, fault).program, RESTART_DELAY_MS),
+  'gateway-loses-paths': async (fault, context) => {
+    const { program } = gatewayOf(context, fault);
+    const cuts: readonly LinkOrder[] = [
+      { order: 'links', mode: 'refused', open: 'reset' },
+      { order: 'links', mode: 'refused', open: 'kept' },
+      { order: 'links', mode: 'silent', open: 'silent' },
+    ];
+    const cut = cuts[Math.floor(fault.strength * cuts.length)];
+    if (cut) {
+      program.sendMessage(cut);
+    }
+    await sleep(fault.forMs);
+    program.sendMessage({ order: 'links', mode: 'well', open: 'kept' });
+  },
+  'gateways-lose-paths': async (fault, context, onStart) => {
+    const { gateways } = context.fleet;
+    const count = Math.ceil(MAX_CUT_SHARE * fault.strength * gateways.length);
+    const kind = 'gateway-loses-paths';
+    await Promise.all(
+      Array.from({ length: count }, (_, at) => {
+        const target = (fault.target + at) % gateways.length;
+        // The cuts of one fault are alike.
+        const strength = (fault.target * STRENGTH_STEP) % 1;
+        return injectFault(
+          { ...fault, kind, target, strength },
+          context,
+          onStart,
+        );
+      }),
+    );
+  },
   'gateway-pause': (fault, context) =>
     pause(gatewayOf(context, fault).program, fault.forMs),
   'gateway-reload': immediate((context, fault) => {
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -46,6 +46,8 @@
   'store-restored',
   'replicas-drain-together',
   'drains-at-restarts',
+  'gateways-lose-paths',
+  'gateway-loses-paths',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,3 +1,9 @@
+export type {
+  LinkMode,
+  LinkOrder,
+  OpenConnectionFate,
+} from './faults/ReplicaLinks.js';
+export { ReplicaLinks } from './faults/ReplicaLinks.js';
 export { FAULT_KINDS } from './faults/planFaults.js';
 export { killChildrenOnExit } from './processes/SoakProcess.js';
 export { runSoakReplica } from './processes/runSoakReplica.js';
--- a/packages/soak/src/promises/EvidenceIndex.ts
+++ b/packages/soak/src/promises/EvidenceIndex.ts
@@ -1,5 +1,6 @@
 import { groupBy } from '@jujubecroft/types';
 
+import { PATH_KINDS } from '../faults/faultTargets.js';
 import type {
   ClosedNote,
   Evidence,
@@ -12,6 +13,7 @@
 /** Faults of gateways that leave their process running. */
 const UNINTERRUPTING_KINDS: readonly string[] = [
   'gateway-cut',
+  ...PATH_KINDS,
   'gateway-reload',
   'peer-link-cut',
   'peer-link-delay',
@@ -127,6 +129,8 @@
         (component === 'gateway' &&
           // Its stops are recorded one by one as well.
           kind !== 'gateway-rolling-stop' &&
+          // A gateway without paths to replicas is bound like any other.
+          !PATH_KINDS.includes(kind) &&
           (index === null || index === gateway)),
       sinceMs,
       toMs,
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -8,6 +8,7 @@
 import { dutiesOfOne } from './duties-of-one.js';
 import { gracefulStops } from './graceful-stops.js';
 import { leavingReplicas } from './leaving-replicas.js';
+import { pathsOfOthers } from './paths-of-others.js';
 import { replicaLimits } from './replica-limits.js';
 import { requestedPauses } from './requested-pauses.js';
 import { servesAgain } from './serves-again.js';
@@ -28,6 +29,7 @@
   dutiesOfOne,
   gracefulStops,
   leavingReplicas,
+  pathsOfOthers,
   replicaLimits,
   requestedPauses,
   servesAgain,
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,7 +1,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 
 import type { Evidence, InjectedFault } from './evidence.js';
-import { PEER_LINK_KINDS } from './faults/faultTargets.js';
+import { PATH_KINDS, PEER_LINK_KINDS } from './faults/faultTargets.js';
 import { planFaults } from './faults/planFaults.js';
 import { ALL_INVARIANTS } from './promises/allPromises.js';
 import { EvidenceIndex } from './promises/EvidenceIndex.js';
@@ -85,6 +85,7 @@
     folder: options.folder,
     networkOctet: networkOctetOf(),
     seed: options.seed,
+    cutsPaths: plan.some(({ kind }) => PATH_KINDS.includes(kind)),
     relaysPeers: plan.some(({ kind }) => PEER_LINK_KINDS.includes(kind)),
   };
   const fleet = await SoakFleet.start(environment, fleetOptions, SOAK_BOUNDS);
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -49,6 +49,17 @@
 const afterLeave = [10_000, 13_000].map((sentMs, index) =>
   requestOf(`a-${index}`, 'safe', { sentMs }),
 );
+/** Requests at a gateway without paths to replicas, and at another one. */
+const withoutPaths = Array.from({ length: 40 }, (_, index) =>
+  requestOf(`p-${index}`, 'safe', {
+    sentMs: 10_000 + 50 * index,
+    gateway: index % 2,
+  }),
+);
+const pathsLost = faultOf('gateway-loses-paths', gateway0, {
+  fromMs: 6000,
+  toMs: 15_000,
+});
 const wholeStore = { component: 'store', index: null } as const;
 const announcedLeave = {
   type: 'leaving',
@@ -204,6 +215,32 @@
     },
     broken: ['whole-own-answers'],
   },
+  {
+    title: 'report requests that are refused for want of a path to replicas',
+    seen: {
+      sent: withoutPaths,
+      faults: [pathsLost],
+      notes: withoutPaths
+        .filter(({ gateway }) => gateway === 1)
+        .map(sent => executionOf(sent, 'r-1')),
+      answers: withoutPaths.map(sent =>
+        sent.gateway === 1
+          ? responseOf(sent, 'r-1')
+          : responseOf(sent, '', { status: 503, body: '', stamp: null }),
+      ),
+    },
+    broken: ['paths-of-others'],
+  },
+  {
+    title: 'accept requests that are served without a path to replicas',
+    seen: {
+      sent: withoutPaths,
+      faults: [pathsLost],
+      notes: withoutPaths.map(sent => executionOf(sent, 'r-1')),
+      answers: withoutPaths.map(sent => responseOf(sent, 'r-1')),
+    },
+    broken: [],
+  },
   {
     title: 'report a response that no execution of the request produced',
     seen: {
