feat(events): explain follows a request through other instances

requestRelayed names the instance and the tunnel that a request goes through; explain adds the lines that the other instance wrote about that tunnel.

--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -59,6 +59,12 @@
     `sent to ${formatValue(f.backendServer)} by a view that ${formatValue(f.confirmedBy)} confirmed last, ${formatValue(f.viewAgeMs)} ms ago (${formatValue(f.state)}); entry as of version ${formatValue(f.rowVersion)}, replicas as of version ${formatValue(f.replicasVersion)}`,
   attemptFailed: f =>
     `the attempt ends: ${formatValue(f.result)} (${formatValue(f.reason ?? f.status)})${f.reused === true ? ' on a kept connection' : ''}; next: ${formatValue(f.next)}; sent ${formatValue(f.sent)} times, retries left in the budget: ${formatValue(f.budgetLeft)}, idempotent ${formatValue(f.idempotent)}${describeEnd(f)}`,
+  requestRelayed: f =>
+    `goes to ${formatValue(f.backendServer)} through ${formatValue(f.peer)}, over tunnel ${formatValue(f.tunnel)}, since the direct path is lost`,
+  tunnelOpened: f =>
+    `opens tunnel ${formatValue(f.tunnel)} to ${formatValue(f.backendServer)} for another instance`,
+  pathLost: f =>
+    `does not reach ${formatValue(f.backendServer)}, which ${formatValue(f.peer)} reaches; lost paths: ${formatValue(f.lostPaths)}`,
   requestAnswered: f =>
     `answered with ${formatValue(f.status)} after ${formatValue(f.wholeMs)} ms, first byte after ${formatValue(f.firstMs)} ms against a target of ${formatValue(f.targetMs)} ms${describeEnd(f)}`,
   requestRefused: f =>
@@ -145,6 +151,26 @@
   }
 }
 
+/**
+ * Selects the lines of one request and those of the tunnels that it went through,
+ * which other instances wrote.
+ */
+function linesOf(
+  lines: readonly ParsedLine[],
+  request: string,
+): readonly ParsedLine[] {
+  const tunnels = new Set(
+    lines
+      .filter(({ fields }) => fields.request === request)
+      .map(({ fields }) => fields.tunnel),
+  );
+  return lines.filter(({ fields }) =>
+    fields.request === undefined
+      ? fields.tunnel !== undefined && tunnels.has(fields.tunnel)
+      : fields.request === request,
+  );
+}
+
 /**
  * Explains what happened to one request from the logs of any number of instances.
  *
@@ -156,12 +182,8 @@
   lines: readonly ParsedLine[],
   request: string,
 ): RequestExplanation {
-  const own = lines
-    .filter(({ fields }) => fields.request === request)
-    .sort((a, b) =>
-      a.instance === b.instance
-        ? a.atMs - b.atMs
-        : a.time.localeCompare(b.time),
-    );
+  const own = [...linesOf(lines, request)].sort((a, b) =>
+    a.instance === b.instance ? a.atMs - b.atMs : a.time.localeCompare(b.time),
+  );
   return { steps: own.map(sentenceOf), cause: causeOf(own, lines) };
 }
