fix(soak): gateways without paths are compared second by second

Traced: the only replica of a service had crashed and its link still accepted connections, so all gateways failed in that second (13, 19 and 11 requests cut); the others that counted had sent theirs in other seconds. The shares are compared within each second now, with all requests at gateways that had their paths.

--- a/packages/soak/src/promises/paths-of-others.ts
+++ b/packages/soak/src/promises/paths-of-others.ts
@@ -1,5 +1,6 @@
-import type { Evidence, InjectedFault, SentRequest } from '../evidence.js';
-import type { EvidenceIndex } from './EvidenceIndex.js';
+import { groupBy } from '@jujubecroft/types';
+
+import type { InjectedFault, SentRequest } from '../evidence.js';
 import type { SoakInvariant } from './SoakInvariant.js';
 
 const HTTP_OK = 200;
@@ -9,7 +10,13 @@
 const ALLOWED_FAILURES = 10;
 const ALLOWED_FAILURE_SHARE = 1 / 50;
 
-/** Whether a request was sent to a gateway that was without paths for long enough. */
+/** Length of the spans in which gateways are compared. */
+const SPAN_MS = 1000;
+
+/** Key of the span in which a request was sent. */
+const spanOf = (sentMs: number): string => String(Math.floor(sentMs / SPAN_MS));
+
+/** Whether a gateway was without paths for long enough when a request was sent. */
 function isAffected(
   { gateway, sentMs }: SentRequest,
   cuts: readonly InjectedFault[],
@@ -23,55 +30,63 @@
   );
 }
 
-/** Returns the requests that callers sent while gateways were without paths. */
-function countedRequests(
-  { sent, answers, bounds }: Evidence,
-  index: EvidenceIndex,
-  cuts: readonly InjectedFault[],
-): readonly SentRequest[] {
-  return sent.filter(
-    ({ id, kind, sentMs, gateway }) =>
-      kind !== 'probe' &&
-      answers.get(id)?.leftMs === null &&
-      index.isInTouch(gateway, sentMs) &&
-      cuts.some(
-        ({ fromMs, toMs }) =>
-          sentMs >= fromMs + bounds.faultFreeMs && sentMs <= toMs,
-      ),
-  );
+/** Share of some requests that were served; null for none. */
+function servedShare(
+  requests: readonly SentRequest[],
+  isServed: (request: SentRequest) => boolean,
+): number | null {
+  return requests.length > 0
+    ? requests.filter(isServed).length / requests.length
+    : null;
 }
 
-/** Gateways without a path to any replica serve their callers through others. */
+/**
+ * Gateways without a path to any replica serve their callers through others.
+ *
+ * Gateways are compared second by second: when replicas crash, all gateways
+ * fail together.
+ */
 export const pathsOfOthers: SoakInvariant = {
   name: 'paths-of-others',
   description:
     'While gateways have no path to any replica, requests at them are served at least two thirds as often as at the others, or few fail.',
   timed: true,
-  check: (evidence, index) => {
-    const cuts = evidence.faults.filter(
-      ({ kind }) => kind === 'gateway-loses-paths',
+  check: ({ sent, answers, faults, bounds }, index) => {
+    const cuts = faults.filter(({ kind }) => kind === 'gateway-loses-paths');
+    const counted = sent.filter(
+      ({ id, kind, sentMs }) =>
+        kind !== 'probe' &&
+        answers.get(id)?.leftMs === null &&
+        cuts.some(
+          ({ fromMs, toMs }) =>
+            sentMs >= fromMs + bounds.faultFreeMs && sentMs <= toMs,
+        ),
     );
-    const counted = countedRequests(evidence, index, cuts);
     const isServed = ({ id }: SentRequest): boolean => {
-      const answer = evidence.answers.get(id);
+      const answer = answers.get(id);
       return answer?.status === HTTP_OK && answer.whole;
     };
-    const affected = counted.filter(request =>
-      isAffected(request, cuts, evidence.bounds.faultFreeMs),
+    const affected = counted.filter(
+      request =>
+        isAffected(request, cuts, bounds.faultFreeMs) &&
+        index.isInTouch(request.gateway, request.sentMs),
     );
-    const others = counted.filter(request => !affected.includes(request));
+    const others = counted.filter(request => !isAffected(request, cuts, 0));
+    const othersBySpan = groupBy(others, ({ sentMs }) => spanOf(sentMs));
+    const expected = affected.reduce((sum, { sentMs }) => {
+      const alike = othersBySpan.get(spanOf(sentMs)) ?? [];
+      return sum + (servedShare(alike, isServed) ?? 0);
+    }, 0);
     const served = affected.filter(isServed).length;
     const failed = affected.length - served;
-    const othersShare =
-      others.length > 0 ? others.filter(isServed).length / others.length : 0;
     const isWorse =
-      served < MIN_RELATIVE_SHARE * othersShare * affected.length &&
+      served < MIN_RELATIVE_SHARE * expected &&
       failed > ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * counted.length;
     return isWorse
       ? [
           {
             request: affected.find(request => !isServed(request))?.id ?? null,
-            what: `${served} of ${affected.length} requests served at gateways without paths, ${Math.round(100 * othersShare)} % of ${others.length} at the others`,
+            what: `${served} of ${affected.length} requests served at gateways without paths, ${Math.round(expected)} at the rate of the others`,
           },
         ]
       : [];
