fix(instance): a reply without framing gets no length and is not stored

Found by looking for the cause of truncated answers elsewhere: in the product's own interface, a reply of a plain service with neither a length nor chunks reached its caller with a length, and was stored under the idempotency key of its call, so that repeats got half a document as the whole one. Such a reply is sent close-delimited and not stored; its claim remains, so that repeats are refused rather than run again.

--- a/packages/backends/src/startServiceAttempt.ts
+++ b/packages/backends/src/startServiceAttempt.ts
@@ -16,9 +16,16 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
+  /**
+   * Whether a length or chunks prove the body complete; otherwise the end of the
+   * connection is all that says so.
+   */
+  readonly isFramed: boolean;
 }
 
 const UNAVAILABLE = 503;
+/** Status codes of responses without a body. */
+const BODYLESS_STATUSES: readonly number[] = [204, 304];
 
 /** Headers that concern a single connection or message and are not forwarded. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -39,6 +46,19 @@
   );
 }
 
+/** Whether the end of a body is determined by more than that of the connection. */
+function isFramed(
+  method: string,
+  { statusCode, headers }: Dispatcher.ResponseData,
+): boolean {
+  return (
+    method === 'HEAD' ||
+    BODYLESS_STATUSES.includes(statusCode) ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 async function run(
   pool: Pool,
   call: ServiceCall,
@@ -58,7 +78,12 @@
     return;
   }
   const headers = forwardedHeaders(res.headers);
-  listener.onProgress({ status: res.statusCode, headers, body });
+  listener.onProgress({
+    status: res.statusCode,
+    headers,
+    body,
+    isFramed: isFramed(call.method, res),
+  });
   listener.onFinished();
 }
 
--- a/packages/bench/tests/whole-path/callers.test.ts
+++ b/packages/bench/tests/whole-path/callers.test.ts
@@ -176,6 +176,32 @@
       });
     });
 
+    // Guards against half a reply that its caller gets under a length, and that is
+    // stored as the whole one.
+    it('passes on a reply without framing as it came, and never repeats it', async t => {
+      await withFleet(async (fleet, url) => {
+        const [service] = fleet.services;
+        await fleet.setFaults(service?.url ?? '', { unframedReplies: true });
+        const input: CallOptions = {
+          path: '/services/stock/price',
+          headers: {
+            ...HEADERS,
+            'x-request-class': 'menu-price-check',
+            'idempotency-key': 'price-4',
+          },
+          body: '{}',
+        };
+        const { status, text, res } = await sendCall(url, input);
+        t.deepEqual([status, text], [200, '{"half":']);
+        t.is(res.headers['content-length'], undefined);
+        t.is(res.headers['transfer-encoding'], undefined);
+        const repeat = await sendCall(url, input);
+        t.not(repeat.status, 200);
+        const runs = await fleet.read(service?.url ?? '', '/control/runs');
+        t.deepEqual(runs, { 'price-4': 1 });
+      });
+    });
+
     it('refuses calls with an idempotency key as not run while the table is down', async t => {
       await withFleet(async (fleet, url) => {
         await fleet.setFaults(fleet.platformUrl, { down: true });
--- a/packages/instance/src/http/ServiceController.ts
+++ b/packages/instance/src/http/ServiceController.ts
@@ -63,7 +63,11 @@
     if (!this.#serviceReply) {
       return;
     }
-    const { status, headers, body } = this.#serviceReply;
+    const { status, headers, body, isFramed } = this.#serviceReply;
+    if (!isFramed) {
+      this.#sendUnframed(this.#serviceReply);
+      return;
+    }
     void this.reply
       .code(status)
       .headers({ ...headers, 'x-request-id': this.id })
@@ -77,6 +81,19 @@
     );
   }
 
+  /**
+   * Sends a reply that only the end of its connection delimited the same way,
+   * since a length would state that it is complete. For the same reason it is not
+   * stored; its claim remains, so that repeats are refused.
+   */
+  #sendUnframed({ status, headers, body }: ServiceReply): void {
+    const { raw } = this.reply.hijack();
+    raw.useChunkedEncodingByDefault = false;
+    raw.shouldKeepAlive = false;
+    raw.writeHead(status, { ...headers, 'x-request-id': this.id });
+    raw.end(body);
+  }
+
   onRefused(err: RouterErrorInstance): void {
     this.ended = true;
     sendError(this.reply, err, this.id);
--- a/packages/stand-ins/src/service/startService.ts
+++ b/packages/stand-ins/src/service/startService.ts
@@ -7,6 +7,7 @@
 import type { RunningServer } from '../util/RunningServer.js';
 
 const SAMPLE_INTERVAL_MS = 50;
+const OK = 200;
 const BAD_REQUEST = 400;
 const UNAVAILABLE = 503;
 
@@ -18,6 +19,11 @@
    * Whether to run each call and then close its connection instead of replying.
    */
   cutReplies: z.boolean().optional(),
+  /**
+   * Whether to send half a reply with neither a length nor chunks, and close the
+   * connection.
+   */
+  unframedReplies: z.boolean().optional(),
 });
 
 /**
@@ -27,6 +33,7 @@
 class ServiceState {
   crashed = false;
   cutReplies = false;
+  unframedReplies = false;
   running = 0;
   /** Callbacks that start the waiting calls, first come first served. */
   readonly waiting: (() => void)[] = [];
@@ -112,6 +119,8 @@
     }
     service.crashed = parsed.data.crashed ?? service.crashed;
     service.cutReplies = parsed.data.cutReplies ?? service.cutReplies;
+    service.unframedReplies =
+      parsed.data.unframedReplies ?? service.unframedReplies;
     return reply.send({});
   });
   app.all('/*', async (req, reply) => {
@@ -124,6 +133,14 @@
       reply.hijack().raw.destroy();
       return reply;
     }
+    if (service.unframedReplies) {
+      const { raw } = reply.hijack();
+      raw.useChunkedEncodingByDefault = false;
+      raw.shouldKeepAlive = false;
+      raw.writeHead(OK, { 'x-served-by': settings.id });
+      raw.end('{"half":');
+      return reply;
+    }
     const status = Number(req.headers['x-want-status'] ?? 200);
     return reply
       .code(status)
