--- a/packages/decisions/src/gateway/paths/RelayPeers.ts
+++ b/packages/decisions/src/gateway/paths/RelayPeers.ts
@@ -87,7 +87,8 @@
    * no detour.
    *
    * A whole failure domain may have lost its paths, so instances of one in which
-   * others failed come later, and the second choice is of another domain than the first.
+   * others failed come later, and the second choice is of another domain than
+   * the first.
    *
    * @param members - serving instances
    * @param ends - failure domains of this instance and of the replica
--- a/packages/gateway/src/relay/TunnelServer.ts
+++ b/packages/gateway/src/relay/TunnelServer.ts
@@ -1,8 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Replica } from '@jujubecroft/types';
+import type { BackendServerId, Replica } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
-import type { BackendServerId } from '@jujubecroft/types';
 
 import type { SocketFactory } from '../backends/openSocket.js';
 import { openSocket } from '../backends/openSocket.js';
@@ -139,10 +138,9 @@
       this.#refuse(req, socket, 'unreachable');
     };
     upstream.once('error', refuse);
-    const closeUpstream = (): void => {
+    socket.once('close', () => {
       upstream.destroy();
-    };
-    socket.once('close', closeUpstream);
+    });
     upstream.once('connect', () => {
       upstream.off('error', refuse);
       this.#open(socket, upstream);
--- a/packages/gateway/src/relay/openTunnel.ts
+++ b/packages/gateway/src/relay/openTunnel.ts
@@ -1,5 +1,5 @@
-import { request } from 'node:http';
 import type { IncomingMessage } from 'node:http';
+import { request } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Replica } from '@jujubecroft/types';
 
