refactor(decisions): name the suspicion of own links for what it is

isSuspicious becomes suspectsOwnLinks; comments say what constants are, not how they were chosen. No change of logic; 25 tests of the parts touched pass.

--- a/packages/decisions/src/gateway/paths/ReplicaPaths.ts
+++ b/packages/decisions/src/gateway/paths/ReplicaPaths.ts
@@ -26,14 +26,12 @@
   readonly atMs: number;
 }
 
-/**
- * Time after which another instance is asked for a connection. A direct one
- * opens within a few milliseconds, unless the replica or the path is overloaded.
- */
+/** Time after which another instance is asked for a connection. */
 const RELAY_AFTER_MS = 100;
-/** The same once several paths are lost, so that this instance's links are suspected. */
-const SUSPICIOUS_RELAY_AFTER_MS = 20;
-const SUSPICIOUS_LOSSES = 2;
+/** The same while this instance's own links are suspected. */
+const SUSPECTED_RELAY_AFTER_MS = 20;
+/** Number of lost paths from which this instance's own links are suspected. */
+const MIN_SUSPECTED_LOSSES = 2;
 /** Mean interval between attempts to connect directly over a lost path. */
 const PROBE_INTERVAL_MS = 750;
 /** Time within which other lost paths are tried once one is restored. */
@@ -42,7 +40,7 @@
 const MAX_PROBES = 2;
 /** Time for which a loss counts without a new confirmation. */
 const LOSS_RETENTION_MS = 3000;
-/** Time for which a past loss is remembered, longer than any request lasts. */
+/** Time for which a past loss is remembered; attempts may be as old. */
 const PAST_LOSS_RETENTION_MS = 60_000;
 /** Shortest interval between checks of the path to one replica. */
 const CHECK_INTERVAL_MS = 1000;
@@ -70,9 +68,9 @@
     return this.#lost.size;
   }
 
-  /** Whether so many paths are lost that the links of this instance are suspected. */
-  get isSuspicious(): boolean {
-    return this.lostCount >= SUSPICIOUS_LOSSES;
+  /** Whether so many paths are lost that this instance's own links are suspected. */
+  get suspectsOwnLinks(): boolean {
+    return this.lostCount >= MIN_SUSPECTED_LOSSES;
   }
 
   /** Whether the path to a replica is lost. */
@@ -98,8 +96,8 @@
     if (!lost) {
       return {
         direct: true,
-        relayAfterMs: this.isSuspicious
-          ? SUSPICIOUS_RELAY_AFTER_MS
+        relayAfterMs: this.suspectsOwnLinks
+          ? SUSPECTED_RELAY_AFTER_MS
           : RELAY_AFTER_MS,
       };
     }
--- a/packages/decisions/tests/gateway/paths/ReplicaPaths.test.ts
+++ b/packages/decisions/tests/gateway/paths/ReplicaPaths.test.ts
@@ -53,7 +53,7 @@
     const before = paths.planConnection(runOf('c')).relayAfterMs;
     paths.onRelayed(A);
     paths.onRelayed(B);
-    t.true(paths.isSuspicious);
+    t.true(paths.suspectsOwnLinks);
     t.true(paths.planConnection(runOf('c')).relayAfterMs < before);
   });
 
--- a/packages/gateway/src/relay/onPathLost.ts
+++ b/packages/gateway/src/relay/onPathLost.ts
@@ -34,7 +34,7 @@
     lostPaths: board.paths.lostCount,
   });
   connections.closeIdle(replica);
-  if (board.paths.isSuspicious) {
+  if (board.paths.suspectsOwnLinks) {
     board.backends.forEach(({ replica: other, lastByteMs }) => {
       if (clock() - lastByteMs > TRUSTED_SILENCE_MS) {
         connections.closeIdle(other);
