fix(gateway): an instance that carries tunnels ends within its grace period

An instance that still carried a tunnel at the end of its grace period could not stop and was killed, with the responses in progress uncut. Cause: close() waits for the server for other instances first, which waits for connections that tunnels have taken over, and resets the tunnels only afterwards. They are reset first now.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -238,6 +238,8 @@
     clearInterval(housekeeping);
     duties?.stop();
     reader.stop();
+    // The server for other instances closes only once its tunnels have ended.
+    tunnels.close();
     await peers.stop();
     inFlight.stop();
     sideServers.forEach(sideServer => {
@@ -245,7 +247,6 @@
       sideServer.closeAllConnections();
     });
     inFlight.cutResponses();
-    tunnels.close();
     callerServer.server.closeAllConnections();
     await callerServer.app.close();
     context.connections.destroy();
