refactor: the framing of a response is determined in one place

The gateway and the client of plain services each decided by themselves which responses are self-delimited, and CallerResponse kept a second list of statuses without a body and a second look-up of a header. bodyFraming and isBodyless in packages/types serve all three; ServiceReply has the framing instead of a flag of its own. One difference: a Transfer-Encoding that does not end in chunked no longer counts as framing for a plain service, as it did not for the gateway.

--- a/packages/backends/src/startServiceAttempt.ts
+++ b/packages/backends/src/startServiceAttempt.ts
@@ -1,4 +1,6 @@
 import type { Dispatcher, Pool } from 'undici';
+import type { BodyFraming } from '@jujubecroft/types';
+import { bodyFraming } from '@jujubecroft/types';
 
 import type { AttemptHandle, AttemptListener } from './EngineCall.js';
 import { runAttempt } from './util/runAttempt.js';
@@ -16,16 +18,11 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
-  /**
-   * Whether a length or chunks prove the body complete; otherwise the end of the
-   * connection is all that says so.
-   */
-  readonly isFramed: boolean;
+  /** Framing with which the body was received. */
+  readonly framing: BodyFraming;
 }
 
 const UNAVAILABLE = 503;
-/** Status codes of responses without a body. */
-const BODYLESS_STATUSES: readonly number[] = [204, 304];
 
 /** Headers that concern a single connection or message and are not forwarded. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -46,17 +43,8 @@
   );
 }
 
-/** Whether the end of a body is determined by more than that of the connection. */
-function isFramed(
-  method: string,
-  { statusCode, headers }: Dispatcher.ResponseData,
-): boolean {
-  return (
-    method === 'HEAD' ||
-    BODYLESS_STATUSES.includes(statusCode) ||
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
+function textOf(value: string | string[] | undefined): string | undefined {
+  return value === undefined ? undefined : String(value);
 }
 
 async function run(
@@ -82,7 +70,12 @@
     status: res.statusCode,
     headers,
     body,
-    isFramed: isFramed(call.method, res),
+    framing: bodyFraming({
+      method: call.method,
+      status: res.statusCode,
+      contentLength: textOf(res.headers['content-length']),
+      transferEncoding: textOf(res.headers['transfer-encoding']),
+    }),
   });
   listener.onFinished();
 }
--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -1,7 +1,9 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { BodyFraming } from '@jujubecroft/types';
+import { isBodyless } from '@jujubecroft/types';
 
-import type { BodyFraming } from '../backends/bodyFraming.js';
+import { headerValue } from '../util/headers.js';
 
 /** Status, headers and body of a complete response. */
 export interface CompleteResponse {
@@ -12,7 +14,6 @@
   readonly framing: BodyFraming;
 }
 
-const BODYLESS_STATUSES: readonly number[] = [204, 304];
 /** Larger chunks are not copied to be framed. */
 const MAX_COPIED_BYTES = 16 * 1024;
 const CR = 13;
@@ -30,10 +31,8 @@
   return framed;
 }
 
-function hasHeader(headers: readonly string[], name: string): boolean {
-  return headers.some(
-    (text, index) => index % 2 === 0 && text.toLowerCase() === name,
-  );
+function hasLength(headers: readonly string[]): boolean {
+  return headerValue(headers, 'content-length') !== undefined;
 }
 
 /** Makes the connection write what it was given until the next tick at once. */
@@ -100,7 +99,7 @@
     // another instance.
     const closing = this.isStopping() ? ['connection', 'close'] : [];
     this.res.sendDate = false;
-    this.#hasLength = hasHeader(headers, 'content-length');
+    this.#hasLength = hasLength(headers);
     this.res.writeHead(status, [...headers, ...closing]);
   }
 
@@ -154,12 +153,11 @@
 
   /** Writes a complete response. */
   send({ status, headers, body, framing }: CompleteResponse): void {
-    const isHead = this.res.req.method === 'HEAD';
+    const { method = '' } = this.res.req;
     const needsLength =
       framing === 'selfDelimited' &&
-      !isHead &&
-      !BODYLESS_STATUSES.includes(status) &&
-      !hasHeader(headers, 'content-length');
+      !isBodyless(method, status) &&
+      !hasLength(headers);
     const length = needsLength ? ['content-length', String(body.length)] : [];
     this.start(status, [...headers, ...length], framing);
     this.res.end(body);
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -1,8 +1,7 @@
 import type { AttemptResult, ReportedLoad } from '@jujubecroft/decisions';
-import type { RequestId, RouteKind } from '@jujubecroft/types';
+import type { BodyFraming, RequestId, RouteKind } from '@jujubecroft/types';
+import { bodyFraming } from '@jujubecroft/types';
 
-import type { BodyFraming } from '../backends/bodyFraming.js';
-import { bodyFraming } from '../backends/bodyFraming.js';
 import type {
   ResponseHead,
   CallerDialect,
@@ -155,7 +154,12 @@
     this.#head = head;
     this.#status = status;
     this.#headers = headers;
-    this.#framing = bodyFraming(method, status, headers);
+    this.#framing = bodyFraming({
+      method,
+      status,
+      contentLength: headerValue(headers, 'content-length'),
+      transferEncoding: headerValue(headers, 'transfer-encoding'),
+    });
     this.#isRelaying = kind === 'streaming' && isSuccess && !head.notRun;
     if (this.#isRelaying && (events !== null || isEventStream(headers))) {
       this.#boundary = new SseBoundary();
--- a/packages/instance/src/http/ServiceController.ts
+++ b/packages/instance/src/http/ServiceController.ts
@@ -63,8 +63,8 @@
     if (!this.#serviceReply) {
       return;
     }
-    const { status, headers, body, isFramed } = this.#serviceReply;
-    if (!isFramed) {
+    const { status, headers, body, framing } = this.#serviceReply;
+    if (framing === 'closeDelimited') {
       this.#sendUnframed(this.#serviceReply);
       return;
     }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -19,6 +19,8 @@
 export type * from './routing.js';
 export { assertDefined } from './util/assertDefined.js';
 export { assertNever } from './util/assertNever.js';
+export type { BodyFraming } from './util/bodyFraming.js';
+export { bodyFraming, isBodyless } from './util/bodyFraming.js';
 export { createRandom } from './util/createRandom.js';
 export { groupBy } from './util/groupBy.js';
 export {
