refactor(gateway): connections are opened, and resets told from ends, in one place each

The address of a replica was split where it was connected to, and that a reset is reported as an end was known to KeepAliveAgent and TunnelServer by themselves: openSocket takes the address, endedByReset serves both. The options of KeepAliveAgent are either a timeout or a way to open connections, so the default timeout that nothing used goes.

--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -7,9 +7,9 @@
 import type { Socket } from 'node:net';
 
 import { headerValue } from '../util/headers.js';
+import { endedByReset } from './endedByReset.js';
 import { openSocket } from './openSocket.js';
 
-const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 /** Idle timeout of a connection whose server states none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 900;
 /**
@@ -24,22 +24,26 @@
  * operating system.
  */
 export const RESET_ERROR_CODE = 'RESET_BY_SERVER';
-/** Connection limit and timeout for one server. */
-export interface KeepAliveOptions {
-  readonly maxConnections: number;
-  /**
-   * Timeout for opening a connection, in milliseconds; not used with `open`.
-   */
-  readonly connectTimeoutMs?: number;
-  /**
-   * Opens a connection to the server; if omitted, one is opened to the host and
-   * port of the request.
-   */
-  readonly open?: () => Promise<Socket>;
-  /** Whether an idle connection may be kept; all may if omitted. */
-  readonly mayKeep?: (socket: Socket) => boolean;
+
+/** Opens connections to the host and port of each request. */
+interface DirectOpening {
+  /** Timeout for opening a connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+}
+
+/** Opens connections in a way of its own. */
+interface OwnOpening {
+  /** Opens a connection to the server. */
+  readonly open: () => Promise<Socket>;
+  /** Whether an idle connection may be kept. */
+  readonly mayKeep: (socket: Socket) => boolean;
 }
 
+/** Connection limit for one server, and how its connections are opened. */
+export type KeepAliveOptions = (DirectOpening | OwnOpening) & {
+  readonly maxConnections: number;
+};
+
 /**
  * A socket with the internal field in which Node.js stores its last request.
  */
@@ -111,30 +115,21 @@
       });
   }
 
-  /**
-   * Opens a connection with a timeout and tells resets from regular ends.
-   *
-   * A response without length or chunked encoding ends with its connection, so
-   * a truncated one looks complete. If a reset arrives together with the last
-   * bytes, Node.js reports an end and no error. The socket then has no remote
-   * address, whereas it still has one after a regular close.
-   */
+  /** Opens a connection, at once or with the callback. */
   override createConnection(
     { host, port }: ClientRequestArgs,
     callback?: (err: Error | null, socket: Socket) => void,
   ): Socket | undefined {
-    const { connectTimeoutMs: timeoutMs = DEFAULT_CONNECT_TIMEOUT_MS, open } =
-      this.limits;
-    if (!open) {
+    const { limits } = this;
+    if ('connectTimeoutMs' in limits) {
       const socket = openSocket({
-        host: host ?? '',
-        port: Number(port),
-        timeoutMs,
+        address: `${host ?? ''}:${port ?? ''}`,
+        timeoutMs: limits.connectTimeoutMs,
         reader: 'httpParser',
       });
       return this.#watch(socket);
     }
-    open().then(
+    limits.open().then(
       socket => {
         callback?.(null, this.#watch(socket));
       },
@@ -146,7 +141,12 @@
     return undefined;
   }
 
-  /** Notes whether a connection is reset at its end. */
+  /**
+   * Tells resets of a connection from regular ends.
+   *
+   * A response without length or chunked encoding ends with its connection, so
+   * a truncated one looks complete if a reset is taken for the end.
+   */
   #watch(socket: Socket): Socket {
     socket.prependListener('error', (err: NodeJS.ErrnoException) => {
       if (err.code === 'ECONNRESET') {
@@ -154,7 +154,7 @@
       }
     });
     socket.prependListener('end', () => {
-      if (socket.remoteAddress === undefined) {
+      if (endedByReset(socket)) {
         this.#resetAtEnd.add(socket);
       }
     });
@@ -171,8 +171,9 @@
    */
   override keepSocketAlive(socket: KeptSocket): boolean {
     const idleMs = idleTimeoutMs(socket);
-    const { mayKeep = () => true } = this.limits;
-    if (this.#closing || idleMs <= 0 || !mayKeep(socket)) {
+    const { limits } = this;
+    const mayKeep = !('mayKeep' in limits) || limits.mayKeep(socket);
+    if (this.#closing || idleMs <= 0 || !mayKeep) {
       return false;
     }
     socket.setTimeout(idleMs);
--- a/packages/gateway/src/backends/openSocket.ts
+++ b/packages/gateway/src/backends/openSocket.ts
@@ -14,8 +14,8 @@
 
 /** A server to connect to, and how. */
 export interface SocketTarget {
-  readonly host: string;
-  readonly port: number;
+  /** Host and port. */
+  readonly address: string;
   /** Timeout for opening the connection, in milliseconds. */
   readonly timeoutMs: number;
   readonly reader: SocketReader;
@@ -51,15 +51,15 @@
  *   does not open in time
  */
 export function openSocket({
-  host,
-  port,
+  address,
   timeoutMs,
   reader,
   factory = connect,
 }: SocketTarget): Socket {
+  const [host = '', port = ''] = address.split(':');
   const socket = factory({
     host,
-    port,
+    port: Number(port),
     // Without it, each read allocates 64 KiB and passes the stream's queue.
     ...(reader === 'httpParser'
       ? { onread: { buffer: READ_BUFFER, callback: emitRead } }
--- a/packages/gateway/src/relay/ReplicaConnector.ts
+++ b/packages/gateway/src/relay/ReplicaConnector.ts
@@ -107,10 +107,8 @@
   }
 
   #openDirect({ address }: Replica): Socket {
-    const [host = '', port = ''] = address.split(':');
     return openSocket({
-      host,
-      port: Number(port),
+      address,
       timeoutMs: CONNECT_TIMEOUT_MS,
       reader: 'httpParser',
       factory: this.options.factory,
--- a/packages/gateway/src/relay/TunnelServer.ts
+++ b/packages/gateway/src/relay/TunnelServer.ts
@@ -3,6 +3,7 @@
 import type { BackendServerId, Replica } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
+import { endedByReset } from '../backends/endedByReset.js';
 import type { SocketFactory } from '../backends/openSocket.js';
 import { openSocket } from '../backends/openSocket.js';
 import type { GatewayContext } from '../GatewayContext.js';
@@ -42,8 +43,7 @@
     to.resetAndDestroy();
   });
   from.prependOnceListener('end', () => {
-    // A reset that arrives together with the last bytes is reported as an end.
-    if (from.remoteAddress === undefined) {
+    if (endedByReset(from)) {
       to.resetAndDestroy();
     }
   });
@@ -126,10 +126,8 @@
   }
 
   #connect(req: IncomingMessage, socket: Socket, replica: Replica): void {
-    const [host = '', port = ''] = replica.address.split(':');
     const upstream = openSocket({
-      host,
-      port: Number(port),
+      address: replica.address,
       timeoutMs: CONNECT_TIMEOUT_MS,
       reader: 'stream',
       factory: this.factory,
