--- a/packages/decisions/src/gateway/updateReplicaHealth.ts
+++ b/packages/decisions/src/gateway/updateReplicaHealth.ts
@@ -1,6 +1,7 @@
 import type { BackendLoad, GatewayAttempt } from './BackendLoad.js';
 import type { GatewayBoard } from './GatewayBoard.js';
 import { candidatesOf } from './GatewayBoard.js';
+import { isOnLostPath } from './paths/isOnLostPath.js';
 import type { AttemptResult } from './recovery/AttemptResult.js';
 import { isAnswerLost } from './usableCandidates.js';
 
@@ -28,12 +29,11 @@
   attempt: GatewayAttempt,
   result: AttemptResult,
 ): boolean {
-  const { load, sentMs } = attempt;
-  if (sentMs < board.paths.lastLostMs(load.replica)) {
+  if (isOnLostPath(board, attempt)) {
     return true;
   }
   if (result.kind === 'notRun' || result.kind === 'unsent') {
-    return board.pauses.isPaused(load.replica);
+    return board.pauses.isPaused(attempt.load.replica);
   }
   return (
     result.kind === 'withdrawn' &&
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -7,6 +7,7 @@
 import { crashesOf } from './crashes/crashesOf.js';
 import type { GatewayBoard } from './GatewayBoard.js';
 import { candidatesOf, estimatesOf } from './GatewayBoard.js';
+import { isOnLostPath } from './paths/isOnLostPath.js';
 import { isIdempotent } from './recovery/decideRecovery.js';
 
 /**
@@ -95,26 +96,16 @@
   );
 }
 
-/**
- * Returns the attempts at a replica that were sent since its path was last lost.
- * The silence of others says nothing about the replica.
- */
-function attemptsOnPath(
-  { paths }: GatewayBoard,
-  { attempts, replica }: BackendLoad,
-): readonly GatewayAttempt[] {
-  const lostMs = paths.lastLostMs(replica);
-  return [...attempts].filter(({ sentMs }) => sentMs >= lostMs);
-}
-
 /** Whether a replica seems to lose answers. */
 function losesAnswers(board: GatewayBoard, load: BackendLoad): boolean {
   if (load.inFlight < MIN_LOST_ANSWERS) {
     return false;
   }
   let lost = 0;
-  attemptsOnPath(board, load).forEach(attempt => {
-    lost += isAnswerLost(board, attempt) ? 1 : 0;
+  load.attempts.forEach(attempt => {
+    const isLost =
+      !isOnLostPath(board, attempt) && isAnswerLost(board, attempt);
+    lost += isLost ? 1 : 0;
   });
   return lost >= MIN_LOST_ANSWERS;
 }
@@ -134,7 +125,10 @@
     return false;
   }
   const nowMs = board.clock();
-  return attemptsOnPath(board, load).some(attempt => {
+  return [...load.attempts].some(attempt => {
+    if (isOnLostPath(board, attempt)) {
+      return false;
+    }
     const sinceMs = Math.max(load.lastByteMs, attempt.sentMs);
     const timeoutMs =
       attempt.firstByteMs === null
@@ -240,8 +234,10 @@
   if (isAnswerLost(board, attempt)) {
     return true;
   }
-  const isOnLostPath = attempt.sentMs < board.paths.lastLostMs(load.replica);
-  if (!isOnLostPath && nowMs - load.lastByteMs < STALL_TIMEOUT_MS) {
+  if (
+    !isOnLostPath(board, attempt) &&
+    nowMs - load.lastByteMs < STALL_TIMEOUT_MS
+  ) {
     return false;
   }
   if (attempt.lastByteMs !== null) {
