refactor(gateway): carried tunnels are counted when they open and close

The gauge was set ten times a second by the periodic tasks, also where no tunnel ever opens. No change of what it shows; tests of the parts touched pass.

--- a/packages/gateway/src/relay/TunnelServer.ts
+++ b/packages/gateway/src/relay/TunnelServer.ts
@@ -94,6 +94,10 @@
     });
   }
 
+  #countTunnels(): void {
+    this.context.metrics.tunnels.set({ role: 'carried' }, this.#tunnels.size);
+  }
+
   #findReplica(req: IncomingMessage): Replica | null {
     const id = brand<BackendServerId>(headerText(req, BACKEND_SERVER_HEADER));
     const replica = this.context.router.board.replicas.find(id);
@@ -151,8 +155,10 @@
 
   #open(socket: Socket, upstream: Socket): void {
     this.#tunnels.add(socket);
+    this.#countTunnels();
     socket.once('close', () => {
       this.#tunnels.delete(socket);
+      this.#countTunnels();
     });
     socket.setNoDelay(true);
     socket.write(CONNECTED);
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -206,7 +206,6 @@
     limitLogger.logChanges();
     context.connections.closeUnusable();
     context.replicaConnector.probeLostPaths();
-    context.metrics.tunnels.set({ role: 'carried' }, tunnels.count);
     const suspendedMs = takeSuspendedMs();
     if (suspendedMs > 0) {
       log.write('wokeUp', { stoodStillMs: Math.round(suspendedMs) });
