refactor(cli): both gateway commands run the gateway in one way

The command of the soak repeated the steps of the gateway command: start, reload on SIGHUP, wait for the signal to stop, stop. serveGateway has them.

--- a/packages/cli/src/commands/GatewayCommand.ts
+++ b/packages/cli/src/commands/GatewayCommand.ts
@@ -3,7 +3,7 @@
 import type { EarlyConnections } from '@jujubecroft/gateway/early';
 
 import { EXIT } from '../exitCodes.js';
-import { waitForStopSignal } from '../waitForStopSignal.js';
+import { serveGateway } from '../serveGateway.js';
 
 /** Context that the program with only the gateway command passes to it. */
 export interface GatewayCommandContext extends BaseContext {
@@ -40,8 +40,7 @@
 
   async execute(): Promise<number> {
     // Imported on demand, so that other commands do not hold it in memory.
-    const { runGateway, SETTINGS_VARIABLE } =
-      await import('@jujubecroft/platform');
+    const { SETTINGS_VARIABLE } = await import('@jujubecroft/platform');
     const file = this.settings ?? process.env[SETTINGS_VARIABLE];
     if (file === undefined) {
       this.context.stderr.write(
@@ -49,14 +48,11 @@
       );
       return EXIT.usage;
     }
-    const gateway = await runGateway(file, {
+    await serveGateway(file, {
       peerAddress: this.peerAddress,
       dividesCapacity: this.divideCapacity,
       held: this.context.held ?? null,
     });
-    process.on('SIGHUP', gateway.reload);
-    await waitForStopSignal();
-    await gateway.stop();
     return EXIT.ok;
   }
 }
--- a/packages/cli/src/commands/soakCommands.ts
+++ b/packages/cli/src/commands/soakCommands.ts
@@ -10,7 +10,7 @@
 } from '@jujubecroft/soak';
 
 import { EXIT } from '../exitCodes.js';
-import { waitForStopSignal } from '../waitForStopSignal.js';
+import { serveGateway } from '../serveGateway.js';
 
 const positiveInteger = cascade(isNumber(), isInteger(), isPositive());
 /** Breaches printed per promise; the number of all is printed with them. */
@@ -135,18 +135,14 @@
 
   async execute(): Promise<number> {
     const { ReplicaLinks } = await import('@jujubecroft/soak');
-    const { runGateway } = await import('@jujubecroft/platform');
     const links = new ReplicaLinks();
     process.on('message', ({ mode, open }: LinkOrder) => {
       links.cut(mode, open);
     });
-    const gateway = await runGateway(this.settings, {
+    await serveGateway(this.settings, {
       peerAddress: this.peerAddress,
       connect: links.connect,
     });
-    process.on('SIGHUP', gateway.reload);
-    await waitForStopSignal();
-    await gateway.stop();
     process.disconnect();
     return EXIT.ok;
   }
--- a/packages/soak/src/faults/ReplicaLinks.ts
+++ b/packages/soak/src/faults/ReplicaLinks.ts
@@ -53,7 +53,7 @@
 
   /** Repairs the links for new connections. */
   heal(): void {
-    this.#mode = 'well';
+    this.cut('well', 'kept');
   }
 
   #open(options: TcpNetConnectOpts): Socket {
