feat(gateway): software versions of replicas in view, logs and metrics

Logs could not tell the hypotheses about streams of two software versions apart: the version of an entry was checked and dropped, and nothing told whether a request continued an earlier stream.

Replicas carry the version of their entry, also in messages between instances; an entry whose version changes counts as changed. requestPlaced states the version of the replica, that of the stream so far and the request that the caller continues; attemptFailed states whether the caller had events. jujubecroft_gateway_continued_streams_total counts attempts that continue a stream, by who continues it and at which version; explain says the same. Placement is as before.

--- a/packages/bench/src/gateway/ReplayCallers.ts
+++ b/packages/bench/src/gateway/ReplayCallers.ts
@@ -76,6 +76,8 @@
       arrivedMs: nowMs,
       deadlineMs: nowMs + route.timeoutMs,
       isCallerRetry: false,
+      binding: null,
+      resumption: null,
       fingerprint: () => brand<RequestFingerprint>(name),
     };
   }
--- a/packages/bench/src/gateway/createReplayRouter.ts
+++ b/packages/bench/src/gateway/createReplayRouter.ts
@@ -40,6 +40,7 @@
     slots,
     leaving: false,
     coldMs: 0,
+    softwareVersion: null,
     bornMs: null,
   };
 }
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -6,6 +6,7 @@
   RequestId,
   Route,
   RoutedService,
+  SoftwareVersion,
 } from '@jujubecroft/types';
 
 import type { Clock } from '../blackboard/Blackboard.js';
@@ -14,6 +15,16 @@
 import type { CacheFetch } from './placement/PlacementPolicy.js';
 import { PromptCacheEstimate } from './PromptCacheEstimate.js';
 import { ReplicaHealth } from './ReplicaHealth.js';
+import type { StreamBinding } from './streams/StreamBinding.js';
+
+/** A caller's statement that a request continues an earlier stream. */
+export interface Resumption {
+  /**
+   * Request that brought the first event of the stream; null if the caller doesn't
+   * say.
+   */
+  readonly firstRequest: RequestId | null;
+}
 
 /** What routing decisions need to know about one request of a caller. */
 export interface GatewayRequest {
@@ -34,6 +45,10 @@
    * that the caller has left.
    */
   readonly isCallerRetry: boolean;
+  /** Null unless the answer is a stream that may be resumed. */
+  readonly binding: StreamBinding | null;
+  /** Set if the caller continues a stream that an earlier request began. */
+  readonly resumption: Resumption | null;
   /**
    * Computes the fingerprint of the content on demand, since it is rarely
    * needed.
@@ -45,6 +60,8 @@
 export interface GatewayAttempt {
   readonly request: GatewayRequest;
   readonly load: BackendLoad;
+  /** Software version of the addressed run, as known at the last check before the send. */
+  softwareVersion: SoftwareVersion | null;
   /** Number of the attempt; 1 for the first. */
   readonly number: number;
   /** Number of the attempt, counting only attempts that left this instance. */
--- a/packages/decisions/src/gateway/attemptLifecycle.ts
+++ b/packages/decisions/src/gateway/attemptLifecycle.ts
@@ -40,6 +40,7 @@
   const attempt: GatewayAttempt = {
     request,
     load,
+    softwareVersion: load.replica.softwareVersion,
     number,
     sentNumber,
     sentMs: board.clock(),
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -9,6 +9,7 @@
   GatewayRequest,
   PeerUse,
   ReportedLoad,
+  Resumption,
 } from './BackendLoad.js';
 export type { CrashNews, CrashReport } from './crashes/crashNews.js';
 export { CrashLedger } from './crashes/CrashLedger.js';
@@ -79,3 +80,4 @@
 } from './shares/WorkReport.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
+export { StreamBinding } from './streams/StreamBinding.js';
--- a/packages/decisions/src/gateway/replicaRuns.ts
+++ b/packages/decisions/src/gateway/replicaRuns.ts
@@ -52,6 +52,7 @@
     a.leaving === b.leaving &&
     a.slots === b.slots &&
     a.failureDomain === b.failureDomain &&
+    a.softwareVersion === b.softwareVersion &&
     a.bornMs === b.bornMs
   );
 }
--- a/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
+++ b/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
@@ -10,6 +10,7 @@
   RouteId,
   RoutingConfiguration,
   ServiceId,
+  SoftwareVersion,
 } from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
 
@@ -113,6 +114,7 @@
     slots: 64,
     leaving: false,
     coldMs: 0,
+    softwareVersion: brand<SoftwareVersion>('v1'),
     bornMs: null,
     ...overrides,
   };
@@ -182,6 +184,8 @@
         arrivedMs: clock.now(),
         deadlineMs: clock.now() + of.timeoutMs,
         isCallerRetry: false,
+        binding: null,
+        resumption: null,
         fingerprint: () => brand<RequestFingerprint>(`f-${count}`),
         ...overrides,
       };
--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -33,6 +33,27 @@
   return `${behind}${copies}`;
 }
 
+/** Describes the software versions of an attempt; empty where the line has none. */
+function describeVersion({
+  softwareVersion,
+  boundVersion,
+  resumes,
+}: Fields): string {
+  const own =
+    softwareVersion === undefined
+      ? ''
+      : `; software version ${formatValue(softwareVersion)}`;
+  const bound =
+    boundVersion === undefined
+      ? ''
+      : `; the stream began at version ${formatValue(boundVersion)}`;
+  const resumed =
+    resumes === undefined
+      ? ''
+      : `; the caller continues the stream of request ${formatValue(resumes)}`;
+  return `${own}${bound}${resumed}`;
+}
+
 /** Describes why an organisation was held back; empty where it wasn't. */
 function describeShare(fields: Fields): string {
   return fields.because === 'aboveShare'
@@ -54,7 +75,7 @@
 /** Sentence for each kind of line; other kinds are shown with all their fields. */
 const SENTENCES: Readonly<Record<string, (fields: Fields) => string>> = {
   requestPlaced: f =>
-    `attempt ${formatValue(f.attempt)} is sent to ${formatValue(f.backendServer)} at rank ${formatValue(f.rank)}, the best of ${formatValue(f.candidates)} candidates: first byte expected after ${formatValue(f.predictedMs)} ms with ${formatValue(f.tokensAhead)} prompt tokens ahead and ${formatValue(f.inFlight)} requests there; replicas as of version ${formatValue(f.replicasVersion)}, ${formatValue(f.replicasAgeMs)} ms old, configuration ${formatValue(f.configuration)}; ${formatValue(f.leftMs)} ms left${describePlacement(f)}`,
+    `attempt ${formatValue(f.attempt)} is sent to ${formatValue(f.backendServer)} at rank ${formatValue(f.rank)}, the best of ${formatValue(f.candidates)} candidates: first byte expected after ${formatValue(f.predictedMs)} ms with ${formatValue(f.tokensAhead)} prompt tokens ahead and ${formatValue(f.inFlight)} requests there; replicas as of version ${formatValue(f.replicasVersion)}, ${formatValue(f.replicasAgeMs)} ms old, configuration ${formatValue(f.configuration)}; ${formatValue(f.leftMs)} ms left${describePlacement(f)}${describeVersion(f)}`,
   sentOnOldView: f =>
     `sent to ${formatValue(f.backendServer)} by a view that ${formatValue(f.confirmedBy)} confirmed last, ${formatValue(f.viewAgeMs)} ms ago (${formatValue(f.state)}); entry as of version ${formatValue(f.rowVersion)}, replicas as of version ${formatValue(f.replicasVersion)}`,
   attemptFailed: f =>
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -247,7 +247,7 @@
           }
           router.onBytes(attempt, assembler.wasExecuted);
           this.#timings.onChunk();
-          return assembler.push(chunk);
+          return this.#push(attempt, assembler, chunk);
         },
       },
     );
@@ -278,6 +278,19 @@
     }
   }
 
+  /** Accepts a chunk of a response; the first event for the caller binds the stream. */
+  #push(
+    attempt: GatewayAttempt,
+    assembler: ResponseAssembler,
+    chunk: Buffer,
+  ): boolean {
+    const acceptsMore = assembler.push(chunk);
+    if (this.#response.hasStarted) {
+      this.request.binding?.bind(attempt.softwareVersion);
+    }
+    return acceptsMore;
+  }
+
   /** Checks an attempt for the last time before its first byte is sent. */
   #maySend(attempt: GatewayAttempt, relay: RelayedConnection | null): boolean {
     const { lease, router } = this.context;
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -164,6 +164,36 @@
     : {};
 }
 
+/**
+ * Log fields of the software versions that concern a stream.
+ *
+ * @param request - the request
+ * @param attempt - the attempt
+ * @returns version of the replica; for a stream that goes on, the version of its events so
+ *   far and the earlier request that the caller names
+ */
+function versionFields(
+  { binding, resumption }: GatewayRequest,
+  { softwareVersion }: GatewayAttempt,
+): LogFields {
+  return {
+    softwareVersion,
+    ...(binding?.isBound === true ? { boundVersion: binding.version } : {}),
+    ...(resumption ? { resumes: resumption.firstRequest } : {}),
+  };
+}
+
+/** Whether a stream goes on at the version that wrote its events so far. */
+function continuityOf(
+  { binding }: GatewayRequest,
+  { softwareVersion }: GatewayAttempt,
+): 'otherVersion' | 'sameVersion' | 'unknownVersion' {
+  if (!binding?.isBound || binding.version === null) {
+    return 'unknownVersion';
+  }
+  return binding.version === softwareVersion ? 'sameVersion' : 'otherVersion';
+}
+
 /** Logs the events of one request and counts them in the metrics. */
 export class RequestRecorder {
   readonly #labels: { readonly kind: string; readonly priority: string };
@@ -186,6 +216,7 @@
   placed(attempt: GatewayAttempt, candidates: number): void {
     const { context, request } = this;
     const { board } = context.router;
+    this.#countContinued(attempt);
     context.log.write('requestPlaced', {
       request: request.id,
       route: request.route.id,
@@ -207,6 +238,7 @@
           }
         : {}),
       ...speedFields(board, attempt),
+      ...versionFields(request, attempt),
       inFlight: attempt.load.totalInFlight,
       candidates,
       replicasVersion: formatStoreVersion(board.replicas.version),
@@ -216,6 +248,19 @@
     });
   }
 
+  /** Counts an attempt that continues a stream of which the caller has events. */
+  #countContinued(attempt: GatewayAttempt): void {
+    const { request, context } = this;
+    const { binding, resumption, service } = request;
+    if (resumption !== null || binding?.isBound === true) {
+      context.metrics.continuedStreams.inc({
+        service: service.id,
+        by: attempt.number > 1 ? 'instance' : 'caller',
+        version: continuityOf(request, attempt),
+      });
+    }
+  }
+
   /** Records that an attempt has passed the last check and is being sent. */
   sending(attempt: GatewayAttempt, relay: RelayedConnection | null): void {
     const { context, request } = this;
@@ -306,7 +351,7 @@
 
   /** Records an attempt without a response for the caller. */
   failed(
-    { load }: GatewayAttempt,
+    { load, softwareVersion }: GatewayAttempt,
     result: AttemptResult,
     recovery: Recovery,
     { sent, reused }: FailedSend,
@@ -320,6 +365,7 @@
       request: request.id,
       fingerprint: request.fingerprint(),
       backendServer: load.replica.id,
+      softwareVersion,
       result: result.kind,
       ...('reason' in result ? { reason: result.reason } : {}),
       ...('status' in result ? { status: result.status } : {}),
@@ -327,6 +373,7 @@
       next: recovery.kind,
       sent,
       reused,
+      ...(request.binding ? { hasEvents: request.binding.isBound } : {}),
       budgetLeft: Math.floor(context.router.board.budget.left(service)),
       idempotent: isIdempotent(request.route),
     });
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { GatewayRequest, Match } from '@jujubecroft/decisions';
-import type { RequestId, ResultCodeId } from '@jujubecroft/types';
+import { StreamBinding } from '@jujubecroft/decisions';
+import type { RequestId, ResultCodeId, Route } from '@jujubecroft/types';
 
 import { CallerResponse } from '../forward/CallerResponse.js';
 import { fingerprintOf } from '../forward/fingerprintOf.js';
@@ -9,6 +10,7 @@
 import { gatewayResponse } from '../forward/gatewayResponse.js';
 import { STALE_VIEW_RETRY_MS } from '../forward/placeWhenViewUsable.js';
 import type { GatewayContext } from '../GatewayContext.js';
+import type { RequestHead } from '../ports/CallerDialect.js';
 import { headerValue } from '../util/headers.js';
 import { nextTurn } from '../util/nextTurn.js';
 import { once } from '../util/once.js';
@@ -71,6 +73,18 @@
   });
 }
 
+/** Whether the answer may be resumed, and whether the caller resumes an earlier one. */
+function streamFieldsOf(
+  { kind, resumable }: Route,
+  { lastEventId, firstRequest }: RequestHead,
+): Pick<GatewayRequest, 'binding' | 'resumption'> {
+  const isStream = kind === 'streaming';
+  return {
+    binding: isStream && resumable ? new StreamBinding() : null,
+    resumption: isStream && lastEventId !== null ? { firstRequest } : null,
+  };
+}
+
 function toGatewayRequest(
   context: GatewayContext,
   call: IncomingRequest,
@@ -90,6 +104,7 @@
     arrivedMs,
     deadlineMs: arrivedMs + Math.min(route.timeoutMs, timeLeftMs),
     isCallerRetry: context.router.isCallerRetry(route, timeLeftMs),
+    ...streamFieldsOf(route, head),
     fingerprint: once(() => fingerprintOf(call, organisation?.id ?? null)),
   };
 }
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -45,6 +45,12 @@
     labelNames: ['service', 'framing', 'end'] as const,
     registers: this.#registers,
   });
+  readonly continuedStreams = new Counter({
+    name: 'jujubecroft_gateway_continued_streams_total',
+    help: 'Attempts that continue a stream, by who continues it and whether at the software version that began it.',
+    labelNames: ['service', 'by', 'version'] as const,
+    registers: this.#registers,
+  });
   readonly relayed = new Counter({
     name: 'jujubecroft_gateway_relayed_requests_total',
     help: 'Requests that were sent to a backend server through another instance.',
--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -29,6 +29,11 @@
    * request.
    */
   readonly lastEventId: string | null;
+  /**
+   * Request that brought the first event of the stream that the caller
+   * continues; null if it names none.
+   */
+  readonly firstRequest: RequestId | null;
 }
 
 /** Values that the gateway adds to a request for a backend server. */
--- a/packages/gateway/src/state/gatewayState.ts
+++ b/packages/gateway/src/state/gatewayState.ts
@@ -15,6 +15,7 @@
   Replica,
   RouteId,
   ServiceId,
+  SoftwareVersion,
 } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
@@ -28,6 +29,8 @@
 const NO_LIMIT = -1;
 /** Stands on the wire for an unknown start time of a replica. */
 const UNKNOWN_START = 0;
+/** Stands on the wire for an unknown software version. */
+const UNKNOWN_VERSION = '';
 /** Fields of a removed entry; only `exists` has a meaning. */
 const REMOVED_ENTRY = {
   exists: false,
@@ -38,17 +41,33 @@
   leaving: false,
   coldMs: 0,
   spot: false,
+  softwareVersion: UNKNOWN_VERSION,
 } as const;
 
 function runStartOf({ bornMs }: { readonly bornMs: number }): number | null {
   return bornMs === UNKNOWN_START ? null : bornMs;
 }
 
+function versionOf({
+  softwareVersion,
+}: {
+  readonly softwareVersion: string;
+}): SoftwareVersion | null {
+  return softwareVersion === UNKNOWN_VERSION
+    ? null
+    : brand<SoftwareVersion>(softwareVersion);
+}
+
 /** Converts a replica record to its message. */
 function toEntry(record: ReplicaRecord): proto.ReplicaEntry {
   const { id, replica, rowVersion, changedAt, bornMs, goneAtMs } = record;
   const content = replica
-    ? { ...replica, exists: true, spot: replica.spot ?? false }
+    ? {
+        ...replica,
+        exists: true,
+        spot: replica.spot ?? false,
+        softwareVersion: replica.softwareVersion ?? UNKNOWN_VERSION,
+      }
     : REMOVED_ENTRY;
   return {
     ...content,
@@ -68,6 +87,7 @@
     service: brand<ServiceId>(entry.service),
     address: entry.address,
     failureDomain: brand<FailureDomainId>(entry.failureDomain),
+    softwareVersion: versionOf(entry),
     slots: entry.slots,
     leaving: entry.leaving,
     coldMs: entry.coldMs,
--- a/packages/gateway/tests/backends/AvoidanceLogger.test.ts
+++ b/packages/gateway/tests/backends/AvoidanceLogger.test.ts
@@ -33,6 +33,7 @@
       slots: 1,
       leaving: false,
       coldMs: 0,
+      softwareVersion: null,
       bornMs: null,
     };
     board.replicas.applyRows(
--- a/packages/gateway/tests/backends/BackendConnections.test.ts
+++ b/packages/gateway/tests/backends/BackendConnections.test.ts
@@ -17,6 +17,7 @@
   slots: 4,
   leaving: false,
   coldMs: 0,
+  softwareVersion: null,
   bornMs: 1,
 };
 
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -377,6 +377,8 @@
       arrivedMs: this.time.nowMs,
       deadlineMs: this.time.nowMs + TIME_LIMIT_MS,
       isCallerRetry: false,
+      binding: null,
+      resumption: null,
       fingerprint: () => fingerprint,
     };
     const decision = await placeWhenViewUsable(context, request, new Set());
--- a/packages/gateway/tests/helpers/virtualDeployment.ts
+++ b/packages/gateway/tests/helpers/virtualDeployment.ts
@@ -10,6 +10,7 @@
   RouteId,
   RoutingConfiguration,
   ServiceId,
+  SoftwareVersion,
 } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
@@ -91,6 +92,7 @@
     slots: 64,
     leaving,
     coldMs: 0,
+    softwareVersion: brand<SoftwareVersion>('v1'),
     bornMs: null,
   };
 }
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -5,6 +5,7 @@
   OrganisationId,
   RouteId,
   ServiceId,
+  SoftwareVersion,
 } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
@@ -133,6 +134,7 @@
       slots: 4,
       leaving: true,
       coldMs: 12.5,
+      softwareVersion: brand<SoftwareVersion>('v1.2'),
       bornMs: 1_764_000_000_123,
     };
     const { bornMs } = replica;
--- a/packages/types/src/brand.ts
+++ b/packages/types/src/brand.ts
@@ -14,6 +14,8 @@
 export type RequestFingerprint = Brand<string, 'RequestFingerprint'>;
 export type RouteId = Brand<string, 'RouteId'>;
 export type ServiceId = Brand<string, 'ServiceId'>;
+/** Release of a backend server's software. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 
 /**
  * Casts a string to a branded type. Use it only where external data enters.
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -4,6 +4,7 @@
   OrganisationId,
   RouteId,
   ServiceId,
+  SoftwareVersion,
 } from './brand.js';
 
 /**
@@ -123,6 +124,8 @@
   /** IP address and port. */
   readonly address: string;
   readonly failureDomain: FailureDomainId;
+  /** Release of its software; null where the entry does not say. */
+  readonly softwareVersion: SoftwareVersion | null;
   readonly slots: number;
   /** Whether the replica is shutting down: it gets no new requests. */
   readonly leaving: boolean;
