fix(gateway): a stream goes on within an answer only at the version that began it

Cause: all replicas of a service counted as interchangeable. A further attempt went to any untried one, and a stream was withdrawn from a slow replica for any other.

The first event for the caller binds a stream to the version of the run that wrote it, as known when the attempt was placed; the last check before a send requires that the entry still states that version. Placement, moves, retries and the decision whether a retry is of use see replicas of that version only. An unknown version equals no other. Without such a replica the answer is cut, and no retry is taken from the budget.

Why it works: versions are known from the entries at every send, and one set of candidates serves all places that choose a replica for a request.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -32,7 +32,9 @@
 import type { AttemptResult, Recovery } from './recovery/AttemptResult.js';
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
+import { passesLastCheck } from './passesLastCheck.js';
 import { isLaterRun } from './replicaRuns.js';
+import { candidatesFor } from './streams/candidatesFor.js';
 import { isUnresponsive, shouldMoveElsewhere } from './usableCandidates.js';
 import { RoutingTable } from './RoutingTable.js';
 
@@ -180,22 +182,9 @@
     return beginAttempt(this.board, request, placed, { number, sentNumber });
   }
 
-  /**
-   * Whether the request of an attempt may still be sent to its replica. To be
-   * called before any byte is sent.
-   *
-   * @returns false once the replica is leaving, gone, restarted or paused, or
-   *   the request is barred because its content has crashed other replicas
-   */
-  mayReceive({ load, request }: GatewayAttempt): boolean {
-    const { id } = load.replica;
-    const known = this.board.replicas.find(id);
-    return (
-      known?.leaving === false &&
-      this.board.backends.get(id) === load &&
-      !this.board.pauses.isPaused(load.replica) &&
-      !isBarred(this.board, request)
-    );
+  /** See {@link passesLastCheck}. */
+  mayReceive(attempt: GatewayAttempt): boolean {
+    return passesLastCheck(this.board, attempt);
   }
 
   /**
@@ -276,6 +265,7 @@
       ...counts,
       route: request.route,
       timeLeftMs: request.deadlineMs - this.board.clock(),
+      hasCandidates: () => candidatesFor(this.board, request).length > 0,
       retryHelps: () => this.board.retryGain.shouldRetry(request.route.id),
       isSuspect: () =>
         crashesOf(this.board, request).length >= MIN_SUSPECT_CRASHES,
--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -10,7 +10,6 @@
 import type { CrashedRun } from './crashes/crashNews.js';
 import { promptSizeAllowanceMs } from './promptSizeAllowanceMs.js';
 import type { GatewayBoard } from './GatewayBoard.js';
-import { candidatesOf } from './GatewayBoard.js';
 import type {
   PlacedCandidate,
   PlacementPolicy,
@@ -18,6 +17,8 @@
 import { isSameRun } from './replicaRuns.js';
 import type { OrganisationShare } from './shares/divideCapacity.js';
 import { holdBack, recordAdmission } from './shares/holdBack.js';
+import { candidatesFor } from './streams/candidatesFor.js';
+import type { StreamBinding } from './streams/StreamBinding.js';
 import { usableCandidates } from './usableCandidates.js';
 
 /** Placement and admission policies of the gateway. */
@@ -111,6 +112,21 @@
   };
 }
 
+/**
+ * Rejects a request to continue a stream that no replica can continue. The same request
+ * is of no use later, since versions that were replaced don't come back.
+ */
+function refuseContinuation({ version }: StreamBinding): PlacementDecision {
+  return {
+    kind: 'refuse',
+    code: version === null ? 'streamVersionUnknown' : 'streamVersionGone',
+    retryAfterMs: 0,
+    verdict: null,
+    best: null,
+    candidates: 0,
+  };
+}
+
 /**
  * Restricts a request that may crash its replica to the one with the fewest
  * requests in flight.
@@ -170,7 +186,7 @@
   request: GatewayRequest,
   tried: ReadonlySet<BackendServerId>,
 ): PlacementDecision {
-  const all = candidatesOf(board, request.service.id);
+  const all = candidatesFor(board, request);
   const isFirst = tried.size === 0;
   const untried = isFirst
     ? all
@@ -179,6 +195,9 @@
   if (crashes.length >= MAX_CRASHES) {
     return refuseCrashing(board, request);
   }
+  if (all.length === 0 && request.binding?.isBound === true) {
+    return refuseContinuation(request.binding);
+  }
   const usable = limitCrashExposure(
     usableCandidates(board, request, untried),
     crashes,
--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -18,6 +18,8 @@
   /** Whether an earlier attempt may have run. */
   readonly mayHaveRun: boolean;
   readonly timeLeftMs: number;
+  /** Whether any replica could answer, or continue the stream that has begun. */
+  readonly hasCandidates: () => boolean;
   /** Whether retries after a failure answer have helped on this route. */
   readonly retryHelps: () => boolean;
   /** Whether the request was lost in more than one crash. */
@@ -53,6 +55,7 @@
     facts.sent < facts.route.maxAttempts &&
     facts.timeLeftMs > MIN_RETRY_MS &&
     !facts.isSuspect() &&
+    facts.hasCandidates() &&
     facts.takeRetry()
   );
 }
--- a/packages/decisions/src/gateway/streams/StreamBinding.ts
+++ b/packages/decisions/src/gateway/streams/StreamBinding.ts
@@ -1,7 +1,8 @@
-import type { SoftwareVersion } from '@jujubecroft/types';
+import type { Replica, SoftwareVersion } from '@jujubecroft/types';
 
 /**
- * Software version that the events of one stream come from.
+ * Software version that the events of one stream come from. What two versions write
+ * does not fit together, and replicas don't check where a stream began.
  *
  * A stream is bound by the first event that its caller gets. Whatever an attempt
  * wrote without an event for the caller binds nothing.
@@ -34,4 +35,15 @@
     this.#version = version;
     return true;
   }
+
+  /**
+   * Whether a replica may write the next events. Unknown versions differ from all
+   * others, also from each other.
+   */
+  allows({ softwareVersion }: Pick<Replica, 'softwareVersion'>): boolean {
+    return (
+      !this.#isBound ||
+      (this.#version !== null && softwareVersion === this.#version)
+    );
+  }
 }
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -6,9 +6,10 @@
 import { MIN_SUSPECT_CRASHES } from './crashes/CrashLedger.js';
 import { crashesOf } from './crashes/crashesOf.js';
 import type { GatewayBoard } from './GatewayBoard.js';
-import { candidatesOf, estimatesOf } from './GatewayBoard.js';
+import { estimatesOf } from './GatewayBoard.js';
 import { isOnLostPath } from './paths/isOnLostPath.js';
 import { isIdempotent } from './recovery/decideRecovery.js';
+import { candidatesFor } from './streams/candidatesFor.js';
 
 /**
  * Share of a replica's connection limit that all instances together use. The
@@ -218,7 +219,7 @@
     deadlineMs - board.clock() > MIN_MOVE_TIME_LEFT_MS &&
     board.budget.left(service.id) >= 1 &&
     crashesOf(board, request).length < MIN_SUSPECT_CRASHES &&
-    candidatesOf(board, service.id).some(
+    candidatesFor(board, request).some(
       other =>
         other !== load &&
         !isUnresponsive(board, other) &&
--- a/packages/decisions/tests/gateway/recovery/decideRecovery.test.ts
+++ b/packages/decisions/tests/gateway/recovery/decideRecovery.test.ts
@@ -19,6 +19,7 @@
   retryHelps: () => true,
   isSuspect: () => false,
   takeRetry: () => true,
+  hasCandidates: () => true,
   ...overrides,
 });
 
--- a/packages/gateway/src/forward/RequestFinisher.ts
+++ b/packages/gateway/src/forward/RequestFinisher.ts
@@ -90,6 +90,7 @@
     this.notes.ended(event, reportedCode, progress, {
       retryAfterMs: Math.round(retryAfterMs),
       started,
+      ...(reportedCode === code ? {} : { cause: code }),
       ...facts,
     });
   }
--- a/packages/types/src/resultCodes.ts
+++ b/packages/types/src/resultCodes.ts
@@ -169,6 +169,23 @@
     summary: 'Several backend servers crashed while they ran the same request.',
     action: 'Change the request, or wait for the time in Retry-After.',
   },
+  streamVersionUnknown: {
+    number: 2011,
+    httpStatus: 503,
+    ran: 'no',
+    summary:
+      'It is not known at which software version the stream began that the request continues.',
+    action:
+      'Name the request that brought the first event, or send it anew without a last event id.',
+  },
+  streamVersionGone: {
+    number: 2012,
+    httpStatus: 503,
+    ran: 'no',
+    summary:
+      'No backend server has the software version that began the stream any more.',
+    action: 'Send the request anew without a last event id.',
+  },
   backendNotRun: {
     number: 3001,
     httpStatus: 502,
