fix(gateway): streams that callers continue go on only at the version that began them

Callers whose connection broke sent the request again with their last event id, to any instance, and got the rest of the stream from replicas of another software version.

Cause: an instance placed such a request like a new one. The header that names the first request was not read, and nobody told other instances at which version a stream began.

The instance that sends the first event records the origin of the stream, its service and version, under a hash of the organisation and the request. While a service has had several versions, or the view is not current, the record goes to three instances in different failure domains, chosen by rendezvous hashing; a stopping instance passes its records on. Whoever gets a request that continues a stream asks its own records, the keepers, then some others. Where a service has had one version for as long as the stream can have lasted, and a read of the store that began after the request confirms it, that is its version. Otherwise the request is refused with 503 and has not run.

Why it works: a stream goes on only by a record of the instance that wrote its first event, or by a history without any other version. A lost record costs a refusal. Reports that contradict each other make a stream unknown.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -24,6 +24,11 @@
    * say.
    */
   readonly firstRequest: RequestId | null;
+  /** Longest time since the first event, in milliseconds. */
+  readonly maxAgeMs: number;
+  /** Who knew at which version the stream began, and how old the knowledge is. */
+  readonly knownFrom?: string;
+  readonly knownAgeMs?: number;
 }
 
 /** What routing decisions need to know about one request of a caller. */
--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -27,6 +27,7 @@
 import { OrganisationShares } from './shares/OrganisationShares.js';
 import { StoreClock } from './StoreClock.js';
 import { StoreOutage } from './StoreOutage.js';
+import { VersionHistory } from './streams/VersionHistory.js';
 
 /**
  * Settings and dependencies that are fixed for the lifetime of one instance.
@@ -81,6 +82,8 @@
   readonly storeClock: StoreClock;
   readonly outage: StoreOutage;
   readonly replicas: ReplicaRegistry;
+  /** Software versions that replicas have had. */
+  readonly versions: VersionHistory;
   /**
    * State of the duties, which one instance performs for all; null for none.
    */
@@ -157,6 +160,7 @@
     storeClock,
     outage: new StoreOutage(clock),
     replicas,
+    versions: new VersionHistory(clock, () => replicas.unseenRemovals),
     duties: settings && createDutyBoard({ settings, storeClock, timeOfDay }),
     shares: dividesCapacity
       ? new OrganisationShares({ clock, random, timeOfDay })
--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -77,7 +77,8 @@
    * that are gone and have no attempts.
    */
   syncReplicas(): void {
-    const { replicas, backends, speeds, paths } = this.board;
+    const { replicas, backends, speeds, paths, versions } = this.board;
+    versions.observe(replicas.replicas);
     replicas.replicas.forEach(replica => {
       this.#syncReplica(replica);
     });
--- a/packages/decisions/src/gateway/ReplicaRegistry.ts
+++ b/packages/decisions/src/gateway/ReplicaRegistry.ts
@@ -1,9 +1,9 @@
 import type { BackendServerId, Replica } from '@jujubecroft/types';
-import { eraOf, toStoreVersion } from '@jujubecroft/types';
+import { eraOf } from '@jujubecroft/types';
 
 import { AnnouncedLeaves } from './AnnouncedLeaves.js';
 import type { ChangeSelection } from './listChanges.js';
-import { changesSince, newestChanges } from './listChanges.js';
+import { changesSince, newestChanges, startOfEra } from './listChanges.js';
 import type {
   ReplicaChange,
   ReplicaChanges,
@@ -37,11 +37,6 @@
 /** A time on the store's clock that is always in the past. */
 const PAST_MS = 0;
 
-/** Returns the version before all others of the same era. */
-function startOfEra(version: number): number {
-  return toStoreVersion(eraOf(version), 0);
-}
-
 /**
  * The replicas of all services, built from their entries in the store.
  *
@@ -62,6 +57,7 @@
   /** Store version from which all removals are known. */
   #removalsFrom = 0;
   #lapseGraceUntilMs = -Infinity;
+  #unseenRemovals = 0;
 
   constructor(private readonly storeClock: StoreClock) {
     this.#announcedLeaves = new AnnouncedLeaves(() => storeClock.latestMs);
@@ -92,6 +88,11 @@
     return this.storeClock.ageOf(this.#asOfMs);
   }
 
+  /** Number of entries that were removed before their content was known here. */
+  get unseenRemovals(): number {
+    return this.#unseenRemovals;
+  }
+
   /** All existing replicas, including leaving ones. */
   get replicas(): readonly Replica[] {
     return [...this.#records.values()].flatMap(({ replica }) =>
@@ -402,6 +403,7 @@
     { id, rowVersion }: ReplicaRow,
     before: ReplicaRecord | undefined,
   ): ReplicaChange | null {
+    this.#unseenRemovals += before ? 0 : 1;
     const nowMs = this.storeClock.latestMs;
     const graceUntilMs =
       before && isMissingInCopy(before, rowVersion)
@@ -437,6 +439,7 @@
       this.#keepEarlierLeave(before, replica, rowVersion);
     }
     this.#store({ ...record, bornMs: latestStartMs(record, before) });
+    this.#unseenRemovals += before || replica ? 0 : 1;
     if (!replica) {
       return before?.replica ? [{ kind: 'gone', id, rowVersion }] : [];
     }
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -80,4 +80,14 @@
 } from './shares/WorkReport.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
+export type { Keeper } from './streams/keepersOf.js';
+export { keepersOf } from './streams/keepersOf.js';
 export { StreamBinding } from './streams/StreamBinding.js';
+export type {
+  KnownOrigin,
+  StreamOrigin,
+  StreamRecord,
+} from './streams/StreamRecords.js';
+export { StreamRecords } from './streams/StreamRecords.js';
+export type { SoleVersion } from './streams/VersionHistory.js';
+export { VersionHistory } from './streams/VersionHistory.js';
--- a/packages/decisions/src/gateway/listChanges.ts
+++ b/packages/decisions/src/gateway/listChanges.ts
@@ -1,5 +1,12 @@
+import { eraOf, toStoreVersion } from '@jujubecroft/types';
+
 import type { ReplicaChanges, ReplicaRecord } from './ReplicaRecord.js';
 
+/** Returns the version before all others of the same era. */
+export function startOfEra(version: number): number {
+  return toStoreVersion(eraOf(version), 0);
+}
+
 /**
  * Changes selected from a view, without the fields that describe the view as a
  * whole.
--- /dev/null
+++ b/packages/decisions/src/gateway/streams/StreamRecords.ts
@@ -0,0 +1,107 @@
+import type { ServiceId, SoftwareVersion, StreamKey } from '@jujubecroft/types';
+
+import type { Clock } from '../../blackboard/Blackboard.js';
+
+/** Where a stream began. */
+export interface StreamOrigin {
+  readonly service: ServiceId;
+  readonly softwareVersion: SoftwareVersion;
+}
+
+/** The origin of one stream, with the time for which it has to be kept. */
+export interface StreamRecord extends StreamOrigin {
+  readonly key: StreamKey;
+  readonly keepMs: number;
+}
+
+/** A known origin and how long ago it was last reported. */
+export interface KnownOrigin extends StreamOrigin {
+  readonly ageMs: number;
+}
+
+interface KeptRecord extends StreamRecord {
+  readonly atMs: number;
+  /** Whether the stream was reported with different origins. */
+  readonly isAmbiguous: boolean;
+}
+
+/** Maximum number of records; beyond it, those reported least recently are dropped. */
+const MAX_RECORDS = 20_000;
+
+/** Origins of streams that began at this instance or that others reported to it. */
+export class StreamRecords {
+  /** In the order in which they were last reported. */
+  readonly #kept = new Map<StreamKey, KeptRecord>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * Adds a record, or extends the time for which a known one is kept.
+   *
+   * A caller that sends two requests under one id may begin two streams. Their origin is
+   * ambiguous then, and neither of them is continued.
+   */
+  add(record: StreamRecord): void {
+    const known = this.#find(record.key);
+    const isAmbiguous =
+      known !== undefined &&
+      (known.isAmbiguous ||
+        known.service !== record.service ||
+        known.softwareVersion !== record.softwareVersion);
+    this.#kept.delete(record.key);
+    this.#kept.set(record.key, {
+      ...record,
+      atMs: this.clock(),
+      isAmbiguous,
+    });
+    this.#prune();
+  }
+
+  /** Returns the origin of a stream; null if it is unknown or ambiguous. */
+  find(key: StreamKey): KnownOrigin | null {
+    const known = this.#find(key);
+    if (!known || known.isAmbiguous) {
+      return null;
+    }
+    const { service, softwareVersion, atMs } = known;
+    return { service, softwareVersion, ageMs: this.clock() - atMs };
+  }
+
+  /** All unambiguous records, with the time for which they are still to be kept. */
+  get current(): readonly StreamRecord[] {
+    const nowMs = this.clock();
+    return [...this.#kept.values()]
+      .filter(({ isAmbiguous }) => !isAmbiguous)
+      .map(({ key, service, softwareVersion, keepMs, atMs }) => ({
+        key,
+        service,
+        softwareVersion,
+        keepMs: atMs + keepMs - nowMs,
+      }))
+      .filter(({ keepMs }) => keepMs > 0);
+  }
+
+  /** Number of records, expired ones included. */
+  get size(): number {
+    return this.#kept.size;
+  }
+
+  #find(key: StreamKey): KeptRecord | undefined {
+    const known = this.#kept.get(key);
+    return known && this.#isCurrent(known) ? known : undefined;
+  }
+
+  #isCurrent({ atMs, keepMs }: KeptRecord): boolean {
+    return this.clock() - atMs <= keepMs;
+  }
+
+  /** Drops the oldest records that have expired or exceed the limit. */
+  #prune(): void {
+    for (const [key, record] of this.#kept) {
+      if (this.#kept.size <= MAX_RECORDS && this.#isCurrent(record)) {
+        return;
+      }
+      this.#kept.delete(key);
+    }
+  }
+}
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -14,6 +14,7 @@
 import type { RelayConnector } from './relay/RelayConnector.js';
 import type { ReplicaConnector } from './relay/ReplicaConnector.js';
 import type { ViewLease } from './state/ViewLease.js';
+import type { StreamOrigins } from './streams/StreamOrigins.js';
 
 /** State and services that the parts of one instance share. */
 export interface GatewayContext {
@@ -27,6 +28,8 @@
   readonly replicaConnector: ReplicaConnector;
   /** Opens connections to replicas through other instances. */
   readonly relay: RelayConnector;
+  /** Software versions at which streams began. */
+  readonly streams: StreamOrigins;
   readonly dialect: CallerDialect;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -22,6 +22,7 @@
 import { refutationMs } from './state/refutationMs.js';
 import { createBypassLogger } from './state/createBypassLogger.js';
 import { ViewLease } from './state/ViewLease.js';
+import { StreamOrigins } from './streams/StreamOrigins.js';
 
 /** Interval of the periodic tasks of an instance. */
 export const HOUSEKEEPING_INTERVAL_MS = 100;
@@ -116,7 +117,7 @@
       }
     },
   });
-  const context: GatewayContext = {
+  const parts: Omit<GatewayContext, 'streams'> = {
     settings,
     router,
     membership,
@@ -133,6 +134,10 @@
     leaving: false,
     stopPlan: null,
   };
+  // The same object, since some of its fields change.
+  const context: GatewayContext = Object.assign(parts, {
+    streams: new StreamOrigins(parts),
+  });
   context.lease.onBypass(createBypassLogger(context));
   return context;
 }
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -285,8 +285,12 @@
     chunk: Buffer,
   ): boolean {
     const acceptsMore = assembler.push(chunk);
-    if (this.#response.hasStarted) {
-      this.request.binding?.bind(attempt.softwareVersion);
+    const { binding } = this.request;
+    if (
+      this.#response.hasStarted &&
+      binding?.bind(attempt.softwareVersion) === true
+    ) {
+      this.context.streams.onBegun(this.request);
     }
     return acceptsMore;
   }
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -7,6 +7,7 @@
   OrganisationShare,
   PlacedCandidate,
   Recovery,
+  Resumption,
 } from '@jujubecroft/decisions';
 import {
   determineViewState,
@@ -164,6 +165,23 @@
     : {};
 }
 
+/**
+ * Log fields of a request that continues a stream.
+ *
+ * @param resumption - the caller's statement; null for any other request
+ * @returns the request that the caller names, who knew where the stream began, and how old
+ *   the knowledge was
+ */
+function resumptionFields(resumption: Resumption | null): LogFields {
+  return resumption
+    ? {
+        resumes: resumption.firstRequest,
+        knownFrom: resumption.knownFrom ?? null,
+        knownAgeMs: Math.round(resumption.knownAgeMs ?? 0),
+      }
+    : {};
+}
+
 /**
  * Log fields of the software versions that concern a stream.
  *
@@ -179,7 +197,7 @@
   return {
     softwareVersion,
     ...(binding?.isBound === true ? { boundVersion: binding.version } : {}),
-    ...(resumption ? { resumes: resumption.firstRequest } : {}),
+    ...resumptionFields(resumption),
   };
 }
 
@@ -429,6 +447,7 @@
       priority: request.priority,
       organisation: request.organisation,
       promptTokens: request.prompt?.promptTokens ?? 0,
+      ...resumptionFields(request.resumption),
       code,
       afterMs: Math.round(context.clock() - request.arrivedMs),
       attempts: sent + unsent,
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -12,6 +12,8 @@
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RequestHead } from '../ports/CallerDialect.js';
 import { headerValue } from '../util/headers.js';
+import { bindResumption } from '../streams/bindResumption.js';
+import { maxStreamAgeMs } from '../streams/streamAge.js';
 import { nextTurn } from '../util/nextTurn.js';
 import { once } from '../util/once.js';
 import { readBody } from './readBody.js';
@@ -75,13 +77,19 @@
 
 /** Whether the answer may be resumed, and whether the caller resumes an earlier one. */
 function streamFieldsOf(
-  { kind, resumable }: Route,
-  { lastEventId, firstRequest }: RequestHead,
+  route: Route,
+  head: RequestHead,
 ): Pick<GatewayRequest, 'binding' | 'resumption'> {
-  const isStream = kind === 'streaming';
+  const { firstRequest } = head;
+  const isStream = route.kind === 'streaming';
+  const isResumed = head.lastEventId !== null;
   return {
-    binding: isStream && resumable ? new StreamBinding() : null,
-    resumption: isStream && lastEventId !== null ? { firstRequest } : null,
+    binding:
+      isStream && (route.resumable || isResumed) ? new StreamBinding() : null,
+    resumption:
+      isStream && isResumed
+        ? { firstRequest, maxAgeMs: maxStreamAgeMs(route, head) }
+        : null,
   };
 }
 
@@ -169,7 +177,10 @@
     head,
     body: read.body,
   };
-  const request = toGatewayRequest(context, call, head.id, match, arrivedMs);
+  const request = await bindResumption(
+    context,
+    toGatewayRequest(context, call, head.id, match, arrivedMs),
+  );
   router.onRequest(request);
   const forwarded = new ForwardedRequest(
     context,
@@ -188,4 +199,5 @@
     onClose();
   }
   await inFlight.track(forwarded);
+  context.streams.onEnded(request);
 }
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -51,6 +51,12 @@
     labelNames: ['service', 'by', 'version'] as const,
     registers: this.#registers,
   });
+  readonly streamOrigins = new Counter({
+    name: 'jujubecroft_gateway_stream_origins_total',
+    help: 'Requests that continue a stream, by how the software version was known that began it.',
+    labelNames: ['service', 'source'] as const,
+    registers: this.#registers,
+  });
   readonly relayed = new Counter({
     name: 'jujubecroft_gateway_relayed_requests_total',
     help: 'Requests that were sent to a backend server through another instance.',
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -237,6 +237,7 @@
     clearInterval(housekeeping);
     duties?.stop();
     reader.stop();
+    context.streams.stop();
     // The server for other instances closes only once its tunnels have ended.
     tunnels.close();
     await peers.stop();
@@ -266,6 +267,7 @@
     while (inFlight.count + tunnels.count > 0 && clock() < cutMs) {
       await sleep(IDLE_CHECK_INTERVAL_MS);
     }
+    context.streams.handOver();
     log.write('instanceStopped', { cut: inFlight.count });
     await close();
   };
--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -107,7 +107,8 @@
    * @param source - where they came from, for the log
    */
   applyAllReplicas(changes: readonly ReplicaChange[], source: string): void {
-    const { replicas } = this.context.router.board;
+    const { replicas, versions } = this.context.router.board;
+    versions.restart(replicas.replicas);
     const others = changes.filter(({ kind }) => kind !== 'added');
     this.context.log.write('replicasReloaded', {
       source,
--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -276,6 +276,9 @@
 
   #onDatagram(bytes: Uint8Array, address: string): void {
     const state = this.#decode(bytes, address);
+    if (state?.streams) {
+      this.context.streams.receive(state.streams, address);
+    }
     if (!state?.heartbeat) {
       return;
     }
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -225,6 +225,7 @@
       ...toCrashFields(board.crashes.news),
       limits: toLimits(createLimitReports(board)),
       lostPaths: board.paths.lostCount,
+      streams: undefined,
       ...toDutyFields(board.duties, false),
       ...purpose,
     };
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -105,6 +105,15 @@
     return done.every(Boolean);
   }
 
+  /**
+   * Reads the replicas immediately.
+   *
+   * @returns whether the call succeeded
+   */
+  async confirmReplicas(): Promise<boolean> {
+    return this.#tryCall('replicas', () => this.#readReplicas());
+  }
+
   async #loop(step: () => Promise<number>): Promise<void> {
     const { timers } = this.context;
     while (!this.#isStopped) {
--- a/packages/gateway/src/state/createViewSync.ts
+++ b/packages/gateway/src/state/createViewSync.ts
@@ -1,3 +1,4 @@
+import { encodeState } from '@jujubecroft/operator/peers';
 import type { CallerLimits } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
@@ -6,6 +7,7 @@
 import { FleetView } from './FleetView.js';
 import { PeerLoop } from './PeerLoop.js';
 import { StoreReader } from './StoreReader.js';
+import { toStreamDatagram } from '../streams/originMessage.js';
 
 /** The parts that keep the view of an instance current. */
 export interface ViewSync {
@@ -48,5 +50,11 @@
     peers.probeRandomMembers();
     return reader.refresh();
   });
+  context.streams.connect({
+    send: (message, to) => {
+      link.send(encodeState(toStreamDatagram(message)), to);
+    },
+    readReplicas: () => reader.confirmReplicas(),
+  });
   return { view, reader, peers };
 }
--- /dev/null
+++ b/packages/gateway/src/streams/FreshView.ts
@@ -0,0 +1,48 @@
+import type { Timers } from '../ports/Timers.js';
+
+/** Time that a confirmation may take, in milliseconds. */
+const TIMEOUT_MS = 400;
+
+/**
+ * Confirms that the view of the replicas is at least as recent as the call.
+ *
+ * A read that was already in progress doesn't count, since it may have been answered
+ * before. Calls meanwhile share the next one.
+ */
+export class FreshView {
+  #running: Promise<boolean> | null = null;
+  #next: Promise<boolean> | null = null;
+
+  /**
+   * @param timers - timers of the instance
+   * @param read - reads the replicas from the store; the result tells whether it answered
+   */
+  constructor(
+    private readonly timers: Timers,
+    private readonly read: () => Promise<boolean>,
+  ) {}
+
+  /** @returns whether the store answered a read that began after the call, in time */
+  async confirm(): Promise<boolean> {
+    const confirmed = this.#running
+      ? (this.#next ??= this.#running.then(() => {
+          this.#next = null;
+          return this.#start();
+        }))
+      : this.#start();
+    const timeout = this.timers.sleep(TIMEOUT_MS).then(() => false);
+    return Promise.race([confirmed, timeout]);
+  }
+
+  async #start(): Promise<boolean> {
+    const running = this.read();
+    this.#running = running;
+    try {
+      return await running;
+    } finally {
+      if (this.#running === running) {
+        this.#running = null;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/streams/OriginPublisher.ts
@@ -0,0 +1,125 @@
+import type { StreamRecord, StreamRecords } from '@jujubecroft/decisions';
+import { keepersOf } from '@jujubecroft/decisions';
+import type { proto } from '@jujubecroft/operator/peers';
+import type { ServiceId, StreamKey } from '@jujubecroft/types';
+
+import type { GatewayContext } from '../GatewayContext.js';
+import { toOrigins } from './originMessage.js';
+
+/** Sends a message about streams to another instance. */
+export type SendStreamMessage = (
+  message: Partial<proto.StreamMessage>,
+  to: string,
+) => void;
+
+/**
+ * Number of instances that keep the record of a stream. With 2 % datagram loss, all of
+ * them miss it once in a hundred thousand streams.
+ */
+const KEEPERS = 3;
+/** Records that are added within this time are sent together, in milliseconds. */
+const BATCH_MS = 5;
+/** Maximum number of records in one datagram, which then has some 1,000 bytes. */
+const MAX_RECORDS_PER_DATAGRAM = 100;
+
+/** A stream of this instance that has not ended. */
+interface RunningStream {
+  readonly record: StreamRecord;
+  isPublished: boolean;
+}
+
+/**
+ * Tells other instances where the streams of this one began, so that they can be continued
+ * when this one is gone.
+ *
+ * The records are kept by instances in several failure domains that follow from the key of
+ * the stream. A lost record costs its caller a refusal, never a join.
+ */
+export class OriginPublisher {
+  readonly #running = new Map<StreamKey, RunningStream>();
+  #pending: StreamRecord[] = [];
+
+  /**
+   * @param context - clock, timers and members
+   * @param own - records of this instance
+   * @param isNeeded - whether other instances need records of a service's streams
+   * @param send - sends a message to another instance
+   */
+  constructor(
+    private readonly context: Pick<
+      GatewayContext,
+      'membership' | 'metrics' | 'timers'
+    >,
+    private readonly own: StreamRecords,
+    private readonly isNeeded: (service: ServiceId) => boolean,
+    private readonly send: SendStreamMessage,
+  ) {}
+
+  /** Records a stream whose caller has its first event. */
+  onBegun(record: StreamRecord): void {
+    this.own.add(record);
+    const stream = { record, isPublished: false };
+    this.#running.set(record.key, stream);
+    this.#publishIfNeeded(stream);
+  }
+
+  /** Forgets a stream that has ended; its record is kept. */
+  onEnded(key: StreamKey): void {
+    this.#running.delete(key);
+  }
+
+  /**
+   * Publishes running streams whose records have come to be needed. To be called
+   * periodically.
+   */
+  tick(): void {
+    this.#running.forEach(stream => {
+      this.#publishIfNeeded(stream);
+    });
+  }
+
+  /** Passes all records on, before this instance stops. */
+  handOver(): void {
+    this.#pending.push(...this.own.current);
+    this.#flush();
+  }
+
+  #publishIfNeeded(stream: RunningStream): void {
+    const { record } = stream;
+    if (!stream.isPublished && this.isNeeded(record.service)) {
+      stream.isPublished = true;
+      this.#publish([record]);
+    }
+  }
+
+  #publish(records: readonly StreamRecord[]): void {
+    if (this.#pending.length === 0) {
+      this.context.timers.after(BATCH_MS, () => {
+        this.#flush();
+      });
+    }
+    this.#pending.push(...records);
+  }
+
+  #flush(): void {
+    const { serving } = this.context.membership;
+    const byAddress = new Map<string, StreamRecord[]>();
+    this.#pending.forEach(record => {
+      keepersOf(record.key, serving)
+        .slice(0, KEEPERS)
+        .forEach(({ peerAddress }) => {
+          const records = byAddress.get(peerAddress) ?? [];
+          byAddress.set(peerAddress, records);
+          records.push(record);
+        });
+    });
+    this.#pending = [];
+    byAddress.forEach((records, address) => {
+      for (let at = 0; at < records.length; at += MAX_RECORDS_PER_DATAGRAM) {
+        const some = records.slice(at, at + MAX_RECORDS_PER_DATAGRAM);
+        this.context.metrics.peerMessages.inc({ kind: 'origins' });
+        this.send({ origins: toOrigins(some) }, address);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -0,0 +1,253 @@
+import type { GatewayRequest, KnownOrigin } from '@jujubecroft/decisions';
+import { determineViewState, StreamRecords } from '@jujubecroft/decisions';
+import type { proto } from '@jujubecroft/operator/peers';
+import type { ServiceId, StreamKey } from '@jujubecroft/types';
+
+import type { GatewayContext } from '../GatewayContext.js';
+import type { CancelTimer } from '../ports/Timers.js';
+import { FreshView } from './FreshView.js';
+import type { FoundOrigin } from './OriginLookup.js';
+import { OriginLookup } from './OriginLookup.js';
+import { fromKeyBytes, fromOrigins, toAnswer } from './originMessage.js';
+import type { SendStreamMessage } from './OriginPublisher.js';
+import { OriginPublisher } from './OriginPublisher.js';
+import { streamKeyOf } from './streamKeyOf.js';
+import { streamLifeMs } from './streamAge.js';
+
+/** What the origins of streams are exchanged with. */
+export interface OriginLinks {
+  readonly send: SendStreamMessage;
+  /** Reads the replicas from the store; the result tells whether it answered. */
+  readonly readReplicas: () => Promise<boolean>;
+}
+
+/** Interval between checks whether records have come to be needed. */
+const TICK_MS = 100;
+const NO_LINKS: OriginLinks = {
+  send: () => undefined,
+  readReplicas: () => Promise.resolve(false),
+};
+
+/** Sources of knowledge that are not the name of another instance. */
+const OWN_RECORD = 'ownRecord';
+const SOLE_VERSION = 'soleVersion';
+
+/** @returns the value of the `source` label for an origin */
+function sourceOf({ knownFrom }: FoundOrigin): string {
+  return knownFrom === OWN_RECORD || knownFrom === SOLE_VERSION
+    ? knownFrom
+    : 'otherInstance';
+}
+
+/**
+ * Knows at which software version streams began, also those of other instances.
+ *
+ * The knowledge is a record of the instance that sent the first event, or the fact that
+ * the service has had no other version for as long as a stream can last. Anything else
+ * would be a guess, by which a stream may not go on.
+ */
+export class StreamOrigins {
+  readonly #records: StreamRecords;
+  readonly #publisher: OriginPublisher;
+  readonly #lookup: OriginLookup;
+  readonly #freshView: FreshView;
+  /** Whether the streams of a service need records, and when that was checked. */
+  readonly #needs = new Map<
+    ServiceId,
+    { readonly atMs: number; readonly isNeeded: boolean }
+  >();
+  #links = NO_LINKS;
+  #cancelTicks: CancelTimer | null = null;
+
+  constructor(
+    private readonly context: Pick<
+      GatewayContext,
+      'clock' | 'membership' | 'metrics' | 'router' | 'settings' | 'timers'
+    >,
+  ) {
+    const { clock, timers } = context;
+    const send: SendStreamMessage = (message, to) => {
+      this.#links.send(message, to);
+    };
+    this.#records = new StreamRecords(clock);
+    this.#publisher = new OriginPublisher(
+      context,
+      this.#records,
+      service => this.#needsRecords(service),
+      send,
+    );
+    this.#lookup = new OriginLookup(context, send, (service, reply) => {
+      this.#versions.extend(service, reply.sole, reply.viewAgeMs);
+    });
+    this.#freshView = new FreshView(timers, () => this.#links.readReplicas());
+  }
+
+  /** Connects the other instances and the store, and starts the periodic checks. */
+  connect(links: OriginLinks): void {
+    this.#links = links;
+    this.#cancelTicks = this.context.timers.every(TICK_MS, () => {
+      this.#publisher.tick();
+    });
+  }
+
+  /** Ends the periodic checks. */
+  stop(): void {
+    this.#cancelTicks?.();
+  }
+
+  /** Records that the caller of a request has the first event of its stream. */
+  onBegun(request: GatewayRequest): void {
+    const { binding, service, route } = request;
+    const softwareVersion = binding?.version ?? null;
+    if (softwareVersion === null) {
+      return;
+    }
+    this.#keysOf(request).forEach(key => {
+      const keepMs = streamLifeMs(route);
+      const origin = { service: service.id, softwareVersion };
+      this.#publisher.onBegun({ ...origin, key, keepMs });
+    });
+  }
+
+  /** Records that a request has ended. */
+  onEnded(request: GatewayRequest): void {
+    if (request.binding?.isBound === true) {
+      this.#keysOf(request).forEach(key => {
+        this.#publisher.onEnded(key);
+      });
+    }
+  }
+
+  /** Passes all records on to other instances, before this one stops. */
+  handOver(): void {
+    this.#publisher.handOver();
+  }
+
+  /**
+   * Finds out where the stream began that a request continues.
+   *
+   * @param request - a request with a resumption
+   * @returns null if that is not known
+   */
+  async find(request: GatewayRequest): Promise<FoundOrigin | null> {
+    const found =
+      this.#findOwn(request) ??
+      (await this.#findSole(request)) ??
+      (await this.#ask(request)) ??
+      (await this.#findSole(request));
+    this.context.metrics.streamOrigins.inc({
+      service: request.service.id,
+      source: found ? sourceOf(found) : 'unknown',
+    });
+    return found;
+  }
+
+  /** Handles a message of another instance. */
+  receive(message: proto.StreamMessage, from: string): void {
+    fromOrigins(message.origins).forEach(record => {
+      this.#records.add(record);
+    });
+    if (message.question) {
+      this.#answer(message.question, from);
+    }
+    if (message.answer) {
+      this.#lookup.onAnswer(message.answer);
+    }
+  }
+
+  get #versions(): GatewayContext['router']['board']['versions'] {
+    return this.context.router.board.versions;
+  }
+
+  /** Keys of the request itself and of the one whose stream it continues. */
+  #keysOf({
+    id,
+    organisation,
+    resumption,
+  }: GatewayRequest): readonly StreamKey[] {
+    return [id, resumption?.firstRequest ?? id]
+      .filter((name, index, all) => all.indexOf(name) === index)
+      .map(name => streamKeyOf(organisation, name));
+  }
+
+  #findOwn({ organisation, resumption }: GatewayRequest): FoundOrigin | null {
+    const first = resumption?.firstRequest ?? null;
+    const known =
+      first === null
+        ? null
+        : this.#records.find(streamKeyOf(organisation, first));
+    return known && { ...known, knownFrom: OWN_RECORD };
+  }
+
+  /** Finds the only version that a service has had while the stream may have begun. */
+  async #findSole(request: GatewayRequest): Promise<FoundOrigin | null> {
+    if (this.#soleOrigin(request) === null) {
+      return null;
+    }
+    // A version that this instance has not heard of may have begun the stream.
+    const isFresh = await this.#freshView.confirm();
+    const known = isFresh ? this.#soleOrigin(request) : null;
+    return known && { ...known, knownFrom: SOLE_VERSION };
+  }
+
+  #soleOrigin({ service, resumption }: GatewayRequest): KnownOrigin | null {
+    const sole = this.#versions.soleVersion(service.id);
+    const { freshWithinMs } = this.context.settings;
+    const maxAgeMs = resumption?.maxAgeMs ?? Infinity;
+    // Instances use views of that age, so that replicas are used as long after they left.
+    return sole && sole.forMs >= maxAgeMs + freshWithinMs
+      ? { service: service.id, softwareVersion: sole.softwareVersion, ageMs: 0 }
+      : null;
+  }
+
+  /** Asks other instances, which also tell how long the service has had one version. */
+  async #ask(request: GatewayRequest): Promise<FoundOrigin | null> {
+    const { organisation, resumption, id, service } = request;
+    const first = resumption?.firstRequest ?? id;
+    return this.#lookup.find(streamKeyOf(organisation, first), service.id);
+  }
+
+  /**
+   * Whether other instances can't be certain of the version of a service's streams
+   * without their records.
+   */
+  #needsRecords(service: ServiceId): boolean {
+    const nowMs = this.context.clock();
+    const checked = this.#needs.get(service);
+    if (checked && nowMs - checked.atMs < TICK_MS) {
+      return checked.isNeeded;
+    }
+    const isNeeded = !this.#isCertain(service);
+    this.#needs.set(service, { atMs: nowMs, isNeeded });
+    return isNeeded;
+  }
+
+  /** Whether the view is current and the service has had one version for long enough. */
+  #isCertain(service: ServiceId): boolean {
+    const { router, settings } = this.context;
+    const { board } = router;
+    const { freshWithinMs } = settings;
+    const routes = board.table?.cfg.routes ?? [];
+    const lives = routes
+      .filter(({ shares }) => shares.some(share => share.service === service))
+      .map(streamLifeMs);
+    const forMs = this.#versions.soleVersion(service)?.forMs ?? 0;
+    return (
+      forMs >= Math.max(0, ...lives) + freshWithinMs &&
+      determineViewState(board, freshWithinMs) === 'current'
+    );
+  }
+
+  #answer(question: proto.OriginQuestion, from: string): void {
+    const { number, key, service } = question;
+    const [asked] = fromKeyBytes(key);
+    const { replicas } = this.context.router.board;
+    const reply = {
+      origin: asked === undefined ? null : this.#records.find(asked),
+      sole: this.#versions.soleVersion(service as ServiceId),
+      viewAgeMs: replicas.ageMs,
+    };
+    this.context.metrics.peerMessages.inc({ kind: 'originAnswer' });
+    this.#links.send({ answer: toAnswer(number, reply) }, from);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/streams/originMessage.ts
@@ -0,0 +1,136 @@
+import type {
+  KnownOrigin,
+  SoleVersion,
+  StreamRecord,
+} from '@jujubecroft/decisions';
+import { GatewayState } from '@jujubecroft/operator/peers';
+import type { proto } from '@jujubecroft/operator/peers';
+import type { ServiceId, SoftwareVersion, StreamKey } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+/** What an instance answers to the question where a stream began. */
+export interface OriginReply {
+  /** Null if it does not know. */
+  readonly origin: KnownOrigin | null;
+  /** Only version of the service that was asked about; null if there is none. */
+  readonly sole: SoleVersion | null;
+  /** Age of its view of the replicas, in milliseconds. */
+  readonly viewAgeMs: number;
+}
+
+const KEY_BYTES = 8;
+/** Largest time in a message, in milliseconds. */
+const MAX_TIME_MS = 0xffff_ffff;
+/** Stands for a service or version that is not known. */
+const UNKNOWN = '';
+
+function toTime(ms: number): number {
+  return Math.min(MAX_TIME_MS, Math.max(0, Math.round(ms)));
+}
+
+/** @returns the bytes of a key; none for null */
+export function toKeyBytes(key: StreamKey | null): Buffer {
+  return Buffer.from(key ?? '', 'hex');
+}
+
+/** @returns the keys in a message; an incomplete one at the end is ignored */
+export function fromKeyBytes(bytes: Uint8Array): readonly StreamKey[] {
+  const all = Buffer.from(bytes);
+  return Array.from(
+    { length: Math.floor(all.length / KEY_BYTES) },
+    (_, index) => {
+      const start = index * KEY_BYTES;
+      return brand<StreamKey>(all.toString('hex', start, start + KEY_BYTES));
+    },
+  );
+}
+
+/** Builds a datagram that holds a message about streams only. */
+export function toStreamDatagram(
+  message: Partial<proto.StreamMessage>,
+): GatewayState {
+  return GatewayState.fromPartial({ streams: message });
+}
+
+/**
+ * Groups records by service, version and time.
+ *
+ * @param records - the records
+ * @returns the message fields
+ */
+export function toOrigins(
+  records: readonly StreamRecord[],
+): proto.StreamOrigins[] {
+  const groups = new Map<string, StreamRecord[]>();
+  records.forEach(record => {
+    const { service, softwareVersion, keepMs } = record;
+    const name = JSON.stringify([service, softwareVersion, toTime(keepMs)]);
+    groups.set(name, [...(groups.get(name) ?? []), record]);
+  });
+  return [...groups.values()].flatMap(group => {
+    const [first] = group;
+    return first
+      ? {
+          service: first.service,
+          softwareVersion: first.softwareVersion,
+          keepMs: toTime(first.keepMs),
+          keys: Buffer.concat(group.map(({ key }) => toKeyBytes(key))),
+        }
+      : [];
+  });
+}
+
+/** @returns the records in a message */
+export function fromOrigins(
+  origins: readonly proto.StreamOrigins[],
+): readonly StreamRecord[] {
+  return origins
+    .filter(({ softwareVersion }) => softwareVersion !== UNKNOWN)
+    .flatMap(({ service, softwareVersion, keepMs, keys }) =>
+      fromKeyBytes(keys).map(key => ({
+        key,
+        service: brand<ServiceId>(service),
+        softwareVersion: brand<SoftwareVersion>(softwareVersion),
+        keepMs,
+      })),
+    );
+}
+
+/** @returns the message field for an answer */
+export function toAnswer(
+  number: number,
+  { origin, sole, viewAgeMs }: OriginReply,
+): proto.OriginAnswer {
+  return {
+    number,
+    service: origin?.service ?? UNKNOWN,
+    softwareVersion: origin?.softwareVersion ?? UNKNOWN,
+    ageMs: toTime(origin?.ageMs ?? 0),
+    soleVersion: sole?.softwareVersion ?? UNKNOWN,
+    soleForMs: toTime(sole?.forMs ?? 0),
+    viewAgeMs: toTime(viewAgeMs),
+  };
+}
+
+/** @returns what an answer says */
+export function fromAnswer(answer: proto.OriginAnswer): OriginReply {
+  const { service, softwareVersion, ageMs, soleVersion, soleForMs } = answer;
+  return {
+    origin:
+      softwareVersion === UNKNOWN
+        ? null
+        : {
+            service: brand<ServiceId>(service),
+            softwareVersion: brand<SoftwareVersion>(softwareVersion),
+            ageMs,
+          },
+    sole:
+      soleVersion === UNKNOWN
+        ? null
+        : {
+            softwareVersion: brand<SoftwareVersion>(soleVersion),
+            forMs: soleForMs,
+          },
+    viewAgeMs: answer.viewAgeMs,
+  };
+}
--- a/packages/gateway/tests/state/gatewayState.test.ts
+++ b/packages/gateway/tests/state/gatewayState.test.ts
@@ -54,6 +54,7 @@
       limits: [],
       speeds: [],
       lostPaths: 0,
+      streams: undefined,
       ...toDutyFields(null, false),
       ...NO_WORK_FIELDS,
       replicasChangedAt: 4,
--- a/packages/types/src/brand.ts
+++ b/packages/types/src/brand.ts
@@ -14,6 +14,8 @@
 export type RequestFingerprint = Brand<string, 'RequestFingerprint'>;
 export type RouteId = Brand<string, 'RouteId'>;
 export type ServiceId = Brand<string, 'ServiceId'>;
+/** Identifies a stream by its organisation and the request that brought its first event. */
+export type StreamKey = Brand<string, 'StreamKey'>;
 /** Release of a backend server's software. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 
