--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -57,6 +57,8 @@
   headerMap,
   optionalHeader,
   parseCredentials,
+  parseLastEventId,
+  parseRequestName,
 } from './util/headers.js';
 export type {
   GatewayProcess,
--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -1,3 +1,6 @@
+import type { RequestId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
 import type { RawHeaders } from '../ports/CallerDialect.js';
 
 /** Hop-by-hop headers, which apply to a single connection. */
@@ -139,3 +142,22 @@
     ? text.slice(scheme.length).trim()
     : null;
 }
+
+/** Form of a request id that a caller names. */
+const REQUEST_NAME_PATTERN = /^[\x21-\x7e]{1,128}$/;
+
+/** Reads the id of the last event; an empty one states that there was none. */
+export function parseLastEventId(text: string | undefined): string | null {
+  return text === undefined || text === '' ? null : text;
+}
+
+/**
+ * Reads the id of an earlier request, which has 1 to 128 visible ASCII characters.
+ *
+ * @returns null for any other text
+ */
+export function parseRequestName(text: string | undefined): RequestId | null {
+  return text !== undefined && REQUEST_NAME_PATTERN.test(text)
+    ? brand<RequestId>(text)
+    : null;
+}
