test(gateway): origins of streams at 6, 60 and 195 instances, and their parts

In virtual time with 2 % datagram loss and three failure domains, 150 streams are continued after a third of the instances, or a failure domain, lost power, was cut off or restarted. Nothing is joined.

--- a/packages/gateway/src/streams/FreshView.ts
+++ b/packages/gateway/src/streams/FreshView.ts
@@ -34,8 +34,13 @@
     return Promise.race([confirmed, timeout]);
   }
 
+  /** Reads once more after a failure, which may be that of a kept connection. */
+  async #readAgain(): Promise<boolean> {
+    return (await this.read()) || this.read();
+  }
+
   async #start(): Promise<boolean> {
-    const running = this.read();
+    const running = this.#readAgain();
     this.#running = running;
     try {
       return await running;
--- a/packages/gateway/src/streams/OriginLookup.ts
+++ b/packages/gateway/src/streams/OriginLookup.ts
@@ -17,7 +17,7 @@
  * Number of instances asked at first: the keepers, and some that would be keepers if a
  * few members were unknown to the instance that began the stream.
  */
-const FIRST_ROUND = 5;
+const FIRST_ROUND = 6;
 /** Number of further instances that are asked then. */
 const SECOND_ROUND = 8;
 /** Time after which the second round begins without all answers, in milliseconds. */
--- a/packages/gateway/src/streams/OriginPublisher.ts
+++ b/packages/gateway/src/streams/OriginPublisher.ts
@@ -13,10 +13,10 @@
 ) => void;
 
 /**
- * Number of instances that keep the record of a stream. With 2 % datagram loss, all of
- * them miss it once in a hundred thousand streams.
+ * Number of instances that keep the record of a stream. If a third of the instances is lost at
+ * once, all of them are among these for one stream in eighty.
  */
-const KEEPERS = 3;
+const KEEPERS = 4;
 /** Records that are added within this time are sent together, in milliseconds. */
 const BATCH_MS = 5;
 /** Maximum number of records in one datagram, which then has some 1,000 bytes. */
--- a/packages/gateway/tests/helpers/VirtualDuties.ts
+++ b/packages/gateway/tests/helpers/VirtualDuties.ts
@@ -156,7 +156,7 @@
     context.membership.onList(
       Array.from({ length: instances }, (_, at) => `entry-${at}`)
         .filter(other => other !== member.name)
-        .map(createListedMember),
+        .map(other => createListedMember(other)),
     );
     return context;
   }
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -57,6 +57,10 @@
   readonly answerMs?: number;
   /** Interval at which replicas write their entries; if omitted, they write them once. */
   readonly heartbeatMs?: number;
+  /** Number of failure domains of the instances; 1 if omitted. */
+  readonly domains?: number;
+  /** Software versions that replicas have in turn; one if omitted. */
+  readonly versions?: readonly string[];
 }
 
 /** Time that a replica takes to reject a request. */
@@ -149,6 +153,7 @@
 
   constructor(private readonly conditions: FleetConditions) {
     const { instances, replicas, loss, routes = 1, seed } = conditions;
+    const { versions = ['v1'] } = conditions;
     this.#random = createRandom(seed);
     this.store = new VirtualStore(
       this.time,
@@ -156,7 +161,8 @@
     );
     this.#peers = new VirtualPeers(this.time, () => this.#random() < loss);
     Array.from({ length: replicas }, (_, index) => {
-      this.store.put(createReplica(`s-${index}`));
+      const version = versions[index % versions.length];
+      this.store.put(createReplica(`s-${index}`, false, version));
       this.#scheduleHeartbeats(brand<BackendServerId>(`s-${index}`));
     });
     const names = Array.from({ length: instances }, (_, at) => `entry-${at}`);
@@ -187,6 +193,14 @@
     }
   }
 
+  /** Ends an instance for good. */
+  powerOff(index: number): void {
+    const process = this.instances[index]?.process;
+    if (process) {
+      process.stalledUntilMs = Infinity;
+    }
+  }
+
   /** Kills an instance, and starts it again without any state. */
   restart(index: number): void {
     const before = this.instances[index];
@@ -254,17 +268,20 @@
       time,
       this.conditions.linkBitsPerS ?? Infinity,
     );
-    const { freshWithinMs } = this.conditions;
+    const { freshWithinMs, domains = 1 } = this.conditions;
     const context = createVirtualContext(
       name,
       freshWithinMs,
       time,
       process,
       null,
-      1 + time.nowMs,
+      1 + Math.ceil(time.nowMs),
+      domains,
     );
     const others = names.filter(other => other !== name);
-    context.membership.onList(others.map(createListedMember));
+    context.membership.onList(
+      others.map(other => createListedMember(other, domains)),
+    );
     return { name, process, link, context };
   }
 
--- a/packages/gateway/tests/helpers/virtualDeployment.ts
+++ b/packages/gateway/tests/helpers/virtualDeployment.ts
@@ -23,6 +23,17 @@
 export const TIME_LIMIT_MS = 4000;
 const DOMAIN = brand<FailureDomainId>('d-1');
 
+/**
+ * Returns the failure domain of an instance whose name ends with its index.
+ *
+ * @param instance - name of the instance
+ * @param domains - number of failure domains
+ */
+function domainOf(instance: string, domains: number): FailureDomainId {
+  const index = Number(instance.split('-').at(-1));
+  return domains > 1 ? brand<FailureDomainId>(`d-${index % domains}`) : DOMAIN;
+}
+
 export const ROUTE: Route = {
   id: brand<RouteId>('r-1'),
   host: 'a.example',
@@ -83,7 +94,11 @@
 }
 
 /** @returns a replica of the service, at a fixed address */
-export function createReplica(name: string, leaving = false): Replica {
+export function createReplica(
+  name: string,
+  leaving = false,
+  version = 'v1',
+): Replica {
   return {
     id: brand<BackendServerId>(name),
     service: SERVICE,
@@ -92,7 +107,7 @@
     slots: 64,
     leaving,
     coldMs: 0,
-    softwareVersion: brand<SoftwareVersion>('v1'),
+    softwareVersion: brand<SoftwareVersion>(version),
     bornMs: null,
   };
 }
@@ -103,10 +118,13 @@
 }
 
 /** @returns an instance as the store lists it */
-export function createListedMember(instance: string): ListedMember {
+export function createListedMember(
+  instance: string,
+  domains = 1,
+): ListedMember {
   return {
     id: brand<InstanceId>(instance),
-    failureDomain: DOMAIN,
+    failureDomain: domainOf(instance, domains),
     callerAddress: `${instance}:1`,
     peerAddress: peerAddressOf(instance),
     state: 'live',
@@ -130,6 +148,7 @@
  * @param process - process that the instance runs in
  * @param duties - options for duties; null if the fleet has none
  * @param startedMs - start time of the process, which grows from run to run
+ * @param domains - number of failure domains
  */
 export function createVirtualContext(
   instance: string,
@@ -138,11 +157,12 @@
   process: VirtualProcess,
   duties: VirtualDutyOptions | null = null,
   startedMs = duties?.startedMs ?? 1,
+  domains = 1,
 ): GatewayContext {
   return createContext(
     {
       instance: brand<InstanceId>(instance),
-      failureDomain: DOMAIN,
+      failureDomain: domainOf(instance, domains),
       callers: { host: instance, port: 1 },
       readiness: null,
       directory: null,
--- /dev/null
+++ b/packages/gateway/tests/helpers/virtualStreams.ts
@@ -0,0 +1,99 @@
+import type { GatewayRequest } from '@jujubecroft/decisions';
+import { StreamBinding } from '@jujubecroft/decisions';
+import type {
+  RequestFingerprint,
+  RequestId,
+  Route,
+  SoftwareVersion,
+} from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import { bindResumption } from '../../src/streams/bindResumption.js';
+import { streamLifeMs } from '../../src/streams/streamAge.js';
+import { ROUTE, SERVICE, TIME_LIMIT_MS } from './virtualDeployment.js';
+import type { VirtualFleet } from './VirtualFleet.js';
+
+const STREAM_ROUTE: Route = { ...ROUTE, kind: 'streaming', resumable: true };
+
+type VirtualInstance = VirtualFleet['instances'][number];
+
+function instanceAt(fleet: VirtualFleet, index: number): VirtualInstance {
+  const instance = fleet.instances[index];
+  if (!instance) {
+    throw new Error(`there is no instance ${index}`);
+  }
+  return instance;
+}
+
+function createRequest(
+  fleet: VirtualFleet,
+  { context }: VirtualInstance,
+  id: string,
+  firstRequest: string | null,
+): GatewayRequest {
+  const service = context.router.board.table?.service(SERVICE);
+  if (!service) {
+    throw new Error('the instance has no configuration');
+  }
+  const { nowMs } = fleet.time;
+  return {
+    id: brand<RequestId>(id),
+    route: STREAM_ROUTE,
+    service,
+    organisation: null,
+    priority: 0,
+    prompt: null,
+    arrivedMs: nowMs,
+    deadlineMs: nowMs + TIME_LIMIT_MS,
+    isCallerRetry: false,
+    binding: new StreamBinding(),
+    resumption:
+      firstRequest === null
+        ? null
+        : {
+            firstRequest: brand<RequestId>(firstRequest),
+            maxAgeMs: streamLifeMs(STREAM_ROUTE),
+          },
+    fingerprint: () => brand<RequestFingerprint>(id),
+  };
+}
+
+/**
+ * Begins a stream at an instance.
+ *
+ * @param fleet - the fleet
+ * @param index - index of the instance
+ * @param id - id of the request
+ * @param version - software version that writes its first event
+ */
+export function beginStream(
+  fleet: VirtualFleet,
+  index: number,
+  id: string,
+  version: string,
+): void {
+  const instance = instanceAt(fleet, index);
+  const request = createRequest(fleet, instance, id, null);
+  request.binding?.bind(brand<SoftwareVersion>(version));
+  instance.context.streams.onBegun(request);
+}
+
+/**
+ * Continues a stream at an instance.
+ *
+ * @param fleet - the fleet
+ * @param index - index of the instance
+ * @param firstRequest - request that began the stream
+ * @returns the version at which it goes on; null if it is refused
+ */
+export async function continueStream(
+  fleet: VirtualFleet,
+  index: number,
+  firstRequest: string,
+): Promise<SoftwareVersion | null> {
+  const instance = instanceAt(fleet, index);
+  const id = `${firstRequest}-continued-${index}`;
+  const request = createRequest(fleet, instance, id, firstRequest);
+  const bound = await bindResumption(instance.context, request);
+  return bound.binding?.version ?? null;
+}
--- /dev/null
+++ b/packages/gateway/tests/streams/streamOrigins.test.ts
@@ -0,0 +1,133 @@
+import { describe } from '@jujubecroft/testing';
+import { createRandom } from '@jujubecroft/types';
+
+import type { FleetConditions } from '../helpers/VirtualFleet.js';
+import { VirtualFleet } from '../helpers/VirtualFleet.js';
+import { beginStream, continueStream } from '../helpers/virtualStreams.js';
+
+const VERSIONS = ['v1.1', 'v1.2'];
+const DOMAINS = 3;
+const STREAMS = 150;
+/** Mean time between the beginnings of streams. */
+const STREAM_INTERVAL_MS = 10;
+/** Time from the last beginning to the loss of instances. */
+const LOSS_AFTER_MS = 30;
+/** Time from the loss to the callers' return. */
+const RETURN_AFTER_MS = 40;
+/**
+ * Share of the streams that have to go on. Callers rely on half of the share of new streams
+ * that begin, which is 1 here; the rest is room for what this fleet doesn't have.
+ */
+const MIN_SHARE = 0.95;
+
+interface Outcome {
+  /** Streams that go on at the version that began them. */
+  readonly wentOn: number;
+  /** Streams that go on at another version. */
+  readonly joined: number;
+  readonly refused: number;
+}
+
+/** Loses instances, and returns the indexes of those at which callers return. */
+type LoseInstances = (fleet: VirtualFleet) => readonly number[];
+
+const LOSSES: Readonly<Record<string, LoseInstances>> = {
+  'none are lost': fleet => fleet.instances.map((_, index) => index),
+  'a third loses power': fleet => {
+    const lost = Math.floor(fleet.instances.length / 3);
+    fleet.instances.slice(0, lost).forEach((_, index) => {
+      fleet.powerOff(index);
+    });
+    return fleet.instances.map((_, index) => index).slice(lost);
+  },
+  'a failure domain loses power': fleet => {
+    const indexes = fleet.instances.map((_, index) => index);
+    const lost = indexes.filter(index => index % DOMAINS === 0);
+    lost.forEach(index => {
+      fleet.powerOff(index);
+    });
+    return indexes.filter(index => !lost.includes(index));
+  },
+  'a third is cut off from the others': fleet => {
+    const lost = Math.floor(fleet.instances.length / 3);
+    fleet.instances.slice(0, lost).forEach((_, index) => {
+      fleet.isolate(index);
+    });
+    return fleet.instances.map((_, index) => index).slice(lost);
+  },
+  'a third has just restarted': fleet => {
+    const lost = Math.floor(fleet.instances.length / 3);
+    fleet.instances.slice(0, lost).forEach((_, index) => {
+      fleet.restart(index);
+    });
+    return fleet.instances.map((_, index) => index).slice(lost);
+  },
+};
+
+/**
+ * Begins streams at random instances, loses some of these, and continues all streams at
+ * others.
+ */
+async function continueAfter(
+  conditions: Pick<FleetConditions, 'instances' | 'seed'>,
+  lose: LoseInstances,
+): Promise<Outcome> {
+  const fleet = new VirtualFleet({
+    replicas: 12,
+    loss: 0.02,
+    meanStallMs: 0,
+    meanStallIntervalMs: 0,
+    freshWithinMs: 3000,
+    domains: DOMAINS,
+    versions: VERSIONS,
+    ...conditions,
+  });
+  const random = createRandom(conditions.seed);
+  await fleet.start();
+  const begun = new Map<string, string>();
+  for (let number = 0; number < STREAMS; number += 1) {
+    const id = `stream-${number}`;
+    const version = VERSIONS[Math.floor(random() * VERSIONS.length)] ?? '';
+    const index = Math.floor(random() * conditions.instances);
+    beginStream(fleet, index, id, version);
+    begun.set(id, version);
+    await fleet.time.run(2 * STREAM_INTERVAL_MS * random());
+  }
+  await fleet.time.run(LOSS_AFTER_MS);
+  const left = lose(fleet);
+  await fleet.time.run(RETURN_AFTER_MS);
+  const outcome = { wentOn: 0, joined: 0, refused: 0 };
+  const answers = [...begun].map(async ([id, version]) => {
+    const index = left[Math.floor(random() * left.length)] ?? 0;
+    const at = await continueStream(fleet, index, id);
+    const kind = at === version ? 'wentOn' : 'joined';
+    outcome[at === null ? 'refused' : kind] += 1;
+  });
+  await fleet.time.run(1500);
+  await Promise.all(answers);
+  return outcome;
+}
+
+// Guards against streams that join two versions, or that are refused, because the
+// instance that began them is gone.
+describe('streams that callers continue at other instances', ({ itAlone }) => {
+  const sizes = [
+    { instances: 6, seeds: [1, 2, 3] },
+    { instances: 60, seeds: [1] },
+    { instances: 195, seeds: [1] },
+  ];
+  sizes.forEach(({ instances, seeds }) => {
+    Object.entries(LOSSES).forEach(([title, lose]) => {
+      itAlone(`go on at ${instances} instances when ${title}`, async t => {
+        for (const seed of seeds) {
+          const outcome = await continueAfter({ instances, seed }, lose);
+          t.is(outcome.joined, 0);
+          t.true(
+            outcome.wentOn >= MIN_SHARE * STREAMS,
+            JSON.stringify(outcome),
+          );
+        }
+      });
+    });
+  });
+});
