feat(soak): replicas of two software versions, and callers that continue their streams

Nothing checked what a caller gets over several requests. Replicas of each service have two versions, write them into their events, and change version with each restart. Callers break off a share of the resumable streams, and continue these and truncated ones at any gateway, mostly with the name of the first request. The promise one-version-streams covers all events of a stream.

--- a/packages/gateway/src/state/FleetView.ts
+++ b/packages/gateway/src/state/FleetView.ts
@@ -17,6 +17,12 @@
   'restarted',
 ];
 
+/**
+ * Longest time between two complete lists of the replicas, in heartbeat intervals, in which
+ * no replica can have come and gone: an entry exists for three intervals at least.
+ */
+const MAX_GAP_INTERVALS = 2;
+
 /**
  * Applies configurations and replica changes to this instance, whatever their source.
  *
@@ -105,10 +111,18 @@
    *
    * @param changes - changes that the registry has already applied
    * @param source - where they came from, for the log
+   * @param beforeMs - time on the store's clock at which the view was current before
    */
-  applyAllReplicas(changes: readonly ReplicaChange[], source: string): void {
+  applyAllReplicas(
+    changes: readonly ReplicaChange[],
+    source: string,
+    beforeMs: number,
+  ): void {
     const { replicas, versions } = this.context.router.board;
-    versions.restart(replicas.replicas);
+    const gapMs = replicas.asOfMs - beforeMs;
+    if (gapMs > MAX_GAP_INTERVALS * this.context.settings.heartbeatMs) {
+      versions.restart(replicas.replicas);
+    }
     const others = changes.filter(({ kind }) => kind !== 'added');
     this.context.log.write('replicasReloaded', {
       source,
--- a/packages/gateway/src/state/PeerState.ts
+++ b/packages/gateway/src/state/PeerState.ts
@@ -358,7 +358,7 @@
       const merged = replicas.merge(changes);
       this.view.noteConfirmation(asOfMs, peer);
       if (changes.complete) {
-        this.view.applyAllReplicas(merged, peer);
+        this.view.applyAllReplicas(merged, peer, asOfMs);
       } else {
         this.view.applyReplicaChanges(merged, peer);
       }
--- a/packages/gateway/src/state/StoreReader.ts
+++ b/packages/gateway/src/state/StoreReader.ts
@@ -240,7 +240,7 @@
     this.#onAnswered();
     const changes = replicas.applySnapshot(rows, version, storeMs);
     this.view.noteConfirmation(asOfMs, 'store');
-    this.view.applyAllReplicas(changes, 'store');
+    this.view.applyAllReplicas(changes, 'store', asOfMs);
   }
 
   async #tryCall(call: StoreCall, run: () => Promise<void>): Promise<boolean> {
--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -91,6 +91,7 @@
 export interface SoakReplicaConfig {
   readonly replica: string;
   readonly service: string;
+  readonly softwareVersion: string;
   readonly host: string;
   readonly port: number;
   /** Address published in the replica's entry: that of its fault link. */
@@ -109,6 +110,10 @@
   /** API key. */
   readonly key: string;
   readonly timeLimitMs: number;
+  /** Last event that the caller has of a stream; null for a new request. */
+  readonly lastEvent: number | null;
+  /** Request that brought the first event; null to name none. */
+  readonly firstRequest: string | null;
 }
 
 /** Request metadata that a replica reads from the headers. */
--- a/packages/soak/src/SoakFleet.ts
+++ b/packages/soak/src/SoakFleet.ts
@@ -41,6 +41,7 @@
   '--max-semi-space-size=4',
   '--interrupt-budget=300000',
 ];
+const SOFTWARE_VERSIONS: readonly string[] = ['v1.1', 'v1.2'];
 const FAILURE_DOMAIN_COUNT = 3;
 const LOOPBACK_HOST = '127.0.0.1';
 const GATEWAY_PORTS: SoakGatewayPorts = {
@@ -68,6 +69,18 @@
   return SERVICES[(index + offset) % SERVICES.length] ?? '';
 }
 
+/**
+ * Returns the software version of one incarnation of a replica slot. Each service has
+ * replicas of both versions, and a slot changes its version with each restart.
+ *
+ * @param index - index of the replica slot
+ * @param incarnation - number of the process in this slot, from 1
+ */
+export function softwareVersionOf(index: number, incarnation: number): string {
+  const turn = Math.floor(index / SERVICES.length) + incarnation;
+  return SOFTWARE_VERSIONS[turn % SOFTWARE_VERSIONS.length] ?? '';
+}
+
 /** One gateway process with its fault links. */
 export interface SoakGateway {
   readonly index: number;
@@ -190,6 +203,7 @@
       const config: SoakReplicaConfig = {
         replica: nameOf(incarnation),
         service: serviceOf(index, incarnation),
+        softwareVersion: softwareVersionOf(index, incarnation),
         host,
         port,
         entryAddress: `${LOOPBACK_HOST}:${linkPort}`,
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -42,6 +42,8 @@
 const READINESS_POLL_INTERVAL_MS = 100;
 /** Combined with the seed, so that the load and the fault plan draw different numbers. */
 const LOAD_SEED_MASK = 0x5eed;
+/** A generator of its own, so that the load of a seed does not depend on these draws. */
+const STREAM_SEED_MASK = 0x57e4;
 const HTTP_OK = 200;
 /** Mean interval between crashing requests. */
 const CRASHING_MEAN_INTERVAL_MS = 500;
@@ -62,6 +64,7 @@
   readonly #callers: SoakCaller[] = [];
   readonly #loops: Promise<void>[] = [];
   readonly #random: () => number;
+  readonly #streamRandom: () => number;
   readonly #operator: SoakOperator;
   #addresses: readonly string[] = [];
   #idCount = 0;
@@ -73,6 +76,7 @@
     private readonly options: SoakOptions,
   ) {
     this.#random = createRandom(options.seed ^ LOAD_SEED_MASK);
+    this.#streamRandom = createRandom(options.seed ^ STREAM_SEED_MASK);
     this.#operator = new SoakOperator(fleet.store, this.#random);
     fleet.store.onEntryChange((replica, isReady) => {
       this.#onEntry(replica, isReady);
@@ -245,6 +249,7 @@
         body: '',
         organisation: 'org-1',
         version: latestWrite.version,
+        continues: null,
       },
       PROBE_TIME_LIMIT_MS,
     );
@@ -261,6 +266,7 @@
     return {
       environment: this.environment,
       random: this.#random,
+      streamRandom: this.#streamRandom,
       chooseGateway: () => this.#chooseGateway(),
       isListed: address => this.#addresses.includes(address),
       keyOf: organisation => this.#operator.keyOf(organisation),
@@ -318,6 +324,7 @@
         body: JSON.stringify(CRASHING_WORK),
         organisation: 'org-1',
         version: null,
+        continues: null,
       },
       PROBE_TIME_LIMIT_MS,
     );
--- a/packages/soak/src/answers.ts
+++ b/packages/soak/src/answers.ts
@@ -15,6 +15,7 @@
 const MIN_CHARS = 200;
 const EXTRA_CHARS_RANGE = 3000;
 const LAST_EVENT_MARKER = 'last';
+const EVENT_PATTERN = /^data: \S+ (\d+) (\S+)( last)?\n\n/gm;
 
 /**
  * Returns the body of a plain response.
@@ -31,27 +32,57 @@
   return unit.repeat(Math.ceil(chars / unit.length)).slice(0, chars);
 }
 
+/** What the events of a stream are made of. */
+export interface StreamSource {
+  /** Request id. */
+  readonly id: string;
+  /** Number of events in the whole stream. */
+  readonly events: number;
+  /** Software version that writes them. */
+  readonly version: string;
+}
+
+/** An event as a caller received it. */
+export interface ReceivedEvent {
+  readonly number: number;
+  readonly version: string;
+  readonly isLast: boolean;
+}
+
 /**
  * Returns one event of a stream. The last event is marked as such.
  *
- * @param id - request id
+ * @param source - the stream
  * @param number - number of the event, from 1
- * @param events - number of events in the stream
  */
-export function eventText(id: string, number: number, events: number): string {
+export function eventText(
+  { id, events, version }: StreamSource,
+  number: number,
+): string {
   const end = number === events ? ` ${LAST_EVENT_MARKER}` : '';
-  return `id: ${number}\ndata: ${id} ${number}${end}\n\n`;
+  return `id: ${number}\ndata: ${id} ${number} ${version}${end}\n\n`;
 }
 
 /**
  * Returns the body of a stream, from one event to the last.
  *
- * @param id - request id
+ * @param source - the stream
  * @param from - number of the first event to include, from 1
- * @param events - number of events in the whole stream
  */
-export function streamBody(id: string, from: number, events: number): string {
-  return Array.from({ length: Math.max(0, events - from + 1) }, (_, index) =>
-    eventText(id, from + index, events),
+export function streamBody(source: StreamSource, from: number): string {
+  return Array.from(
+    { length: Math.max(0, source.events - from + 1) },
+    (_, index) => eventText(source, from + index),
   ).join('');
 }
+
+/** Reads the complete events of a body. */
+export function receivedEvents(body: string): readonly ReceivedEvent[] {
+  return [...body.matchAll(EVENT_PATTERN)].map(
+    ([, number, version = '', last]) => ({
+      number: Number(number),
+      version,
+      isLast: last !== undefined,
+    }),
+  );
+}
--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -3,8 +3,13 @@
 
 import type { WorkOrder } from '../answers.js';
 import type { ObservedResponse, SentRequest, SoakKind } from '../evidence.js';
-import type { SoakEnvironment } from '../SoakEnvironment.js';
+import type {
+  SoakCallerMetadata,
+  SoakEnvironment,
+} from '../SoakEnvironment.js';
 import { soakNow } from '../soakNow.js';
+import type { Continuation } from './continuations.js';
+import { continuationAfter } from './continuations.js';
 
 /** Address of a gateway, with its index and the incarnation of its process. */
 export interface GatewayEndpoint {
@@ -17,6 +22,8 @@
 export interface CallerContext {
   readonly environment: SoakEnvironment;
   readonly random: () => number;
+  /** Draws which streams callers break off and continue. */
+  readonly streamRandom: () => number;
   /** Chooses a gateway from the latest list of addresses; null if it has none. */
   readonly chooseGateway: () => GatewayEndpoint | null;
   /** Whether an address is in the latest list of addresses. */
@@ -41,6 +48,12 @@
 const RESPONSE_MARGIN_MS = 400;
 /** Probability that a caller abandons a request early. */
 const ABANDON_PROBABILITY = 0.06;
+/** Probability that a caller breaks a resumable stream off and continues it. */
+const BREAK_PROBABILITY = 0.3;
+/** Maximum time after which a stream is broken off. */
+const MAX_BREAK_MS = 1000;
+/** Share of the continued streams whose first request is named. */
+const NAMED_SHARE = 0.85;
 const MAX_WORK_MS = 150;
 const MAX_EVENTS = 50;
 const MAX_GAP_MS = 40;
@@ -96,6 +109,8 @@
 export class SoakCaller {
   #client: ResetAwareClient | null = null;
   #endpoint: GatewayEndpoint | null = null;
+  /** Stream of which this caller requests the rest next. */
+  #continuation: Continuation | null = null;
   #stopped = false;
 
   /**
@@ -131,19 +146,53 @@
       await new Promise(resolve => setTimeout(resolve, NO_GATEWAY_RETRY_MS));
       return;
     }
-    const request = this.#drawRequest(endpoint);
+    const continued = this.#continuation;
+    const request = continued
+      ? this.#continueStream(continued, endpoint)
+      : this.#drawRequest(endpoint);
     const { answer, isReusable } = await sendRequest(
       this.#client,
       this.context,
       request,
-      this.#drawAbandonMs(request),
+      this.#drawBreakMs(request) ?? this.#drawAbandonMs(request),
     );
     this.context.onResponse(answer);
-    if (!isReusable) {
+    this.#continuation = continuationAfter(request, answer, continued);
+    // The rest of a stream is requested at any gateway.
+    if (!isReusable || this.#continuation) {
       await this.#disconnect();
     }
   }
 
+  /** Creates the request for the rest of a stream. */
+  #continueStream(
+    { request, first, after }: Continuation,
+    endpoint: GatewayEndpoint,
+  ): SentRequest {
+    const { streamRandom, nextId } = this.context;
+    const passedMs = soakNow() - request.sentMs;
+    return {
+      ...request,
+      id: nextId(),
+      gateway: endpoint.gateway,
+      incarnation: endpoint.incarnation,
+      sentMs: soakNow(),
+      timeLimitMs: Math.max(
+        MIN_TIME_LIMIT_MS,
+        Math.round(request.timeLimitMs - passedMs),
+      ),
+      continues: { first, after, isNamed: streamRandom() < NAMED_SHARE },
+    };
+  }
+
+  /** Draws when a caller breaks a stream off, to continue it; null if it doesn't. */
+  #drawBreakMs({ kind }: SentRequest): number | null {
+    const { streamRandom } = this.context;
+    return kind === 'resumable' && streamRandom() < BREAK_PROBABILITY
+      ? MAX_BREAK_MS * streamRandom()
+      : null;
+  }
+
   #connect(): GatewayEndpoint | null {
     const isUnlisted =
       this.followsAddresses &&
@@ -193,6 +242,7 @@
       body: JSON.stringify(work),
       organisation: pick(ORGANISATIONS),
       version: null,
+      continues: null,
     };
   }
 
@@ -204,6 +254,16 @@
   }
 }
 
+/** Metadata of a request for the rest of a stream. */
+function continuedFields({
+  continues,
+}: SentRequest): Pick<SoakCallerMetadata, 'firstRequest' | 'lastEvent'> {
+  return {
+    lastEvent: continues?.after ?? null,
+    firstRequest: continues?.isNamed === true ? continues.first : null,
+  };
+}
+
 /** Result of sending one request. */
 interface ExchangeResult {
   readonly answer: ObservedResponse;
@@ -248,6 +308,7 @@
         host: CALLER_HOST,
         key: context.keyOf(request.organisation),
         timeLimitMs: request.timeLimitMs,
+        ...continuedFields(request),
       }),
       ...(request.body === '' ? {} : { body: request.body }),
       signal: abort.signal,
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -30,6 +30,18 @@
   readonly organisation: string;
   /** Version of the configuration that a probe asks for; null for other kinds. */
   readonly version: number | null;
+  /** Stream that the request continues; null for all others. */
+  readonly continues: ContinuedStream | null;
+}
+
+/** A stream of which a caller requests the rest. */
+export interface ContinuedStream {
+  /** Request that brought its first event. */
+  readonly first: string;
+  /** Number of the last event that the caller has. */
+  readonly after: number;
+  /** Whether the caller names the first request. */
+  readonly isNamed: boolean;
 }
 
 /** A usage report that the holder of the duty made for all gateways, as accepted. */
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -262,12 +262,13 @@
       return;
     }
     res.writeHead(HTTP_OK, { ...headers, 'content-type': 'text/event-stream' });
+    const { softwareVersion: version } = this.place;
     const truncateAt = isFaulty ? Math.ceil(work.events / 2) : Infinity;
     for (let number = head.after + 1; number <= work.events; number += 1) {
       if (res.destroyed) {
         return;
       }
-      const text = eventText(id, number, work.events);
+      const text = eventText({ id, events: work.events, version }, number);
       if (number >= truncateAt) {
         res.write(text.slice(0, text.length / 2), () => res.destroy());
         return;
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -8,6 +8,7 @@
 import { dutiesOfOne } from './duties-of-one.js';
 import { gracefulStops } from './graceful-stops.js';
 import { leavingReplicas } from './leaving-replicas.js';
+import { oneVersionStreams } from './one-version-streams.js';
 import { pathsOfOthers } from './paths-of-others.js';
 import { replicaLimits } from './replica-limits.js';
 import { requestedPauses } from './requested-pauses.js';
@@ -29,6 +30,7 @@
   dutiesOfOne,
   gracefulStops,
   leavingReplicas,
+  oneVersionStreams,
   pathsOfOthers,
   replicaLimits,
   requestedPauses,
--- a/packages/soak/src/promises/whole-own-answers.ts
+++ b/packages/soak/src/promises/whole-own-answers.ts
@@ -1,4 +1,4 @@
-import { plainBody, streamBody } from '../answers.js';
+import { plainBody, receivedEvents, streamBody } from '../answers.js';
 import type { ObservedResponse, SentRequest } from '../evidence.js';
 import { workOf } from '../workOf.js';
 import type { SoakInvariant } from './SoakInvariant.js';
@@ -6,10 +6,19 @@
 const HTTP_OK = 200;
 
 /** Returns the body of a complete response to a request. */
-function expectedBody(sent: SentRequest, { stamp }: ObservedResponse): string {
+function expectedBody(
+  sent: SentRequest,
+  { stamp, body }: ObservedResponse,
+): string {
   const work = workOf(sent.body);
+  const [first] = receivedEvents(body);
+  // Which versions may have written the events is checked elsewhere.
+  const version = first?.version ?? '';
   return work.events > 0
-    ? streamBody(sent.id, 1, work.events)
+    ? streamBody(
+        { id: sent.id, events: work.events, version },
+        1 + (sent.continues?.after ?? 0),
+      )
     : plainBody(sent.id, stamp ?? '');
 }
 
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -1,5 +1,6 @@
 import { describe } from '@jujubecroft/testing';
 
+import { streamBody } from '../../src/answers.js';
 import type { Evidence } from '../../src/evidence.js';
 import { ALL_INVARIANTS } from '../../src/promises/allPromises.js';
 import { EvidenceIndex } from '../../src/promises/EvidenceIndex.js';
@@ -22,6 +23,10 @@
     .map(({ name }) => name);
 }
 
+/** A stream of as many events as requests of the fixture ask for. */
+const STREAM = { events: 5, version: 'v1.1' };
+const FIRST_EVENT = 'id: 1\ndata: q-3 1 v1.1\n\n'.length;
+
 const safe = requestOf('q-1', 'safe');
 const unsafe = requestOf('q-2', 'unsafe');
 const resumable = requestOf('q-3', 'resumable');
@@ -168,11 +173,36 @@
       sent: [resumable],
       notes: [executionOf(resumable, 'r-1')],
       answers: [
-        responseOf(resumable, 'r-1', { body: 'id: 1\ndata: q-3 1\n\n' }),
+        responseOf(resumable, 'r-1', { body: 'id: 1\ndata: q-3 1 v1.1\n\n' }),
       ],
     },
     broken: ['whole-own-answers'],
   },
+  {
+    title: 'report a stream that another version continues for its caller',
+    seen: {
+      sent: [
+        resumable,
+        requestOf('q-4', 'resumable', {
+          continues: { first: resumable.id, after: 1, isNamed: true },
+        }),
+      ],
+      notes: [
+        executionOf(resumable, 'r-1'),
+        executionOf(requestOf('q-4', 'resumable'), 'r-1'),
+      ],
+      answers: [
+        responseOf(resumable, 'r-1', {
+          body: streamBody({ ...STREAM, id: 'q-3' }, 1).slice(0, FIRST_EVENT),
+          whole: false,
+        }),
+        responseOf(requestOf('q-4', 'resumable'), 'r-1', {
+          body: streamBody({ ...STREAM, id: 'q-4', version: 'v1.2' }, 2),
+        }),
+      ],
+    },
+    broken: ['one-version-streams'],
+  },
   {
     title: 'accept a response that is visibly truncated',
     seen: {
@@ -180,7 +210,7 @@
       notes: [executionOf(resumable, 'r-1')],
       answers: [
         responseOf(resumable, 'r-1', {
-          body: 'id: 1\ndata: q-3 1\n\n',
+          body: 'id: 1\ndata: q-3 1 v1.1\n\n',
           whole: false,
         }),
       ],
@@ -194,7 +224,7 @@
       notes: [executionOf(resumable, 'r-1')],
       answers: [
         responseOf(resumable, 'r-1', {
-          body: 'id: 1\ndata: q-3 1\n\n',
+          body: 'id: 1\ndata: q-3 1 v1.1\n\n',
           isFramed: false,
         }),
       ],
@@ -208,7 +238,7 @@
       notes: [executionOf(resumable, 'r-1')],
       answers: [
         responseOf(resumable, 'r-1', {
-          body: 'id: 1\ndata: q-3 1\n\nid: 2\nda',
+          body: 'id: 1\ndata: q-3 1 v1.1\n\nid: 2\nda',
           isFramed: false,
         }),
       ],
--- a/packages/soak/tests/promises/evidenceFixture.ts
+++ b/packages/soak/tests/promises/evidenceFixture.ts
@@ -53,6 +53,7 @@
     body: bodyFor(kind),
     organisation: 'org-1',
     version: null,
+    continues: null,
     ...changes,
   };
 }
@@ -94,7 +95,9 @@
     id,
     endedMs: ENDED_MS,
     status: 200,
-    body: isStreaming ? streamBody(id, 1, EVENT_COUNT) : plainBody(id, stamp),
+    body: isStreaming
+      ? streamBody({ id, events: EVENT_COUNT, version: 'v1.1' }, 1)
+      : plainBody(id, stamp),
     whole: true,
     isFramed: true,
     leftMs: null,
