fix(decisions): cached prompt parts are copied within a software version only

Found by looking for the class of the streams of two versions: replicas that count as alike without anybody having said so. A replica was told to copy cached prompt parts from whichever replica held most of them, of any version. Callers have not been seen to suffer from it; nothing states that a cache of another version can be read.

The best holders are found for each version, and a replica copies from one of its own version. Where versions are unknown, parts are read again.

The new test in cacheFetch.test.ts failed before.

--- a/packages/bench/src/gateway/createReplayRouter.ts
+++ b/packages/bench/src/gateway/createReplayRouter.ts
@@ -5,6 +5,7 @@
   FailureDomainId,
   InstanceId,
   Replica,
+  SoftwareVersion,
 } from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
 
@@ -40,7 +41,7 @@
     slots,
     leaving: false,
     coldMs: 0,
-    softwareVersion: null,
+    softwareVersion: brand<SoftwareVersion>('v1'),
     bornMs: null,
   };
 }
--- a/packages/decisions/src/gateway/placement/cacheFetch.ts
+++ b/packages/decisions/src/gateway/placement/cacheFetch.ts
@@ -1,7 +1,9 @@
 import murmurhash from 'murmurhash';
 import type { EngineSpec, PromptPart } from '@jujubecroft/types';
+import { groupBy } from '@jujubecroft/types';
 
 import type { BackendLoad } from '../BackendLoad.js';
+import { isSameVersion } from '../streams/isSameVersion.js';
 import type { CacheFetch } from './PlacementPolicy.js';
 
 /**
@@ -89,32 +91,41 @@
   return SETUP_MS + QUEUE_FACTOR * copyMs;
 }
 
+/** Returns the one that caches most; undefined if none caches anything. */
+function mostCached(holders: readonly CacheHolder[]): CacheHolder | undefined {
+  return holders.reduce<CacheHolder | undefined>(
+    (best, holder) => (holder.tokens > (best?.tokens ?? 0) ? holder : best),
+    undefined,
+  );
+}
+
 /**
  * Finds the replicas that probably cache most of a prompt, once for all
  * candidates.
  *
  * @param holders - what each replica caches
- * @returns the replica that caches most and the next one, since a replica
- *   copies nothing from itself; fewer if there are fewer
+ * @returns for each software version, the replica that caches most and the next
+ *   one, since a replica copies nothing from itself; fewer if there are fewer
  */
 export function bestHolders(
   holders: readonly CacheHolder[],
 ): readonly CacheHolder[] {
-  const most = (of: readonly CacheHolder[]): CacheHolder | undefined =>
-    of.reduce<CacheHolder | undefined>(
-      (best, holder) => (holder.tokens > (best?.tokens ?? 0) ? holder : best),
-      undefined,
-    );
-  const first = most(holders);
-  const second = most(holders.filter(holder => holder !== first));
-  return [first, second].flatMap(holder => holder ?? []);
+  const byVersion = groupBy(
+    holders,
+    ({ load }) => load.replica.softwareVersion ?? '',
+  );
+  return [...byVersion.values()].flatMap(some => {
+    const first = mostCached(some);
+    const second = mostCached(some.filter(holder => holder !== first));
+    return [first, second].flatMap(holder => holder ?? []);
+  });
 }
 
 /** Input to the decision on a fetch. */
 export interface FetchInput {
   /**
-   * Replicas that cache most of the shared parts, best first, whichever group
-   * they serve.
+   * Replicas that cache most of the shared parts, best first for each software
+   * version, whichever group they serve.
    */
   readonly holders: readonly CacheHolder[];
   /** Replica on which the request would run. */
@@ -134,10 +145,13 @@
  * full. Another replica would have to read the parts again, which delays all of
  * its requests; a copy uses the network link instead.
  *
+ * Caches are copied between replicas of one software version only, since nothing
+ * says that another version can use them.
+ *
  * @param input - what each replica caches, and how fast tokens are read and
  *   copied
- * @returns null if reading takes no longer, or no other replica is known to
- *   cache more
+ * @returns null if reading takes no longer, or no other replica of the version
+ *   is known to cache more
  */
 export function chooseFetch({
   holders,
@@ -146,7 +160,12 @@
   tokensPerMs,
   spec,
 }: FetchInput): CacheFetch | null {
-  const best = holders.find(({ load }) => load !== target);
+  const { softwareVersion } = target.replica;
+  const best = holders.find(
+    ({ load }) =>
+      load !== target &&
+      isSameVersion(load.replica.softwareVersion, softwareVersion),
+  );
   const tokens = (best?.tokens ?? 0) - ownTokens;
   const copyMs = fetchMs(tokens, spec);
   if (!best || tokens < MIN_FETCH_TOKENS || copyMs === null) {
--- a/packages/decisions/src/gateway/streams/StreamBinding.ts
+++ b/packages/decisions/src/gateway/streams/StreamBinding.ts
@@ -1,5 +1,7 @@
 import type { Replica, SoftwareVersion } from '@jujubecroft/types';
 
+import { isSameVersion } from './isSameVersion.js';
+
 /**
  * Software version that the events of one stream come from. What two versions write
  * does not fit together, and replicas don't check where a stream began.
@@ -41,9 +43,6 @@
    * others, also from each other.
    */
   allows({ softwareVersion }: Pick<Replica, 'softwareVersion'>): boolean {
-    return (
-      !this.#isBound ||
-      (this.#version !== null && softwareVersion === this.#version)
-    );
+    return !this.#isBound || isSameVersion(this.#version, softwareVersion);
   }
 }
--- a/packages/decisions/tests/gateway/placement/cacheFetch.test.ts
+++ b/packages/decisions/tests/gateway/placement/cacheFetch.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@jujubecroft/testing';
-import type { RouteId } from '@jujubecroft/types';
+import type { Replica, RouteId, SoftwareVersion } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
 import type { GatewayAttempt } from '../../../src/index.js';
@@ -21,8 +21,11 @@
 /** Copying tokens at this rate takes a fifth of the time to read them. */
 const TRANSFER = { bytesPerToken: 131_072, megabitsPerS: 260_000 };
 
-function fixtureWith(transfer: typeof TRANSFER | null): GatewayFixture {
-  const fixture = gatewayFixture([DRAFT], REPLICAS);
+function fixtureWith(
+  transfer: typeof TRANSFER | null,
+  replicas: readonly Replica[] = REPLICAS,
+): GatewayFixture {
+  const fixture = gatewayFixture([DRAFT], replicas);
   const cfg = configuration([DRAFT], 2);
   fixture.router.configure({
     ...cfg,
@@ -70,6 +73,22 @@
     t.is(moved?.unreadTokens, 3000);
   });
 
+  // Guards against a cache that another software version wrote and that the replica
+  // can't read.
+  it('are not made between software versions, or where these are unknown', t => {
+    const versions = ['v1.1', 'v1.2', null];
+    const replicas = versions.map((name, index) =>
+      replica(`s-${index}`, {
+        softwareVersion: name === null ? null : brand<SoftwareVersion>(name),
+      }),
+    );
+    const mixed = sendUntilMoved(fixtureWith(TRANSFER, replicas));
+    t.is(mixed.moved?.fetch ?? null, null);
+    const unknown = replicas.map(of => ({ ...of, softwareVersion: null }));
+    const { moved } = sendUntilMoved(fixtureWith(TRANSFER, unknown));
+    t.is(moved?.fetch ?? null, null);
+  });
+
   it('are not made by engines that cannot copy', t => {
     const { moved } = sendUntilMoved(fixtureWith(null));
     t.is(moved?.fetch ?? null, null);
