fix(decisions): a new software version under a known id is a restart

Found by looking for the same class elsewhere: a run was told from the next by its start alone, which not all entries state. A process that another version had replaced under one id kept the estimate of its cache, its load and its attempts. The last check already kept bound streams away from it.

An entry whose known version differs from the known one counts as a restart, is announced like one, and attempts on the earlier run are withdrawn.

The new test in replicaRestart.test.ts failed before.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -33,7 +33,7 @@
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
 import { passesLastCheck } from './passesLastCheck.js';
-import { isLaterRun } from './replicaRuns.js';
+import { isRestarted } from './replicaRuns.js';
 import { candidatesFor } from './streams/candidatesFor.js';
 import { isUnresponsive, shouldMoveElsewhere } from './usableCandidates.js';
 import { RoutingTable } from './RoutingTable.js';
@@ -104,7 +104,7 @@
   #syncReplica(replica: Replica): void {
     const { backends, supersededRuns, table, clock, speeds } = this.board;
     const load = backends.get(replica.id);
-    if (load && !isLaterRun(replica, load.replica)) {
+    if (load && !isRestarted(replica, load.replica)) {
       load.replica = replica;
       return;
     }
--- a/packages/decisions/src/gateway/replicaRuns.ts
+++ b/packages/decisions/src/gateway/replicaRuns.ts
@@ -21,6 +21,26 @@
   );
 }
 
+/**
+ * Whether an entry under a known id belongs to another run than the known one.
+ *
+ * A process has one software version, so a new version shows a restart also where the
+ * start is unknown.
+ *
+ * @param now - the replica in an entry
+ * @param known - the replica known so far
+ */
+export function isRestarted(
+  now: Pick<Replica, 'bornMs' | 'softwareVersion'>,
+  known: Pick<Replica, 'bornMs' | 'softwareVersion'>,
+): boolean {
+  const hasOtherVersion =
+    now.softwareVersion !== null &&
+    known.softwareVersion !== null &&
+    now.softwareVersion !== known.softwareVersion;
+  return isLaterRun(now, known) || hasOtherVersion;
+}
+
 /** Whether an entry belongs to a run before the known one. */
 export function isEarlierRun(now: RunStart, known: RunStart): boolean {
   return isLaterRun(known, now);
@@ -74,7 +94,7 @@
   if (hasSameContent(before.replica, after) && before.goneAtMs === null) {
     return null;
   }
-  if (isLaterRun(after, before)) {
+  if (isLaterRun(after, before) || isRestarted(after, before.replica)) {
     return 'restarted';
   }
   return after.leaving && !before.replica.leaving ? 'leaving' : 'updated';
--- a/packages/decisions/tests/gateway/replicaRestart.test.ts
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@jujubecroft/testing';
-import type { InstanceId } from '@jujubecroft/types';
+import type { InstanceId, SoftwareVersion } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
 import type { BackendLoad, GatewayAttempt } from '../../src/index.js';
@@ -56,6 +56,25 @@
     t.is(load.latencyRatioFor(0), 1);
   });
 
+  // Guards against the cache and the attempts of a process that another version has
+  // replaced, where entries state no start.
+  it('is recognised by its software version where its start is unknown', t => {
+    const before = replica('p-1');
+    const after = replica('p-1', {
+      softwareVersion: brand<SoftwareVersion>('v2'),
+    });
+    const fixture = gatewayFixture([STREAM], [before]);
+    const { board, router } = fixture;
+    const attempt = send(fixture);
+    const rows = [{ id: after.id, rowVersion: 2, replica: after }];
+    t.is(board.replicas.applyRows(rows, 2, 0)[0]?.kind, 'restarted');
+    router.syncReplicas();
+    const { cacheEstimate } = loadOf(fixture);
+    t.is(cacheEstimate.cachedTokens(PARTS, prefixPathsOf(PARTS)), 0);
+    t.false(router.mayReceive(attempt));
+    t.deepEqual(router.takeOrphanedAttempts(), [attempt]);
+  });
+
   // A crash may leave the connections of the previous run open. Its requests
   // would wait until their time limit.
   it('returns the attempts on the previous run exactly once', t => {
