--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -17,32 +17,25 @@
 import type { ExchangeEnd, RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
 import type { GatewayContext } from '../GatewayContext.js';
-import type { RequestHead, RawHeaders } from '../ports/CallerDialect.js';
 import { headerValue } from '../util/headers.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import { ResponseAssembler } from './ResponseAssembler.js';
 import { ResponseTimings } from './ResponseTimings.js';
 import type { CallerResponse } from './CallerResponse.js';
 import { SseEventBuffer } from './SseEventBuffer.js';
+import type { IncomingRequest } from './IncomingRequest.js';
+import { movesToOtherReplica } from './movesToOtherReplica.js';
 import { placeWhenViewUsable } from './placeWhenViewUsable.js';
 import { RequestFinisher } from './RequestFinisher.js';
-import type { LogFields, RequestProgress } from './RequestRecorder.js';
+import type { LogFields } from './logFields.js';
 import {
+  admissionFields,
   crashFields,
   queueFields,
-  RequestRecorder,
-  admissionFields,
   shareFields,
-} from './RequestRecorder.js';
-
-/** A caller's request as it was received. */
-export interface IncomingRequest {
-  readonly method: string;
-  readonly target: string;
-  readonly headers: RawHeaders;
-  readonly head: RequestHead;
-  readonly body: Buffer | null;
-}
+} from './logFields.js';
+import type { RequestProgress } from './RequestRecorder.js';
+import { RequestRecorder } from './RequestRecorder.js';
 
 type SendDecision = Extract<PlacementDecision, { kind: 'send' }>;
 
@@ -442,11 +435,3 @@
     };
   }
 }
-
-/**
- * Whether the request may be retried at another replica after a withdrawal for
- * this reason.
- */
-function movesToOtherReplica(reason: WithdrawReason): boolean {
-  return reason === 'silent' || reason === 'replicaRestarted';
-}
--- a/packages/gateway/src/forward/RequestFinisher.ts
+++ b/packages/gateway/src/forward/RequestFinisher.ts
@@ -4,11 +4,8 @@
 import type { CallerDialect } from '../ports/CallerDialect.js';
 import type { CallerResponse, CompleteResponse } from './CallerResponse.js';
 import { gatewayResponse } from './gatewayResponse.js';
-import type {
-  LogFields,
-  RequestProgress,
-  RequestRecorder,
-} from './RequestRecorder.js';
+import type { LogFields } from './logFields.js';
+import type { RequestProgress, RequestRecorder } from './RequestRecorder.js';
 
 /** Finishes a request that gets no complete response from a replica. */
 export class RequestFinisher {
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -1,13 +1,8 @@
 import type {
   AttemptResult,
   GatewayAttempt,
-  GatewayBoard,
   GatewayRequest,
-  GatewayVerdict,
-  OrganisationShare,
-  PlacedCandidate,
   Recovery,
-  Resumption,
 } from '@jujubecroft/decisions';
 import {
   determineViewState,
@@ -18,14 +13,19 @@
 
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
+import type { LogFields } from './logFields.js';
+import {
+  continuityOf,
+  responseFields,
+  resumptionFields,
+  speedFields,
+  versionFields,
+} from './logFields.js';
 import type { ResponseProgress } from './ResponseAssembler.js';
 
 /** Outcomes of a request without a complete response. */
 export type UnansweredOutcome = 'callerLeft' | 'requestCut' | 'requestRefused';
 
-/** Fields of a log entry. */
-export type LogFields = Readonly<Record<string, unknown>>;
-
 /** Progress of a request over all its attempts. */
 export interface RequestProgress {
   /** Attempts of which some bytes may have left this instance. */
@@ -58,160 +58,6 @@
  */
 const OLD_VIEW_SHARE = 0.5;
 
-/**
- * Log fields of an admission decision.
- *
- * @param verdict - the decision; null if there was nothing to decide
- * @returns predicted and allowed times, in milliseconds
- */
-export function admissionFields(verdict: GatewayVerdict | null): LogFields {
-  return verdict
-    ? {
-        predictedMs: Math.round(verdict.predictedMs),
-        allowedMs: Math.round(verdict.allowedMs),
-        predictedWholeMs: Math.round(verdict.predictedWholeMs),
-        allowedWholeMs: Math.round(verdict.allowedWholeMs),
-      }
-    : {};
-}
-
-/**
- * Log fields of a request that is refused since its organisation uses more than
- * its share of a short capacity.
- *
- * @param share - use and share of the organisation; undefined if that isn't why
- * @returns the reason, and work per second over all instances
- */
-export function shareFields(share: OrganisationShare | undefined): LogFields {
-  return share
-    ? {
-        because: 'aboveShare',
-        organisationUsePerS: Math.round(share.usePerS),
-        organisationSharePerS: Math.round(share.sharePerS),
-      }
-    : {};
-}
-
-/**
- * Log fields of the queue at the best replica for a refused request.
- *
- * @param best - the best replica; null if there was none
- * @param request - the refused request
- * @returns the fields; none without a replica
- */
-export function queueFields(
-  best: PlacedCandidate | null,
-  { priority }: GatewayRequest,
-): LogFields {
-  return best
-    ? {
-        backendServer: best.load.replica.id,
-        tokensAhead: Math.round(best.tokensAhead),
-        lessUrgentTokens: Math.round(
-          best.load.lessUrgentUnreadTokens(priority),
-        ),
-        inFlight: best.load.totalInFlight,
-      }
-    : {};
-}
-
-/**
- * Log fields of the crashes that are attributed to a refused request.
- *
- * @param board - shared state of the decision logic
- * @param request - the refused request
- * @returns the fields; none without such crashes
- */
-export function crashFields(
-  { crashes }: GatewayBoard,
-  request: GatewayRequest,
-): LogFields {
-  if (crashes.isEmpty) {
-    return {};
-  }
-  const fingerprint = request.fingerprint();
-  const crashed = crashes.crashesOf(fingerprint);
-  return crashed.length > 0 ? { fingerprint, crashed } : {};
-}
-
-/**
- * Log fields of the speed of the chosen replica.
- *
- * @param board - shared state of the decision logic
- * @param attempt - the attempt
- * @returns the time of work there relative to the service's mean, above 1 for a slow
- *   replica; no field where replicas count as equally fast
- */
-function speedFields(
-  { speeds }: GatewayBoard,
-  { load }: GatewayAttempt,
-): LogFields {
-  const known = speeds.find(load.replica.service);
-  return known ? { speed: Number(known.factorOf(load).toFixed(2)) } : {};
-}
-
-/**
- * Log fields of a response.
- *
- * @param progress - progress of the response; null if there was none
- * @returns how its end is determined, and whether it ended inside an event
- */
-function responseFields(progress: ResponseProgress | null): LogFields {
-  return progress
-    ? {
-        framing: progress.framing,
-        ...(progress.isInsideEvent ? { insideEvent: true } : {}),
-      }
-    : {};
-}
-
-/**
- * Log fields of a request that continues a stream.
- *
- * @param resumption - the caller's statement; null for any other request
- * @returns the request that the caller names, who knew where the stream began, and how old
- *   the knowledge was
- */
-function resumptionFields(resumption: Resumption | null): LogFields {
-  return resumption
-    ? {
-        resumes: resumption.firstRequest,
-        knownFrom: resumption.knownFrom ?? null,
-        knownAgeMs: Math.round(resumption.knownAgeMs ?? 0),
-      }
-    : {};
-}
-
-/**
- * Log fields of the software versions that concern a stream.
- *
- * @param request - the request
- * @param attempt - the attempt
- * @returns version of the replica; for a stream that goes on, the version of its events so
- *   far and the earlier request that the caller names
- */
-function versionFields(
-  { binding, resumption }: GatewayRequest,
-  { softwareVersion }: GatewayAttempt,
-): LogFields {
-  return {
-    softwareVersion,
-    ...(binding?.isBound === true ? { boundVersion: binding.version } : {}),
-    ...resumptionFields(resumption),
-  };
-}
-
-/** Whether a stream goes on at the version that wrote its events so far. */
-function continuityOf(
-  { binding }: GatewayRequest,
-  { softwareVersion }: GatewayAttempt,
-): 'otherVersion' | 'sameVersion' | 'unknownVersion' {
-  if (!binding?.isBound || binding.version === null) {
-    return 'unknownVersion';
-  }
-  return binding.version === softwareVersion ? 'sameVersion' : 'otherVersion';
-}
-
 /** Logs the events of one request and counts them in the metrics. */
 export class RequestRecorder {
   readonly #labels: { readonly kind: string; readonly priority: string };
--- a/packages/gateway/src/forward/fingerprintOf.ts
+++ b/packages/gateway/src/forward/fingerprintOf.ts
@@ -2,7 +2,7 @@
 import type { OrganisationId, RequestFingerprint } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
-import type { IncomingRequest } from './ForwardedRequest.js';
+import type { IncomingRequest } from './IncomingRequest.js';
 
 /**
  * Hexadecimal digits of the hash that are kept; 64 bits make collisions between
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -5,7 +5,7 @@
 
 import { CallerResponse } from '../forward/CallerResponse.js';
 import { fingerprintOf } from '../forward/fingerprintOf.js';
-import type { IncomingRequest } from '../forward/ForwardedRequest.js';
+import type { IncomingRequest } from '../forward/IncomingRequest.js';
 import { ForwardedRequest } from '../forward/ForwardedRequest.js';
 import { gatewayResponse } from '../forward/gatewayResponse.js';
 import { STALE_VIEW_RETRY_MS } from '../forward/placeWhenViewUsable.js';
