test(gateway): streams without a record, in outages and over restarts in turn

A version that is in the store and not yet known to an instance, a store that doesn't answer, and keepers that stop one after another.

--- a/packages/gateway/tests/streams/streamOrigins.test.ts
+++ b/packages/gateway/tests/streams/streamOrigins.test.ts
@@ -1,7 +1,9 @@
 import { describe } from '@jujubecroft/testing';
-import { createRandom } from '@jujubecroft/types';
+import type { SoftwareVersion } from '@jujubecroft/types';
+import { brand, createRandom } from '@jujubecroft/types';
 
 import type { FleetConditions } from '../helpers/VirtualFleet.js';
+import { createReplica } from '../helpers/virtualDeployment.js';
 import { VirtualFleet } from '../helpers/VirtualFleet.js';
 import { beginStream, continueStream } from '../helpers/virtualStreams.js';
 
@@ -108,6 +110,110 @@
   return outcome;
 }
 
+/** Time after which a version is known to be the only one of all streams. */
+const HISTORY_MS = 13_000;
+const ANSWERED_MS = 1500;
+const V1 = brand<SoftwareVersion>('v1');
+
+/** A fleet whose only service has had one version for long enough. */
+async function fleetOfOneVersion(seed: number): Promise<VirtualFleet> {
+  const fleet = new VirtualFleet({
+    instances: 6,
+    replicas: 4,
+    loss: 0,
+    meanStallMs: 0,
+    meanStallIntervalMs: 0,
+    freshWithinMs: 3000,
+    domains: DOMAINS,
+    seed,
+  });
+  await fleet.start();
+  await fleet.time.run(HISTORY_MS);
+  return fleet;
+}
+
+/** Continues a stream of which no other instance has a record. */
+async function continueUnrecorded(
+  fleet: VirtualFleet,
+): Promise<SoftwareVersion | null> {
+  const answer = continueStream(fleet, 1, 'unrecorded');
+  await fleet.time.run(ANSWERED_MS);
+  return answer;
+}
+
+describe('streams of a service that has had one version', ({ it }) => {
+  it('go on without a record', async t => {
+    t.is(await continueUnrecorded(await fleetOfOneVersion(1)), V1);
+  });
+
+  // Guards against a version that another instance knows first, begins a stream at, and
+  // takes with it when it dies.
+  it('are refused if a new version is in the store, known here or not', async t => {
+    for (const seed of [1, 2, 3]) {
+      const fleet = await fleetOfOneVersion(seed);
+      fleet.store.put(createReplica('s-new', false, 'v2'));
+      await fleet.time.run(50 * (seed - 1));
+      t.is(await continueUnrecorded(fleet), null);
+    }
+  });
+
+  // Guards against a guess when the view can't be confirmed.
+  it('are refused while the store does not answer', async t => {
+    const fleet = await fleetOfOneVersion(1);
+    fleet.store.isSilent = true;
+    t.is(await continueUnrecorded(fleet), null);
+  });
+
+  // Guards against records that are not sent because the store used to answer.
+  it('go on by records while the store does not answer', async t => {
+    const fleet = await fleetOfOneVersion(1);
+    fleet.store.isSilent = true;
+    await fleet.time.run(4000);
+    beginStream(fleet, 0, 'recorded', 'v1');
+    await fleet.time.run(LOSS_AFTER_MS);
+    fleet.powerOff(0);
+    const answer = continueStream(fleet, 1, 'recorded');
+    await fleet.time.run(ANSWERED_MS);
+    t.is(await answer, V1);
+  });
+});
+
+describe('instances that restart in turn', ({ it }) => {
+  // Guards against records that are lost when the last of their keepers restarts.
+  it('pass their records on', async t => {
+    const fleet = new VirtualFleet({
+      instances: 6,
+      replicas: 12,
+      loss: 0.02,
+      meanStallMs: 0,
+      meanStallIntervalMs: 0,
+      freshWithinMs: 3000,
+      domains: DOMAINS,
+      versions: VERSIONS,
+      seed: 1,
+    });
+    await fleet.start();
+    const ids = Array.from({ length: STREAMS }, (_, number) => `s-${number}`);
+    ids.forEach((id, number) => {
+      beginStream(fleet, number % 6, id, 'v1.2');
+    });
+    await fleet.time.run(LOSS_AFTER_MS);
+    for (let index = 0; index < 6; index += 1) {
+      const { context } = fleet.instances[index] ?? {};
+      context?.membership.leave();
+      context?.streams.handOver();
+      await fleet.time.run(LOSS_AFTER_MS);
+      fleet.restart(index);
+      await fleet.time.run(1000);
+    }
+    const answers = ids.map(id => continueStream(fleet, 3, id));
+    await fleet.time.run(ANSWERED_MS);
+    const versions = await Promise.all(answers);
+    const wentOn = versions.filter(version => version === 'v1.2').length;
+    t.true(wentOn >= MIN_SHARE * STREAMS, String(wentOn));
+  });
+});
+
 // Guards against streams that join two versions, or that are refused, because the
 // instance that began them is gone.
 describe('streams that callers continue at other instances', ({ itAlone }) => {
