perf(gateway): no timer for records of streams without streams that lack one

An idle instance was woken up ten times a second to check whether records of streams had come to be needed. The check is scheduled only while a stream without a published record runs. A test covers streams that began before a second version was there.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -237,7 +237,6 @@
     clearInterval(housekeeping);
     duties?.stop();
     reader.stop();
-    context.streams.stop();
     // The server for other instances closes only once its tunnels have ended.
     tunnels.close();
     await peers.stop();
--- a/packages/gateway/src/streams/OriginPublisher.ts
+++ b/packages/gateway/src/streams/OriginPublisher.ts
@@ -17,6 +17,8 @@
  * once, all of them are among these for one stream in eighty.
  */
 const KEEPERS = 4;
+/** Interval between checks whether records have come to be needed, in milliseconds. */
+export const CHECK_MS = 100;
 /** Records that are added within this time are sent together, in milliseconds. */
 const BATCH_MS = 5;
 /** Maximum number of records in one datagram, which then has some 1,000 bytes. */
@@ -38,6 +40,7 @@
 export class OriginPublisher {
   readonly #running = new Map<StreamKey, RunningStream>();
   #pending: StreamRecord[] = [];
+  #isCheckScheduled = false;
 
   /**
    * @param context - clock, timers and members
@@ -61,6 +64,7 @@
     const stream = { record, isPublished: false };
     this.#running.set(record.key, stream);
     this.#publishIfNeeded(stream);
+    this.#scheduleCheck();
   }
 
   /** Forgets a stream that has ended; its record is kept. */
@@ -68,22 +72,32 @@
     this.#running.delete(key);
   }
 
-  /**
-   * Publishes running streams whose records have come to be needed. To be called
-   * periodically.
-   */
-  tick(): void {
-    this.#running.forEach(stream => {
-      this.#publishIfNeeded(stream);
-    });
-  }
-
   /** Passes all records on, before this instance stops. */
   handOver(): void {
     this.#pending.push(...this.own.current);
     this.#flush();
   }
 
+  /**
+   * Checks from time to time whether records of running streams have come to be needed.
+   * There is no timer without such streams, so that an idle instance is not woken up.
+   */
+  #scheduleCheck(): void {
+    const waits = [...this.#running.values()].some(
+      ({ isPublished }) => !isPublished,
+    );
+    if (waits && !this.#isCheckScheduled) {
+      this.#isCheckScheduled = true;
+      this.context.timers.after(CHECK_MS, () => {
+        this.#isCheckScheduled = false;
+        this.#running.forEach(stream => {
+          this.#publishIfNeeded(stream);
+        });
+        this.#scheduleCheck();
+      });
+    }
+  }
+
   #publishIfNeeded(stream: RunningStream): void {
     const { record } = stream;
     if (!stream.isPublished && this.isNeeded(record.service)) {
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -4,13 +4,12 @@
 import type { ServiceId, StreamKey } from '@jujubecroft/types';
 
 import type { GatewayContext } from '../GatewayContext.js';
-import type { CancelTimer } from '../ports/Timers.js';
 import { FreshView } from './FreshView.js';
 import type { FoundOrigin } from './OriginLookup.js';
 import { OriginLookup } from './OriginLookup.js';
 import { fromKeyBytes, fromOrigins, toAnswer } from './originMessage.js';
 import type { SendStreamMessage } from './OriginPublisher.js';
-import { OriginPublisher } from './OriginPublisher.js';
+import { CHECK_MS, OriginPublisher } from './OriginPublisher.js';
 import { streamKeyOf } from './streamKeyOf.js';
 import { streamLifeMs } from './streamAge.js';
 
@@ -21,8 +20,6 @@
   readonly readReplicas: () => Promise<boolean>;
 }
 
-/** Interval between checks whether records have come to be needed. */
-const TICK_MS = 100;
 const NO_LINKS: OriginLinks = {
   send: () => undefined,
   readReplicas: () => Promise.resolve(false),
@@ -57,7 +54,6 @@
     { readonly atMs: number; readonly isNeeded: boolean }
   >();
   #links = NO_LINKS;
-  #cancelTicks: CancelTimer | null = null;
 
   constructor(
     private readonly context: Pick<
@@ -82,17 +78,9 @@
     this.#freshView = new FreshView(timers, () => this.#links.readReplicas());
   }
 
-  /** Connects the other instances and the store, and starts the periodic checks. */
+  /** Connects the other instances and the store. */
   connect(links: OriginLinks): void {
     this.#links = links;
-    this.#cancelTicks = this.context.timers.every(TICK_MS, () => {
-      this.#publisher.tick();
-    });
-  }
-
-  /** Ends the periodic checks. */
-  stop(): void {
-    this.#cancelTicks?.();
   }
 
   /** Records that the caller of a request has the first event of its stream. */
@@ -214,7 +202,7 @@
   #needsRecords(service: ServiceId): boolean {
     const nowMs = this.context.clock();
     const checked = this.#needs.get(service);
-    if (checked && nowMs - checked.atMs < TICK_MS) {
+    if (checked && nowMs - checked.atMs < CHECK_MS) {
       return checked.isNeeded;
     }
     const isNeeded = !this.#isCertain(service);
--- a/packages/gateway/tests/streams/streamOrigins.test.ts
+++ b/packages/gateway/tests/streams/streamOrigins.test.ts
@@ -164,6 +164,19 @@
     t.is(await continueUnrecorded(fleet), null);
   });
 
+  // Guards against streams that nobody knows since they began before a release.
+  it('go on by records once a second version is there', async t => {
+    const fleet = await fleetOfOneVersion(1);
+    beginStream(fleet, 0, 'before', 'v1');
+    await fleet.time.run(LOSS_AFTER_MS);
+    fleet.store.put(createReplica('s-new', false, 'v2'));
+    await fleet.time.run(2000);
+    fleet.powerOff(0);
+    const answer = continueStream(fleet, 1, 'before');
+    await fleet.time.run(ANSWERED_MS);
+    t.is(await answer, V1);
+  });
+
   // Guards against records that are not sent because the store used to answer.
   it('go on by records while the store does not answer', async t => {
     const fleet = await fleetOfOneVersion(1);
