refactor(gateway): questions where a stream began keep no state of their own

A repeated question replaces the one without an answer, so that a stream that nobody knows is refused once all have answered. Names and comments from reading the change as a newcomer.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -50,7 +50,7 @@
    * that the caller has left.
    */
   readonly isCallerRetry: boolean;
-  /** Null unless the answer is a stream that may be resumed. */
+  /** Null unless the answer is a stream that may be resumed or continues one. */
   readonly binding: StreamBinding | null;
   /** Set if the caller continues a stream that an earlier request began. */
   readonly resumption: Resumption | null;
@@ -65,8 +65,11 @@
 export interface GatewayAttempt {
   readonly request: GatewayRequest;
   readonly load: BackendLoad;
-  /** Software version of the addressed run, as known at the last check before the send. */
-  softwareVersion: SoftwareVersion | null;
+  /**
+   * Software version of the addressed run, as known when the attempt was placed. The
+   * last check before the send requires it; null if unknown.
+   */
+  readonly softwareVersion: SoftwareVersion | null;
   /** Number of the attempt; 1 for the first. */
   readonly number: number;
   /** Number of the attempt, counting only attempts that left this instance. */
--- a/packages/decisions/src/gateway/streams/VersionHistory.ts
+++ b/packages/decisions/src/gateway/streams/VersionHistory.ts
@@ -26,8 +26,8 @@
  */
 export class VersionHistory {
   readonly #services = new Map<ServiceId, VersionSightings>();
-  /** Starts of the history by service that other instances vouch for. */
-  readonly #vouchedFromMs = new Map<ServiceId, number>();
+  /** Starts of the history by service where that of another instance extends it. */
+  readonly #extendedFromMs = new Map<ServiceId, number>();
   /** Null before the first view. */
   #fromMs: number | null = null;
   #unseenRemovals = 0;
@@ -49,7 +49,7 @@
    */
   restart(replicas: readonly Replica[]): void {
     this.#services.clear();
-    this.#vouchedFromMs.clear();
+    this.#extendedFromMs.clear();
     this.#fromMs = null;
     this.observe(replicas);
   }
@@ -97,7 +97,7 @@
     const others = [...(this.#services.get(service) ?? [])]
       .filter(([other]) => other !== version)
       .map(([, { lastMs }]) => lastMs);
-    const fromMs = this.#vouchedFromMs.get(service) ?? this.#fromMs;
+    const fromMs = this.#extendedFromMs.get(service) ?? this.#fromMs;
     const soleFromMs = Math.max(fromMs, ...others);
     return { softwareVersion: version, forMs: nowMs - soleFromMs };
   }
@@ -124,7 +124,7 @@
     ) {
       return;
     }
-    this.#vouchedFromMs.set(service, this.clock() - other.forMs);
+    this.#extendedFromMs.set(service, this.clock() - other.forMs);
   }
 
   #present(service: ServiceId): readonly (SoftwareVersion | null)[] {
@@ -141,7 +141,7 @@
     const count = this.countUnseenRemovals();
     if (count !== this.#unseenRemovals) {
       this.#unseenRemovals = count;
-      this.#vouchedFromMs.clear();
+      this.#extendedFromMs.clear();
       this.#fromMs = this.#fromMs === null ? null : this.clock();
     }
   }
--- a/packages/decisions/src/gateway/streams/keepersOf.ts
+++ b/packages/decisions/src/gateway/streams/keepersOf.ts
@@ -15,8 +15,8 @@
  * Orders instances by how they are chosen to keep the record of a stream.
  *
  * The order follows from rendezvous hashing, so that instances which know the same
- * members agree on it, and a member that joins or fails moves no other one past a third.
- * The first ones belong to different failure domains.
+ * members agree on it. A member that joins or fails leaves the order of the others in its
+ * failure domain as it was. The first ones belong to different failure domains.
  *
  * @param key - key of the stream
  * @param members - all serving instances
--- a/packages/gateway/src/streams/OriginLookup.ts
+++ b/packages/gateway/src/streams/OriginLookup.ts
@@ -25,15 +25,13 @@
 /** Time after which a stream counts as unknown, in milliseconds. */
 const TIMEOUT_MS = 350;
 
-/** A question that waits for answers. */
-interface OpenQuestion {
-  readonly unanswered: Set<number>;
-  readonly onReply: (number: number, reply: OriginReply) => void;
-}
+/** Handles the answer to a question, given its number. */
+type ReplyListener = (number: number, reply: OriginReply) => void;
 
 /** Asks other instances where a stream began. */
 export class OriginLookup {
-  readonly #open = new Map<number, OpenQuestion>();
+  /** Questions that may still be answered, by number. */
+  readonly #open = new Map<number, ReplyListener>();
   #lastNumber = 0;
 
   /**
@@ -74,7 +72,7 @@
           const number = this.#nextNumber();
           asked.set(number, member);
           unanswered.add(number);
-          this.#open.set(number, { unanswered, onReply });
+          this.#open.set(number, onReply);
           this.#ask(number, key, service, member);
         });
       };
@@ -93,6 +91,7 @@
         const silent = [...unanswered].flatMap(
           number => asked.get(number) ?? [],
         );
+        unanswered.clear();
         ask([...silent, ...second]);
       };
       const onReply = (number: number, reply: OriginReply): void => {
@@ -120,7 +119,7 @@
 
   /** Handles an answer of another instance. */
   onAnswer(answer: proto.OriginAnswer): void {
-    this.#open.get(answer.number)?.onReply(answer.number, fromAnswer(answer));
+    this.#open.get(answer.number)?.(answer.number, fromAnswer(answer));
   }
 
   #nextNumber(): number {
--- a/packages/gateway/src/streams/OriginPublisher.ts
+++ b/packages/gateway/src/streams/OriginPublisher.ts
@@ -83,10 +83,10 @@
    * There is no timer without such streams, so that an idle instance is not woken up.
    */
   #scheduleCheck(): void {
-    const waits = [...this.#running.values()].some(
+    const hasUnpublished = [...this.#running.values()].some(
       ({ isPublished }) => !isPublished,
     );
-    if (waits && !this.#isCheckScheduled) {
+    if (hasUnpublished && !this.#isCheckScheduled) {
       this.#isCheckScheduled = true;
       this.context.timers.after(CHECK_MS, () => {
         this.#isCheckScheduled = false;
