--- a/packages/gateway/src/streams/OriginLookup.ts
+++ b/packages/gateway/src/streams/OriginLookup.ts
@@ -5,7 +5,8 @@
 
 import type { GatewayContext } from '../GatewayContext.js';
 import type { OriginReply } from './originMessage.js';
-import { fromAnswer, toKeyBytes } from './originMessage.js';
+import { toHashBytes } from '../util/shortHash.js';
+import { fromAnswer } from './originMessage.js';
 import type { SendStreamMessage } from './OriginPublisher.js';
 
 /** The origin of a stream, with the instance that knew it. */
@@ -135,7 +136,13 @@
   ): void {
     this.context.metrics.peerMessages.inc({ kind: 'originQuestion' });
     this.send(
-      { question: { number, key: toKeyBytes(key), service } },
+      {
+        question: {
+          number,
+          key: toHashBytes([key]),
+          service,
+        },
+      },
       peerAddress,
     );
   }
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -7,7 +7,8 @@
 import { FreshView } from './FreshView.js';
 import type { FoundOrigin } from './OriginLookup.js';
 import { OriginLookup } from './OriginLookup.js';
-import { fromKeyBytes, fromOrigins, toAnswer } from './originMessage.js';
+import { fromHashBytes } from '../util/shortHash.js';
+import { fromOrigins, toAnswer } from './originMessage.js';
 import type { SendStreamMessage } from './OriginPublisher.js';
 import { CHECK_MS, OriginPublisher } from './OriginPublisher.js';
 import { streamKeyOf } from './streamKeyOf.js';
@@ -228,7 +229,7 @@
 
   #answer(question: proto.OriginQuestion, from: string): void {
     const { number, key, service } = question;
-    const [asked] = fromKeyBytes(key);
+    const [asked] = fromHashBytes<StreamKey>(key);
     const { replicas } = this.context.router.board;
     const reply = {
       origin: asked === undefined ? null : this.#records.find(asked),
--- a/packages/gateway/src/streams/originMessage.ts
+++ b/packages/gateway/src/streams/originMessage.ts
@@ -8,6 +8,8 @@
 import type { ServiceId, SoftwareVersion, StreamKey } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
+import { fromHashBytes, toHashBytes } from '../util/shortHash.js';
+
 /** What an instance answers to the question where a stream began. */
 export interface OriginReply {
   /** Null if it does not know. */
@@ -18,7 +20,6 @@
   readonly viewAgeMs: number;
 }
 
-const KEY_BYTES = 8;
 /** Largest time in a message, in milliseconds. */
 const MAX_TIME_MS = 0xffff_ffff;
 /** Stands for a service or version that is not known. */
@@ -28,23 +29,6 @@
   return Math.min(MAX_TIME_MS, Math.max(0, Math.round(ms)));
 }
 
-/** @returns the bytes of a key; none for null */
-export function toKeyBytes(key: StreamKey | null): Buffer {
-  return Buffer.from(key ?? '', 'hex');
-}
-
-/** @returns the keys in a message; an incomplete one at the end is ignored */
-export function fromKeyBytes(bytes: Uint8Array): readonly StreamKey[] {
-  const all = Buffer.from(bytes);
-  return Array.from(
-    { length: Math.floor(all.length / KEY_BYTES) },
-    (_, index) => {
-      const start = index * KEY_BYTES;
-      return brand<StreamKey>(all.toString('hex', start, start + KEY_BYTES));
-    },
-  );
-}
-
 /** Builds a datagram that holds a message about streams only. */
 export function toStreamDatagram(
   message: Partial<proto.StreamMessage>,
@@ -74,7 +58,7 @@
           service: first.service,
           softwareVersion: first.softwareVersion,
           keepMs: toTime(first.keepMs),
-          keys: Buffer.concat(group.map(({ key }) => toKeyBytes(key))),
+          keys: toHashBytes(group.map(({ key }) => key)),
         }
       : [];
   });
@@ -87,7 +71,7 @@
   return origins
     .filter(({ softwareVersion }) => softwareVersion !== UNKNOWN)
     .flatMap(({ service, softwareVersion, keepMs, keys }) =>
-      fromKeyBytes(keys).map(key => ({
+      fromHashBytes<StreamKey>(keys).map(key => ({
         key,
         service: brand<ServiceId>(service),
         softwareVersion: brand<SoftwareVersion>(softwareVersion),
