feat(gateway): lost attempts state the parts of their prompts and whether they are suspects

Nothing in the logs showed what requests that crash backend servers have in common, unless they are alike as a whole. attemptFailed of a lost or withdrawn attempt now has the keys of the prompt parts that others may share, how long its answer had been coming, and whether it counts as a suspect of the crash.

--- a/packages/bench/src/gateway/ReplayCallers.ts
+++ b/packages/bench/src/gateway/ReplayCallers.ts
@@ -79,6 +79,7 @@
       binding: null,
       resumption: null,
       fingerprint: () => brand<RequestFingerprint>(name),
+      partKeys: () => [],
     };
   }
 
--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -1,6 +1,7 @@
 import type {
   OrganisationId,
   PromptMetadata,
+  PromptPartKey,
   Replica,
   RequestFingerprint,
   RequestId,
@@ -59,6 +60,11 @@
    * needed.
    */
   readonly fingerprint: () => RequestFingerprint;
+  /**
+   * Computes the keys of the prompt parts that other requests may share, without
+   * duplicates; none where the request has no prompt.
+   */
+  readonly partKeys: () => readonly PromptPartKey[];
 }
 
 /** One attempt to run a request on one replica. */
--- a/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
+++ b/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
@@ -39,6 +39,24 @@
     : lastByteMs - firstByteMs;
 }
 
+/**
+ * Whether an attempt may have crashed its replica.
+ *
+ * @param board - the blackboard
+ * @param attempt - the attempt that has just ended
+ * @param result - how it ended
+ */
+export function isCrashSuspect(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+  result: AttemptResult,
+): boolean {
+  return (
+    endedWithReplica(board, attempt, result) &&
+    answeringMs(attempt) < CRASH_WINDOW_MS
+  );
+}
+
 /**
  * Records what the end of an attempt says about crashes.
  *
@@ -56,10 +74,7 @@
     board.crashes.onServed(request.fingerprint());
     return;
   }
-  if (
-    endedWithReplica(board, attempt, result) &&
-    answeringMs(attempt) < CRASH_WINDOW_MS
-  ) {
+  if (isCrashSuspect(board, attempt, result)) {
     board.crashes.onLost(load.replica, request.fingerprint());
   }
 }
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -12,6 +12,7 @@
   Resumption,
 } from './BackendLoad.js';
 export type { CrashNews, CrashReport } from './crashes/crashNews.js';
+export { isCrashSuspect } from './crashes/recordCrashEvidence.js';
 export { CrashLedger } from './crashes/CrashLedger.js';
 export { callerPatienceMs } from './callerPatience.js';
 export type { ConfigurationChanges } from './configurationChanges.js';
--- a/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
+++ b/packages/decisions/tests/gateway/helpers/gatewayFixture.ts
@@ -187,6 +187,7 @@
         binding: null,
         resumption: null,
         fingerprint: () => brand<RequestFingerprint>(`f-${count}`),
+        partKeys: () => [],
         ...overrides,
       };
     },
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -16,6 +16,7 @@
 import type { LogFields } from './logFields.js';
 import {
   continuityOf,
+  evidenceFields,
   responseFields,
   resumptionFields,
   speedFields,
@@ -215,12 +216,13 @@
 
   /** Records an attempt without a response for the caller. */
   failed(
-    { load, softwareVersion }: GatewayAttempt,
+    attempt: GatewayAttempt,
     result: AttemptResult,
     recovery: Recovery,
     { sent, reused }: FailedSend,
   ): void {
     const { context, request } = this;
+    const { load, softwareVersion } = attempt;
     const service = request.service.id;
     if (recovery.kind === 'retry') {
       context.metrics.retries.inc({ service, after: result.kind });
@@ -228,6 +230,7 @@
     context.log.write('attemptFailed', {
       request: request.id,
       fingerprint: request.fingerprint(),
+      ...evidenceFields(context.router.board, attempt, result),
       backendServer: load.replica.id,
       softwareVersion,
       result: result.kind,
--- a/packages/gateway/src/forward/logFields.ts
+++ b/packages/gateway/src/forward/logFields.ts
@@ -1,4 +1,5 @@
 import type {
+  AttemptResult,
   GatewayAttempt,
   GatewayBoard,
   GatewayRequest,
@@ -7,6 +8,7 @@
   PlacedCandidate,
   Resumption,
 } from '@jujubecroft/decisions';
+import { isCrashSuspect } from '@jujubecroft/decisions';
 
 import type { ResponseProgress } from './ResponseAssembler.js';
 
@@ -89,6 +91,31 @@
   return crashed.length > 0 ? { fingerprint, crashed } : {};
 }
 
+/**
+ * Log fields of an attempt that may have been lost in a crash, by which the cause of the
+ * crash can be found: what its request shares with others, and how far its answer was.
+ *
+ * @param board - shared state of the decision logic
+ * @param attempt - the attempt
+ * @param result - how it ended
+ * @returns the fields; none for an attempt that ended otherwise
+ */
+export function evidenceFields(
+  board: GatewayBoard,
+  attempt: GatewayAttempt,
+  result: AttemptResult,
+): LogFields {
+  const { request, firstByteMs } = attempt;
+  return result.kind === 'lost' || result.kind === 'withdrawn'
+    ? {
+        suspect: isCrashSuspect(board, attempt, result),
+        parts: request.partKeys(),
+        answeringMs:
+          firstByteMs === null ? null : Math.round(board.clock() - firstByteMs),
+      }
+    : {};
+}
+
 /**
  * Log fields of the speed of the chosen replica.
  *
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -5,6 +5,7 @@
 
 import { CallerResponse } from '../forward/CallerResponse.js';
 import { fingerprintOf } from '../forward/fingerprintOf.js';
+import { partKeysOf } from '../forward/partKeysOf.js';
 import type { IncomingRequest } from '../forward/IncomingRequest.js';
 import { ForwardedRequest } from '../forward/ForwardedRequest.js';
 import { gatewayResponse } from '../forward/gatewayResponse.js';
@@ -114,6 +115,7 @@
     isCallerRetry: context.router.isCallerRetry(route, timeLeftMs),
     ...streamFieldsOf(route, head),
     fingerprint: once(() => fingerprintOf(call, organisation?.id ?? null)),
+    partKeys: once(() => partKeysOf(head.prompt, organisation?.id ?? null)),
   };
 }
 
--- a/packages/gateway/src/util/once.ts
+++ b/packages/gateway/src/util/once.ts
@@ -4,7 +4,9 @@
  * @param work - function whose result never changes
  * @returns a function that returns the result of the first call
  */
-export function once<Result extends string>(work: () => Result): () => Result {
+export function once<Result extends string | readonly string[]>(
+  work: () => Result,
+): () => Result {
   let result: Result | null = null;
   return () => (result ??= work());
 }
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -397,6 +397,7 @@
       binding: null,
       resumption: null,
       fingerprint: () => fingerprint,
+      partKeys: () => [],
     };
     const decision = await placeWhenViewUsable(context, request, new Set());
     if (decision.kind === 'send') {
--- a/packages/gateway/tests/helpers/virtualStreams.ts
+++ b/packages/gateway/tests/helpers/virtualStreams.ts
@@ -55,6 +55,7 @@
             maxAgeMs: streamLifeMs(STREAM_ROUTE),
           },
     fingerprint: () => brand<RequestFingerprint>(id),
+    partKeys: () => [],
   };
 }
 
--- a/packages/types/src/brand.ts
+++ b/packages/types/src/brand.ts
@@ -12,6 +12,8 @@
 export type RequestId = Brand<string, 'RequestId'>;
 /** Equal for requests of one caller with the same method, target and body. */
 export type RequestFingerprint = Brand<string, 'RequestFingerprint'>;
+/** Equal for one part of the prompts of one organisation, wherever it stands. */
+export type PromptPartKey = Brand<string, 'PromptPartKey'>;
 export type RouteId = Brand<string, 'RouteId'>;
 export type ServiceId = Brand<string, 'ServiceId'>;
 /** Identifies a stream by its organisation and the request that brought its first event. */
