--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -7,6 +7,7 @@
 } from '@jujubecroft/decisions';
 import type {
   BackendServerId,
+  PromptPartKey,
   RequestFingerprint,
   RequestId,
 } from '@jujubecroft/types';
@@ -118,6 +119,12 @@
   readonly viewAgeMs: number;
 }
 
+/** What a request shares with others. */
+interface RequestContent {
+  readonly fingerprint: RequestFingerprint;
+  readonly parts: readonly PromptPartKey[];
+}
+
 /** An instance of the fleet. */
 interface VirtualInstance extends VirtualPeer {
   readonly context: GatewayContext;
@@ -329,7 +336,10 @@
       () => {
         this.#scheduleRequests(name, process, context);
         this.#requestCount += 1;
-        void this.#sendRequest(name, context, this.#uniqueFingerprint());
+        void this.#sendRequest(name, context, {
+          fingerprint: this.#uniqueFingerprint(),
+          parts: [],
+        });
       },
       process,
       'read',
@@ -348,25 +358,30 @@
    *
    * @param index - index of the instance
    * @param fingerprint - fingerprint of the content; repeats of a request share it
+   * @param parts - keys of the prompt parts that other requests may share
    */
   async sendRequest(
     index: number,
     fingerprint: RequestFingerprint,
+    parts: readonly PromptPartKey[] = [],
   ): Promise<RequestOutcome> {
     const instance = this.instances[index];
     if (!instance) {
       throw new Error(`there is no instance ${index}`);
     }
     this.#requestCount += 1;
-    return this.#sendRequest(instance.name, instance.context, fingerprint);
+    return this.#sendRequest(instance.name, instance.context, {
+      fingerprint,
+      parts,
+    });
   }
 
   async #sendRequest(
     name: string,
     context: GatewayContext,
-    fingerprint: RequestFingerprint,
+    content: RequestContent,
   ): Promise<RequestOutcome> {
-    const decision = await this.#place(name, context, fingerprint);
+    const decision = await this.#place(name, context, content);
     if (decision?.kind !== 'send') {
       return { kind: 'refused', code: decision?.code ?? 'noRoutingKnown' };
     }
@@ -378,7 +393,7 @@
   async #place(
     name: string,
     context: GatewayContext,
-    fingerprint: RequestFingerprint,
+    { fingerprint, parts }: RequestContent,
   ): Promise<(PlacementDecision & { request: GatewayRequest }) | null> {
     const service = context.router.board.table?.service(SERVICE);
     if (!service) {
@@ -397,7 +412,7 @@
       binding: null,
       resumption: null,
       fingerprint: () => fingerprint,
-      partKeys: () => [],
+      partKeys: () => parts,
     };
     const decision = await placeWhenViewUsable(context, request, new Set());
     if (decision.kind === 'send') {
