fix(decisions): only a complete answer clears a request that was lost in crashes

Callers of a backend server that crashes on a request lose their answers again and again if the request is cleared by mistake. Any answer cleared it for good: an error of the caller's that no run wrote, and an answer without length or chunks, whose end also follows when its server dies. Now it takes a success whose framing proves its end. Both new cases of suspectRequests.test.ts failed before.

--- a/packages/bench/src/gateway/GatewayReplay.ts
+++ b/packages/bench/src/gateway/GatewayReplay.ts
@@ -445,7 +445,11 @@
         ended = true;
         abortCallbacks?.delete(onInstanceStop);
         replayed.isServed = true;
-        router.onEnded(attempt, { kind: 'answered', status: 200 });
+        router.onEnded(attempt, {
+          kind: 'answered',
+          status: 200,
+          framing: 'selfDelimited',
+        });
         const { latencyTargetMs, gapTargetMs } = request.route;
         const firstEventLatencyMs =
           (firstEventMs ?? Infinity) - replayed.askedMs;
--- a/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
+++ b/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
@@ -8,6 +8,7 @@
  * run.
  */
 const CRASH_WINDOW_MS = 1000;
+const MIN_ERROR_STATUS = 400;
 
 /**
  * Whether an attempt ended because its replica's run ended, as far as this
@@ -39,6 +40,19 @@
     : lastByteMs - firstByteMs;
 }
 
+/**
+ * Whether an attempt shows that its request does not crash replicas: its answer was
+ * written, and is known to be complete. A replica may reject a request with a status of
+ * 4xx before it begins to run it, and a connection also ends when the replica crashes.
+ */
+function isServed(result: AttemptResult): boolean {
+  return (
+    result.kind === 'answered' &&
+    result.status < MIN_ERROR_STATUS &&
+    result.framing === 'selfDelimited'
+  );
+}
+
 /**
  * Whether an attempt may have crashed its replica.
  *
@@ -70,7 +84,7 @@
   result: AttemptResult,
 ): void {
   const { request, load } = attempt;
-  if (result.kind === 'answered') {
+  if (isServed(result)) {
     board.crashes.onServed(request.fingerprint());
     return;
   }
--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -1,11 +1,15 @@
-import type { ResultCodeId } from '@jujubecroft/types';
+import type { BodyFraming, ResultCodeId } from '@jujubecroft/types';
 
 /** How an attempt at one replica ended. */
 export type AttemptResult =
   /**
    * The complete answer came, and was a success or an error of the caller's.
    */
-  | { readonly kind: 'answered'; readonly status: number }
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly framing: BodyFraming;
+    }
   /** The replica ran the request and answered with a failure of its own. */
   | { readonly kind: 'failed'; readonly status: number }
   /** The replica reported that it did not run the request. */
--- a/packages/decisions/tests/gateway/GatewayRouter.test.ts
+++ b/packages/decisions/tests/gateway/GatewayRouter.test.ts
@@ -191,7 +191,11 @@
         if (index >= lost) {
           clock.advance(20);
           router.onBytes(attempt);
-          router.onEnded(attempt, { kind: 'answered', status: 200 });
+          router.onEnded(attempt, {
+            kind: 'answered',
+            status: 200,
+            framing: 'selfDelimited',
+          });
         }
         return attempt;
       });
--- a/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
+++ b/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
@@ -142,6 +142,35 @@
   });
 });
 
+// Guards against requests that are cleared by answers which say nothing of crashes.
+describe('a request that crashed two replicas stays suspect', ({ it }) => {
+  const answers: Readonly<Record<string, AttemptResult>> = {
+    'after an error of the caller': {
+      kind: 'answered',
+      status: 400,
+      framing: 'selfDelimited',
+    },
+    'after an answer that only the end of its connection delimits': {
+      kind: 'answered',
+      status: 200,
+      framing: 'closeDelimited',
+    },
+  };
+  Object.entries(answers).forEach(([title, answer]) => {
+    it(title, t => {
+      const { crash, send, router } = suspectFixture();
+      crash();
+      crash();
+      const attempt = send();
+      if (typeof attempt !== 'string') {
+        router.onEnded(attempt, answer);
+      }
+      crash();
+      t.is(send(), 'crashesBackends');
+    });
+  });
+});
+
 describe('a request that is lost with a replica', ({ it }) => {
   it('is no suspect once it has been answered for a while', t => {
     const { send, router, clock, board } = suspectFixture();
--- a/packages/decisions/tests/gateway/promptSizeAllowanceMs.test.ts
+++ b/packages/decisions/tests/gateway/promptSizeAllowanceMs.test.ts
@@ -51,7 +51,11 @@
     }
     t.is(place(30_000).decision.kind, 'refuse');
     // One prompt of the usual size ends, so that another fits.
-    router.onEnded(ended, { kind: 'answered', status: 200 });
+    router.onEnded(ended, {
+      kind: 'answered',
+      status: 200,
+      framing: 'selfDelimited',
+    });
     t.is(place(30_000).decision.kind, 'send');
   });
 
@@ -61,7 +65,11 @@
       ...(board.backends.values().next().value?.attempts ?? []),
     ].at(-1);
     if (ended) {
-      router.onEnded(ended, { kind: 'answered', status: 200 });
+      router.onEnded(ended, {
+        kind: 'answered',
+        status: 200,
+        framing: 'selfDelimited',
+      });
     }
     t.is(place(600_000).decision.kind, 'refuse');
   });
--- a/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
+++ b/packages/decisions/tests/gateway/speed/speedPlacement.test.ts
@@ -121,7 +121,11 @@
         slowdown: 99,
       });
       router.onBytes(attempt);
-      router.onEnded(attempt, { kind: 'answered', status: 200 });
+      router.onEnded(attempt, {
+        kind: 'answered',
+        status: 200,
+        framing: 'selfDelimited',
+      });
       return decision.placed.predictedMs;
     });
     const last = predictions.at(-1) ?? NaN;
--- a/packages/decisions/tests/gateway/speed/speedSpread.test.ts
+++ b/packages/decisions/tests/gateway/speed/speedSpread.test.ts
@@ -53,7 +53,11 @@
     clock.advance(EVENT_MS * (isSlow(index) ? 1.7 : 0.7));
     router.onBytes(attempt);
   });
-  router.onEnded(attempt, { kind: 'answered', status: 200 });
+  router.onEnded(attempt, {
+    kind: 'answered',
+    status: 200,
+    framing: 'selfDelimited',
+  });
   return attempt;
 }
 
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -214,11 +214,19 @@
       }
       this.#relay(this.options.events?.flush() ?? Buffer.alloc(0));
       this.#endRelay();
-      return { result: { kind: 'answered', status }, failure: null };
+      return { result: this.#answered, failure: null };
     }
     return this.#completeBuffered();
   }
 
+  get #answered(): AttemptResult {
+    return {
+      kind: 'answered',
+      status: this.#status,
+      framing: this.#framing,
+    };
+  }
+
   #completeBuffered(): ResponseAssemblyResult {
     const { dialect, answer } = this.options;
     const status = this.#status;
@@ -234,7 +242,7 @@
     if (!answer.isClosed) {
       answer.send(response);
     }
-    return { result: { kind: 'answered', status }, failure: null };
+    return { result: this.#answered, failure: null };
   }
 
   #relay(chunk: Buffer): boolean {
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -438,7 +438,11 @@
     placed: PlacedCandidate,
   ): Promise<AttemptResult> {
     const { answerMs } = this.conditions;
-    const answered: AttemptResult = { kind: 'answered', status: 200 };
+    const answered: AttemptResult = {
+      kind: 'answered',
+      status: 200,
+      framing: 'selfDelimited',
+    };
     if (answerMs === undefined) {
       return answered;
     }
