fix(gateway): an answer that ends with its connection may have crashed its replica

A replica that crashes while it writes an answer without length or chunks closes the connection, and the answer looks complete.

Now such an answer is neither: it counts as served once the run answers anything later, and as a suspect if the run turns out to have ended within a second, by the losses of others here or elsewhere, or since no instance that is asked can connect.

--- a/packages/decisions/src/gateway/crashes/CrashLedger.ts
+++ b/packages/decisions/src/gateway/crashes/CrashLedger.ts
@@ -6,11 +6,18 @@
 } from '@jujubecroft/types';
 
 import type { Clock } from '../../blackboard/Blackboard.js';
-import type { Crash, CrashedRun, CrashNews, CrashReport } from './crashNews.js';
+import type {
+  Crash,
+  CrashedRun,
+  CrashNews,
+  CrashReport,
+  Suspect,
+} from './crashNews.js';
 import { EMPTY_CRASH_NEWS, selectCrashReports } from './crashNews.js';
 import { JOINT_CRASH_MS } from './parts/groupJointCrashes.js';
 import { PartSuspects } from './parts/PartSuspects.js';
 import { ServedContents } from './ServedContents.js';
+import { UnprovenAnswers } from './UnprovenAnswers.js';
 
 /**
  * Crashes after which a request is barred, that is, no longer sent to any
@@ -72,6 +79,7 @@
   /** Contents that were lost in more than one crash. */
   readonly #repeated = new Set<RequestFingerprint>();
   readonly #served: ServedContents;
+  readonly #unproven: UnprovenAnswers;
   readonly #clearedAtMs = new Map<RequestFingerprint, number>();
   readonly #listeners: (() => void)[] = [];
   #messageNumber = 0;
@@ -89,14 +97,22 @@
     private readonly countReplicas: (id: BackendServerId) => number,
   ) {
     this.#served = new ServedContents();
+    this.#unproven = new UnprovenAnswers(clock);
     this.parts = new PartSuspects(clock, instance, crash =>
       this.#isMassCrash(crash),
     );
   }
 
-  /** Whether no crash counts against any content or prompt part. */
+  /**
+   * Whether no crash counts against any content or prompt part, and no answer may turn
+   * out to have ended in one.
+   */
   get isEmpty(): boolean {
-    return this.#crashesByContent.size === 0 && this.parts.isEmpty;
+    return (
+      this.#crashesByContent.size === 0 &&
+      this.parts.isEmpty &&
+      this.#unproven.isEmpty
+    );
   }
 
   /**
@@ -170,6 +186,26 @@
     });
   }
 
+  /**
+   * Records an answer whose end, that of its connection, also follows when the replica's
+   * run ends.
+   *
+   * @param run - the run that answered
+   * @param suspect - the request
+   */
+  onUnproven(run: CrashedRun, suspect: Suspect): void {
+    this.#unproven.add(run, suspect);
+    const crash = this.#crashes.get(keyOf(run));
+    if (crash && !crash.goesOn) {
+      this.#blameUnproven(run, crash.atMs);
+    }
+  }
+
+  /** Records that a replica can't be reached, so that its run may have ended. */
+  onUnreachable(run: CrashedRun): void {
+    this.#blameUnproven(run, this.clock());
+  }
+
   /** Clears a request that a replica ran to its end, and the parts of its prompt. */
   onServed(
     content: RequestFingerprint,
@@ -182,6 +218,11 @@
 
   /** Records bytes from a run, which may show that it has not ended. */
   onBytes(run: CrashedRun): void {
+    this.#unproven
+      .takeSurvived(run, this.clock() - MAX_TRANSIT_MS)
+      .forEach(({ content, parts }) => {
+        this.onServed(content, parts);
+      });
     const crash = this.#crashes.get(keyOf(run));
     if (!crash || crash.goesOn) {
       return;
@@ -266,6 +307,9 @@
     const added = report.suspects.filter(content =>
       this.#addSuspect(crash, content),
     );
+    if (!known) {
+      this.#blameUnproven(report, crash.atMs);
+    }
     const addsParts = this.#addParts(crash, report);
     if (added.length > 0 || addsParts || !known) {
       crash.updatedAtMs = nowMs;
@@ -276,6 +320,13 @@
     this.#prune();
   }
 
+  /** Counts a crash against the requests whose answers ended with it. */
+  #blameUnproven(run: CrashedRun, atMs: number): void {
+    this.#unproven.takeEndedWith(run, atMs).forEach(({ content, parts }) => {
+      this.onLost(run, content, parts);
+    });
+  }
+
   /**
    * Adds parts of prompts to a crash.
    *
--- a/packages/decisions/src/gateway/crashes/crashNews.ts
+++ b/packages/decisions/src/gateway/crashes/crashNews.ts
@@ -14,6 +14,13 @@
   readonly bornMs: number | null;
 }
 
+/** What identifies a request that may have caused a crash. */
+export interface Suspect {
+  readonly content: RequestFingerprint;
+  /** Parts of its prompt that other requests may share. */
+  readonly parts: readonly PromptPartKey[];
+}
+
 /** A crash as instances report it to each other. */
 export interface CrashReport extends CrashedRun {
   /** Time since the crash, in milliseconds. */
--- a/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
+++ b/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
@@ -40,17 +40,14 @@
     : lastByteMs - firstByteMs;
 }
 
+type Answer = Extract<AttemptResult, { kind: 'answered' }>;
+
 /**
- * Whether an attempt shows that its request does not crash replicas: its answer was
- * written, and is known to be complete. A replica may reject a request with a status of
- * 4xx before it begins to run it, and a connection also ends when the replica crashes.
+ * Whether the replica wrote an answer. It may reject a request with a status of 4xx
+ * before it begins to run it.
  */
-function isServed(result: AttemptResult): boolean {
-  return (
-    result.kind === 'answered' &&
-    result.status < MIN_ERROR_STATUS &&
-    result.framing === 'selfDelimited'
-  );
+function isSuccess(result: AttemptResult): result is Answer {
+  return result.kind === 'answered' && result.status < MIN_ERROR_STATUS;
 }
 
 /**
@@ -84,8 +81,16 @@
   result: AttemptResult,
 ): void {
   const { request, load } = attempt;
-  if (isServed(result)) {
-    board.crashes.onServed(request.fingerprint(), request.partKeys());
+  if (isSuccess(result)) {
+    const suspect = {
+      content: request.fingerprint(),
+      parts: request.partKeys(),
+    };
+    if (result.framing === 'selfDelimited') {
+      board.crashes.onServed(suspect.content, suspect.parts);
+    } else {
+      board.crashes.onUnproven(load.replica, suspect);
+    }
     return;
   }
   if (isCrashSuspect(board, attempt, result)) {
--- a/packages/decisions/tests/gateway/crashes/CrashLedger.test.ts
+++ b/packages/decisions/tests/gateway/crashes/CrashLedger.test.ts
@@ -124,6 +124,36 @@
     });
   });
 
+  // Guards against clearing a request whose answer seemed complete because its replica
+  // crashed, or suspecting one for ever whose answers are never delimited otherwise.
+  group('keeps answers that ended with their connection', ({ it }) => {
+    const suspect = { content: CONTENT, parts: [] };
+
+    it('as suspects if another instance reports that the run ended', t => {
+      const [here, there] = [fixture(), fixture()];
+      here.ledger.onUnproven(runOf('a'), suspect);
+      there.ledger.onLost(runOf('a'), OTHER);
+      here.ledger.onPeer(there.ledger.news);
+      t.deepEqual(here.ledger.crashesOf(CONTENT), ['a']);
+    });
+
+    it('as suspects if the replica cannot be reached afterwards', t => {
+      const { ledger } = fixture();
+      ledger.onUnproven(runOf('a'), suspect);
+      ledger.onUnreachable(runOf('a'));
+      t.deepEqual(ledger.crashesOf(CONTENT), ['a']);
+    });
+
+    it('as served if the run answers again', t => {
+      const { ledger, clock, lose } = fixture();
+      ledger.onUnproven(runOf('a'), suspect);
+      clock.advance(LATER_MS);
+      ledger.onBytes(runOf('a'));
+      lose(CONTENT, 'b', 'c', 'd');
+      t.deepEqual(ledger.crashesOf(CONTENT), []);
+    });
+  });
+
   group('informs other instances', ({ it }) => {
     it('of several crashes although each instance saw only one', t => {
       const instances = ['a', 'b', 'c'].map(name => {
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -8,11 +8,7 @@
   WithdrawReason,
 } from '@jujubecroft/decisions';
 import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
-import type {
-  BackendServerId,
-  Replica,
-  ResultCodeId,
-} from '@jujubecroft/types';
+import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
 
 import type { ExchangeEnd, RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
@@ -22,6 +18,7 @@
 import { ResponseAssembler } from './ResponseAssembler.js';
 import { ResponseTimings } from './ResponseTimings.js';
 import type { CallerResponse } from './CallerResponse.js';
+import { checkReplicaAfter } from './checkReplicaAfter.js';
 import { SseEventBuffer } from './SseEventBuffer.js';
 import type { IncomingRequest } from './IncomingRequest.js';
 import { movesToOtherReplica } from './movesToOtherReplica.js';
@@ -254,23 +251,10 @@
     this.#countAttempt(result, replica.id);
     this.#recorder.responseEnded(attempt, result, assembler.progress);
     const reused = exchangeEnd.kind === 'failed' && exchangeEnd.reused;
-    if (exchangeEnd.kind === 'failed' && exchangeEnd.wasReset) {
-      this.#checkPath(replica);
-    }
+    checkReplicaAfter(this.context, replica, exchangeEnd, result);
     return { attempt, result, reused };
   }
 
-  /**
-   * Checks the path to a replica that reset a connection: if it is lost, kept
-   * connections are of no use either.
-   */
-  #checkPath(replica: Replica): void {
-    const { router, replicaConnector } = this.context;
-    if (router.board.paths.takeCheck(replica)) {
-      void replicaConnector.check(replica);
-    }
-  }
-
   /** Accepts a chunk of a response; the first event for the caller binds the stream. */
   #push(
     attempt: GatewayAttempt,
--- a/packages/gateway/src/relay/ReplicaConnector.ts
+++ b/packages/gateway/src/relay/ReplicaConnector.ts
@@ -58,7 +58,10 @@
       },
       isPathAlive: () => this.#hasAnsweredSince(replica, startedMs),
     });
-    return race.run(direct, relayAfterMs);
+    return race.run(direct, relayAfterMs).catch((err: unknown) => {
+      board.crashes.onUnreachable(replica);
+      throw err;
+    });
   }
 
   /** Whether the direct path to a replica is lost. */
