feat(gateway): suspected and barred parts of prompts in logs, metrics and explain

An operator could not see which part of the prompts crashes backend servers, or why a request was refused for it. promptPartJudged states each change of the verdict on a part with the servers that count against it, whether it was ever served, and the time to the next trial; refused requests name their suspect parts, explain gives them as the cause, and a gauge counts them.

--- a/packages/decisions/src/gateway/crashes/parts/judgePart.ts
+++ b/packages/decisions/src/gateway/crashes/parts/judgePart.ts
@@ -20,6 +20,8 @@
 
 /** What follows from the evidence on a prompt part. */
 export interface PartVerdict {
+  /** Whether a request with the part was ever served, as far as this instance knows. */
+  readonly wasServed: boolean;
   /** Number of crashes that count; those that happened together may count as one. */
   readonly crashes: number;
   /** Whether requests with the part are kept away from other requests. */
@@ -68,6 +70,7 @@
   const delayMs =
     TRIAL_DELAYS_MS[crashes - limit] ?? TRIAL_DELAYS_MS.at(-1) ?? Infinity;
   return {
+    wasServed,
     crashes,
     isSuspect: crashes >= limit - SUSPECT_BEFORE,
     isBarred,
--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -54,6 +54,17 @@
   return `${own}${bound}${resumed}`;
 }
 
+/** Describes the crashes that a refusal is due to; empty where it isn't due to any. */
+function describeCrashes({ fingerprint, crashed, parts }: Fields): string {
+  const content =
+    crashed === undefined
+      ? ''
+      : `; its content ${formatValue(fingerprint)} was lost in crashes of ${formatValue(crashed)}`;
+  return parts === undefined
+    ? content
+    : `${content}; parts of its prompt were lost in crashes: ${formatValue(parts)}`;
+}
+
 /** Describes why an organisation was held back; empty where it wasn't. */
 function describeShare(fields: Fields): string {
   return fields.because === 'aboveShare'
@@ -166,7 +177,7 @@
     case 'requestRefused':
       return failed
         ? describeFailure(failed)
-        : `it was refused and did not run: ${formatValue(end.fields.code)}${describeShare(end.fields)}`;
+        : `it was refused and did not run: ${formatValue(end.fields.code)}${describeShare(end.fields)}${describeCrashes(end.fields)}`;
     default:
       return failed ? describeFailure(failed) : formatValue(end.fields.code);
   }
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -230,6 +230,12 @@
     summary:
       'A request is sent to its backend server through another instance.',
   },
+  promptPartJudged: {
+    number: 510,
+    level: 'warn',
+    summary:
+      'Requests with this part of a prompt are suspected to crash backend servers, barred, or cleared.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/gateway/src/forward/logFields.ts
+++ b/packages/gateway/src/forward/logFields.ts
@@ -88,7 +88,18 @@
   }
   const fingerprint = request.fingerprint();
   const crashed = crashes.crashesOf(fingerprint);
-  return crashed.length > 0 ? { fingerprint, crashed } : {};
+  const parts = crashes.parts.suspectsOf(request);
+  return {
+    ...(crashed.length > 0 ? { fingerprint, crashed } : {}),
+    ...(parts.length > 0
+      ? {
+          parts: parts.map(part => ({
+            part,
+            crashed: crashes.parts.runsOf(part).map(({ id }) => id),
+          })),
+        }
+      : {}),
+  };
 }
 
 /**
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -191,6 +191,12 @@
     help: 'Contents of requests that are not sent since they crash backend servers.',
     registers: this.#registers,
   });
+  readonly promptParts = new Gauge({
+    name: 'jujubecroft_gateway_prompt_parts',
+    help: 'Parts of prompts that are suspected to crash backend servers, or barred for it.',
+    labelNames: ['state'] as const,
+    registers: this.#registers,
+  });
   readonly budgetLeft = new Gauge({
     name: 'jujubecroft_gateway_retry_budget_left',
     help: 'Repeats left in this instance part of the retry budget.',
--- a/packages/gateway/src/side/serveMetrics.ts
+++ b/packages/gateway/src/side/serveMetrics.ts
@@ -28,6 +28,13 @@
   metrics.lostPaths.set(board.paths.lostCount);
   metrics.tunnels.set({ role: 'used' }, relay.openCount);
   metrics.barred.set(board.crashes.barred.length);
+  const { parts } = board.crashes;
+  const barredParts = parts.barred.length;
+  metrics.promptParts.set({ state: 'barred' }, barredParts);
+  metrics.promptParts.set(
+    { state: 'suspect' },
+    parts.suspects.length - barredParts,
+  );
   metrics.backends.reset();
   board.backends.forEach(({ replica, health }) => {
     const verdict = replica.leaving ? 'leaving' : health.verdict;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '@jujubecroft/events';
 
 import { BarredRequestLogger } from './backends/BarredRequestLogger.js';
+import { PromptPartLogger } from './backends/PromptPartLogger.js';
 import { ReplicaLimitLogger } from './backends/ReplicaLimitLogger.js';
 import { AvoidanceLogger } from './backends/AvoidanceLogger.js';
 import { createContext, HOUSEKEEPING_INTERVAL_MS } from './createContext.js';
@@ -191,6 +192,7 @@
     context.router.board,
     log,
   );
+  const promptPartLogger = new PromptPartLogger(context.router.board, log);
   const limitLogger = new ReplicaLimitLogger(context.router.board, log);
   const takeSuspendedMs = createSuspensionDetector(clock);
   let wasReady = false;
@@ -203,6 +205,7 @@
     view.applyReplicaChanges(replicas.tick(), 'lapse');
     avoidanceLogger.logChanges();
     barredRequestLogger.logChanges();
+    promptPartLogger.logChanges();
     limitLogger.logChanges();
     context.connections.closeUnusable();
     context.replicaConnector.probeLostPaths();
--- a/packages/types/src/resultCodes.ts
+++ b/packages/types/src/resultCodes.ts
@@ -166,8 +166,10 @@
     number: 2010,
     httpStatus: 503,
     ran: 'no',
-    summary: 'Several backend servers crashed while they ran the same request.',
-    action: 'Change the request, or wait for the time in Retry-After.',
+    summary:
+      'Several backend servers crashed while they ran this request, or others with one part of its prompt.',
+    action:
+      'Change the request or that part of its prompt, or wait for the time in Retry-After.',
   },
   streamVersionUnknown: {
     number: 2011,
