fix(decisions): only parts lost in several crashes are judged periodically

Every 50 ms and for each message all parts that were lost in any crash of the last hour were judged. Now only those with enough crashes to be suspect are, and that an asked part was served is passed on.

--- a/packages/decisions/src/gateway/crashes/parts/PartSuspects.ts
+++ b/packages/decisions/src/gateway/crashes/parts/PartSuspects.ts
@@ -5,7 +5,7 @@
 import type { Crash, CrashedRun } from '../crashNews.js';
 import { groupJointCrashes } from './groupJointCrashes.js';
 import type { PartVerdict } from './judgePart.js';
-import { judgePart } from './judgePart.js';
+import { judgePart, MIN_SUSPECT_CRASHES } from './judgePart.js';
 import type { PartNews } from './partNews.js';
 import { EMPTY_PART_NEWS } from './partNews.js';
 import { PartTrials } from './PartTrials.js';
@@ -38,6 +38,8 @@
 export class PartSuspects {
   /** Crashes that requests with a part were lost in and that no service outweighs. */
   readonly #crashes = new Map<PromptPartKey, Set<Crash>>();
+  /** Parts with so many crashes that they may be suspect. */
+  readonly #candidates = new Set<PromptPartKey>();
   readonly #served = new ServedParts();
   readonly #trials: PartTrials;
   /** When each part was last asked about by this instance or another one. */
@@ -200,6 +202,9 @@
     }
     const crashes = this.#crashes.get(part) ?? new Set();
     this.#crashes.set(part, crashes.add(crash));
+    if (crashes.size >= MIN_SUSPECT_CRASHES) {
+      this.#candidates.add(part);
+    }
     this.#trials.end(part);
     return true;
   }
@@ -226,8 +231,13 @@
 
   #unlink(crash: Crash, part: PromptPartKey): void {
     const crashes = this.#crashes.get(part);
-    crashes?.delete(crash);
-    if (crashes?.size === 0) {
+    if (crashes?.delete(crash) !== true) {
+      return;
+    }
+    if (crashes.size < MIN_SUSPECT_CRASHES) {
+      this.#candidates.delete(part);
+    }
+    if (crashes.size === 0) {
       this.#crashes.delete(part);
     }
   }
@@ -260,7 +270,11 @@
   /** Merges what another instance asks and knows. */
   onPeer({ asked, served }: PartNews): void {
     served.forEach(part => {
+      const isNews = !this.#served.has(part) && this.#candidates.has(part);
       this.#served.addRemote(part);
+      if (isNews) {
+        this.#tell(part);
+      }
     });
     asked
       .filter(part => this.#served.has(part) && !this.#toldAtMs.has(part))
@@ -337,19 +351,21 @@
   /** Whether another barred part was lost in the same crashes. */
   #isAmbiguous(part: PromptPartKey): boolean {
     const crashes = this.#crashes.get(part);
-    return [...this.#crashes].some(
-      ([other, theirs]) =>
+    return [...this.#candidates].some(other => {
+      const theirs = this.#crashes.get(other);
+      return (
         other !== part &&
-        theirs.size === crashes?.size &&
-        [...theirs].every(crash => crashes.has(crash)) &&
-        this.judge(other).isBarred,
-    );
+        theirs?.size === crashes?.size &&
+        [...(theirs ?? [])].every(crash => crashes?.has(crash)) &&
+        this.judge(other).isBarred
+      );
+    });
   }
 
   #partsWith(
     matches: (verdict: PartVerdict) => boolean,
   ): readonly PromptPartKey[] {
-    return [...this.#crashes.keys()].filter(part => matches(this.judge(part)));
+    return [...this.#candidates].filter(part => matches(this.judge(part)));
   }
 
   #notifyListeners(): void {
--- a/packages/decisions/src/gateway/crashes/parts/judgePart.ts
+++ b/packages/decisions/src/gateway/crashes/parts/judgePart.ts
@@ -40,8 +40,10 @@
  * were lost by chance.
  */
 const MAX_CRASHES_IF_SERVED = 5;
-/** Number of crashes before those that bar a part, from which on it is suspect. */
+/** Number of crashes before the one that bars a part from which on it is suspect. */
 const SUSPECT_BEFORE = 1;
+/** Smallest number of crashes that make any part suspect. */
+export const MIN_SUSPECT_CRASHES = MAX_CRASHES - SUSPECT_BEFORE;
 /**
  * Times from the last crash to the next trial, after each crash from the one that bars
  * a part. The first is short, since a part may be barred by mistake; the sum bounds the
