feat(soak): requests that crash replicas by a part of their prompts

Streams of the soak have prompts that share parts. A new fault sends requests whose one part crashes the replica, before the head or with the first event, and that are otherwise alike to none; crashing-parts bounds their executions after the fifth crash, and sound-parts the share of the others that is refused.

--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -114,6 +114,8 @@
   readonly lastEvent: number | null;
   /** Request that brought the first event; null to name none. */
   readonly firstRequest: string | null;
+  /** Parts of the prompt that other requests share; empty for no prompt. */
+  readonly parts: readonly string[];
 }
 
 /** Request metadata that a replica reads from the headers. */
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -8,6 +8,8 @@
   ResetAwareClient,
   sendRequest,
   SoakCaller,
+  COMMON_PART,
+  subjectOf,
 } from './callers/SoakCaller.js';
 import type {
   Evidence,
@@ -15,6 +17,7 @@
   ObservedResponse,
   ReplicaDeparture,
   SentRequest,
+  SoakKind,
 } from './evidence.js';
 import type { FaultContext } from './faults/injectFault.js';
 import { injectFault } from './faults/injectFault.js';
@@ -47,6 +50,8 @@
 const HTTP_OK = 200;
 /** Mean interval between crashing requests. */
 const CRASHING_MEAN_INTERVAL_MS = 500;
+/** The same for requests that share a crashing part. */
+const CRASHING_PART_MEAN_INTERVAL_MS = 120;
 /** Work of a request that crashes each replica that executes it. */
 const CRASHING_WORK: WorkOrder = {
   workMs: 60,
@@ -55,6 +60,22 @@
   crashes: true,
 };
 
+/** A request that crashes replicas, as it is drawn. */
+interface CrashingRequest {
+  readonly kind: SoakKind;
+  readonly target: string;
+  readonly work: WorkOrder;
+}
+
+const CRASHING_REQUEST: CrashingRequest = {
+  kind: 'safe',
+  target: '/safe/crash',
+  work: CRASHING_WORK,
+};
+const SUBJECT_RANGE = 1000;
+/** Part of a prompt that crashes each replica which begins to answer a request with it. */
+const CRASHING_PART = 'dead';
+
 /** One soak: applies load and faults to a started fleet and collects the evidence. */
 export class SoakRun {
   readonly #sent: SentRequest[] = [];
@@ -291,37 +312,65 @@
   }
 
   /**
-   * Repeats a request that crashes replicas, at gateways chosen at random, and
-   * restarts the replicas that have crashed.
+   * Sends requests that crash replicas, to gateways chosen at random, and restarts the
+   * replicas that have crashed.
+   *
+   * @param forMs - duration
+   * @param meanIntervalMs - mean interval between requests
+   * @param draw - returns the next request
    */
-  async #sendCrashingRequests(forMs: number): Promise<void> {
+  async #sendCrashingRequests(
+    forMs: number,
+    meanIntervalMs: number,
+    draw: () => CrashingRequest,
+  ): Promise<void> {
     const untilMs = soakNow() + forMs;
     while (soakNow() < untilMs) {
       const endpoint = this.#chooseGateway();
       if (endpoint) {
-        void this.#sendCrashingRequest(endpoint);
+        void this.#sendCrashingRequest(endpoint, draw());
       }
-      await sleep(CRASHING_MEAN_INTERVAL_MS * 2 * this.#random());
+      await sleep(meanIntervalMs * 2 * this.#random());
       this.fleet.replicas.forEach(({ program }) => {
         program.start();
       });
     }
   }
 
-  async #sendCrashingRequest(endpoint: GatewayEndpoint): Promise<void> {
+  /** Draws a request that shares a part with others that crash replicas, and no more. */
+  #drawCrashingPart(): CrashingRequest {
+    const subject = subjectOf(Math.floor(SUBJECT_RANGE * this.#random()));
+    return {
+      kind: 'stream',
+      target: '/stream/crash',
+      work: {
+        // No two of these requests have the same body.
+        workMs: CRASHING_WORK.workMs * (1 + this.#random()),
+        events: this.#random() < 0.5 ? 0 : 1,
+        gapMs: 0,
+        crashes: true,
+        parts: [COMMON_PART, CRASHING_PART, subject],
+      },
+    };
+  }
+
+  async #sendCrashingRequest(
+    endpoint: GatewayEndpoint,
+    { kind, target, work }: CrashingRequest,
+  ): Promise<void> {
     const client = new ResetAwareClient(endpoint.address);
     const { answer } = await sendRequest(
       client,
       this.#callerContext(),
       {
         id: this.#nextId(),
-        kind: 'safe',
+        kind,
         gateway: endpoint.gateway,
         incarnation: endpoint.incarnation,
         sentMs: soakNow(),
         timeLimitMs: PROBE_TIME_LIMIT_MS,
-        target: '/safe/crash',
-        body: JSON.stringify(CRASHING_WORK),
+        target,
+        body: JSON.stringify(work),
         organisation: 'org-1',
         version: null,
         continues: null,
@@ -342,7 +391,16 @@
       addKey: () => {
         this.#operator.addKey();
       },
-      sendCrashingRequests: forMs => this.#sendCrashingRequests(forMs),
+      sendCrashingRequests: forMs =>
+        this.#sendCrashingRequests(
+          forMs,
+          CRASHING_MEAN_INTERVAL_MS,
+          () => CRASHING_REQUEST,
+        ),
+      sendCrashingParts: forMs =>
+        this.#sendCrashingRequests(forMs, CRASHING_PART_MEAN_INTERVAL_MS, () =>
+          this.#drawCrashingPart(),
+        ),
       burst: forMs => {
         const callers = Array.from({ length: BURST_CALLERS }, () =>
           this.#addCaller(BURST_MEAN_THINK_TIME_MS, true),
--- a/packages/soak/src/answers.ts
+++ b/packages/soak/src/answers.ts
@@ -10,6 +10,8 @@
   readonly gapMs: number;
   /** Whether the request crashes the replica that executes it. Defaults to false. */
   readonly crashes?: boolean | undefined;
+  /** Parts of the prompt that other requests share. Defaults to none. */
+  readonly parts?: readonly string[] | undefined;
 }
 
 const MIN_CHARS = 200;
--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -8,9 +8,20 @@
   SoakEnvironment,
 } from '../SoakEnvironment.js';
 import { soakNow } from '../soakNow.js';
+import { workOf } from '../workOf.js';
 import type { Continuation } from './continuations.js';
 import { continuationAfter } from './continuations.js';
 
+/** Part that all prompts begin with. */
+export const COMMON_PART = 'c0';
+/** Number of parts in the second place of the prompts. */
+const SUBJECTS = 12;
+
+/** @returns the second part of a prompt, by the number of the request */
+export function subjectOf(number: number): string {
+  return `5${(number % SUBJECTS).toString(16)}`;
+}
+
 /** Address of a gateway, with its index and the incarnation of its process. */
 export interface GatewayEndpoint {
   readonly address: string;
@@ -112,6 +123,7 @@
   /** Stream of which this caller requests the rest next. */
   #continuation: Continuation | null = null;
   #stopped = false;
+  #requestCount = 0;
 
   /**
    * @param context - shared by all callers
@@ -224,10 +236,14 @@
       items[Math.floor(random() * items.length)] as T;
     const kind = pick(KINDS);
     const isStreaming = kind === 'stream' || kind === 'resumable';
+    this.#requestCount += 1;
     const work: WorkOrder = {
       workMs: Math.round(MAX_WORK_MS * random()),
       events: isStreaming ? 1 + Math.floor(MAX_EVENTS * random()) : 0,
       gapMs: Math.round(MAX_GAP_MS * random()),
+      ...(isStreaming
+        ? { parts: [COMMON_PART, subjectOf(this.#requestCount)] }
+        : {}),
     };
     return {
       id: nextId(),
@@ -308,6 +324,7 @@
         host: CALLER_HOST,
         key: context.keyOf(request.organisation),
         timeLimitMs: request.timeLimitMs,
+        parts: workOf(request.body).parts ?? [],
         ...continuedFields(request),
       }),
       ...(request.body === '' ? {} : { body: request.body }),
--- a/packages/soak/src/faults/faultTargets.ts
+++ b/packages/soak/src/faults/faultTargets.ts
@@ -60,6 +60,7 @@
   }
   if (
     kind === 'crashing-request' ||
+    kind === 'crashing-part' ||
     kind === 'drains-at-restarts' ||
     kind === 'replicas-drain-together'
   ) {
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -23,6 +23,8 @@
   readonly addKey: () => void;
   /** Repeats a request that crashes each replica that executes it. */
   readonly sendCrashingRequests: (forMs: number) => Promise<void>;
+  /** Sends requests that crash replicas and are alike in one part of their prompts. */
+  readonly sendCrashingParts: (forMs: number) => Promise<void>;
   /** Adds callers for a while. */
   readonly burst: (forMs: number) => void;
 }
@@ -209,6 +211,7 @@
   },
   'crashing-request': ({ forMs }, context) =>
     context.sendCrashingRequests(forMs),
+  'crashing-part': ({ forMs }, context) => context.sendCrashingParts(forMs),
   'drains-at-restarts': async (fault, context, onStart) => {
     const { gateways, replicas } = context.fleet;
     const untilMs = soakNow() + fault.forMs;
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -48,6 +48,7 @@
   'drains-at-restarts',
   'gateways-lose-paths',
   'gateway-loses-paths',
+  'crashing-part',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -233,7 +233,7 @@
     const stamp = `${this.place.replica}/${id}`;
     const isFaulty = this.#fault !== 'well' && this.#random() < FAULTY_SHARE;
     await this.#delay(work.workMs, res);
-    if (work.crashes === true) {
+    if (work.crashes === true && work.events === 0) {
       process.exit(1);
     }
     const load = {
@@ -269,6 +269,10 @@
         return;
       }
       const text = eventText({ id, events: work.events, version }, number);
+      if (work.crashes === true) {
+        res.write(text, () => process.exit(1));
+        return;
+      }
       if (number >= truncateAt) {
         res.write(text.slice(0, text.length / 2), () => res.destroy());
         return;
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -4,6 +4,7 @@
 import { boundedRetries } from './bounded-retries.js';
 import { cancelledWork } from './cancelled-work.js';
 import { configurationInForce } from './configuration-in-force.js';
+import { crashingParts, soundParts } from './crashing-parts.js';
 import { crashingRequests } from './crashing-requests.js';
 import { dutiesOfOne } from './duties-of-one.js';
 import { gracefulStops } from './graceful-stops.js';
@@ -26,6 +27,7 @@
   boundedRetries,
   cancelledWork,
   configurationInForce,
+  crashingParts,
   crashingRequests,
   dutiesOfOne,
   gracefulStops,
@@ -35,6 +37,7 @@
   replicaLimits,
   requestedPauses,
   servesAgain,
+  soundParts,
   trueRefusals,
   unchangedRequests,
   wholeOwnAnswers,
--- a/packages/soak/src/promises/crashing-requests.ts
+++ b/packages/soak/src/promises/crashing-requests.ts
@@ -5,6 +5,10 @@
 /** Maximum number of executions once the gateways should know of the crashes. */
 const MAX_LATE_EXECUTIONS = 3;
 
+function hasParts(body: string): boolean {
+  return (workOf(body).parts ?? []).length > 0;
+}
+
 /** A request that has crashed three replicas is no longer forwarded. */
 export const crashingRequests: SoakInvariant = {
   name: 'crashing-requests',
@@ -15,6 +19,7 @@
     const executions = notes
       .filter(note => note.type === 'got')
       .filter(({ ran, body }) => ran && workOf(body).crashes === true)
+      .filter(({ body }) => !hasParts(body))
       .sort((a, b) => a.atMs - b.atMs);
     const firsts = executions.filter(
       ({ replica }, position) =>
--- a/packages/soak/src/workOf.ts
+++ b/packages/soak/src/workOf.ts
@@ -7,6 +7,7 @@
   events: z.number(),
   gapMs: z.number(),
   crashes: z.boolean().optional(),
+  parts: z.array(z.string()).optional(),
 });
 
 /** Work of a request without a body, such as a probe: an immediate response. */
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -39,6 +39,34 @@
     body: JSON.stringify({ workMs: 100, events: 0, gapMs: 0, crashes: true }),
   }),
 );
+/** Requests that crash replicas by a part of their prompts, one a second. */
+const crashingByPart = crashing.map((sent, index) => ({
+  ...sent,
+  id: `d-${index}`,
+  body: JSON.stringify({
+    workMs: 100 + index,
+    events: 0,
+    gapMs: 0,
+    crashes: true,
+    parts: ['c0', 'dead'],
+  }),
+}));
+/** Requests that share the other part with these. */
+const sharingParts = Array.from({ length: 30 }, (_, index) =>
+  requestOf(`e-${index}`, 'stream', {
+    sentMs: 17_000 + 10 * index,
+    body: JSON.stringify({ workMs: 10, events: 1, gapMs: 0, parts: ['c0'] }),
+  }),
+);
+/** Later requests of the same kind. */
+const extraByPart = crashingByPart.slice(0, 4).map((sent, index) => ({
+  ...sent,
+  id: `f-${index}`,
+  sentMs: 21_000 + 1000 * index,
+}));
+const crashesByPart = crashingByPart
+  .slice(0, 5)
+  .map((sent, index) => executionOf(sent, `r-${index}`));
 /** Ten requests per second to a replica with a limit of one per second. */
 const overLimit = Array.from({ length: 90 }, (_, index) =>
   requestOf(`l-${index}`, 'safe', { sentMs: 10_000 + 100 * index }),
@@ -127,6 +155,41 @@
     },
     broken: [],
   },
+  {
+    title: 'report requests that are forwarded after five crashes by a part',
+    seen: {
+      sent: [...crashingByPart, ...extraByPart],
+      notes: [...crashingByPart, ...extraByPart].map((sent, index) =>
+        executionOf(sent, `r-${index}`),
+      ),
+    },
+    broken: ['crashing-parts'],
+  },
+  {
+    title: 'accept such requests before the fifth crash is known',
+    seen: {
+      sent: crashingByPart.slice(0, 9),
+      notes: crashingByPart
+        .slice(0, 9)
+        .map((sent, index) => executionOf(sent, `r-${index}`)),
+    },
+    broken: [],
+  },
+  {
+    title: 'report requests that are refused for parts that crash no replica',
+    seen: {
+      sent: [...crashingByPart.slice(0, 5), ...sharingParts],
+      notes: crashesByPart,
+      answers: sharingParts.map(sent =>
+        responseOf(sent, 'r-9', {
+          status: 503,
+          body: 'crashesBackends',
+          stamp: null,
+        }),
+      ),
+    },
+    broken: ['sound-parts'],
+  },
   {
     title: 'report more requests to a replica than its rate limit allows',
     seen: {
