fix(decisions): a barred part is tried a second time after two minutes

Trials count among the requests that may still reach replicas, of which there are three. With stragglers of the first seconds, trials after 10 s and 60 s could use them up within minutes.

--- a/packages/decisions/src/gateway/crashes/parts/judgePart.ts
+++ b/packages/decisions/src/gateway/crashes/parts/judgePart.ts
@@ -49,7 +49,7 @@
  * a part. The first is short, since a part may be barred by mistake; the sum bounds the
  * replicas that a part can crash.
  */
-const TRIAL_DELAYS_MS = [10_000, 60_000, 600_000];
+const TRIAL_DELAYS_MS = [10_000, 120_000, 600_000];
 
 /**
  * Judges whether a prompt part crashes replicas.
--- a/packages/decisions/tests/gateway/crashes/parts/PartSuspects.test.ts
+++ b/packages/decisions/tests/gateway/crashes/parts/PartSuspects.test.ts
@@ -16,7 +16,7 @@
 const OTHER = brand<PromptPartKey>('bbbbbbbbbbbbbbbb');
 const LIVE = ['i-1', 'i-2', 'i-3'].map(name => brand<InstanceId>(name));
 const FIRST_TRIAL_MS = 10_000;
-const SECOND_TRIAL_MS = 60_000;
+const SECOND_TRIAL_MS = 120_000;
 /** Longer than all instances together wait for their turns. */
 const ALL_TURNS_MS = 10_000;
 
