--- a/packages/decisions/src/gateway/crashes/CrashLedger.ts
+++ b/packages/decisions/src/gateway/crashes/CrashLedger.ts
@@ -14,7 +14,7 @@
   Suspect,
 } from './crashNews.js';
 import { EMPTY_CRASH_NEWS, selectCrashReports } from './crashNews.js';
-import { JOINT_CRASH_MS } from './parts/groupJointCrashes.js';
+import { isMassCrash } from './isMassCrash.js';
 import { PartSuspects } from './parts/PartSuspects.js';
 import { ServedContents } from './ServedContents.js';
 import { UnprovenAnswers } from './UnprovenAnswers.js';
@@ -48,9 +48,6 @@
  * fewer slots than this.
  */
 const MAX_SUSPECTS = 256;
-/** Share of a service's replicas, and their number, that crash together in a mass crash. */
-const MIN_MASS_CRASH_SHARE = 1 / 3;
-const MIN_MASS_CRASHES = 4;
 /**
  * Bytes that arrive this soon after a replica's presumed end may have been sent
  * before it.
@@ -99,7 +96,7 @@
     this.#served = new ServedContents();
     this.#unproven = new UnprovenAnswers(clock);
     this.parts = new PartSuspects(clock, instance, crash =>
-      this.#isMassCrash(crash),
+      isMassCrash(crash, [...this.#crashes.values()]),
     );
   }
 
@@ -391,15 +388,6 @@
     crash.suspects.clear();
   }
 
-  /** Whether many replicas crashed at about the same time as one. */
-  #isMassCrash({ atMs, serviceSize }: Crash): boolean {
-    const joint = [...this.#crashes.values()].filter(
-      other => !other.goesOn && Math.abs(other.atMs - atMs) <= JOINT_CRASH_MS,
-    );
-    const minCount = MIN_MASS_CRASH_SHARE * serviceSize;
-    return joint.length >= Math.max(MIN_MASS_CRASHES, minCount);
-  }
-
   #unlinkSuspects(crash: Crash): void {
     this.parts.remove(crash);
     crash.suspects.forEach(content => {
--- a/packages/decisions/src/gateway/crashes/parts/PartSuspects.ts
+++ b/packages/decisions/src/gateway/crashes/parts/PartSuspects.ts
@@ -42,7 +42,7 @@
   readonly #candidates = new Set<PromptPartKey>();
   readonly #served = new ServedParts();
   readonly #trials: PartTrials;
-  /** When each part was last asked about by this instance or another one. */
+  /** Since when this instance asks others whether they have served a part. */
   readonly #askedAtMs = new Map<PromptPartKey, number>();
   /** Since when others are told that a part was served. */
   readonly #toldAtMs = new Map<PromptPartKey, number>();
--- a/packages/decisions/src/gateway/crashes/parts/groupJointCrashes.ts
+++ b/packages/decisions/src/gateway/crashes/parts/groupJointCrashes.ts
@@ -7,10 +7,10 @@
  * @param crashes - the crashes, in order of time
  * @returns the groups, in order of time
  */
-export function groupJointCrashes<Crash extends { readonly atMs: number }>(
-  crashes: readonly Crash[],
-): readonly (readonly Crash[])[] {
-  const groups: Crash[][] = [];
+export function groupJointCrashes<Timed extends { readonly atMs: number }>(
+  crashes: readonly Timed[],
+): readonly (readonly Timed[])[] {
+  const groups: Timed[][] = [];
   crashes.forEach(crash => {
     const group = groups.at(-1);
     const firstMs = group?.[0]?.atMs ?? -Infinity;
--- a/packages/decisions/src/gateway/crashes/parts/judgePart.ts
+++ b/packages/decisions/src/gateway/crashes/parts/judgePart.ts
@@ -46,8 +46,8 @@
 export const MIN_SUSPECT_CRASHES = MAX_CRASHES - SUSPECT_BEFORE;
 /**
  * Times from the last crash to the next trial, after each crash from the one that bars
- * a part. The first is short, since a part may be barred by mistake; the sum bounds the
- * replicas that a part can crash.
+ * a part. The first is short, since a part may be barred by mistake; the later ones bound
+ * the number of replicas that a part crashes.
  */
 const TRIAL_DELAYS_MS = [10_000, 120_000, 600_000];
 
--- a/packages/soak/src/promises/crashing-parts.ts
+++ b/packages/soak/src/promises/crashing-parts.ts
@@ -1,10 +1,7 @@
-import type { Evidence, ReceivedNote } from '../evidence.js';
 import { workOf } from '../workOf.js';
+import { executionsWith, findLateExecutions } from './findLateExecutions.js';
 import type { SoakInvariant } from './SoakInvariant.js';
 
-const MAX_CRASHES = 5;
-/** Maximum number of executions once the gateways should know of the crashes. */
-const MAX_LATE_EXECUTIONS = 3;
 /** Number of other requests from which the share of refused ones is compared. */
 const MIN_OTHERS = 20;
 const REFUSAL = 'crashesBackends';
@@ -14,49 +11,22 @@
   return crashes === true && parts.length > 0;
 }
 
-/** Executions of requests with the crashing part, in order of time. */
-function crashingExecutions({ notes }: Evidence): readonly ReceivedNote[] {
-  return notes
-    .filter(note => note.type === 'got')
-    .filter(({ ran, body }) => ran && crashesByPart(body))
-    .sort((a, b) => a.atMs - b.atMs);
-}
-
-/** Time of the fifth crash by the part; infinite if there were fewer. */
-function fifthCrashMs(executions: readonly ReceivedNote[]): number {
-  const firsts = executions.filter(
-    ({ replica }, position) =>
-      executions.findIndex(other => other.replica === replica) === position,
-  );
-  return firsts[MAX_CRASHES - 1]?.endsMs ?? Infinity;
-}
-
 /** Requests with a prompt part that has crashed five replicas are no longer forwarded. */
 export const crashingParts: SoakInvariant = {
   name: 'crashing-parts',
   description:
     'Requests with a prompt part that has crashed five replicas are executed at most three more times once the gateways have had time to learn of it.',
   timed: true,
-  check: (evidence, index) => {
-    const { bounds } = evidence;
-    const executions = crashingExecutions(evidence);
-    const fromMs =
-      fifthCrashMs(executions) + bounds.faultFreeMs + bounds.slackMs;
-    const late = executions.filter(({ id, atMs }) => {
-      const gateway = index.sent(id)?.gateway;
-      return (
-        atMs > fromMs &&
-        gateway !== undefined &&
-        index.isGatewayFaultFree(gateway, atMs, atMs)
-      );
-    });
-    return late.length > MAX_LATE_EXECUTIONS
-      ? late.map(({ id, replica }) => ({
-          request: id,
-          what: `executed at ${replica} after five crashes by a part of its prompt`,
-        }))
-      : [];
-  },
+  check: (evidence, index) =>
+    findLateExecutions(
+      evidence,
+      index,
+      executionsWith(evidence, crashesByPart),
+      { maxCrashes: 5, maxLateExecutions: 3 },
+    ).map(({ id, replica }) => ({
+      request: id,
+      what: `executed at ${replica} after five crashes by a part of its prompt`,
+    })),
 };
 
 /** Requests that share all other parts with crashing ones go on being served. */
@@ -67,7 +37,7 @@
   timed: true,
   check: (evidence, index) => {
     const { bounds, sent, answers } = evidence;
-    const [first] = crashingExecutions(evidence);
+    const [first] = executionsWith(evidence, crashesByPart);
     if (!first) {
       return [];
     }
