--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -9,6 +9,7 @@
   sendRequest,
   SoakCaller,
   COMMON_PART,
+  SUBJECTS,
   subjectOf,
 } from './callers/SoakCaller.js';
 import type {
@@ -72,7 +73,6 @@
   target: '/safe/crash',
   work: CRASHING_WORK,
 };
-const SUBJECT_RANGE = 1000;
 /** Part of a prompt that crashes each replica which begins to answer a request with it. */
 const CRASHING_PART = 'dead';
 
@@ -339,7 +339,7 @@
 
   /** Draws a request that shares a part with others that crash replicas, and no more. */
   #drawCrashingPart(): CrashingRequest {
-    const subject = subjectOf(Math.floor(SUBJECT_RANGE * this.#random()));
+    const subject = subjectOf(Math.floor(SUBJECTS * this.#random()));
     return {
       kind: 'stream',
       target: '/stream/crash',
--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -15,7 +15,7 @@
 /** Part that all prompts begin with. */
 export const COMMON_PART = 'c0';
 /** Number of parts in the second place of the prompts. */
-const SUBJECTS = 12;
+export const SUBJECTS = 12;
 
 /** @returns the second part of a prompt, by the number of the request */
 export function subjectOf(number: number): string {
