--- a/packages/decisions/tests/gateway/crashes/parts/PartSuspects.test.ts
+++ b/packages/decisions/tests/gateway/crashes/parts/PartSuspects.test.ts
@@ -132,6 +132,18 @@
     });
   });
 
+  // Guards against an instance that starts and sends what all others refuse.
+  group('informs an instance that starts', ({ it }) => {
+    it('of a barred part, long after its crashes', t => {
+      const [here, newcomer] = [fixture(), fixture(LIVE[1])];
+      here.lose([PART, OTHER], 'a', 'b', 'c');
+      here.serve(OTHER);
+      here.clock.advance(60_000);
+      newcomer.ledger.onPeer(here.ledger.news);
+      t.deepEqual(newcomer.ledger.parts.barred, [PART]);
+    });
+  });
+
   // Guards against a part that stays free since reports of one service are passed on from
   // instance to instance and seem to follow crashes that came after it.
   group('counts crashes', ({ it }) => {
