test(review): a late copy of a rejection is taken for the answer to the next request

A replica that sends a second copy of its own rejection late, where the answer to the next request on that connection is due, makes the gateway report the next request as not run. ResponseAssembler.start accepts a response with another request's id if it says 'not executed'.

--- /dev/null
+++ b/review/lib/Replica.mjs
@@ -0,0 +1,169 @@
+// Stand-in for a replica of a plain service, on raw connections: what it sends can be
+// any bytes, in any order.
+import { createServer } from 'node:net';
+
+const HEAD_END = Buffer.from('\r\n\r\n');
+
+/** Reads requests with a length from a connection, one after the other. */
+function readRequests(socket, onRequest) {
+  let bytes = Buffer.alloc(0);
+  socket.on('data', chunk => {
+    bytes = Buffer.concat([bytes, chunk]);
+    for (;;) {
+      const end = bytes.indexOf(HEAD_END);
+      if (end === -1) {
+        return;
+      }
+      const [first, ...lines] = bytes
+        .subarray(0, end)
+        .toString('latin1')
+        .split('\r\n');
+      const headers = Object.fromEntries(
+        lines.map(line => {
+          const colon = line.indexOf(':');
+          const name = line.slice(0, colon).toLowerCase();
+          return [name, line.slice(colon + 1).trim()];
+        }),
+      );
+      const length = Number(headers['content-length'] ?? 0);
+      const bodyAt = end + HEAD_END.length;
+      if (bytes.length < bodyAt + length) {
+        return;
+      }
+      const body = bytes.subarray(bodyAt, bodyAt + length).toString('latin1');
+      bytes = bytes.subarray(bodyAt + length);
+      const [method, target] = first.split(' ');
+      onRequest({ method, target, headers, body });
+    }
+  });
+}
+
+/** Formats a response with a length. */
+export function formatResponse(status, headers, body = '') {
+  const lines = Object.entries({ ...headers, 'Content-Length': body.length })
+    .map(([name, value]) => `${name}: ${value}\r\n`)
+    .join('');
+  return Buffer.from(`HTTP/1.1 ${status} -\r\n${lines}\r\n${body}`, 'latin1');
+}
+
+/** A replica with slots and a short queue. */
+export class Replica {
+  #server;
+  #sockets = new Set();
+  #running = 0;
+  #queue = [];
+  /** Called with each request, before anything else; returns true if it has dealt with it. */
+  onArrival = () => false;
+  /** Called when the replica begins to work on a request. */
+  onRun = () => undefined;
+  /** Called with the bytes of each complete answer, when they have been written. */
+  onAnswered = () => undefined;
+
+  constructor({ id, service, zone = 'z-1', slots = 6, queue = 24, workMs }) {
+    Object.assign(this, { id, service, zone, slots, queue, workMs });
+    this.#server = createServer(socket => {
+      this.#sockets.add(socket);
+      socket.setNoDelay(true);
+      socket.on('error', () => undefined);
+      socket.once('close', () => this.#sockets.delete(socket));
+      readRequests(socket, req => this.#handle(req, socket));
+    });
+  }
+
+  async start(host) {
+    await new Promise(resolve => this.#server.listen(0, host, resolve));
+    this.address = `${host}:${this.#server.address().port}`;
+    return this.address;
+  }
+
+  stop() {
+    this.#server.close();
+    this.#sockets.forEach(socket => socket.destroy());
+  }
+
+  /** The entry under which it registers itself in the store. */
+  entry(sequence = 1, state = 'ready') {
+    const { service, address, zone, slots } = this;
+    return {
+      service,
+      address,
+      zone,
+      version: 'v1',
+      slots,
+      state,
+      cold_remaining_ms: 0,
+      sequence,
+    };
+  }
+
+  get load() {
+    return `${this.#running},${this.#queue.length},${this.slots}`;
+  }
+
+  #handle(req, socket) {
+    const id = req.headers['x-jujubecroft-request-id'] ?? '';
+    const expected = req.headers['x-jujubecroft-expect-instance'];
+    if (req.target === '/health') {
+      socket.write(
+        formatResponse(200, { 'X-Jujubecroft-Instance-Id': this.id }),
+      );
+      return;
+    }
+    if (this.onArrival(req, socket)) {
+      return;
+    }
+    if (expected !== undefined && expected !== this.id) {
+      this.#answer(req, socket, 421, this.#notRun(id), '');
+      return;
+    }
+    if (this.#running >= this.slots && this.#queue.length >= this.queue) {
+      this.#answer(req, socket, 503, this.#notRun(id), '');
+      return;
+    }
+    if (this.#running >= this.slots) {
+      this.#queue.push(() => this.#run(req, id, socket));
+    } else {
+      this.#run(req, id, socket);
+    }
+  }
+
+  #notRun(id) {
+    return {
+      'X-Jujubecroft-Request-Id': id,
+      'X-Jujubecroft-Not-Executed': '1',
+      'X-Jujubecroft-Instance-Load': this.load,
+    };
+  }
+
+  #run(req, id, socket) {
+    if (socket.destroyed) {
+      // A replica drops a request whose connection has closed while it waited.
+      this.#queue.shift()?.();
+      return;
+    }
+    this.#running += 1;
+    this.onRun(req, id);
+    setTimeout(() => {
+      this.#running -= 1;
+      const headers = {
+        'X-Jujubecroft-Request-Id': id,
+        'X-Jujubecroft-Response-Stamp': `${this.id}.${id}`,
+        'X-Jujubecroft-Instance-Load': this.load,
+      };
+      this.#answer(req, socket, 200, headers, `answer to ${id}`);
+      this.#queue.shift()?.();
+    }, this.workMs());
+  }
+
+  #answer(req, socket, status, headers, body) {
+    const bytes = formatResponse(
+      status,
+      { ...headers, 'Keep-Alive': 'timeout=15' },
+      body,
+    );
+    if (!socket.destroyed) {
+      socket.write(bytes);
+      this.onAnswered(req, socket, status, bytes);
+    }
+  }
+}
