test(review): a stopping gateway cuts answers that requesters are still reading

InFlightRequests drops a request as soon as its answer has been handed to the connection. A stopping gateway therefore ends while answers of up to 1 MB still wait in its memory for a slow requester.

--- a/review/lib/Replica.mjs
+++ b/review/lib/Replica.mjs
@@ -56,6 +56,8 @@
   onArrival = () => false;
   /** Called when the replica begins to work on a request. */
   onRun = () => undefined;
+  /** Body of the answer to a request. */
+  bodyOf = (_, id) => `answer to ${id}`;
   /** Called with the bytes of each complete answer, when they have been written. */
   onAnswered = () => undefined;
 
@@ -150,7 +152,7 @@
         'X-Jujubecroft-Response-Stamp': `${this.id}.${id}`,
         'X-Jujubecroft-Instance-Load': this.load,
       };
-      this.#answer(req, socket, 200, headers, `answer to ${id}`);
+      this.#answer(req, socket, 200, headers, this.bodyOf(req, id));
       this.#queue.shift()?.();
     }, this.workMs());
   }
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -1,4 +1,6 @@
 // A small deployment on loopback: the store, replicas of plain services, and gateways.
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { createGateways, loopbackNetwork } from './Gateways.mjs';
 import { Replica } from './Replica.mjs';
 import { Requester } from './Requester.mjs';
@@ -35,6 +37,24 @@
   };
 }
 
+/** Addresses and time to keep them, as a requester gets them from the directory. */
+export async function resolve({ directory }) {
+  const query = 'name=a.example&region=r-1&zone=z-1';
+  const res = await fetch(`http://${directory}/jujubecroft/resolution?${query}`);
+  return res.json();
+}
+
+/** Waits until the directory of a gateway lists all gateways. */
+async function untilListed(gateway, count) {
+  const endMs = performance.now() + 20_000;
+  while ((await resolve(gateway)).addresses.length < count) {
+    if (performance.now() > endMs) {
+      throw new Error(`${gateway.options.name} doesn't know the others`);
+    }
+    await sleep(50);
+  }
+}
+
 /** Starts everything, and waits until all gateways are ready. */
 export async function startCluster({
   gateways: count,
@@ -85,6 +105,7 @@
     gateway.start();
   });
   await Promise.all(gateways.map(gateway => gateway.untilReady()));
+  await Promise.all(gateways.map(gateway => untilListed(gateway, count)));
   const requester = new Requester();
   atEnd(() => requester.close());
   return { network, store, replicas, gateways, requester, silent };
