--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,128 +1,137 @@
-// One gateway gets SIGTERM while requesters read answers at a steady, slow pace. Every
-// answer would be read to its end within the grace period and its time limit.
-import { spawn } from 'node:child_process';
-import path from 'node:path';
+// Replicas of a plain service send a second copy of some of their answers late, on the
+// connection where the answer to the next request is due. Some of these copies are of
+// rejections: they bear the id of the rejected request.
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { configuration, resolve, startCluster } from '../lib/cluster.mjs';
+import { configuration, randomFrom, startCluster } from '../lib/cluster.mjs';
 import { runCase } from '../lib/run.mjs';
 
-const REQUESTERS = 4;
-const ANSWER_BYTES = 900_000;
-const READ_BYTES_PER_S = 350_000;
+const REPLICAS = 3;
+const SLOTS = 6;
+const QUEUE = 24;
+/** Mean time of a run, in milliseconds. */
 const WORK_MS = 60;
-const TIME_LIMIT_MS = 3000;
-const GRACE_MS = 8000;
-/**
- * Time from SIGTERM to the requests, in milliseconds. The directory's answer, from before
- * SIGTERM, states 2 s; some requesters keep it three times as long.
- */
-const SEND_AFTER_MS = Number(process.env.SEND_AFTER_MS ?? 4150);
-const KEPT_FACTOR = 3;
+const LENGTH_MS = Number(process.env.LENGTH_MS ?? 40_000);
+const PER_S = Number(process.env.PER_S ?? 360);
+/** The largest dose of `garble` "extra late" on the site: 0.6 of the replicas, 0.03, 5 s. */
+const FAULTY_REPLICAS = 1;
+const EXTRA_SHARE = 0.03;
+const FAULT_MS = 5000;
+const FAULT_EVERY_MS = 10_000;
+const REFUSALS = [408, 421, 429, 503];
 
-/** Runs one requester; resolves with what came of its request. */
-function readSlowly(front, id, atEnd) {
-  const child = spawn(
-    'perl',
-    [
-      path.join(import.meta.dirname, 'slow-requester.pl'),
-      ...front.split(':'),
-      '/evidence/a',
-      id,
-      String(TIME_LIMIT_MS),
-      String(READ_BYTES_PER_S),
-    ],
-    { stdio: ['ignore', 'pipe', 'inherit'] },
-  );
-  atEnd(() => child.kill('SIGKILL'));
-  return new Promise((resolve, reject) => {
-    let text = '';
-    child.stdout.on('data', part => {
-      text += part;
+await runCase(
+  import.meta.dirname,
+  async ({ record, trouble, folder, atEnd }) => {
+    const random = randomFrom(66);
+    const runs = new Map();
+    const cluster = await startCluster({
+      gateways: 3,
+      replicas: Array.from({ length: REPLICAS }, (_, index) => ({
+        id: `i-${index + 1}`,
+        service: 'field-app',
+        slots: SLOTS,
+        queue: QUEUE,
+        workMs: () => WORK_MS * (0.5 + random()),
+      })),
+      cfg: configuration(
+        7,
+        [
+          {
+            name: 'r-upload',
+            prefix: '/upload/',
+            kind: 'unsafe',
+            service: 'field-app',
+          },
+        ],
+        [{ name: 'field-app' }],
+      ),
+      folder,
+      atEnd,
     });
-    child.once('error', reject);
-    child.once('close', () => {
-      const [status, bytes, length, how, ms] = text.trim().split(' ');
-      resolve({ id, status, bytes, length, how, ms });
-    });
-  });
-}
+    const { replicas, gateways, requester } = cluster;
+    const beganMs = performance.now();
+    const isFaulty = () =>
+      trouble && (performance.now() - beganMs) % FAULT_EVERY_MS < FAULT_MS;
+    const counts = { rejected: 0, extras: 0, extraRejections: 0 };
 
-await runCase(import.meta.dirname, async ({ record, trouble, folder, atEnd }) => {
-  const body = 'e'.repeat(ANSWER_BYTES);
-  const { gateways, replicas } = await startCluster({
-    gateways: 3,
-    replicas: Array.from({ length: 3 }, (_, index) => ({
-      id: `i-${index + 1}`,
-      service: 'field-app',
-      workMs: () => WORK_MS,
-    })),
-    cfg: configuration(
-      7,
-      [
-        {
-          name: 'r-evidence',
-          prefix: '/evidence/',
-          kind: 'unsafe',
-          service: 'field-app',
-          timeout_ms: TIME_LIMIT_MS,
-        },
-      ],
-      [{ name: 'field-app' }],
-    ),
-    folder,
-    atEnd,
-  });
-  const ran = new Set();
-  const answered = new Set();
-  replicas.forEach(replica => {
-    replica.bodyOf = () => body;
-    replica.onRun = (_, id) => ran.add(id);
-    replica.onAnswered = req => {
-      answered.add(req.headers['x-jujubecroft-request-id']);
-    };
-  });
-  const [stopped] = gateways;
-  const resolution = await resolve(gateways[1]);
-  const askedMs = performance.now();
-  record.note(`the directory answers ${JSON.stringify(resolution)}`);
-  const stopMs = performance.now();
-  if (trouble) {
-    stopped.signal('SIGTERM');
-    record.note('SIGTERM to front-1');
-    stopped.process.once('exit', (code, signal) => {
-      const tookMs = Math.round(performance.now() - stopMs);
-      record.note(`front-1 ended (${code ?? signal}) ${tookMs} ms after SIGTERM`);
+    /** Second copies that wait for the next request on their connection. */
+    const late = new WeakMap();
+    replicas.forEach((replica, index) => {
+      replica.onRun = (_, id) => {
+        runs.set(id, [...(runs.get(id) ?? []), replica.id]);
+      };
+      replica.onAnswered = (req, socket, status, bytes) => {
+        counts.rejected += status === 503 ? 1 : 0;
+        if (index < FAULTY_REPLICAS && isFaulty() && random() < EXTRA_SHARE) {
+          late.set(socket, {
+            bytes,
+            status,
+            id: req.headers['x-jujubecroft-request-id'],
+          });
+        }
+      };
+      replica.onArrival = (req, socket) => {
+        const extra = late.get(socket);
+        if (extra) {
+          late.delete(socket);
+          counts.extras += 1;
+          counts.extraRejections += extra.status === 503 ? 1 : 0;
+          const id = req.headers['x-jujubecroft-request-id'];
+          record.note(
+            `${replica.id} sends a second copy of its ${extra.status} to ${extra.id} where the answer to ${id} is due`,
+          );
+          socket.write(extra.bytes);
+        }
+        return false;
+      };
     });
-    setTimeout(() => {
-      if (stopped.process.exitCode === null) {
-        stopped.signal('SIGKILL');
+
+    const answers = new Map();
+    const pending = [];
+    let number = 0;
+    let dueMs = performance.now();
+    while (performance.now() - beganMs < LENGTH_MS) {
+      dueMs += (-Math.log(1 - random()) * 1000) / PER_S;
+      const waitMs = dueMs - performance.now();
+      if (waitMs > 1) {
+        await sleep(waitMs);
       }
-    }, GRACE_MS).unref();
-  }
-  await sleep(SEND_AFTER_MS);
-  const isKept =
-    resolution.addresses.includes(stopped.front) &&
-    performance.now() - askedMs < KEPT_FACTOR * 1000 * resolution.ttl_s;
-  if (!isKept) {
-    throw new Error('no requester would use this address any more');
-  }
-  const reading = Array.from({ length: REQUESTERS }, (_, index) =>
-    readSlowly(stopped.front, `q${index + 1}`, atEnd),
-  );
-  record.note(`${REQUESTERS} requests are sent to front-1`);
-  const ends = await Promise.all(reading);
-  record.note(`the replicas have answered ${[...answered].join(', ')}`);
-  ends.forEach(({ id, status, bytes, length, how, ms }) => {
+      number += 1;
+      const id = `q${String(number).padStart(6, '0')}`;
+      const { front } = gateways[Math.floor(random() * gateways.length)];
+      pending.push(
+        requester
+          .send(front, { id, path: '/upload/a', body: `evidence ${id}` })
+          .then(answer => {
+            answers.set(id, answer);
+          }),
+      );
+    }
+    await Promise.all(pending);
+    await sleep(1000);
+
+    const byStatus = {};
+    answers.forEach(({ status }) => {
+      byStatus[status] = (byStatus[status] ?? 0) + 1;
+    });
+    record.note(`answers by status: ${JSON.stringify(byStatus)}`);
     record.note(
-      `${id}: ${status}, ${how}, ${bytes} of ${length} bytes, ${ms} ms after it was sent`,
+      `at the replicas: ${JSON.stringify(counts)}, runs of ${runs.size} requests`,
     );
-  });
-  await sleep(200);
-  return ends
-    .filter(({ id, how }) => ran.has(id) && how !== 'whole')
-    .map(
-      ({ id, how, bytes, length, ms }) =>
-        `LOST: ${id} was run, and its channel was ${how} after ${bytes} of ${length} bytes, ${ms} ms after it was sent`,
-    );
-});
+    console.log(JSON.stringify({ byStatus, counts, runs: runs.size }));
+    const breaches = [];
+    answers.forEach(({ status, body }, id) => {
+      const ran = runs.get(id) ?? [];
+      if (REFUSALS.includes(status) && ran.length > 0) {
+        breaches.push(
+          `REFUSED: ${id} was answered ${status} (${body}) and has run at ${ran.join(', ')}`,
+        );
+      }
+      if (ran.length > 1) {
+        breaches.push(`TWICE: ${id} has run at ${ran.join(', ')}`);
+      }
+    });
+    return breaches;
+  },
+);
--- /dev/null
+++ b/review/3/run-streams.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# A variant of the case: streams of the killed gateway's own requesters.
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+node streams.mjs
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/lib/Replica.mjs
+++ b/review/lib/Replica.mjs
@@ -46,12 +46,28 @@
   return Buffer.from(`HTTP/1.1 ${status} -\r\n${lines}\r\n${body}`, 'latin1');
 }
 
+/** Formats a response in chunks, as a list of the head, the chunks and the last chunk. */
+function formatChunks(status, headers, body, size) {
+  const chunked = { ...headers, 'Transfer-Encoding': 'chunked' };
+  const lines = Object.entries(chunked)
+    .map(([name, value]) => `${name}: ${value}\r\n`)
+    .join('');
+  const parts = [`HTTP/1.1 ${status} -\r\n${lines}\r\n`];
+  for (let at = 0; at < body.length; at += size) {
+    const part = body.slice(at, at + size);
+    parts.push(`${part.length.toString(16)}\r\n${part}\r\n`);
+  }
+  return [...parts, '0\r\n\r\n'].map(part => Buffer.from(part, 'latin1'));
+}
+
 /** A replica with slots and a short queue. */
 export class Replica {
   #server;
   #sockets = new Set();
   #running = 0;
   #queue = [];
+  /** Whether the replica has crashed and not started again. */
+  isDown = false;
   /** Called with each request, before anything else; returns true if it has dealt with it. */
   onArrival = () => false;
   /** Called when the replica begins to work on a request. */
@@ -61,8 +77,16 @@
   /** Called with the bytes of each complete answer, when they have been written. */
   onAnswered = () => undefined;
 
-  constructor({ id, service, zone = 'z-1', slots = 6, queue = 24, workMs }) {
-    Object.assign(this, { id, service, zone, slots, queue, workMs });
+  constructor({
+    id,
+    service,
+    zone = 'z-1',
+    slots = 6,
+    queue = 24,
+    workMs,
+    piece = null,
+  }) {
+    Object.assign(this, { id, service, zone, slots, queue, workMs, piece });
     this.#server = createServer(socket => {
       this.#sockets.add(socket);
       socket.setNoDelay(true);
@@ -83,6 +107,24 @@
     this.#sockets.forEach(socket => socket.destroy());
   }
 
+  /** Ends as a crashed process does: all connections are reset, and none is accepted. */
+  async crash() {
+    this.isDown = true;
+    this.#running = 0;
+    this.#queue = [];
+    const closed = new Promise(resolve => this.#server.close(resolve));
+    this.#sockets.forEach(socket => socket.resetAndDestroy());
+    await closed;
+  }
+
+  /** Starts again at the same address, as a new lifetime. */
+  async restart(id) {
+    this.id = id;
+    const [host, port] = this.address.split(':');
+    await new Promise(resolve => this.#server.listen(port, host, resolve));
+    this.isDown = false;
+  }
+
   /** The entry under which it registers itself in the store. */
   entry(sequence = 1, state = 'ready') {
     const { service, address, zone, slots } = this;
@@ -144,8 +186,12 @@
       return;
     }
     this.#running += 1;
+    const lifetime = this.id;
     this.onRun(req, id);
     setTimeout(() => {
+      if (this.isDown || this.id !== lifetime) {
+        return;
+      }
       this.#running -= 1;
       const headers = {
         'X-Jujubecroft-Request-Id': id,
@@ -158,14 +204,32 @@
   }
 
   #answer(req, socket, status, headers, body) {
-    const bytes = formatResponse(
-      status,
-      { ...headers, 'Keep-Alive': 'timeout=15' },
-      body,
-    );
-    if (!socket.destroyed) {
-      socket.write(bytes);
-      this.onAnswered(req, socket, status, bytes);
+    if (socket.destroyed) {
+      return;
+    }
+    const kept = { ...headers, 'Keep-Alive': 'timeout=15' };
+    if (this.piece && body.length > this.piece.bytes) {
+      const { bytes, everyMs } = this.piece;
+      this.#writeSlowly(
+        socket,
+        formatChunks(status, kept, body, bytes),
+        everyMs,
+      );
+      return;
     }
+    const bytes = formatResponse(status, kept, body);
+    socket.write(bytes);
+    this.onAnswered(req, socket, status, bytes);
+  }
+
+  #writeSlowly(socket, parts, everyMs) {
+    const timer = setInterval(() => {
+      const part = parts.shift();
+      if (part === undefined || socket.destroyed) {
+        clearInterval(timer);
+        return;
+      }
+      socket.write(part);
+    }, everyMs);
   }
 }
--- a/review/lib/Requester.mjs
+++ b/review/lib/Requester.mjs
@@ -11,7 +11,10 @@
    * @returns status, headers and body; status 0 if the connection closed without a
    *   complete answer
    */
-  send(front, { id, method = 'POST', path, body = '', headers = {}, timeLeftMs = 4000 }) {
+  send(
+    front,
+    { id, method = 'POST', path, body = '', headers = {}, timeLeftMs = 4000 },
+  ) {
     const [host, port] = front.split(':');
     return new Promise(resolve => {
       const req = request(
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -40,7 +40,9 @@
 /** Addresses and time to keep them, as a requester gets them from the directory. */
 export async function resolve({ directory }) {
   const query = 'name=a.example&region=r-1&zone=z-1';
-  const res = await fetch(`http://${directory}/jujubecroft/resolution?${query}`);
+  const res = await fetch(
+    `http://${directory}/jujubecroft/resolution?${query}`,
+  );
   return res.json();
 }
 
@@ -79,14 +81,22 @@
     }),
   );
   let sequence = 0;
-  const silent = new Set();
+  /** When each lifetime of a replica has last reported, by its id. */
+  const reported = new Map();
   const beat = () => {
     sequence += 1;
     replicas
-      .filter(({ id }) => !silent.has(id))
+      .filter(({ isDown }) => !isDown)
       .forEach(replica => {
+        reported.set(replica.id, performance.now());
         store.put('servers', replica.id, replica.entry(sequence));
       });
+    reported.forEach((atMs, id) => {
+      if (performance.now() - atMs > 3 * HEARTBEAT_MS) {
+        reported.delete(id);
+        store.put('servers', id, null);
+      }
+    });
   };
   beat();
   const beats = setInterval(beat, HEARTBEAT_MS);
@@ -108,7 +118,7 @@
   await Promise.all(gateways.map(gateway => untilListed(gateway, count)));
   const requester = new Requester();
   atEnd(() => requester.close());
-  return { network, store, replicas, gateways, requester, silent };
+  return { network, store, replicas, gateways, requester };
 }
 
 /** Repeatable random numbers from 0 to 1. */
--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -19,9 +19,11 @@
   }
 }
 
+/** Exit codes of a case; `run.sh` passes on anything else as "could not run". */
+const EXIT = { held: 0, broken: 10, couldNotRun: 2 };
+
 /**
- * Runs a case and ends the process: exit code 0 if the rule held, 1 if it was broken, 2
- * if the case could not run.
+ * Runs a case and ends the process with one of the exit codes.
  *
  * @param folder - folder of the case, for record.txt
  * @param play - plays the case; gets `record`, `trouble`, a temporary `folder` and
@@ -32,21 +34,28 @@
   const trouble = process.env.TROUBLE !== '0';
   const temporary = mkdtempSync(path.join(tmpdir(), 'review-'));
   const endings = [];
-  let code = 2;
+  let code = EXIT.couldNotRun;
   const watchdog = setTimeout(() => {
     record.note('the case took too long');
-    finish(2);
+    finish(EXIT.couldNotRun);
   }, LIMIT_MS);
   const finish = status => {
-    endings.splice(0).reverse().forEach(end => end());
+    endings
+      .splice(0)
+      .reverse()
+      .forEach(end => end());
     record.write(path.join(folder, 'record.txt'));
     if (process.env.KEEP !== '1') {
       rmSync(temporary, { recursive: true, force: true });
     }
     process.exit(status);
   };
-  process.once('SIGINT', () => finish(2));
-  process.once('SIGTERM', () => finish(2));
+  process.once('SIGINT', () => finish(EXIT.couldNotRun));
+  process.once('SIGTERM', () => finish(EXIT.couldNotRun));
+  process.once('uncaughtException', err => {
+    record.note(`could not run: ${err.stack ?? err}`);
+    finish(EXIT.couldNotRun);
+  });
   try {
     record.note(`begins, ${trouble ? 'with' : 'without'} the disruption`);
     const breaches = await play({
@@ -62,7 +71,7 @@
         ? `broken: ${breaches.length}, the first: ${breaches[0]}`
         : 'held',
     );
-    code = breaches.length > 0 ? 1 : 0;
+    code = breaches.length > 0 ? EXIT.broken : EXIT.held;
   } catch (err) {
     record.note(`could not run: ${err.stack ?? err}`);
     console.error(err);
