--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,88 +1,39 @@
-// A gateway's opening packet to a replica is dropped, since the replica's queue of new
-// channels is full. It reaches the replica through another gateway, whose process is
-// then killed while the answer, which has no length, is on its way.
-import { spawn } from 'node:child_process';
-import { readFileSync } from 'node:fs';
-import { connect } from 'node:net';
-import path from 'node:path';
+// Replicas of a plain service send a second copy of some of their answers late, on the
+// connection where the answer to the next request is due. Some of these copies are of
+// rejections: they bear the id of the rejected request.
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { configuration, startCluster } from '../lib/cluster.mjs';
+import { configuration, randomFrom, startCluster } from '../lib/cluster.mjs';
 import { runCase } from '../lib/run.mjs';
 
-const ROUNDS = 5;
-const PIECES = 10;
-const PIECE_EVERY_MS = 100;
-const TIME_LIMIT_MS = 4000;
-/** The route's time limit on the site. */
-const ROUTE_TIMEOUT_MS = 2000;
-/** Time for which the replica accepts no new channel, in milliseconds. */
-const FULL_MS = 85;
-const FILLERS = 3;
-/** Time from the begin of the run to the kill. */
-const KILL_AFTER_MS = 500;
-const ID = 'i-1';
-const STAMP = 'x-jujubecroft-response-stamp';
-
-function wholeBody(id) {
-  return Array.from({ length: PIECES }, (_, i) => `${id} line ${i + 1}\n`).join(
-    '',
-  );
-}
-
-/** Starts the replica; returns its process and address. */
-async function startReplica(host, atEnd, onMessage) {
-  const child = spawn(
-    process.execPath,
-    [
-      path.join(import.meta.dirname, 'replica.mjs'),
-      ID,
-      host,
-      String(PIECES),
-      String(PIECE_EVERY_MS),
-    ],
-    { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] },
-  );
-  atEnd(() => child.kill('SIGKILL'));
-  const port = await new Promise((resolve, reject) => {
-    child.once('exit', () => reject(new Error('the replica ended')));
-    child.on('message', message => {
-      if (message.type === 'listens') {
-        resolve(message.port);
-      } else {
-        onMessage(message);
-      }
-    });
-  });
-  return { child, address: `${host}:${port}`, host, port };
-}
-
-/** Keeps the queue of new channels full for a short time. */
-async function fillQueue({ child, host, port }) {
-  child.kill('SIGSTOP');
-  const fillers = Array.from({ length: FILLERS }, () => {
-    const socket = connect({ host, port });
-    socket.on('error', () => undefined);
-    return socket;
-  });
-  await sleep(10);
-  setTimeout(() => child.kill('SIGCONT'), FULL_MS);
-  setTimeout(() => fillers.forEach(socket => socket.destroy()), FULL_MS + 5);
-}
-
-/** The gateway whose log says that it opened a tunnel for another one, if any. */
-function carrierSince(gateways, lengths) {
-  return gateways.find(({ log }, i) =>
-    readFileSync(log.path, 'utf8').slice(lengths[i]).includes('tunnelOpened'),
-  );
-}
+const REPLICAS = 3;
+const SLOTS = 6;
+const QUEUE = 24;
+/** Mean time of a run, in milliseconds. */
+const WORK_MS = 60;
+const LENGTH_MS = Number(process.env.LENGTH_MS ?? 40_000);
+const PER_S = Number(process.env.PER_S ?? 360);
+/** The largest dose of `garble` "extra late" on the site: 0.6 of the replicas, 0.03, 5 s. */
+const FAULTY_REPLICAS = 1;
+const EXTRA_SHARE = 0.03;
+const FAULT_MS = 5000;
+const FAULT_EVERY_MS = 10_000;
+const REFUSALS = [408, 421, 429, 503];
 
 await runCase(
   import.meta.dirname,
   async ({ record, trouble, folder, atEnd }) => {
-    const { gateways, store, requester, network } = await startCluster({
+    const random = randomFrom(66);
+    const runs = new Map();
+    const cluster = await startCluster({
       gateways: 3,
-      replicas: [],
+      replicas: Array.from({ length: REPLICAS }, (_, index) => ({
+        id: `i-${index + 1}`,
+        service: 'field-app',
+        slots: SLOTS,
+        queue: QUEUE,
+        workMs: () => WORK_MS * (0.5 + random()),
+      })),
       cfg: configuration(
         7,
         [
@@ -91,7 +42,6 @@
             prefix: '/upload/',
             kind: 'unsafe',
             service: 'field-app',
-            timeout_ms: ROUTE_TIMEOUT_MS,
           },
         ],
         [{ name: 'field-app' }],
@@ -99,88 +49,89 @@
       folder,
       atEnd,
     });
-    const runs = new Map();
-    const ends = new Map();
-    const replica = await startReplica(`${network}.101`, atEnd, message => {
-      if (message.type === 'runs') {
-        runs.set(message.request, performance.now());
-      } else {
-        ends.set(message.request, message.pieces);
-      }
-    });
-    let sequence = 0;
-    const beat = () => {
-      sequence += 1;
-      store.put('servers', ID, {
-        service: 'field-app',
-        address: replica.address,
-        zone: 'z-1',
-        version: 'v1',
-        slots: 6,
-        state: 'ready',
-        cold_remaining_ms: 0,
-        sequence,
-      });
-    };
-    beat();
-    const beats = setInterval(beat, 1200);
-    atEnd(() => clearInterval(beats));
-    await sleep(2500);
+    const { replicas, gateways, requester } = cluster;
+    const beganMs = performance.now();
+    const isFaulty = () =>
+      trouble && (performance.now() - beganMs) % FAULT_EVERY_MS < FAULT_MS;
+    const counts = { rejected: 0, extras: 0, extraRejections: 0 };
 
-    const [taker, ...others] = gateways;
-    const breaches = [];
-    let relayed = 0;
-    for (let round = 1; round <= ROUNDS; round += 1) {
-      const id = `q${round}`;
-      const lengths = others.map(
-        ({ log }) => readFileSync(log.path, 'utf8').length,
-      );
-      await fillQueue(replica);
-      const answer = requester.send(taker.front, {
-        id,
-        path: '/upload/a',
-        body: 'evidence',
-        timeLeftMs: TIME_LIMIT_MS,
-      });
-      const untilMs = performance.now() + 4000;
-      while (!runs.has(id) && performance.now() < untilMs) {
-        await sleep(10);
-      }
-      await sleep(KILL_AFTER_MS);
-      const carrier = carrierSince(others, lengths);
-      record.note(
-        `${id}: sent to front-1, runs at ${ID}, reached through ${carrier?.options.name ?? 'no other gateway'}`,
-      );
-      if (carrier) {
-        relayed += 1;
-        if (trouble) {
-          await carrier.kill();
-          record.note(`${carrier.options.name} is killed`);
+    /** Second copies that wait for the next request on their connection. */
+    const late = new WeakMap();
+    replicas.forEach((replica, index) => {
+      replica.onRun = (_, id) => {
+        runs.set(id, [...(runs.get(id) ?? []), replica.id]);
+      };
+      replica.onAnswered = (req, socket, status, bytes) => {
+        counts.rejected += status === 503 ? 1 : 0;
+        if (index < FAULTY_REPLICAS && isFaulty() && random() < EXTRA_SHARE) {
+          late.set(socket, {
+            bytes,
+            status,
+            id: req.headers['x-jujubecroft-request-id'],
+          });
+        }
+      };
+      replica.onArrival = (req, socket) => {
+        const extra = late.get(socket);
+        if (extra) {
+          late.delete(socket);
+          counts.extras += 1;
+          counts.extraRejections += extra.status === 503 ? 1 : 0;
+          const id = req.headers['x-jujubecroft-request-id'];
+          record.note(
+            `${replica.id} sends a second copy of its ${extra.status} to ${extra.id} where the answer to ${id} is due`,
+          );
+          socket.write(extra.bytes);
         }
+        return false;
+      };
+    });
+
+    const answers = new Map();
+    const pending = [];
+    let number = 0;
+    let dueMs = performance.now();
+    while (performance.now() - beganMs < LENGTH_MS) {
+      dueMs += (-Math.log(1 - random()) * 1000) / PER_S;
+      const waitMs = dueMs - performance.now();
+      if (waitMs > 1) {
+        await sleep(waitMs);
       }
-      const { status, headers, body, error } = await answer;
-      const whole = wholeBody(id);
-      record.note(
-        `${id}: answered ${status}${error ? ` (${error})` : ''}, stamp ${headers[STAMP]}, ${body.length} of ${whole.length} bytes; the replica had written ${ends.get(id)} of ${PIECES} pieces when its channel closed`,
+      number += 1;
+      const id = `q${String(number).padStart(6, '0')}`;
+      const { front } = gateways[Math.floor(random() * gateways.length)];
+      pending.push(
+        requester
+          .send(front, { id, path: '/upload/a', body: `evidence ${id}` })
+          .then(answer => {
+            answers.set(id, answer);
+          }),
       );
-      if (status === 200 && headers[STAMP] && body !== whole) {
+    }
+    await Promise.all(pending);
+    await sleep(1000);
+
+    const byStatus = {};
+    answers.forEach(({ status }) => {
+      byStatus[status] = (byStatus[status] ?? 0) + 1;
+    });
+    record.note(`answers by status: ${JSON.stringify(byStatus)}`);
+    record.note(
+      `at the replicas: ${JSON.stringify(counts)}, runs of ${runs.size} requests`,
+    );
+    console.log(JSON.stringify({ byStatus, counts, runs: runs.size }));
+    const breaches = [];
+    answers.forEach(({ status, body }, id) => {
+      const ran = runs.get(id) ?? [];
+      if (REFUSALS.includes(status) && ran.length > 0) {
         breaches.push(
-          `MIXED: ${id} got 200 with a regular end after ${body.length} of the ${whole.length} bytes of its answer`,
+          `REFUSED: ${id} was answered ${status} (${body}) and has run at ${ran.join(', ')}`,
         );
       }
-      if (carrier && trouble) {
-        carrier.start();
-        await carrier.untilReady();
+      if (ran.length > 1) {
+        breaches.push(`TWICE: ${id} has run at ${ran.join(', ')}`);
       }
-      // The lost path is tried again and restored meanwhile.
-      await sleep(3500);
-    }
-    record.note(
-      `${relayed} of ${ROUNDS} requests went through another gateway`,
-    );
-    if (relayed === 0) {
-      throw new Error('no request went through another gateway');
-    }
+    });
     return breaches;
   },
 );
