test(review): one wrong byte of a replica ends the gateway that reads it

A replica that spoils the status line of an answer, 020 in place of 200, on a streaming route makes CallerResponse.start throw in a listener of the connection, which ends the process with all requests that it has in work.

--- a/review/lib/Replica.mjs
+++ b/review/lib/Replica.mjs
@@ -74,6 +74,8 @@
   onRun = () => undefined;
   /** Body of the answer to a request. */
   bodyOf = (_, id) => `answer to ${id}`;
+  /** Bytes that are sent in place of a response. */
+  spoil = bytes => bytes;
   /** Called with the bytes of each complete answer, when they have been written. */
   onAnswered = () => undefined;
 
@@ -217,7 +219,7 @@
       );
       return;
     }
-    const bytes = formatResponse(status, kept, body);
+    const bytes = this.spoil(formatResponse(status, kept, body));
     socket.write(bytes);
     this.onAnswered(req, socket, status, bytes);
   }
