--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -6,10 +6,12 @@
 import { configuration, randomFrom, startCluster } from '../lib/cluster.mjs';
 import { runCase } from '../lib/run.mjs';
 
-const LENGTH_MS = 30_000;
-const STREAMS_PER_S = 30;
+const LENGTH_MS = 40_000;
+const STREAMS_PER_S = 120;
 const UPLOADS_PER_S = 100;
-/** The site's `garble`: a share of 0.35 of the replicas spoils 0.02 of its answers. */
+/** The site's `garble`: a share of 0.35 of the replicas spoils 0.02 of its answers, for 5.5 s. */
+const FAULT_MS = 5500;
+const FAULT_EVERY_MS = 10_000;
 const SPOILT_SHARE = 0.02;
 const FAULTY = 2;
 /** The platform starts a process again after a short delay. */
@@ -63,11 +65,16 @@
     });
     const runs = new Set();
     let spoilt = 0;
+    const beganMs = performance.now();
+    const isFaulty = index =>
+      trouble &&
+      index < FAULTY &&
+      (performance.now() - beganMs) % FAULT_EVERY_MS < FAULT_MS;
     replicas.forEach((replica, index) => {
       replica.onRun = (_, id) => runs.add(id);
       replica.bodyOf = () => EVENTS;
       replica.spoil = bytes => {
-        if (!trouble || index >= FAULTY || random() >= SPOILT_SHARE) {
+        if (!isFaulty(index) || random() >= SPOILT_SHARE) {
           return bytes;
         }
         spoilt += 1;
@@ -135,7 +142,6 @@
         }),
       );
     };
-    const beganMs = performance.now();
     const share = STREAMS_PER_S / (STREAMS_PER_S + UPLOADS_PER_S);
     for (let n = 1; performance.now() - beganMs < LENGTH_MS; n += 1) {
       const isStream = random() < share;
