--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -63,7 +63,7 @@
       folder,
       atEnd,
     });
-    const runs = new Set();
+    const runs = new Map();
     let spoilt = 0;
     const beganMs = performance.now();
     const isFaulty = index =>
@@ -71,7 +71,7 @@
       index < FAULTY &&
       (performance.now() - beganMs) % FAULT_EVERY_MS < FAULT_MS;
     replicas.forEach((replica, index) => {
-      replica.onRun = (_, id) => runs.add(id);
+      replica.onRun = (_, id) => runs.set(id, replica.id);
       replica.bodyOf = () => EVENTS;
       replica.spoil = bytes => {
         if (!isFaulty(index) || random() >= SPOILT_SHARE) {
@@ -112,6 +112,11 @@
       const [host, port] = gateways[Math.floor(random() * 3)].front.split(':');
       pending.push(
         new Promise(resolve => {
+          const note = answer => {
+            record.note(
+              `${id} POST ${path} to ${host}: answered ${answer}; ran at ${runs.get(id) ?? 'none'}`,
+            );
+          };
           const req = request(
             {
               agent,
@@ -128,11 +133,19 @@
             },
             res => {
               res.resume();
-              res.once('close', resolve);
-              res.once('error', resolve);
+              res.once('close', () => {
+                note(
+                  `${res.statusCode}, ${res.complete ? 'whole' : 'broken off'}`,
+                );
+                resolve();
+              });
+              res.once('error', () => undefined);
             },
           );
-          req.once('error', () => {
+          req.once('error', err => {
+            note(
+              `nothing (${err.code}${req.reusedSocket ? ', kept channel' : ''})`,
+            );
             if (req.reusedSocket && runs.has(id) && id.startsWith('u')) {
               lost.push(id);
             }
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -105,6 +105,9 @@
           .send(front, { id, path: '/upload/a', body: `evidence ${id}` })
           .then(answer => {
             answers.set(id, answer);
+            record.note(
+              `${id} POST /upload/a to ${front}: answered ${answer.status}; ran at ${(runs.get(id) ?? []).join(', ') || 'none'}`,
+            );
           }),
       );
     }
