fix(gateway): bytes of a replica that are no response end their attempt alone

What callers saw: a replica that sent a status line of 020 in place of 200 ended the process of the gateway that read it. All requests there were cut off, those to sound replicas included, and each repeat could end another gateway. On routes other than streaming ones the caller's connection was closed without an answer, and the attempt stayed in progress for ever in the router of that instance.

Cause: the HTTP parser of Node.js accepts any three digits as a status, and the head was used without being validated. `writeHead` throws for a status below 100; the listeners of a replica's connection (`sendAttempt`) run the assembler, the router and the response to the caller, and nothing handled what they throw. On buffered routes the same error came after the exchange, before the end of the attempt was recorded.

Change: `validateHead` refuses a status outside 200 to 599 before anything that the head states is used. It also refuses a transfer coding other than chunked: the header is not forwarded, and one wrong byte in "chunked" made the framing part of the body. An error thrown in a listener of an exchange ends that exchange alone and closes its connection; an error on completing a response ends the attempt. Either is an attempt that may have run, so it is retried only where that does no harm. `responseInvalid` (511) and invalid_responses_total say request, replica and fault; errors of our own carry their stack. Heads that name another request or prove no run are reported in the same way.

Why this works: what cannot be passed on is never passed on, and an error that nobody foresaw has a bounded effect, with the state of all other requests untouched.

--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -236,6 +236,12 @@
     summary:
       'Requests with this part of a prompt are suspected to crash backend servers, barred, or cleared.',
   },
+  responseInvalid: {
+    number: 511,
+    level: 'warn',
+    summary:
+      'What a backend server sent is no response to the request, or could not be processed; the attempt ended.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -5,6 +5,7 @@
 import type { RawHeaders } from '../ports/CallerDialect.js';
 import { RESET_ERROR_CODE } from './KeepAliveAgent.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
+import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import type { BackendPool } from './BackendConnections.js';
 
 /** Limit for the head of a response. */
@@ -35,9 +36,18 @@
       /** Whether the connection was reset. */
       readonly wasReset: boolean;
     }
-  | { readonly kind: 'aborted'; readonly sent: boolean };
+  | { readonly kind: 'aborted'; readonly sent: boolean }
+  | {
+      /** What arrived is no response, or could not be processed. */
+      readonly kind: 'invalid';
+      readonly sent: boolean;
+      readonly error: Error;
+    };
 
-/** Callbacks of an exchange in progress. */
+/**
+ * Callbacks of an exchange in progress. An error that one of them throws ends this exchange
+ * and closes its connection.
+ */
 export interface ExchangeListener {
   /**
    * Called when a connection is open, just before the first byte is sent; false
@@ -48,9 +58,9 @@
   /**
    * Called with the head of the response.
    *
-   * @returns false to abort the exchange
+   * @throws InvalidResponseError if it is no response to the request
    */
-  readonly onStart: (status: number, headers: RawHeaders) => boolean;
+  readonly onStart: (status: number, headers: RawHeaders) => void;
   /**
    * Called with each chunk of the body.
    *
@@ -77,11 +87,21 @@
 
 /** Error codes of a connection that was reset, or closed without a response. */
 const RESET_CODES: readonly unknown[] = [RESET_ERROR_CODE, 'ECONNRESET'];
+const PARSE_ERROR_PREFIX = 'HPE_';
 
 function isReset(err: Error): boolean {
   return 'code' in err && RESET_CODES.includes(err.code);
 }
 
+/** Whether the HTTP parser refused the bytes of a response. */
+function isParseError(err: Error): boolean {
+  return 'code' in err && String(err.code).startsWith(PARSE_ERROR_PREFIX);
+}
+
+function toError(err: unknown): Error {
+  return err instanceof Error ? err : new Error(String(err));
+}
+
 /** Connections that were given to a request. */
 const USED_SOCKETS = new WeakSet<Socket>();
 
@@ -124,10 +144,36 @@
     settle({ kind: 'aborted', sent });
   };
 
+  const fail = (err: unknown): void => {
+    aborted = true;
+    req?.destroy(ABORTED_ERROR);
+    settle({ kind: 'invalid', sent, error: toError(err) });
+  };
+
+  /**
+   * Ends this exchange if a listener throws. Otherwise the error would end the process with
+   * all its requests, since nothing else handles it.
+   */
+  const guarded =
+    <Args extends readonly unknown[]>(listen: (...args: Args) => void) =>
+    (...args: Args): void => {
+      try {
+        listen(...args);
+      } catch (err) {
+        fail(err);
+      }
+    };
+
   const onError = (err: Error): void => {
     // Data after a complete response is an error of the connection, not of the
     // response.
-    if (response?.complete !== true) {
+    if (response?.complete === true) {
+      return;
+    }
+    if (isParseError(err)) {
+      const error = new InvalidResponseError('malformed', err.message);
+      settle({ kind: 'invalid', sent, error });
+    } else {
       settle({
         kind: 'failed',
         sent,
@@ -157,9 +203,12 @@
     reused = USED_SOCKETS.has(socket);
     USED_SOCKETS.add(socket);
     if (socket.connecting) {
-      socket.once('connect', () => {
-        onOpen(socket);
-      });
+      socket.once(
+        'connect',
+        guarded(() => {
+          onOpen(socket);
+        }),
+      );
     } else if (!socket.destroyed) {
       onOpen(socket);
     }
@@ -168,11 +217,14 @@
   const onResponse = (res: IncomingMessage): void => {
     response = res;
     const { socket } = res;
-    res.on('data', (chunk: Buffer) => {
-      if (!aborted && !listener.onData(chunk)) {
-        res.pause();
-      }
-    });
+    res.on(
+      'data',
+      guarded((chunk: Buffer) => {
+        if (!aborted && !listener.onData(chunk)) {
+          res.pause();
+        }
+      }),
+    );
     res.on('error', onError);
     res.on('end', () => {
       settle(
@@ -188,9 +240,7 @@
           : { kind: 'complete' },
       );
     });
-    if (!listener.onStart(res.statusCode ?? 0, res.rawHeaders)) {
-      abort();
-    }
+    listener.onStart(res.statusCode ?? 0, res.rawHeaders);
   };
 
   try {
@@ -203,8 +253,8 @@
       headers: [...call.headers, ...contentLengthHeader(call)],
       maxHeaderSize: MAX_HEAD_BYTES,
     });
-    req.on('socket', onSocket);
-    req.on('response', onResponse);
+    req.on('socket', guarded(onSocket));
+    req.on('response', guarded(onResponse));
     req.on('error', onError);
     // Ensures that the exchange settles whenever the connection closes;
     // otherwise the request would wait until its caller gives up.
@@ -213,7 +263,7 @@
     });
     req.end(call.body ?? undefined);
   } catch (err) {
-    const reason = err instanceof Error ? err.message : String(err);
+    const reason = toError(err).message;
     settle({ kind: 'failed', sent, reason, reused, wasReset: false });
   }
 
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -10,7 +10,7 @@
 import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
 import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
 
-import type { ExchangeEnd, RunningExchange } from '../backends/sendAttempt.js';
+import type { RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { headerValue } from '../util/headers.js';
@@ -19,6 +19,7 @@
 import { ResponseTimings } from './ResponseTimings.js';
 import type { CallerResponse } from './CallerResponse.js';
 import { checkReplicaAfter } from './checkReplicaAfter.js';
+import { endAttempt } from './endAttempt.js';
 import { SseEventBuffer } from './SseEventBuffer.js';
 import type { IncomingRequest } from './IncomingRequest.js';
 import { movesToOtherReplica } from './movesToOtherReplica.js';
@@ -229,8 +230,10 @@
       },
       {
         maySend: relay => this.#maySend(attempt, relay),
-        onStart: (status, headers) =>
-          assembler.start(status, headers) && this.#onHead(attempt, assembler),
+        onStart: (status, headers) => {
+          assembler.start(status, headers);
+          this.#onHead(attempt, assembler);
+        },
         onData: chunk => {
           if (attempt.pieces === 0) {
             this.#recorder.firstByte(attempt);
@@ -245,7 +248,15 @@
     const exchangeEnd = await exchange.ended;
     this.#exchange = null;
     this.#attempt = null;
-    const result = this.#toResult(exchangeEnd, assembler);
+    const { result, failure, error } = endAttempt(
+      exchangeEnd,
+      assembler,
+      this.#withdrawReason,
+    );
+    this.#finisher.keepFailure(failure);
+    if (error) {
+      this.#recorder.invalidResponse(attempt, error);
+    }
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     this.#countAttempt(result, replica.id);
@@ -294,7 +305,7 @@
     });
   }
 
-  #onHead(attempt: GatewayAttempt, assembler: ResponseAssembler): true {
+  #onHead(attempt: GatewayAttempt, assembler: ResponseAssembler): void {
     const { router } = this.context;
     // A response without the stamp may come from another replica at the same
     // address; that it states no limit says nothing about this replica.
@@ -315,7 +326,6 @@
       this.#recorder.firstByte(attempt);
       router.onBytes(attempt, assembler.wasExecuted);
     }
-    return true;
   }
 
   #backendHeaders(attempt: GatewayAttempt): string[] {
@@ -332,37 +342,6 @@
     });
   }
 
-  #toResult(
-    exchangeEnd: ExchangeEnd,
-    assembler: ResponseAssembler,
-  ): AttemptResult {
-    switch (exchangeEnd.kind) {
-      case 'complete': {
-        const { result, failure } = assembler.complete();
-        this.#finisher.keepFailure(failure);
-        return result;
-      }
-      case 'aborted':
-        return this.#toAbortResult(exchangeEnd.sent);
-      case 'failed':
-        return exchangeEnd.sent
-          ? { kind: 'lost', reason: exchangeEnd.reason }
-          : { kind: 'unsent', reason: exchangeEnd.reason };
-    }
-  }
-
-  #toAbortResult(sent: boolean): AttemptResult {
-    const reason = this.#withdrawReason;
-    if (reason === null) {
-      return { kind: 'lost', reason: 'answer of another request' };
-    }
-    // A request that was still waiting for a connection did not reach the
-    // earlier run of the replica.
-    return reason === 'replicaRestarted' && !sent
-      ? { kind: 'unsent', reason }
-      : { kind: 'withdrawn', reason };
-  }
-
   #countAttempt(result: AttemptResult, replica: BackendServerId): void {
     if (result.kind === 'unsent') {
       this.#unsent += 1;
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -13,6 +13,7 @@
 
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
+import { faultOf } from '../responses/InvalidResponseError.js';
 import type { LogFields } from './logFields.js';
 import {
   continuityOf,
@@ -214,6 +215,23 @@
     }
   }
 
+  /** Records bytes that are no response to an attempt, or could not be processed. */
+  invalidResponse(
+    { request, load: { replica } }: GatewayAttempt,
+    error: Error,
+  ): void {
+    const { metrics, log } = this.context;
+    const fault = faultOf(error);
+    const service = request.service.id;
+    metrics.invalidResponses.inc({ service, fault });
+    log.write('responseInvalid', {
+      request: request.id,
+      backendServer: replica.id,
+      fault,
+      error: fault === 'unexpected' ? error.stack : error.message,
+    });
+  }
+
   /** Records an attempt without a response for the caller. */
   failed(
     attempt: GatewayAttempt,
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -10,6 +10,7 @@
 import type { CallerResponse, CompleteResponse } from './CallerResponse.js';
 import { SseBoundary } from './SseBoundary.js';
 import type { SseEventBuffer } from './SseEventBuffer.js';
+import { validateHead } from '../responses/validateHead.js';
 import { headerValue } from '../util/headers.js';
 
 const EVENT_STREAM_TYPE = 'text/event-stream';
@@ -137,20 +138,12 @@
   /**
    * Accepts the response head.
    *
-   * @returns whether the response belongs to this request
+   * @throws InvalidResponseError if it is not the head of a response to this request
    */
-  start(status: number, headers: RawHeaders): boolean {
+  start(status: number, headers: RawHeaders): void {
     const { requestId, method, kind, dialect, events } = this.options;
     const head = dialect.readResponse(status, headers);
-    // A late response to another request can arrive in place of the expected
-    // one.
-    if (head.requestId !== requestId && !head.notRun) {
-      return false;
-    }
-    const isSuccess = status < MIN_ERROR_STATUS;
-    if (isSuccess && !head.hasExecutionStamp) {
-      return false;
-    }
+    validateHead({ status, headers, head }, requestId);
     this.#head = head;
     this.#status = status;
     this.#headers = headers;
@@ -160,11 +153,11 @@
       contentLength: headerValue(headers, 'content-length'),
       transferEncoding: headerValue(headers, 'transfer-encoding'),
     });
-    this.#isRelaying = kind === 'streaming' && isSuccess && !head.notRun;
+    this.#isRelaying =
+      kind === 'streaming' && status < MIN_ERROR_STATUS && !head.notRun;
     if (this.#isRelaying && (events !== null || isEventStream(headers))) {
       this.#boundary = new SseBoundary();
     }
-    return true;
   }
 
   /**
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -45,6 +45,12 @@
     labelNames: ['service', 'framing', 'end'] as const,
     registers: this.#registers,
   });
+  readonly invalidResponses = new Counter({
+    name: 'jujubecroft_gateway_invalid_responses_total',
+    help: 'Attempts that ended since what arrived is no response, or could not be processed, by fault.',
+    labelNames: ['service', 'fault'] as const,
+    registers: this.#registers,
+  });
   readonly continuedStreams = new Counter({
     name: 'jujubecroft_gateway_continued_streams_total',
     help: 'Attempts that continue a stream, by who continues it and whether at the software version that began it.',
--- /dev/null
+++ b/packages/gateway/src/responses/InvalidResponseError.ts
@@ -0,0 +1,33 @@
+/** Why bytes from a backend server are no response to the request. */
+export type ResponseFault =
+  /** The status is not one of a final response. */
+  | 'invalidStatus'
+  /** The bytes do not follow the grammar of HTTP. */
+  | 'malformed'
+  /** The response states the id of another request, or none. */
+  | 'otherRequest'
+  /** This instance failed to process the response. */
+  | 'unexpected'
+  /** The body has a transfer coding that this instance cannot decode. */
+  | 'unknownCoding'
+  /** A success without the stamp that proves execution. */
+  | 'unproven';
+
+/** Ends an exchange whose bytes are no response to the request. */
+export class InvalidResponseError extends Error {
+  /**
+   * @param fault - what is wrong with the bytes
+   * @param message - the same for a log line
+   */
+  constructor(
+    readonly fault: ResponseFault,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+/** @returns the fault that an error of an exchange stands for */
+export function faultOf(err: Error): ResponseFault {
+  return err instanceof InvalidResponseError ? err.fault : 'unexpected';
+}
--- /dev/null
+++ b/packages/gateway/src/responses/validateHead.ts
@@ -0,0 +1,55 @@
+import type { RequestId } from '@jujubecroft/types';
+
+import type { RawHeaders, ResponseHead } from '../ports/CallerDialect.js';
+import { headerValue } from '../util/headers.js';
+import { InvalidResponseError } from './InvalidResponseError.js';
+
+const MIN_FINAL_STATUS = 200;
+const MIN_ERROR_STATUS = 400;
+const MAX_STATUS = 599;
+
+/** Head of a response as received, and what it means. */
+export interface ReceivedHead {
+  readonly status: number;
+  readonly headers: RawHeaders;
+  readonly head: ResponseHead;
+}
+
+/**
+ * Validates a head before anything that it states is believed.
+ *
+ * The HTTP parser of Node.js accepts any three digits as a status, and reads a body with an
+ * unknown transfer coding up to the end of the connection.
+ *
+ * @param received - the head
+ * @param requestId - the request that the response is expected to belong to
+ * @throws InvalidResponseError if it is not the head of a response to this request
+ */
+export function validateHead(
+  { status, headers, head }: ReceivedHead,
+  requestId: RequestId,
+): void {
+  if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
+    throw new InvalidResponseError(
+      'invalidStatus',
+      `status ${status} is not one of a final response`,
+    );
+  }
+  const coding = headerValue(headers, 'transfer-encoding') ?? 'chunked';
+  if (coding.trim().toLowerCase() !== 'chunked') {
+    throw new InvalidResponseError(
+      'unknownCoding',
+      'body with an unknown transfer coding',
+    );
+  }
+  // A late response to another request can arrive in place of the expected one.
+  if (head.requestId !== requestId && !head.notRun) {
+    throw new InvalidResponseError('otherRequest', 'answer of another request');
+  }
+  if (status < MIN_ERROR_STATUS && !head.hasExecutionStamp) {
+    throw new InvalidResponseError(
+      'unproven',
+      'success without the stamp of an execution',
+    );
+  }
+}
--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -7,7 +7,10 @@
 
 import type { BackendPool } from '../../src/backends/BackendConnections.js';
 import { KeepAliveAgent } from '../../src/backends/KeepAliveAgent.js';
-import type { RunningExchange } from '../../src/backends/sendAttempt.js';
+import type {
+  ExchangeListener,
+  RunningExchange,
+} from '../../src/backends/sendAttempt.js';
 import { sendAttempt } from '../../src/backends/sendAttempt.js';
 
 const HOST = '127.0.0.1';
@@ -22,7 +25,10 @@
   readonly held: ServerResponse[];
   /** Waits until the next request has reached the server. */
   readonly nextRequest: () => Promise<unknown>;
-  readonly send: (maySend: () => boolean) => RunningExchange;
+  readonly send: (
+    maySend: () => boolean,
+    listener?: Partial<ExchangeListener>,
+  ) => RunningExchange;
 }
 
 async function withServer(
@@ -39,11 +45,11 @@
     connectTimeoutMs: 400,
   });
   const pool: BackendPool = { host: HOST, port, agent, relayOf: () => null };
-  const send = (maySend: () => boolean): RunningExchange =>
+  const send: Fixture['send'] = (maySend, listener = {}) =>
     sendAttempt(
       pool,
       { method: 'GET', target: '/', headers: ['Host', HOST], body: null },
-      { maySend, onStart: () => true, onData: () => true },
+      { maySend, onStart: () => true, onData: () => true, ...listener },
     );
   try {
     await body({ held, send, nextRequest: () => once(server, 'request') });
@@ -112,4 +118,38 @@
       t.is((await next.ended).kind, 'complete');
     });
   });
+
+  const throwError = (): never => {
+    throw new Error('listener failed');
+  };
+  const failing: readonly (readonly [
+    string,
+    Partial<ExchangeListener>,
+    boolean,
+  ])[] = [
+    ['check before the first byte', { maySend: throwError }, false],
+    ['head', { onStart: throwError }, true],
+    ['body', { onData: throwError }, true],
+  ];
+  failing.forEach(([title, listener, sent]) => {
+    // Guards against an error while a response is processed, which ended the process with
+    // the requests of all callers.
+    it(`ends only the exchange whose listener of the ${title} throws`, async t => {
+      await withServer(async ({ held, send, nextRequest }) => {
+        const arrived = nextRequest();
+        const failed = send(() => true, listener);
+        if (sent) {
+          await arrived;
+          held[0]?.end('whole');
+        }
+        const end = await failed.ended;
+        t.like(end, { kind: 'invalid', sent });
+        const next = nextRequest();
+        const sound = send(() => true);
+        await next;
+        held.at(-1)?.end('whole');
+        t.is((await sound.ended).kind, 'complete');
+      });
+    });
+  });
 });
