fix(gateway): a rejection counts for the request whose id it states alone

What callers saw: a replica sent a second copy of a rejection late. The next request on that connection was refused with 503 ("ran": "no") while the replica ran it, so that its caller was told to repeat a request that is not idempotent.

Cause: a head with the id of another request was accepted if it stated "not run", on the assumption that a rejection can only be about the request at hand. Two more paths have the same cause: a rejection without any id was believed, and so was a copy of the request's own earlier rejection where its caller repeats it with the same id on the same connection, which no id can tell from the response.

Change: a head must state the id of this request before anything in it is used, so that the separate check for leave and pause goes.

Why this works: on a connection that has not carried a rejection of this id, a rejection with this id can only be the response to this request.

--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -1,11 +1,13 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { request } from 'node:http';
 import type { Socket } from 'node:net';
+import type { RequestId } from '@jujubecroft/types';
 
 import type { RawHeaders } from '../ports/CallerDialect.js';
 import { RESET_ERROR_CODE } from './KeepAliveAgent.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import { InvalidResponseError } from '../responses/InvalidResponseError.js';
+import { RejectedRequests } from '../responses/RejectedRequests.js';
 import type { BackendPool } from './BackendConnections.js';
 
 /** Limit for the head of a response. */
@@ -13,6 +15,7 @@
 
 /** A request to a backend server. */
 export interface BackendRequest {
+  readonly id: RequestId;
   readonly method: string;
   /** Path and query, as the caller sent them. */
   readonly target: string;
@@ -58,9 +61,10 @@
   /**
    * Called with the head of the response.
    *
+   * @returns whether it states that the replica did not run the request
    * @throws InvalidResponseError if it is no response to the request
    */
-  readonly onStart: (status: number, headers: RawHeaders) => void;
+  readonly onStart: (status: number, headers: RawHeaders) => boolean;
   /**
    * Called with each chunk of the body.
    *
@@ -104,6 +108,7 @@
 
 /** Connections that were given to a request. */
 const USED_SOCKETS = new WeakSet<Socket>();
+const REJECTED_REQUESTS = new RejectedRequests();
 
 function contentLengthHeader({ method, body }: BackendRequest): string[] {
   if (body !== null) {
@@ -200,6 +205,11 @@
   };
 
   const onSocket = (socket: Socket): void => {
+    if (!REJECTED_REQUESTS.allows(socket, call.id)) {
+      req?.destroy();
+      start();
+      return;
+    }
     reused = USED_SOCKETS.has(socket);
     USED_SOCKETS.add(socket);
     if (socket.connecting) {
@@ -240,11 +250,14 @@
           : { kind: 'complete' },
       );
     });
-    listener.onStart(res.statusCode ?? 0, res.rawHeaders);
+    if (listener.onStart(res.statusCode ?? 0, res.rawHeaders)) {
+      REJECTED_REQUESTS.add(socket, call.id);
+    }
   };
 
-  try {
-    req = request({
+  /** Requests a connection, on which the request is then sent. */
+  function start(): void {
+    const started = request({
       agent,
       host,
       port,
@@ -253,15 +266,27 @@
       headers: [...call.headers, ...contentLengthHeader(call)],
       maxHeaderSize: MAX_HEAD_BYTES,
     });
-    req.on('socket', guarded(onSocket));
-    req.on('response', guarded(onResponse));
-    req.on('error', onError);
+    req = started;
+    const onFailure = (err: Error): void => {
+      if (req === started) {
+        onError(err);
+      }
+    };
+    started.on('socket', guarded(onSocket));
+    started.on('response', guarded(onResponse));
+    started.on('error', onFailure);
     // Ensures that the exchange settles whenever the connection closes;
     // otherwise the request would wait until its caller gives up.
-    req.once('close', () => {
-      onError(new Error('connection closed before the response was complete'));
+    started.once('close', () => {
+      onFailure(
+        new Error('connection closed before the response was complete'),
+      );
     });
-    req.end(call.body ?? undefined);
+    started.end(call.body ?? undefined);
+  }
+
+  try {
+    start();
   } catch (err) {
     const reason = toError(err).message;
     settle({ kind: 'failed', sent, reason, reused, wasReset: false });
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -223,6 +223,7 @@
     const exchange = sendAttempt(
       connections.poolFor(replica, connectionShare(router.board, request)),
       {
+        id: request.id,
         method: this.call.method,
         target: this.call.target,
         headers: this.#backendHeaders(attempt),
@@ -231,8 +232,9 @@
       {
         maySend: relay => this.#maySend(attempt, relay),
         onStart: (status, headers) => {
-          assembler.start(status, headers);
+          const isRejection = assembler.start(status, headers);
           this.#onHead(attempt, assembler);
+          return isRejection;
         },
         onData: chunk => {
           if (attempt.pieces === 0) {
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -98,12 +98,9 @@
     return this.#head?.limitPerS ?? null;
   }
 
-  /**
-   * Whether the replica states in its answer to this request that it is
-   * leaving.
-   */
+  /** Whether the replica states that it is leaving. */
   get announcesLeave(): boolean {
-    return this.#ownHead?.isLeaving ?? false;
+    return this.#head?.isLeaving ?? false;
   }
 
   /**
@@ -111,13 +108,7 @@
    * milliseconds; null if it requests no pause.
    */
   get pauseMs(): number | null {
-    return this.#ownHead?.pauseMs ?? null;
-  }
-
-  /** The head, if it states the id of this request; null otherwise. */
-  get #ownHead(): ResponseHead | null {
-    const head = this.#head;
-    return head?.requestId === this.options.requestId ? head : null;
+    return this.#head?.pauseMs ?? null;
   }
 
   /** Progress of the response; null before its head was accepted. */
@@ -138,9 +129,10 @@
   /**
    * Accepts the response head.
    *
+   * @returns whether it states that the replica did not run the request
    * @throws InvalidResponseError if it is not the head of a response to this request
    */
-  start(status: number, headers: RawHeaders): void {
+  start(status: number, headers: RawHeaders): boolean {
     const { requestId, method, kind, dialect, events } = this.options;
     const head = dialect.readResponse(status, headers);
     validateHead({ status, headers, head }, requestId);
@@ -158,6 +150,7 @@
     if (this.#isRelaying && (events !== null || isEventStream(headers))) {
       this.#boundary = new SseBoundary();
     }
+    return head.notRun;
   }
 
   /**
--- a/packages/gateway/src/responses/validateHead.ts
+++ b/packages/gateway/src/responses/validateHead.ts
@@ -42,8 +42,9 @@
       'body with an unknown transfer coding',
     );
   }
-  // A late response to another request can arrive in place of the expected one.
-  if (head.requestId !== requestId && !head.notRun) {
+  // A late response to another request, such as a copy of its rejection, can arrive in place
+  // of the expected one. Nothing that it states is about this request.
+  if (head.requestId !== requestId) {
     throw new InvalidResponseError('otherRequest', 'answer of another request');
   }
   if (status < MIN_ERROR_STATUS && !head.hasExecutionStamp) {
--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -4,6 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { listenOn } from '@jujubecroft/stand-ins/util';
 import { describe } from '@jujubecroft/testing';
+import type { RequestId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
 
 import type { BackendPool } from '../../src/backends/BackendConnections.js';
 import { KeepAliveAgent } from '../../src/backends/KeepAliveAgent.js';
@@ -48,8 +50,14 @@
   const send: Fixture['send'] = (maySend, listener = {}) =>
     sendAttempt(
       pool,
-      { method: 'GET', target: '/', headers: ['Host', HOST], body: null },
-      { maySend, onStart: () => true, onData: () => true, ...listener },
+      {
+        id: brand<RequestId>('r-1'),
+        method: 'GET',
+        target: '/',
+        headers: ['Host', HOST],
+        body: null,
+      },
+      { maySend, onStart: () => false, onData: () => true, ...listener },
     );
   try {
     await body({ held, send, nextRequest: () => once(server, 'request') });
