fix(gateway): limits on the bytes read of a response, not on what they mean

What callers saw: a replica that sent bytes without end kept its request and its gateway busy up to the time limit of the request, with memory without bound for errors and unfinished events. A resumable stream whose lines end with CRLF, also that of a sound replica, took processor time that grew with the square of its length, until requests to other replicas were no longer served.

Cause: limits existed for parts of a response as understood (one head, the extensions of one chunk, a success of 1 MB), and none for the bytes read. The parser of Node.js bounds neither blank lines nor interim responses before the head, nor white space before a value, zeros of a chunk size, the extensions of all chunks together or values in trailers. Bodies of errors and rejections were kept whole. Events were split at LF LF only, and what was kept was copied with every chunk.

Change: `FramingLimit` counts the bytes read from the send on against those of the body: 128 KiB, of which each byte of the body gives back 16. `GrowingBuffer` keeps a body or an event in one piece whose capacity doubles, taken from a budget of 32 MiB for all responses of an instance. An event of a resumable stream, or the body of an error without a stated length, ends its attempt at 1 MiB; an error with a length is relayed beyond it, as successes are; without room in the budget a success is relayed earlier. The body of a rejection is bounded as well. Blank lines end events whatever their line ends are. `sendHttpRequest` (store, peers, duties) has the same limit and 32 MiB for a body; a reply without a length that this instance cut off at its timeout was returned as whole, and a change of the protocol left the call without an end.

Why this works: every byte read is counted either as framing, which is bounded by a constant and the body, or as body, which is kept within a bound or relayed with backpressure. A success without end is still relayed up to the time limit of its request, since it can't be told from a long answer.

--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -11,6 +11,7 @@
 import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
 import type { CallerDialect } from './ports/CallerDialect.js';
 import type { Timers } from './ports/Timers.js';
+import type { BufferBudget } from './responses/BufferBudget.js';
 import type { RelayConnector } from './relay/RelayConnector.js';
 import type { ReplicaConnector } from './relay/ReplicaConnector.js';
 import type { ViewLease } from './state/ViewLease.js';
@@ -30,6 +31,8 @@
   readonly relay: RelayConnector;
   /** Software versions at which streams began. */
   readonly streams: StreamOrigins;
+  /** Memory for responses that are not complete. */
+  readonly responseBudget: BufferBudget;
   readonly dialect: CallerDialect;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -6,6 +6,7 @@
 import type { RawHeaders } from '../ports/CallerDialect.js';
 import { RESET_ERROR_CODE } from './KeepAliveAgent.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
+import { limitFraming } from '../responses/FramingLimit.js';
 import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import { RejectedRequests } from '../responses/RejectedRequests.js';
 import type { BackendPool } from './BackendConnections.js';
@@ -138,6 +139,7 @@
   let sent = false;
   let aborted = false;
   let reused = false;
+  let bodyBytes = 0;
   let settle: (end: ExchangeEnd) => void = () => undefined;
   const ended = new Promise<ExchangeEnd>(resolve => {
     settle = resolve;
@@ -230,6 +232,7 @@
     res.on(
       'data',
       guarded((chunk: Buffer) => {
+        bodyBytes += chunk.length;
         if (!aborted && !listener.onData(chunk)) {
           res.pause();
         }
@@ -272,6 +275,11 @@
         onError(err);
       }
     };
+    limitFraming(
+      started,
+      () => bodyBytes + (response?.readableLength ?? 0),
+      fail,
+    );
     started.on('socket', guarded(onSocket));
     started.on('response', guarded(onResponse));
     started.on('error', onFailure);
--- a/packages/gateway/src/backends/sendHttpRequest.ts
+++ b/packages/gateway/src/backends/sendHttpRequest.ts
@@ -5,10 +5,16 @@
   RequestOptions,
 } from 'node:http';
 import { request } from 'node:http';
-import { buffer } from 'node:stream/consumers';
+import { finished } from 'node:stream/promises';
 
+import { BufferBudget } from '../responses/BufferBudget.js';
+import { limitFraming } from '../responses/FramingLimit.js';
+import { GrowingBuffer } from '../responses/GrowingBuffer.js';
 import { nextTurn } from '../util/nextTurn.js';
 
+/** Limit for the body of a response. */
+const MAX_REPLY_BYTES = 32 * 1024 * 1024;
+
 /** A small request from one server to another. */
 export interface HttpCall {
   readonly address: string;
@@ -85,25 +91,46 @@
  * Sends a request and reads the complete response.
  *
  * The timeout also covers a connection that falls silent: it closes the
- * connection, and the next call opens another one.
+ * connection, and the next call opens another one. So does a response that is too large.
  *
  * @param call - the request
  * @returns the response
- * @throws Error if no complete response arrives in time
+ * @throws Error if no complete response arrives in time, or if it is too large
  */
 export function sendHttpRequest(call: HttpCall): Promise<HttpReply> {
   return withTimeout(call.timeoutMs, async signal => {
+    const body = new GrowingBuffer(new BufferBudget(MAX_REPLY_BYTES));
+    const req = request(toRequestOptions(call, signal));
+    const tooLarge = new AbortController();
+    const fail = (err: Error): void => {
+      tooLarge.abort(err);
+      req.destroy(err);
+    };
+    limitFraming(req, () => body.length, fail);
     const res = await new Promise<IncomingMessage>((resolve, reject) => {
-      const req = request(toRequestOptions(call, signal));
-      req.once('response', resolve);
+      req.once('response', received => {
+        received.on('data', (chunk: Buffer) => {
+          if (!body.append(chunk)) {
+            fail(new Error('reply is too large'));
+          }
+        });
+        resolve(received);
+      });
       // After the response has begun, errors reach the reader of its body.
       req.on('error', reject);
+      req.once('close', () => {
+        reject(new Error('connection closed without a response'));
+      });
       req.end(call.body);
     });
+    await finished(res);
+    // A body without a length ends regularly when its connection is closed here.
+    signal.throwIfAborted();
+    tooLarge.signal.throwIfAborted();
     return {
       status: res.statusCode ?? 0,
       headers: res.headers,
-      body: await buffer(res),
+      body: body.take(),
     };
   });
 }
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -14,6 +14,7 @@
 import { onPathLost } from './relay/onPathLost.js';
 import { RelayConnector } from './relay/RelayConnector.js';
 import { ReplicaConnector } from './relay/ReplicaConnector.js';
+import { BufferBudget } from './responses/BufferBudget.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js';
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -125,6 +126,7 @@
     connections: new BackendConnections({ replicas: replicaConnector, relay }),
     replicaConnector,
     relay,
+    responseBudget: new BufferBudget(),
     dialect,
     metrics: new GatewayMetrics(),
     log,
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -90,7 +90,7 @@
     const isResumable =
       request.route.kind === 'streaming' && request.route.resumable;
     this.#sseBuffer = isResumable
-      ? new SseEventBuffer(call.head.lastEventId)
+      ? new SseEventBuffer(call.head.lastEventId, context.responseBudget)
       : null;
   }
 
@@ -106,6 +106,7 @@
       await this.#runAttempts();
     } finally {
       clearTimeout(timer);
+      this.#sseBuffer?.discardPartial();
     }
   }
 
@@ -255,6 +256,7 @@
       assembler,
       this.#withdrawReason,
     );
+    assembler.discard();
     this.#finisher.keepFailure(failure);
     if (error) {
       this.#recorder.invalidResponse(attempt, error);
@@ -303,6 +305,7 @@
       dialect: this.context.dialect,
       answer: this.#response,
       events: this.#sseBuffer,
+      budget: this.context.responseBudget,
       resume: () => this.#exchange?.resume(),
     });
   }
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -10,6 +10,9 @@
 import type { CallerResponse, CompleteResponse } from './CallerResponse.js';
 import { SseBoundary } from './SseBoundary.js';
 import type { SseEventBuffer } from './SseEventBuffer.js';
+import type { BufferBudget } from '../responses/BufferBudget.js';
+import { GrowingBuffer } from '../responses/GrowingBuffer.js';
+import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import { validateHead } from '../responses/validateHead.js';
 import { headerValue } from '../util/headers.js';
 
@@ -38,6 +41,8 @@
    * request.
    */
   readonly events: SseEventBuffer | null;
+  /** Memory for the responses of all requests. */
+  readonly budget: BufferBudget;
   /** Called once the caller accepts more data after backpressure. */
   readonly resume: () => void;
 }
@@ -64,8 +69,7 @@
  * response of another replica or by an accurate error.
  */
 export class ResponseAssembler {
-  readonly #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered: GrowingBuffer;
   #head: ResponseHead | null = null;
   #status = 0;
   #headers: RawHeaders = [];
@@ -74,7 +78,9 @@
   /** Null unless the response is a stream of events. */
   #boundary: SseBoundary | null = null;
 
-  constructor(private readonly options: ResponseAssemblerOptions) {}
+  constructor(private readonly options: ResponseAssemblerOptions) {
+    this.#buffered = new GrowingBuffer(options.budget);
+  }
 
   /** Load that the replica reported; null if it reported none. */
   get load(): ReportedLoad | null {
@@ -157,20 +163,46 @@
    * Accepts a chunk of the body.
    *
    * @returns false if the replica should pause
+   * @throws InvalidResponseError if the body can neither be kept nor relayed
    */
   push(chunk: Buffer): boolean {
     this.#boundary?.push(chunk);
     if (this.#isRelaying) {
       return this.#relay(this.options.events?.push(chunk) ?? chunk);
     }
-    this.#buffered.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    const isWithinLimit = this.#bufferedBytes <= MAX_BUFFERED_BYTES;
-    if (isWithinLimit || this.#status >= MIN_ERROR_STATUS) {
+    const isBuffered =
+      this.#buffered.length + chunk.length <= MAX_BUFFERED_BYTES &&
+      this.#buffered.append(chunk);
+    if (isBuffered) {
       return true;
     }
+    if (!this.#mayRelayUnfinished) {
+      throw new InvalidResponseError(
+        'errorBody',
+        `body of a response with status ${this.#status} is too large`,
+      );
+    }
     this.#isRelaying = true;
-    return this.#relay(Buffer.concat(this.#buffered));
+    this.#relay(this.#buffered.take());
+    return this.#relay(chunk);
+  }
+
+  /** Discards what is buffered. */
+  discard(): void {
+    this.#buffered.take();
+  }
+
+  /**
+   * Whether the response may be sent before it is complete. An error is sent only if its
+   * length is known, and if it does not follow the beginning of another response.
+   */
+  get #mayRelayUnfinished(): boolean {
+    return (
+      this.#status < MIN_ERROR_STATUS ||
+      (this.#head?.notRun === false &&
+        !this.options.answer.hasStarted &&
+        headerValue(this.#headers, 'content-length') !== undefined)
+    );
   }
 
   /**
@@ -219,7 +251,7 @@
     const response: CompleteResponse = {
       status,
       headers: dialect.toCallerHeaders(this.#headers),
-      body: Buffer.concat(this.#buffered),
+      body: this.#buffered.take(),
       framing: this.#framing,
     };
     if (status >= MIN_SERVER_ERROR_STATUS || answer.hasStarted) {
--- a/packages/gateway/src/forward/SseBoundary.ts
+++ b/packages/gateway/src/forward/SseBoundary.ts
@@ -17,6 +17,7 @@
 export class SseBoundary {
   #isInsideEvent = false;
   #isLineStart = true;
+  #isBlankLine = false;
   #followsCr = false;
 
   /** Whether an event has begun and not ended. */
@@ -24,29 +25,47 @@
     return this.#isInsideEvent;
   }
 
-  /** Reads the next bytes of the stream. */
-  push(chunk: Buffer): void {
+  /**
+   * Reads the next bytes of the stream.
+   *
+   * @returns number of bytes up to the end of the last blank line; 0 if none ends in them
+   */
+  push(chunk: Buffer): number {
     if (endsWithBlankLine(chunk)) {
       this.#isInsideEvent = false;
       this.#isLineStart = true;
+      this.#isBlankLine = true;
       this.#followsCr = false;
-      return;
+      return chunk.length;
     }
-    chunk.forEach(byte => {
-      this.#read(byte);
-    });
+    return this.#scan(chunk);
   }
 
-  #read(byte: number): void {
-    const completesCrLf = byte === LF && this.#followsCr;
-    this.#followsCr = byte === CR;
-    if (completesCrLf) {
-      return;
+  /** Reads byte by byte, in local variables since a stream may be long. */
+  #scan(chunk: Buffer): number {
+    let isLineStart = this.#isLineStart;
+    let isBlankLine = this.#isBlankLine;
+    let followsCr = this.#followsCr;
+    let blankLineEnd = 0;
+    for (let index = 0; index < chunk.length; index += 1) {
+      const byte = chunk[index];
+      const completesCrLf = byte === LF && followsCr;
+      followsCr = byte === CR;
+      if (!completesCrLf) {
+        const endsLine = byte === LF || followsCr;
+        if (isLineStart && byte !== COLON) {
+          this.#isInsideEvent = !endsLine;
+        }
+        isBlankLine = isLineStart && endsLine;
+        isLineStart = endsLine;
+      }
+      if (isBlankLine) {
+        blankLineEnd = index + 1;
+      }
     }
-    const endsLine = byte === LF || byte === CR;
-    if (this.#isLineStart && byte !== COLON) {
-      this.#isInsideEvent = !endsLine;
-    }
-    this.#isLineStart = endsLine;
+    this.#isLineStart = isLineStart;
+    this.#isBlankLine = isBlankLine;
+    this.#followsCr = followsCr;
+    return blankLineEnd;
   }
 }
--- a/packages/gateway/src/forward/SseEventBuffer.ts
+++ b/packages/gateway/src/forward/SseEventBuffer.ts
@@ -1,17 +1,19 @@
 import { createParser } from 'eventsource-parser';
 
-const EVENT_END = Buffer.from('\n\n');
-const LF = 10;
+import type { BufferBudget } from '../responses/BufferBudget.js';
+import { GrowingBuffer } from '../responses/GrowingBuffer.js';
+import { InvalidResponseError } from '../responses/InvalidResponseError.js';
+import { SseBoundary } from './SseBoundary.js';
+
+const LF = '\n';
+const CR = '\r';
+const LINE_END_PATTERN = /\r\n?/g;
 /** Bytes of released events that are kept until they are parsed. */
 const MAX_UNPARSED_BYTES = 4096;
+/** Limit for the size of one event. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 const NO_BYTES = Buffer.alloc(0);
 
-/** Whether a chunk ends with an event. */
-function endsEvent(chunk: Buffer): boolean {
-  const { length } = chunk;
-  return length > 1 && chunk[length - 1] === LF && chunk[length - 2] === LF;
-}
-
 /**
  * Buffers a stream of server-sent events and releases complete events only.
  *
@@ -20,13 +22,16 @@
  * without a gap or a duplicate.
  */
 export class SseEventBuffer {
-  #partial = NO_BYTES;
+  readonly #partial: GrowingBuffer;
+  #boundary = new SseBoundary();
   /**
    * Released events that are not parsed yet. Few streams are ever resumed, so
    * their ids are parsed only then, or when there is much to parse.
    */
   #unparsed: Buffer[] = [];
   #unparsedBytes = 0;
+  /** Whether the parsed text ended with CR, so that LF may still belong to its last line. */
+  #parsedCr = false;
   #lastId: string | null;
   readonly #parser = createParser({
     onEvent: ({ id }) => {
@@ -34,9 +39,13 @@
     },
   });
 
-  /** @param lastId - last event that the caller already has; null for none */
-  constructor(lastId: string | null) {
+  /**
+   * @param lastId - last event that the caller already has; null for none
+   * @param budget - memory for incomplete events
+   */
+  constructor(lastId: string | null, budget: BufferBudget) {
     this.#lastId = lastId;
+    this.#partial = new GrowingBuffer(budget);
   }
 
   /** Id of the last complete event that was released. */
@@ -49,12 +58,12 @@
    * Adds bytes of the stream.
    *
    * @returns the events that are complete now; empty if there are none
+   * @throws InvalidResponseError if an event is too large to be kept
    */
   push(chunk: Buffer): Buffer {
-    const complete =
-      this.#partial.length === 0 && endsEvent(chunk)
-        ? chunk
-        : this.#takeComplete(chunk);
+    const end = this.#boundary.push(chunk);
+    const complete = end === 0 ? NO_BYTES : this.#completeWith(chunk, end);
+    this.#keep(chunk.subarray(end));
     if (complete.length > 0) {
       this.#unparsed.push(complete);
       this.#unparsedBytes += complete.length;
@@ -68,7 +77,8 @@
   /** Discards the partial event that a replica left unfinished. */
   discardPartial(): void {
     this.#parse();
-    this.#partial = NO_BYTES;
+    this.#partial.take();
+    this.#boundary = new SseBoundary();
     this.#parser.reset();
   }
 
@@ -79,26 +89,43 @@
    * @returns the remaining bytes
    */
   flush(): Buffer {
-    const remaining = this.#partial;
-    this.#partial = NO_BYTES;
-    return remaining;
+    return this.#partial.take();
+  }
+
+  /** Returns the partial event with the bytes of a chunk up to the end of its last event. */
+  #completeWith(chunk: Buffer, end: number): Buffer {
+    const rest = chunk.subarray(0, end);
+    return this.#partial.length === 0
+      ? rest
+      : Buffer.concat([this.#partial.take(), rest]);
   }
 
-  #takeComplete(chunk: Buffer): Buffer {
-    const all = Buffer.concat([this.#partial, chunk]);
-    const end = all.lastIndexOf(EVENT_END);
-    const cut = end === -1 ? 0 : end + EVENT_END.length;
-    this.#partial = all.subarray(cut);
-    return all.subarray(0, cut);
+  #keep(bytes: Buffer): void {
+    if (bytes.length === 0) {
+      return;
+    }
+    const isKept =
+      this.#partial.length + bytes.length <= MAX_EVENT_BYTES &&
+      this.#partial.append(bytes);
+    if (!isKept) {
+      throw new InvalidResponseError('eventSize', 'event is too large');
+    }
   }
 
+  /**
+   * Parses the released events. The parser does not take CR at the end of its input for the
+   * end of a line, since LF may follow.
+   */
   #parse(): void {
     if (this.#unparsed.length === 0) {
       return;
     }
-    const events = Buffer.concat(this.#unparsed).toString('utf8');
+    const text = Buffer.concat(this.#unparsed).toString('utf8');
     this.#unparsed = [];
     this.#unparsedBytes = 0;
-    this.#parser.feed(events);
+    const events =
+      this.#parsedCr && text.startsWith(LF) ? text.slice(LF.length) : text;
+    this.#parsedCr = text.endsWith(CR);
+    this.#parser.feed(events.replace(LINE_END_PATTERN, LF));
   }
 }
--- a/packages/gateway/src/responses/InvalidResponseError.ts
+++ b/packages/gateway/src/responses/InvalidResponseError.ts
@@ -1,5 +1,11 @@
 /** Why bytes from a backend server are no response to the request. */
 export type ResponseFault =
+  /** An error response or a rejection has a body that is too large to be kept. */
+  | 'errorBody'
+  /** An event of a resumable stream is too large to be kept. */
+  | 'eventSize'
+  /** There are too many bytes outside the body, in heads or in chunk extensions. */
+  | 'framing'
   /** The status is not one of a final response. */
   | 'invalidStatus'
   /** The bytes do not follow the grammar of HTTP. */
--- a/packages/gateway/tests/backends/sendHttpRequest.test.ts
+++ b/packages/gateway/tests/backends/sendHttpRequest.test.ts
@@ -8,6 +8,8 @@
 
 const HOST = '127.0.0.1';
 const TIMEOUT_MS = 100;
+const LONG_TIMEOUT_MS = 10_000;
+const BLOCK_COUNT = 10_000;
 
 function blockEventLoop(): void {
   const untilMs = performance.now() + 2 * TIMEOUT_MS;
@@ -16,7 +18,10 @@
   }
 }
 
-async function send(listener: RequestListener): Promise<HttpReply> {
+async function send(
+  listener: RequestListener,
+  timeoutMs = TIMEOUT_MS,
+): Promise<HttpReply> {
   const server = createServer(listener);
   const port = await listenOn(server, HOST);
   try {
@@ -24,7 +29,7 @@
       address: `${HOST}:${port}`,
       method: 'GET',
       path: '/',
-      timeoutMs: TIMEOUT_MS,
+      timeoutMs,
     });
   } finally {
     server.closeAllConnections();
@@ -58,4 +63,40 @@
       t.is(body.toString(), 'whole');
     },
   );
+
+  // Guards against memory without bound for a server that never stops sending.
+  const endless: readonly (readonly [string, string, string])[] = [
+    ['a body', 'HTTP/1.1 200 OK\r\n\r\n', 'body'],
+    ['blank lines', '', '\r\n'],
+    ['interim responses', '', 'HTTP/1.1 100 Continue\r\n\r\n'],
+  ];
+  endless.forEach(([title, begin, repeated]) => {
+    itAlone(`rejects ${title} without end before the timeout`, async t => {
+      const startedMs = performance.now();
+      const sent = send(({ socket }) => {
+        const block = Buffer.from(repeated.repeat(BLOCK_COUNT));
+        const write = (): void => {
+          while (socket.writable && socket.write(block)) {
+            // Fills the buffer of the socket.
+          }
+        };
+        socket.on('drain', write);
+        socket.on('error', () => undefined);
+        socket.write(begin);
+        write();
+      }, LONG_TIMEOUT_MS);
+      await t.throwsAsync(sent);
+      t.true(performance.now() - startedMs < LONG_TIMEOUT_MS / 2);
+    });
+  });
+
+  // Guards against a call that never ends, since the connection closes without an error.
+  itAlone('rejects a change of the protocol', async t => {
+    const sent = send(({ socket }) => {
+      socket.write(
+        'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n',
+      );
+    }, LONG_TIMEOUT_MS);
+    await t.throwsAsync(sent, { message: /connection closed/ });
+  });
 });
