fix(gateway): a refusal's status counts only with the statement "not run"

What callers saw: a failure of a replica that ran the request, spoilt by one byte ("500" read as "503"), was passed on as the replica's answer. Callers take 408, 421, 429 and 503 for the promise that a request has not run and repeat it.

Cause: the same as that of the late rejections: a statement was passed on without asking whether the replica had made it. Only X-Jujubecroft-Not-Executed (or a 421) states "not run".

Change: a status that promises "not run" without that statement, and a success with it, are no answer: the attempt is lost, and may have run. The platform's adapter says which statuses promise it.

--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -64,6 +64,8 @@
   readonly hasExecutionStamp: boolean;
   /** Whether the backend server states that it did not execute the request. */
   readonly notRun: boolean;
+  /** Whether callers take the status for the promise that the request did not run. */
+  readonly promisesNotRun: boolean;
   /** Load of the backend server; null if not reported. */
   readonly load: ReportedLoad | null;
   /**
--- a/packages/gateway/src/responses/InvalidResponseError.ts
+++ b/packages/gateway/src/responses/InvalidResponseError.ts
@@ -16,7 +16,7 @@
   | 'unexpected'
   /** The body has a transfer coding that this instance cannot decode. */
   | 'unknownCoding'
-  /** A success without the stamp that proves execution. */
+  /** A success without the stamp of an execution, or a refusal without "not run". */
   | 'unproven';
 
 /** Ends an exchange whose bytes are no response to the request. */
--- a/packages/gateway/src/responses/validateHead.ts
+++ b/packages/gateway/src/responses/validateHead.ts
@@ -47,10 +47,17 @@
   if (head.requestId !== requestId) {
     throw new InvalidResponseError('otherRequest', 'answer of another request');
   }
-  if (status < MIN_ERROR_STATUS && !head.hasExecutionStamp) {
+  const isSuccess = status < MIN_ERROR_STATUS;
+  if (isSuccess && (!head.hasExecutionStamp || head.notRun)) {
     throw new InvalidResponseError(
       'unproven',
       'success without the stamp of an execution',
     );
   }
+  if (head.promisesNotRun && !head.notRun) {
+    throw new InvalidResponseError(
+      'unproven',
+      `status ${status} without the statement that the request did not run`,
+    );
+  }
 }
