fix(decisions): bytes that are no response are no evidence of a crash

What callers could see: a request, or requests that share a part of its prompt, refused as crashing replicas after several replicas had sent bytes that are no response to it.

Cause: every lost attempt counted as the end of its replica's run until bytes of the same run came later, within 1.5 s. A replica that sends bytes, of whatever kind, runs at that moment.

Evidence: the new test fails before: six such attempts leave crashes on record.

Change: a lost attempt says whether its response was invalid, and such an attempt is no evidence. The parser's error for a connection that ends inside a response stays evidence, since a crash looks the same. The health of the replica counts both as before.

--- a/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
+++ b/packages/decisions/src/gateway/crashes/recordCrashEvidence.ts
@@ -23,9 +23,10 @@
     return result.reason === 'replicaRestarted';
   }
   // A replica that leaves as planned cuts requests that still run there without
-  // a crash.
+  // a crash, and one that sends bytes that are no response has not crashed.
   return (
     result.kind === 'lost' &&
+    result.isInvalid !== true &&
     board.replicas.find(load.replica.id)?.leaving === false
   );
 }
--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -17,7 +17,15 @@
   /** No byte of the request left this instance. */
   | { readonly kind: 'unsent'; readonly reason: string }
   /** The request was sent but no complete answer came; it may have run. */
-  | { readonly kind: 'lost'; readonly reason: string }
+  | {
+      readonly kind: 'lost';
+      readonly reason: string;
+      /**
+       * Whether the replica sent bytes that are no response; true only if it did, so that it
+       * ran at that moment.
+       */
+      readonly isInvalid?: boolean;
+    }
   /** This instance withdrew the request. */
   | { readonly kind: 'withdrawn'; readonly reason: WithdrawReason };
 
--- a/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
+++ b/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
@@ -94,6 +94,20 @@
     t.is(send(), 'crashesBackends');
   });
 
+  // Guards against sound requests that are refused since several replicas sent bytes that
+  // are no response to them.
+  it('is not suspected for what running replicas sent', t => {
+    const { send, router, board } = suspectFixture();
+    NAMES.forEach(() => {
+      const attempt = send();
+      if (typeof attempt !== 'string') {
+        router.onEnded(attempt, { ...LOST, isInvalid: true });
+      }
+    });
+    t.true(board.crashes.isEmpty);
+    t.not(send(), 'crashesBackends');
+  });
+
   it('is not retried by the instance itself after two crashes', t => {
     const { crash, send, router } = suspectFixture();
     crash();
--- a/packages/gateway/src/forward/endAttempt.ts
+++ b/packages/gateway/src/forward/endAttempt.ts
@@ -19,9 +19,11 @@
 
 /** The end of an attempt that got no usable response; it may have run if it was sent. */
 function invalidEnd(error: Error, sent: boolean): AttemptEnd {
-  const kind = sent ? 'lost' : 'unsent';
+  const reason = error.message;
   return {
-    result: { kind, reason: error.message },
+    result: sent
+      ? { kind: 'lost', reason, isInvalid: true }
+      : { kind: 'unsent', reason },
     failure: null,
     error,
   };
--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -160,4 +160,27 @@
       });
     });
   });
+
+  const ends: readonly (readonly [string, string, 'failed' | 'invalid'])[] = [
+    ['bytes that are not HTTP', 'no response\r\n\r\n', 'invalid'],
+    ['the end of the connection in a head', 'HTTP/1.1 200 OK\r\nx-a', 'failed'],
+    [
+      'the end of the connection in a chunk',
+      'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf',
+      'failed',
+    ],
+  ];
+  ends.forEach(([title, bytes, kind]) => {
+    // Guards against the end of a crashed replica that is taken for bytes of a running one,
+    // and the reverse.
+    it(`reports ${title} as ${kind}`, async t => {
+      await withServer(async ({ held, send, nextRequest }) => {
+        const arrived = nextRequest();
+        const exchange = send(() => true);
+        await arrived;
+        held[0]?.socket?.end(bytes);
+        t.is((await exchange.ended).kind, kind);
+      });
+    });
+  });
 });
