test(soak): invalid status lines, copies of rejections and bytes without end

Three kinds of faults are added at the end of the long ones, so that earlier seeds keep their plans, and two promises: `gateways-keep-running` and `bounded-responses`.

--- a/packages/cli/tests/soak.test.ts
+++ b/packages/cli/tests/soak.test.ts
@@ -10,6 +10,31 @@
  * With this seed the run has faults of processes, of links and of the store.
  */
 const SEED = 106;
+/** With this seed the run has a fault of each kind of invalid response. */
+const INVALID_RESPONSES_SEED = 690_009;
+
+/** Runs a soak with the given options, and returns its output. */
+async function runSoak(
+  seed: number,
+  options: readonly string[],
+): Promise<string> {
+  const folder = await mkdtemp(path.join(tmpdir(), 'jujubecroft-soak-'));
+  try {
+    const { stdout } = await promisify(execFile)(
+      process.execPath,
+      [
+        '--import=tsx',
+        path.join(REPOSITORY_PATH, 'packages/cli/src/main.ts'),
+        ...['soak', '--untimed', '--seed', String(seed), '--folder', folder],
+        ...options,
+      ],
+      { cwd: REPOSITORY_PATH },
+    );
+    return stdout;
+  } finally {
+    await rm(folder, { recursive: true, force: true });
+  }
+}
 
 describe('soak', ({ itAlone }) => {
   // Gateways and replicas are killed, paused and stopped and links go silent
@@ -17,24 +42,22 @@
   // refusals, and no request may run twice. Promises about time are checked in
   // manual runs.
   itAlone('breaks no untimed promise under random faults', async t => {
-    const folder = await mkdtemp(path.join(tmpdir(), 'jujubecroft-soak-'));
-    try {
-      const { stdout } = await promisify(execFile)(
-        process.execPath,
-        [
-          '--import=tsx',
-          path.join(REPOSITORY_PATH, 'packages/cli/src/main.ts'),
-          ...['soak', '--untimed', '--seed', String(SEED)],
-          ...['--seconds', '14', '--processes', '7', '--folder', folder],
-        ],
-        { cwd: REPOSITORY_PATH },
-      );
-      t.regex(stdout, new RegExp(`^seed ${SEED}: kept; \\d+ requests`));
-      const [, served = '0'] = /(\d+) served/.exec(stdout) ?? [];
-      t.true(Number(served) > 0, stdout);
-    } finally {
-      await rm(folder, { recursive: true, force: true });
-    }
+    const stdout = await runSoak(SEED, ['--seconds', '14', '--processes', '7']);
+    t.regex(stdout, new RegExp(`^seed ${SEED}: kept; \\d+ requests`));
+    const [, served = '0'] = /(\d+) served/.exec(stdout) ?? [];
+    t.true(Number(served) > 0, stdout);
+  });
+
+  // Replicas send invalid status lines, late copies of rejections and bytes without end.
+  // Gateways must keep running, refuse truthfully and close such connections early.
+  itAlone('breaks no untimed promise when responses are invalid', async t => {
+    const stdout = await runSoak(INVALID_RESPONSES_SEED, [
+      ...['--seconds', '24', '--processes', '7'],
+      '--kinds',
+      'replica-copies-rejections,replica-never-ends,replica-spoils-heads',
+    ]);
+    t.regex(stdout, /: kept; \d+ requests/);
+    t.regex(stdout, / 3 faults: /);
   });
 
   // Gateways that outlive an interrupted soak would keep their addresses and
--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -11,12 +11,22 @@
 /**
  * Fault of a replica, applied to a share of its responses.
  *
- * `garbles`: writes bytes that are not HTTP. `grey`: answers with status 500.
- * `losesAnswers`: closes the connection without a response. `truncates`: closes
- * the connection in the middle of the body. `well`: no fault.
+ * `copiesRejections`: rejects requests, and sends a copy of each rejection where the next
+ * response on its connection is expected. `garbles`: writes bytes that are not HTTP. `grey`:
+ * answers with status 500. `losesAnswers`: closes the connection without a response.
+ * `neverEnds`: sends bytes that are no response until the connection closes. `spoilsHeads`:
+ * sends an invalid status line. `truncates`: closes the connection in the middle of the body.
+ * `well`: no fault.
  */
 export type ReplicaFault =
-  'garbles' | 'grey' | 'losesAnswers' | 'truncates' | 'well';
+  | 'copiesRejections'
+  | 'garbles'
+  | 'grey'
+  | 'losesAnswers'
+  | 'neverEnds'
+  | 'spoilsHeads'
+  | 'truncates'
+  | 'well';
 
 /** A route in a configuration of the soak. */
 export interface SoakRoute {
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -144,6 +144,9 @@
       leaving: this.#leaving,
       configurationWrites: this.#operator.configurationWrites,
       dutyCalls: this.fleet.store.dutyCalls(),
+      ownEnds: this.fleet.gateways.flatMap(({ index, program }) =>
+        program.ownEnds.map(exit => ({ gateway: index, exit })),
+      ),
       cooldownFromMs,
       endMs,
     };
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -56,6 +56,14 @@
   readonly counts: string;
 }
 
+/** A gateway process that ended although the soak did not end it. */
+export interface OwnEnd {
+  /** Index of the gateway. */
+  readonly gateway: number;
+  /** Exit code, or the signal that ended the process. */
+  readonly exit: string;
+}
+
 /** Outcome of a request as the caller observed it. */
 export interface ObservedResponse {
   readonly id: string;
@@ -106,6 +114,14 @@
       /** Whether the whole response had been written by then. */
       readonly whole: boolean;
     }
+  | {
+      readonly type: 'endless';
+      readonly id: string;
+      readonly replica: string;
+      readonly atMs: number;
+      /** Bytes of a response without end that were sent until its connection closed. */
+      readonly bytes: number;
+    }
   | {
       readonly type: 'leaving';
       readonly replica: string;
@@ -202,4 +218,5 @@
   readonly endMs: number;
   /** Accepted usage reports, in order of acceptance. */
   readonly dutyCalls: readonly DutyCall[];
+  readonly ownEnds: readonly OwnEnd[];
 }
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -328,6 +328,7 @@
   'peer-link-silent': immediate((context, fault) => {
     peerLinkOf(context, fault).silenceAll();
   }),
+  'replica-copies-rejections': replicaFault('copiesRejections'),
   'replica-drain': (fault, context) =>
     drainReplica(replicaOf(context, fault), fault, context),
   'replica-flap': async (fault, context) => {
@@ -365,6 +366,7 @@
     replicaLinkOf(context, fault).silenceAll();
   }),
   'replica-loses-answers': replicaFault('losesAnswers'),
+  'replica-never-ends': replicaFault('neverEnds'),
   'replica-pause': (fault, context) =>
     pause(replicaOf(context, fault).program, fault.forMs),
   'replica-requests-pauses': async (fault, context) => {
@@ -376,6 +378,7 @@
     await sleep(fault.forMs);
     program.sendMessage({ order: 'shed', pauseMs: null });
   },
+  'replica-spoils-heads': replicaFault('spoilsHeads'),
   'replica-truncates': replicaFault('truncates'),
   'replicas-drain-together': async (fault, context) => {
     const untilMs = soakNow() + fault.forMs;
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -49,6 +49,9 @@
   'gateways-lose-paths',
   'gateway-loses-paths',
   'crashing-part',
+  'replica-copies-rejections',
+  'replica-never-ends',
+  'replica-spoils-heads',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/src/processes/SoakProcess.ts
+++ b/packages/soak/src/processes/SoakProcess.ts
@@ -39,6 +39,9 @@
 export class SoakProcess {
   #child: ChildProcess | null = null;
   #incarnation = 0;
+  /** Child process that this one has ended or asked to end. */
+  #ending: ChildProcess | null = null;
+  readonly #ownEnds: string[] = [];
 
   /** @param launchOptionsOf - returns the launch options of an incarnation */
   constructor(
@@ -50,6 +53,11 @@
     return this.#incarnation;
   }
 
+  /** Exit codes or signals of processes that ended although nobody ended them. */
+  get ownEnds(): readonly string[] {
+    return this.#ownEnds;
+  }
+
   get isRunning(): boolean {
     return this.#child !== null;
   }
@@ -71,14 +79,20 @@
     closeSync(out);
     this.#child = child;
     RUNNING_CHILDREN.add(child);
-    child.once('exit', () => {
+    child.once('exit', (code, signal) => {
       RUNNING_CHILDREN.delete(child);
       this.#child = null;
+      if (this.#ending !== child) {
+        this.#ownEnds.push(signal ?? String(code));
+      }
     });
   }
 
   /** Sends a signal to the process if it is running. */
   signal(name: 'SIGHUP' | 'SIGTERM'): void {
+    if (name === 'SIGTERM') {
+      this.#ending = this.#child;
+    }
     this.#child?.kill(name);
   }
 
@@ -100,6 +114,7 @@
 
   /** Kills the process and waits for its exit. */
   async kill(): Promise<void> {
+    this.#ending = this.#child;
     this.#child?.kill('SIGKILL');
     await this.#waitForExit();
   }
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -1,6 +1,7 @@
 import { openSync, writeSync } from 'node:fs';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
 import { text as readText } from 'node:stream/consumers';
 import { createRandom } from '@jujubecroft/types';
 
@@ -14,6 +15,11 @@
 } from '../SoakEnvironment.js';
 import { soakNow } from '../soakNow.js';
 import { workOf } from '../workOf.js';
+import {
+  invalidStatusLine,
+  rawMessage,
+  sendEndlessResponse,
+} from './invalidResponses.js';
 
 /** Message from the soak to a replica process, sent over the IPC channel. */
 export type ReplicaControlMessage =
@@ -44,16 +50,21 @@
 const UNFRAMED_SHARE = 0.15;
 /** Share of the requests that a fault affects. */
 const FAULTY_SHARE = 0.5;
+/** Share of the requests that a replica rejects to send copies of the rejections. */
+const REJECTED_SHARE = 0.3;
 const HTTP_OK = 200;
 const HTTP_MISDIRECTED_REQUEST = 421;
 const HTTP_INTERNAL_SERVER_ERROR = 500;
 const HTTP_SERVICE_UNAVAILABLE = 503;
+const REJECTED_LINE = `HTTP/1.1 ${HTTP_SERVICE_UNAVAILABLE} Full`;
 
 /** A backend server that records the requests that reach it, for later checks. */
 class SoakReplica {
   readonly #notesFd: number;
   readonly #random: () => number;
   readonly #queue: (() => void)[] = [];
+  /** Rejections to be sent a second time, by connection. */
+  readonly #rejections = new WeakMap<Socket, string>();
   #fault: ReplicaFault = 'well';
   #running = 0;
   /** Whether the entry says that the replica is leaving, or will say so. */
@@ -167,7 +178,8 @@
     const { replica, service } = this.place;
     const isMisdirected = head.expected !== null && head.expected !== replica;
     const isFull =
-      this.#running >= MAX_RUNNING && this.#queue.length >= MAX_QUEUED;
+      (this.#running >= MAX_RUNNING && this.#queue.length >= MAX_QUEUED) ||
+      (this.#fault === 'copiesRejections' && this.#random() < REJECTED_SHARE);
     const pauseMs = isMisdirected ? null : this.#pauseMs;
     const ran =
       head.id !== null && !isMisdirected && !isFull && pauseMs === null;
@@ -191,13 +203,18 @@
       endsMs: atMs + durationMs,
     });
     if (!ran) {
+      const headers = this.dialect.notRunHeaders(head, pauseMs);
+      if (this.#fault === 'copiesRejections') {
+        this.#rejections.set(req.socket, rawMessage(REJECTED_LINE, headers));
+      }
       res.writeHead(
         isMisdirected ? HTTP_MISDIRECTED_REQUEST : HTTP_SERVICE_UNAVAILABLE,
-        this.dialect.notRunHeaders(head, pauseMs),
+        headers,
       );
       res.end();
       return;
     }
+    this.#sendLateCopy(req.socket);
     res.once('close', () => {
       this.#writeNote({
         type: 'closed',
@@ -216,6 +233,15 @@
     }
   }
 
+  /** Sends a rejection again that was sent on this connection. */
+  #sendLateCopy(socket: Socket): void {
+    const copy = this.#rejections.get(socket);
+    if (copy !== undefined) {
+      this.#rejections.delete(socket);
+      socket.write(copy);
+    }
+  }
+
   async #acquireSlot(): Promise<void> {
     if (this.#running >= MAX_RUNNING) {
       await new Promise<void>(resolve => this.#queue.push(resolve));
@@ -231,7 +257,9 @@
     const work = workOf(body);
     const id = head.id ?? '';
     const stamp = `${this.place.replica}/${id}`;
-    const isFaulty = this.#fault !== 'well' && this.#random() < FAULTY_SHARE;
+    const isFaulty =
+      !['copiesRejections', 'well'].includes(this.#fault) &&
+      this.#random() < FAULTY_SHARE;
     await this.#delay(work.workMs, res);
     if (work.crashes === true && work.events === 0) {
       process.exit(1);
@@ -244,7 +272,7 @@
       isLeaving: this.#announcesLeave,
     };
     const headers = this.dialect.answerHeaders(head, stamp, load);
-    if (isFaulty && this.#writeFaultyResponse(headers, res)) {
+    if (isFaulty && this.#writeFaultyResponse(id, headers, res)) {
       return;
     }
     if (this.#random() < UNFRAMED_SHARE) {
@@ -307,6 +335,7 @@
    * @returns false if the fault truncates the regular response instead
    */
   #writeFaultyResponse(
+    id: string,
     headers: Record<string, string>,
     res: ServerResponse,
   ): boolean {
@@ -322,12 +351,41 @@
         res.socket?.write('\u0001\u0002 these bytes are no answer \r\n\r\n');
         res.socket?.end();
         return true;
+      case 'neverEnds':
+        this.#sendEndless(id, headers, res);
+        return true;
+      case 'spoilsHeads':
+        res.socket?.write(
+          rawMessage(invalidStatusLine(this.#random), headers, 'body'),
+        );
+        res.socket?.end();
+        return true;
+      case 'copiesRejections':
       case 'truncates':
       case 'well':
         return false;
     }
   }
 
+  #sendEndless(
+    id: string,
+    headers: Record<string, string>,
+    res: ServerResponse,
+  ): void {
+    const { replica } = this.place;
+    if (res.socket) {
+      sendEndlessResponse(res.socket, headers, this.#random, bytes => {
+        this.#writeNote({
+          type: 'endless',
+          id,
+          replica,
+          atMs: soakNow(),
+          bytes,
+        });
+      });
+    }
+  }
+
   /** Waits for the given time, or until the connection closes. */
   async #delay(ms: number, res: ServerResponse): Promise<void> {
     if (ms <= 0 || res.destroyed) {
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -1,12 +1,14 @@
 import { announcedLeaves } from './announced-leaves.js';
 import { atMostOnce } from './at-most-once.js';
 import { boundedAttempts } from './bounded-attempts.js';
+import { boundedResponses } from './bounded-responses.js';
 import { boundedRetries } from './bounded-retries.js';
 import { cancelledWork } from './cancelled-work.js';
 import { configurationInForce } from './configuration-in-force.js';
 import { crashingParts, soundParts } from './crashing-parts.js';
 import { crashingRequests } from './crashing-requests.js';
 import { dutiesOfOne } from './duties-of-one.js';
+import { gatewaysKeepRunning } from './gateways-keep-running.js';
 import { gracefulStops } from './graceful-stops.js';
 import { leavingReplicas } from './leaving-replicas.js';
 import { oneVersionStreams } from './one-version-streams.js';
@@ -24,12 +26,14 @@
   announcedLeaves,
   atMostOnce,
   boundedAttempts,
+  boundedResponses,
   boundedRetries,
   cancelledWork,
   configurationInForce,
   crashingParts,
   crashingRequests,
   dutiesOfOne,
+  gatewaysKeepRunning,
   gracefulStops,
   leavingReplicas,
   oneVersionStreams,
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -555,6 +555,33 @@
     },
     broken: ['duties-of-one'],
   },
+  {
+    title: 'report a gateway that ends by itself',
+    seen: { ownEnds: [{ gateway: 1, exit: '1' }] },
+    broken: ['gateways-keep-running'],
+  },
+  {
+    title: 'report a response without end that is read on',
+    seen: {
+      notes: [
+        {
+          type: 'endless',
+          id: 'q-1',
+          replica: 'r-1',
+          atMs: 11_000,
+          bytes: 17 * 1024 * 1024,
+        },
+        {
+          type: 'endless',
+          id: 'q-2',
+          replica: 'r-1',
+          atMs: 11_000,
+          bytes: 1024 * 1024,
+        },
+      ],
+    },
+    broken: ['bounded-responses'],
+  },
 ];
 
 describe('soak invariants', ({ it }) => {
--- a/packages/soak/tests/promises/evidenceFixture.ts
+++ b/packages/soak/tests/promises/evidenceFixture.ts
@@ -138,6 +138,7 @@
     leaving: [],
     configurationWrites: [],
     dutyCalls: [],
+    ownEnds: [],
     cooldownFromMs: 0,
     endMs: END_MS,
     ...rest,
