fix(soak): responses without end are judged by the time until they are closed

`bounded-responses` counted the bytes that a replica could write. The promise is timed now: the connection is closed within a second.

--- a/packages/cli/tests/soak.test.ts
+++ b/packages/cli/tests/soak.test.ts
@@ -49,7 +49,7 @@
   });
 
   // Replicas send invalid status lines, late copies of rejections and bytes without end.
-  // Gateways must keep running, refuse truthfully and close such connections early.
+  // Gateways must keep running and refuse truthfully.
   itAlone('breaks no untimed promise when responses are invalid', async t => {
     const stdout = await runSoak(INVALID_RESPONSES_SEED, [
       ...['--seconds', '24', '--processes', '7'],
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -118,9 +118,10 @@
       readonly type: 'endless';
       readonly id: string;
       readonly replica: string;
+      /** Time at which the replica began to send a response without end. */
+      readonly fromMs: number;
+      /** Time at which its connection closed. */
       readonly atMs: number;
-      /** Bytes of a response without end that were sent until its connection closed. */
-      readonly bytes: number;
     }
   | {
       readonly type: 'leaving';
--- a/packages/soak/src/processes/invalidResponses.ts
+++ b/packages/soak/src/processes/invalidResponses.ts
@@ -70,13 +70,13 @@
  * @param socket - connection of the request
  * @param headers - headers of a response to the request
  * @param random - selects the kind of response
- * @param onClosed - called with the number of bytes sent once the connection is closed
+ * @param onClosed - called once the connection is closed
  */
 export function sendEndlessResponse(
   socket: Socket,
   headers: Readonly<Record<string, string>>,
   random: () => number,
-  onClosed: (bytes: number) => void,
+  onClosed: () => void,
 ): void {
   const kinds = endlessResponses(headers);
   const kind = kinds[Math.floor(random() * kinds.length)];
@@ -86,16 +86,13 @@
   const block = Buffer.from(
     kind.repeated.repeat(Math.ceil(BLOCK_BYTES / kind.repeated.length)),
   );
-  const beforeBytes = socket.bytesWritten;
   const write = (): void => {
     while (socket.writable && socket.write(block)) {
       // Fills the buffer of the socket.
     }
   };
   socket.on('drain', write);
-  socket.once('close', () => {
-    onClosed(socket.bytesWritten - beforeBytes);
-  });
+  socket.once('close', onClosed);
   socket.write(kind.begin);
   write();
 }
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -373,15 +373,11 @@
     res: ServerResponse,
   ): void {
     const { replica } = this.place;
+    const fromMs = soakNow();
     if (res.socket) {
-      sendEndlessResponse(res.socket, headers, this.#random, bytes => {
-        this.#writeNote({
-          type: 'endless',
-          id,
-          replica,
-          atMs: soakNow(),
-          bytes,
-        });
+      sendEndlessResponse(res.socket, headers, this.#random, () => {
+        const atMs = soakNow();
+        this.#writeNote({ type: 'endless', id, replica, fromMs, atMs });
       });
     }
   }
--- a/packages/soak/src/promises/bounded-responses.ts
+++ b/packages/soak/src/promises/bounded-responses.ts
@@ -1,26 +1,39 @@
 import type { SoakInvariant } from './SoakInvariant.js';
 
-/**
- * Bytes of a response without end that a replica can send before its connection is closed;
- * the buffers of sockets and of the link hold most of them.
- */
-const MAX_ENDLESS_BYTES = 16 * 1024 * 1024;
+/** Time within which the connection of a response without end is closed. */
+const CLOSE_MS = 1000;
+const ENDLESS_KIND = 'replica-never-ends';
 
-/** A response that never ends is not read on. */
+/** A response that never ends is not read up to the time limit of its request. */
 export const boundedResponses: SoakInvariant = {
   name: 'bounded-responses',
   description:
-    'The connection of a response without end is closed before much of it is read.',
-  timed: false,
-  check: ({ notes }) =>
-    notes.flatMap(note =>
-      note.type === 'endless' && note.bytes > MAX_ENDLESS_BYTES
+    'The connection of a response without end is closed within a second.',
+  timed: true,
+  check: ({ notes, bounds }, index) =>
+    notes.flatMap(note => {
+      if (note.type !== 'endless') {
+        return [];
+      }
+      const { id, replica, fromMs, atMs } = note;
+      const sent = index.sent(id);
+      const isCounted =
+        sent !== undefined &&
+        index.isGatewayFaultFree(sent.gateway, fromMs, atMs) &&
+        index.faultsIn(
+          ({ component }, { kind }) =>
+            component === 'replica' && kind !== ENDLESS_KIND,
+          fromMs - bounds.faultFreeMs,
+          atMs,
+        ).length === 0;
+      const tookMs = Math.round(atMs - fromMs);
+      return isCounted && tookMs > CLOSE_MS + bounds.slackMs
         ? [
             {
-              request: note.id,
-              what: `${note.replica} sent ${note.bytes} bytes of a response without end`,
+              request: id,
+              what: `${replica} sent a response without end for ${tookMs} ms`,
             },
           ]
-        : [],
-    ),
+        : [];
+    }),
 };
