--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -106,7 +106,7 @@
       await this.#runAttempts();
     } finally {
       clearTimeout(timer);
-      this.#sseBuffer?.discardPartial();
+      this.#sseBuffer?.flush();
     }
   }
 
