refactor(gateway): one scan for a resumable stream, one conversion of errors

Found on reading the change again; behaviour stays as it is.

- The events of a resumable stream were scanned twice, by the assembler and by its event buffer; the buffer's state serves both.
- `toError` stood in four places, two of them new.
- `sendHttpRequest` had a second AbortController for replies that are too large; that of the timeout serves both.
- Writing without end stood in two tests and the soak; it is in stand-ins/util.

--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -9,6 +9,7 @@
 import { limitFraming } from '../responses/FramingLimit.js';
 import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import { RejectedRequests } from '../responses/RejectedRequests.js';
+import { toError } from '../util/toError.js';
 import type { BackendPool } from './BackendConnections.js';
 
 /** Limit for the head of a response. */
@@ -106,10 +107,6 @@
   return code.startsWith(PARSE_ERROR_PREFIX) && code !== TRUNCATED_CODE;
 }
 
-function toError(err: unknown): Error {
-  return err instanceof Error ? err : new Error(String(err));
-}
-
 /** Connections that were given to a request. */
 const USED_SOCKETS = new WeakSet<Socket>();
 const REJECTED_REQUESTS = new RejectedRequests();
--- a/packages/gateway/src/backends/sendHttpRequest.ts
+++ b/packages/gateway/src/backends/sendHttpRequest.ts
@@ -68,7 +68,7 @@
  */
 async function withTimeout<Result>(
   timeoutMs: number,
-  run: (signal: AbortSignal) => Promise<Result>,
+  run: (abort: AbortController) => Promise<Result>,
 ): Promise<Result> {
   const abort = new AbortController();
   let isOver = false;
@@ -80,7 +80,7 @@
     });
   }, timeoutMs);
   try {
-    return await run(abort.signal);
+    return await run(abort);
   } finally {
     isOver = true;
     clearTimeout(timer);
@@ -98,22 +98,24 @@
  * @throws Error if no complete response arrives in time, or if it is too large
  */
 export function sendHttpRequest(call: HttpCall): Promise<HttpReply> {
-  return withTimeout(call.timeoutMs, async signal => {
+  return withTimeout(call.timeoutMs, async abort => {
+    const { signal } = abort;
     const body = new GrowingBuffer(new BufferBudget(MAX_REPLY_BYTES));
     const req = request(toRequestOptions(call, signal));
-    const tooLarge = new AbortController();
-    const fail = (err: Error): void => {
-      tooLarge.abort(err);
-      req.destroy(err);
-    };
     let chunks = 0;
-    limitFraming(req, () => ({ bytes: body.length, chunks }), fail);
+    limitFraming(
+      req,
+      () => ({ bytes: body.length, chunks }),
+      err => {
+        abort.abort(err);
+      },
+    );
     const res = await new Promise<IncomingMessage>((resolve, reject) => {
       req.once('response', received => {
         received.on('data', (chunk: Buffer) => {
           chunks += 1;
           if (!body.append(chunk)) {
-            fail(new Error('reply is too large'));
+            abort.abort(new Error('reply is too large'));
           }
         });
         resolve(received);
@@ -128,7 +130,6 @@
     await finished(res);
     // A body without a length ends regularly when its connection is closed here.
     signal.throwIfAborted();
-    tooLarge.signal.throwIfAborted();
     return {
       status: res.statusCode ?? 0,
       headers: res.headers,
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -75,7 +75,7 @@
   #headers: RawHeaders = [];
   #framing: BodyFraming = 'closeDelimited';
   #isRelaying = false;
-  /** Null unless the response is a stream of events. */
+  /** Null unless the response is a stream of events that is not resumable. */
   #boundary: SseBoundary | null = null;
 
   constructor(private readonly options: ResponseAssemblerOptions) {
@@ -122,11 +122,19 @@
     return this.#head
       ? {
           framing: this.#framing,
-          isInsideEvent: this.#boundary?.isInsideEvent ?? false,
+          isInsideEvent: this.#isInsideEvent,
         }
       : null;
   }
 
+  /** Whether the response is a stream of events and stands inside one of them. */
+  get #isInsideEvent(): boolean {
+    const { events } = this.options;
+    return (
+      this.#isRelaying && (events ?? this.#boundary)?.isInsideEvent === true
+    );
+  }
+
   /** Whether the body is relayed to the caller as it arrives. */
   get isRelaying(): boolean {
     return this.#isRelaying;
@@ -153,7 +161,7 @@
     });
     this.#isRelaying =
       kind === 'streaming' && status < MIN_ERROR_STATUS && !head.notRun;
-    if (this.#isRelaying && (events !== null || isEventStream(headers))) {
+    if (this.#isRelaying && events === null && isEventStream(headers)) {
       this.#boundary = new SseBoundary();
     }
     return head.notRun;
@@ -220,7 +228,7 @@
       const reason = `status ${status}`;
       return { result: { kind: 'notRun', reason }, failure: null };
     }
-    if (this.#boundary?.isInsideEvent === true) {
+    if (this.#isInsideEvent) {
       const reason = 'stream ended inside an event';
       return { result: { kind: 'lost', reason }, failure: null };
     }
--- a/packages/gateway/src/forward/SseEventBuffer.ts
+++ b/packages/gateway/src/forward/SseEventBuffer.ts
@@ -48,6 +48,11 @@
     this.#partial = new GrowingBuffer(budget);
   }
 
+  /** Whether an event has begun and not ended. */
+  get isInsideEvent(): boolean {
+    return this.#boundary.isInsideEvent;
+  }
+
   /** Id of the last complete event that was released. */
   get lastId(): string | null {
     this.#parse();
--- a/packages/gateway/src/forward/endAttempt.ts
+++ b/packages/gateway/src/forward/endAttempt.ts
@@ -1,6 +1,7 @@
 import type { AttemptResult, WithdrawReason } from '@jujubecroft/decisions';
 
 import type { ExchangeEnd } from '../backends/sendAttempt.js';
+import { toError } from '../util/toError.js';
 import type { CompleteResponse } from './CallerResponse.js';
 import type { ResponseAssembler } from './ResponseAssembler.js';
 
@@ -35,8 +36,7 @@
   try {
     return { ...assembler.complete(), error: null };
   } catch (err) {
-    const error = err instanceof Error ? err : new Error(String(err));
-    return invalidEnd(error, true);
+    return invalidEnd(toError(err), true);
   }
 }
 
--- a/packages/gateway/src/relay/ConnectionRace.ts
+++ b/packages/gateway/src/relay/ConnectionRace.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 
 import { nextTurn } from '../util/nextTurn.js';
+import { toError } from '../util/toError.js';
 
 /** The two ways to a replica, and who learns which of them works. */
 export interface ConnectionWays {
@@ -104,7 +105,7 @@
       },
       (err: unknown) => {
         this.#relay = 'failed';
-        this.#fail(err instanceof Error ? err : new Error(String(err)));
+        this.#fail(toError(err));
       },
     );
   }
--- a/packages/gateway/src/relay/firstOpen.ts
+++ b/packages/gateway/src/relay/firstOpen.ts
@@ -1,5 +1,7 @@
 import type { Socket } from 'node:net';
 
+import { toError } from '../util/toError.js';
+
 /** One way to open a connection; the signal aborts the attempt. */
 export type OpenWay = (signal: AbortSignal) => Promise<Socket>;
 
@@ -55,7 +57,7 @@
       startNext();
       if (pending === 0 && !isOpen) {
         clearTimeout(timer);
-        reject(err instanceof Error ? err : new Error(String(err)));
+        reject(toError(err));
       }
     };
 
--- a/packages/gateway/tests/backends/sendHttpRequest.test.ts
+++ b/packages/gateway/tests/backends/sendHttpRequest.test.ts
@@ -1,6 +1,6 @@
 import type { RequestListener } from 'node:http';
 import { createServer } from 'node:http';
-import { listenOn } from '@jujubecroft/stand-ins/util';
+import { listenOn, writeWithoutEnd } from '@jujubecroft/stand-ins/util';
 import { describe } from '@jujubecroft/testing';
 
 import type { HttpReply } from '../../src/backends/sendHttpRequest.js';
@@ -9,7 +9,6 @@
 const HOST = '127.0.0.1';
 const TIMEOUT_MS = 100;
 const LONG_TIMEOUT_MS = 10_000;
-const BLOCK_COUNT = 10_000;
 
 function blockEventLoop(): void {
   const untilMs = performance.now() + 2 * TIMEOUT_MS;
@@ -74,16 +73,8 @@
     itAlone(`rejects ${title} without end before the timeout`, async t => {
       const startedMs = performance.now();
       const sent = send(({ socket }) => {
-        const block = Buffer.from(repeated.repeat(BLOCK_COUNT));
-        const write = (): void => {
-          while (socket.writable && socket.write(block)) {
-            // Fills the buffer of the socket.
-          }
-        };
-        socket.on('drain', write);
-        socket.on('error', () => undefined);
         socket.write(begin);
-        write();
+        writeWithoutEnd(socket, repeated);
       }, LONG_TIMEOUT_MS);
       await t.throwsAsync(sent);
       t.true(performance.now() - startedMs < LONG_TIMEOUT_MS / 2);
--- a/packages/soak/src/processes/invalidResponses.ts
+++ b/packages/soak/src/processes/invalidResponses.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { writeWithoutEnd } from '@jujubecroft/stand-ins/util';
 
 /** Status lines that are not those of a final response, or not HTTP. */
 const INVALID_STATUS_LINES = [
@@ -10,7 +11,6 @@
   'HTTP/1,1 200 OK',
 ];
 const PADDING = 'p'.repeat(500);
-const BLOCK_BYTES = 64 * 1024;
 
 /** @returns an HTTP message in raw form; its body ends with its length */
 export function rawMessage(
@@ -83,16 +83,7 @@
   if (!kind) {
     return;
   }
-  const block = Buffer.from(
-    kind.repeated.repeat(Math.ceil(BLOCK_BYTES / kind.repeated.length)),
-  );
-  const write = (): void => {
-    while (socket.writable && socket.write(block)) {
-      // Fills the buffer of the socket.
-    }
-  };
-  socket.on('drain', write);
   socket.once('close', onClosed);
   socket.write(kind.begin);
-  write();
+  writeWithoutEnd(socket, kind.repeated);
 }
--- a/packages/stand-ins/src/util/index.ts
+++ b/packages/stand-ins/src/util/index.ts
@@ -1,2 +1,3 @@
 export { listenOn } from './listenOn.js';
 export { ownCommand } from './ownCommand.js';
+export { writeWithoutEnd } from './writeWithoutEnd.js';
