fix(gateway): a long failure on a resumable route is not read as events

What callers saw: a failure with a stated length of over 1 MiB on a resumable route was cut off in place of arriving unchanged.

Cause: found on reading again. Where such a failure is relayed before it is complete, its rest went through the buffer of the stream's events, which kept it as one event and refused it at 1 MiB.

Evidence: the new case of endlessAnswers.test.ts failed before (no body in place of 20 MB).

Change: the event buffer receives a response only if that is a stream from its head on.

--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -75,6 +75,8 @@
   #headers: RawHeaders = [];
   #framing: BodyFraming = 'closeDelimited';
   #isRelaying = false;
+  /** Null unless the response is a stream of events that is resumable. */
+  #events: SseEventBuffer | null = null;
   /** Null unless the response is a stream of events that is not resumable. */
   #boundary: SseBoundary | null = null;
 
@@ -129,10 +131,7 @@
 
   /** Whether the response is a stream of events and stands inside one of them. */
   get #isInsideEvent(): boolean {
-    const { events } = this.options;
-    return (
-      this.#isRelaying && (events ?? this.#boundary)?.isInsideEvent === true
-    );
+    return (this.#events ?? this.#boundary)?.isInsideEvent === true;
   }
 
   /** Whether the body is relayed to the caller as it arrives. */
@@ -161,8 +160,10 @@
     });
     this.#isRelaying =
       kind === 'streaming' && status < MIN_ERROR_STATUS && !head.notRun;
-    if (this.#isRelaying && events === null && isEventStream(headers)) {
-      this.#boundary = new SseBoundary();
+    if (this.#isRelaying) {
+      this.#events = events;
+      this.#boundary =
+        events === null && isEventStream(headers) ? new SseBoundary() : null;
     }
     return head.notRun;
   }
@@ -176,7 +177,7 @@
   push(chunk: Buffer): boolean {
     this.#boundary?.push(chunk);
     if (this.#isRelaying) {
-      return this.#relay(this.options.events?.push(chunk) ?? chunk);
+      return this.#relay(this.#events?.push(chunk) ?? chunk);
     }
     const isBuffered =
       this.#buffered.length + chunk.length <= MAX_BUFFERED_BYTES &&
@@ -238,7 +239,7 @@
           'end of the connection does not prove the end of a stream';
         return { result: { kind: 'lost', reason }, failure: null };
       }
-      this.#relay(this.options.events?.flush() ?? Buffer.alloc(0));
+      this.#relay(this.#events?.flush() ?? Buffer.alloc(0));
       this.#endRelay();
       return { result: this.#answered, failure: null };
     }
