feat(gateway): statuses sent to callers are counted and logged with their proof

The record of an incident could not tell who answered a request with a status that promises "not run": refusals did not state their status, failures neither, and passed-on statuses of replicas are lines of level info that are sampled.

requestRefused and requestCut now state the status, who decided it and what proves that the request did not run (unsent, stated). The counter statuses_total has each status that makes a promise by itself, the others by class. explain tells status and proof, and shows errors of the caller's connection. No behaviour changes.

--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -83,6 +83,31 @@
     : byClose;
 }
 
+/** What a refusal rests on; empty where the line does not state it. */
+function describeProof({ status, decidedBy, proof, statedBy }: Fields): string {
+  const decided =
+    status === undefined || status === null
+      ? ''
+      : `; the caller got status ${formatValue(status)}, decided by the ${formatValue(decidedBy)}`;
+  switch (proof) {
+    case 'unsent':
+      return `${decided}; it did not run, since no byte of it left this instance`;
+    case 'stated':
+      return `${decided}; it did not run, as stated by ${statedBy === undefined ? 'each replica that it was sent to' : formatValue(statedBy)}`;
+    default:
+      return decided;
+  }
+}
+
+/** Describes an error of a caller's connection, which the server handled by itself. */
+function describeConnectionError({ code, status, unanswered }: Fields): string {
+  const written =
+    status === null
+      ? 'nothing was written'
+      : `${formatValue(status)} was written`;
+  return `the caller's connection failed (${formatValue(code)}) while ${formatValue(unanswered)} had no complete answer; ${written}`;
+}
+
 /** Sentence for each kind of line; other kinds are shown with all their fields. */
 const SENTENCES: Readonly<Record<string, (fields: Fields) => string>> = {
   requestPlaced: f =>
@@ -100,9 +125,10 @@
   requestAnswered: f =>
     `answered with ${formatValue(f.status)} after ${formatValue(f.wholeMs)} ms, first byte after ${formatValue(f.firstMs)} ms against a target of ${formatValue(f.targetMs)} ms${describeEnd(f)}`,
   requestRefused: f =>
-    `refused as ${formatValue(f.code)} after ${formatValue(f.afterMs)} ms: first byte predicted after ${formatValue(f.predictedMs)} ms, allowed ${formatValue(f.allowedMs)} ms; complete answer predicted after ${formatValue(f.predictedWholeMs)} ms, allowed ${formatValue(f.allowedWholeMs)} ms; ${formatValue(f.tokensAhead)} prompt tokens ahead, ${formatValue(f.lessUrgentTokens)} unread ones of less urgent requests of this instance; ${formatValue(f.candidates)} candidates; the caller may retry after ${formatValue(f.retryAfterMs)} ms`,
+    `refused as ${formatValue(f.code)} after ${formatValue(f.afterMs)} ms: first byte predicted after ${formatValue(f.predictedMs)} ms, allowed ${formatValue(f.allowedMs)} ms; complete answer predicted after ${formatValue(f.predictedWholeMs)} ms, allowed ${formatValue(f.allowedWholeMs)} ms; ${formatValue(f.tokensAhead)} prompt tokens ahead, ${formatValue(f.lessUrgentTokens)} unread ones of less urgent requests of this instance; ${formatValue(f.candidates)} candidates; the caller may retry after ${formatValue(f.retryAfterMs)} ms${describeProof(f)}`,
   requestCut: f =>
-    `ended as ${formatValue(f.code)} after ${formatValue(f.afterMs)} ms and ${formatValue(f.attempts)} attempts; the caller ${f.started === true ? 'had received the beginning of an answer' : 'had received nothing'}`,
+    `ended as ${formatValue(f.code)} after ${formatValue(f.afterMs)} ms and ${formatValue(f.attempts)} attempts; the caller ${f.started === true ? 'had received the beginning of an answer' : 'had received nothing'}${describeProof(f)}`,
+  connectionError: describeConnectionError,
   callerLeft: f =>
     `the caller closed its connection after ${formatValue(f.afterMs)} ms`,
 };
@@ -183,6 +209,11 @@
   }
 }
 
+/** Whether a line lists a request among those that its connection carried. */
+function isAffected({ unanswered }: Fields, request: string): boolean {
+  return Array.isArray(unanswered) && unanswered.includes(request);
+}
+
 /**
  * Selects the lines of one request and those of the tunnels that it went through,
  * which other instances wrote.
@@ -198,7 +229,8 @@
   );
   return lines.filter(({ fields }) =>
     fields.request === undefined
-      ? fields.tunnel !== undefined && tunnels.has(fields.tunnel)
+      ? isAffected(fields, request) ||
+        (fields.tunnel !== undefined && tunnels.has(fields.tunnel))
       : fields.request === request,
   );
 }
--- a/packages/events/tests/explainRequest.test.ts
+++ b/packages/events/tests/explainRequest.test.ts
@@ -29,4 +29,37 @@
   it('mentions neither for a request without deferral or copies', t => {
     t.regex(firstStep(placed({ deferred: false })) ?? '', /900 ms left$/);
   });
+
+  // Guards against a promise whose reason can't be told from the logs.
+  it('states who decided a refusal and what proves it', t => {
+    const refused = {
+      id: 'requestRefused',
+      instance: 'i-1',
+      time: '2026-01-01T00:00:00Z',
+      request: 'q',
+      code: 'noBackendServer',
+      status: 503,
+      decidedBy: 'gateway',
+    };
+    const step = (proof: string): string | undefined =>
+      firstStep(JSON.stringify({ ...refused, proof, statedBy: ['s-1'] }));
+    t.regex(
+      step('unsent') ?? '',
+      /status 503, decided by the gateway; .*no byte/,
+    );
+    t.regex(step('stated') ?? '', /as stated by \["s-1"\]$/);
+  });
+
+  it('includes errors of the connection while the request was unanswered', t => {
+    const line = JSON.stringify({
+      id: 'connectionError',
+      instance: 'i-1',
+      time: '2026-01-01T00:00:00Z',
+      code: 'ERR_HTTP_REQUEST_TIMEOUT',
+      status: null,
+      unanswered: ['p', 'q'],
+    });
+    t.regex(firstStep(line) ?? '', /ERR_HTTP_REQUEST_TIMEOUT.*nothing was/);
+    t.deepEqual(explainRequest(readLogLines(line), 'other').steps, []);
+  });
 });
--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -5,15 +5,34 @@
 
 import { headerValue } from '../util/headers.js';
 
+/** Who decided the status of a response. */
+export type StatusSource = 'gateway' | 'replica';
+
+/** What proves that a request did not run; null if nothing does. */
+export type NotRunEvidence = 'stated' | 'unsent' | null;
+
 /** Status, headers and body of a complete response. */
 export interface CompleteResponse {
   readonly status: number;
+  readonly decidedBy: StatusSource;
   readonly headers: readonly string[];
   readonly body: Buffer;
   /** Framing with which the body was received. */
   readonly framing: BodyFraming;
 }
 
+/** What a `CallerResponse` asks and reports. */
+export interface CallerResponseOptions {
+  /** Whether connections should be closed after their response. */
+  readonly isStopping: () => boolean;
+  /** Called with each status that is written. */
+  readonly onStatus: (
+    status: number,
+    decidedBy: StatusSource,
+    evidence: NotRunEvidence,
+  ) => void;
+}
+
 /** Larger chunks are not copied to be framed. */
 const MAX_COPIED_BYTES = 16 * 1024;
 const CR = 13;
@@ -55,12 +74,11 @@
 
   /**
    * @param res - response of the caller's connection
-   * @param isStopping - whether connections should be closed after their
-   *   response
+   * @param options - what it asks and reports
    */
   constructor(
     private readonly res: ServerResponse,
-    private readonly isStopping: () => boolean,
+    private readonly options: CallerResponseOptions,
   ) {
     this.#drained = res;
   }
@@ -81,7 +99,7 @@
   }
 
   /**
-   * Writes the head of a response whose body follows.
+   * Writes the head of a replica's response whose body follows.
    *
    * A body that only the end of the connection delimits is sent the same way,
    * since a length or a last chunk would state that it is complete.
@@ -90,6 +108,15 @@
     status: number,
     headers: readonly string[],
     framing: BodyFraming,
+  ): void {
+    this.#writeHead(status, headers, framing);
+    this.options.onStatus(status, 'replica', null);
+  }
+
+  #writeHead(
+    status: number,
+    headers: readonly string[],
+    framing: BodyFraming,
   ): void {
     if (framing === 'closeDelimited') {
       this.res.useChunkedEncodingByDefault = false;
@@ -97,7 +124,7 @@
     }
     // Closing the connection after this response makes the caller connect to
     // another instance.
-    const closing = this.isStopping() ? ['connection', 'close'] : [];
+    const closing = this.options.isStopping() ? ['connection', 'close'] : [];
     this.res.sendDate = false;
     this.#hasLength = hasLength(headers);
     this.res.writeHead(status, [...headers, ...closing]);
@@ -151,16 +178,25 @@
     this.res.end();
   }
 
-  /** Writes a complete response. */
-  send({ status, headers, body, framing }: CompleteResponse): void {
+  /**
+   * Writes a complete response.
+   *
+   * @param response - the response
+   * @param evidence - what proves that the request did not run
+   */
+  send(
+    { status, decidedBy, headers, body, framing }: CompleteResponse,
+    evidence: NotRunEvidence = null,
+  ): void {
     const { method = '' } = this.res.req;
     const needsLength =
       framing === 'selfDelimited' &&
       !isBodyless(method, status) &&
       !hasLength(headers);
     const length = needsLength ? ['content-length', String(body.length)] : [];
-    this.start(status, [...headers, ...length], framing);
+    this.#writeHead(status, [...headers, ...length], framing);
     this.res.end(body);
+    this.options.onStatus(status, decidedBy, evidence);
   }
 
   /**
--- a/packages/gateway/src/forward/RequestFinisher.ts
+++ b/packages/gateway/src/forward/RequestFinisher.ts
@@ -2,11 +2,27 @@
 import { RESULT_CODES } from '@jujubecroft/types';
 
 import type { CallerDialect } from '../ports/CallerDialect.js';
-import type { CallerResponse, CompleteResponse } from './CallerResponse.js';
+import type {
+  CallerResponse,
+  CompleteResponse,
+  NotRunEvidence,
+} from './CallerResponse.js';
 import { gatewayResponse } from './gatewayResponse.js';
 import type { LogFields } from './logFields.js';
 import type { RequestProgress, RequestRecorder } from './RequestRecorder.js';
 
+/** Log fields of what the caller received; a status of null means none. */
+function statusFields(
+  response: CompleteResponse | null,
+  proof: NotRunEvidence,
+): LogFields {
+  return {
+    status: response?.status ?? null,
+    decidedBy: response?.decidedBy ?? null,
+    proof,
+  };
+}
+
 /** Finishes a request that gets no complete response from a replica. */
 export class RequestFinisher {
   #failure: CompleteResponse | null = null;
@@ -39,10 +55,13 @@
       this.finishWithCode('backendMaybeRan', 0, {}, progress);
       return;
     }
-    if (!this.answer.isClosed) {
+    const isSent = !this.answer.isClosed;
+    if (isSent) {
       this.answer.send(failure);
     }
-    this.notes.ended('requestCut', `status ${failure.status}`, progress, {});
+    this.notes.ended('requestCut', `status ${failure.status}`, progress, {
+      ...statusFields(isSent ? failure : null, null),
+    });
   }
 
   /**
@@ -75,18 +94,28 @@
     const started = this.answer.hasStarted;
     const isRefusal = RESULT_CODES[code].ran === 'no';
     const reportedCode = isRefusal && mayHaveRun ? 'backendMaybeRan' : code;
+    const response =
+      started || this.answer.isClosed
+        ? null
+        : gatewayResponse(
+            this.dialect,
+            reportedCode,
+            this.request,
+            retryAfterMs,
+          );
+    const isRefused = reportedCode === code && isRefusal;
+    const sentKind = progress.sent === 0 ? 'unsent' : 'stated';
+    const proof = isRefused ? sentKind : null;
     if (started) {
       this.answer.cut();
-    } else if (!this.answer.isClosed) {
-      this.answer.send(
-        gatewayResponse(this.dialect, reportedCode, this.request, retryAfterMs),
-      );
+    } else if (response) {
+      this.answer.send(response, proof);
     }
-    const event =
-      reportedCode === code && isRefusal ? 'requestRefused' : 'requestCut';
+    const event = isRefused ? 'requestRefused' : 'requestCut';
     this.notes.ended(event, reportedCode, progress, {
       retryAfterMs: Math.round(retryAfterMs),
       started,
+      ...statusFields(response, proof),
       ...(reportedCode === code ? {} : { cause: code }),
       ...facts,
     });
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -259,6 +259,7 @@
     const status = this.#status;
     const response: CompleteResponse = {
       status,
+      decidedBy: 'replica',
       headers: dialect.toCallerHeaders(this.#headers),
       body: this.#buffered.take(),
       framing: this.#framing,
--- a/packages/gateway/src/forward/gatewayResponse.ts
+++ b/packages/gateway/src/forward/gatewayResponse.ts
@@ -24,6 +24,7 @@
   const error = { code: number, type: code, message: summary, ran, action };
   return {
     status: httpStatus,
+    decidedBy: 'gateway',
     headers: [
       'content-type',
       'application/json',
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -3,7 +3,7 @@
 import { StreamBinding } from '@jujubecroft/decisions';
 import type { RequestId, ResultCodeId, Route } from '@jujubecroft/types';
 
-import { CallerResponse } from '../forward/CallerResponse.js';
+import { createCallerResponse } from '../forward/createCallerResponse.js';
 import { fingerprintOf } from '../forward/fingerprintOf.js';
 import { partKeysOf } from '../forward/partKeysOf.js';
 import type { IncomingRequest } from '../forward/IncomingRequest.js';
@@ -61,15 +61,20 @@
   fields: Readonly<Record<string, unknown>> = {},
 ): void {
   const retryAfterMs = RETRY_AFTER_MS[code] ?? 0;
-  const response = new CallerResponse(res, () => context.leaving);
-  if (!response.isClosed) {
-    response.send(gatewayResponse(context.dialect, code, id, retryAfterMs));
+  const response = createCallerResponse(context, res);
+  const complete = gatewayResponse(context.dialect, code, id, retryAfterMs);
+  const { isClosed } = response;
+  if (!isClosed) {
+    response.send(complete, 'unsent');
   }
   const table = context.router.board.table;
   context.metrics.refusals.inc({ code, priority: '' });
   context.log.write('requestRefused', {
     request: id,
     code,
+    status: isClosed ? null : complete.status,
+    decidedBy: complete.decidedBy,
+    proof: 'unsent',
     retryAfterMs,
     configuration: table?.cfg.version ?? null,
     ...fields,
@@ -188,7 +193,7 @@
     context,
     request,
     call,
-    new CallerResponse(res, () => context.leaving),
+    createCallerResponse(context, res),
   );
   const onClose = (): void => {
     if (!res.writableFinished) {
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -27,6 +27,12 @@
     labelNames: ['code', 'priority'] as const,
     registers: this.#registers,
   });
+  readonly statuses = new Counter({
+    name: 'jujubecroft_gateway_statuses_total',
+    help: 'Statuses sent to callers: those that promise that a request did not run one by one, others by class; by who decided them and what proves that the request did not run.',
+    labelNames: ['status', 'decided_by', 'proof'] as const,
+    registers: this.#registers,
+  });
   readonly heldBack = new Counter({
     name: 'jujubecroft_gateway_above_share_total',
     help: 'Requests refused since their organisation used more than its share of a short capacity.',
--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -100,6 +100,11 @@
   ) => string[];
   /** Reads the headers of a response. */
   readonly readResponse: (status: number, raw: RawHeaders) => ResponseHead;
+  /**
+   * Whether callers take a status for the promise that their request has not run and never
+   * will.
+   */
+  readonly promisesNotRun: (status: number) => boolean;
   /** Returns the headers of a response that are forwarded to the caller. */
   readonly toCallerHeaders: (raw: RawHeaders) => string[];
   /**
--- a/packages/gateway/tests/forward/CallerResponse.test.ts
+++ b/packages/gateway/tests/forward/CallerResponse.test.ts
@@ -15,7 +15,13 @@
   body: (port: number) => Promise<void>,
 ): Promise<void> {
   const server: Server = createServer((req, res) => {
-    handle(new CallerResponse(res, () => false), res);
+    handle(
+      new CallerResponse(res, {
+        isStopping: () => false,
+        onStatus: () => undefined,
+      }),
+      res,
+    );
   });
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
