refactor(platform): the format of prompt parts is parsed beside other header formats

The list of parts is a format, not a name of the platform; its parser moves to the gateway's other parsers.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -49,6 +49,7 @@
   parseRetryAfterMs,
   parseSlowdown,
 } from './util/headerNumbers.js';
+export { parsePromptParts } from './util/parsePromptParts.js';
 export { formatRowContent, parseRowContent } from './util/rowContent.js';
 export { keepLast } from './util/keepLast.js';
 export {
