fix(gateway): a status that promises "not run" needs a proof

The statuses were written by several paths, each with its own idea of what had run: results of attempts in ForwardedRequest, the status of a result code, a replica's status that was passed on.

ExecutionRecord keeps what became of all attempts of a request, and alone gives a NotRunProof: no byte of any attempt left, or each replica that was sent the request stated that it did not run. Nothing is proven while an attempt is in progress. CallerResponse, by which every status for a request leaves that was read, writes such a status only with the proof; without it, it throws before the first byte, and the caller's connection is closed, which promises nothing. requestRefused names the replicas that stated it (statedBy).

CallerResponse.test.ts "writes no status that promises" fails on the code before: both paths wrote the status (there, send and start asked nothing).

--- /dev/null
+++ b/packages/gateway/src/execution/ExecutionRecord.ts
@@ -0,0 +1,83 @@
+import type { AttemptResult } from '@jujubecroft/decisions';
+import type { BackendServerId } from '@jujubecroft/types';
+
+declare const PROVEN: unique symbol;
+
+/** Proof that a request has not run and never will. Only an `ExecutionRecord` gives it. */
+export interface NotRunProof {
+  /**
+   * `unsent` if no byte of any attempt left this instance, `stated` if each replica that the
+   * request was sent to stated that it did not run it.
+   */
+  readonly kind: 'stated' | 'unsent';
+  /** Replicas that stated it. */
+  readonly statedBy: readonly BackendServerId[];
+  readonly [PROVEN]: true;
+}
+
+/** What became of all attempts of one request, and whether one of them may have run. */
+export class ExecutionRecord {
+  readonly #tried = new Set<BackendServerId>();
+  readonly #statedBy: BackendServerId[] = [];
+  #inProgress: BackendServerId | null = null;
+  #sent = 0;
+  #unsent = 0;
+  #mayHaveRun = false;
+
+  /** Replicas of all attempts that have ended. */
+  get tried(): ReadonlySet<BackendServerId> {
+    return this.#tried;
+  }
+
+  /** Number of attempts of which some bytes may have left this instance. */
+  get sent(): number {
+    return this.#sent;
+  }
+
+  /** Number of attempts that failed before anything was sent. */
+  get unsent(): number {
+    return this.#unsent;
+  }
+
+  /** Whether a replica may have run the request in an attempt that has ended. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  /** Records the beginning of an attempt; until its end, nothing is proven. */
+  begin(replica: BackendServerId): void {
+    this.#inProgress = replica;
+  }
+
+  /** Records the end of the attempt in progress. */
+  end(result: AttemptResult): void {
+    const replica = this.#inProgress;
+    if (replica === null) {
+      throw new Error('no attempt is in progress');
+    }
+    this.#inProgress = null;
+    this.#tried.add(replica);
+    if (result.kind === 'unsent') {
+      this.#unsent += 1;
+      return;
+    }
+    this.#sent += 1;
+    if (result.kind === 'notRun') {
+      this.#statedBy.push(replica);
+    } else {
+      this.#mayHaveRun = true;
+    }
+  }
+
+  /** @returns the proof that the request did not run; null if it may have run */
+  proveNotRun(): NotRunProof | null {
+    if (this.#inProgress !== null || this.#mayHaveRun) {
+      return null;
+    }
+    const proof: Omit<NotRunProof, typeof PROVEN> = {
+      kind: this.#sent === 0 ? 'unsent' : 'stated',
+      statedBy: [...this.#statedBy],
+    };
+    return proof as NotRunProof;
+  }
+}
--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -3,14 +3,12 @@
 import type { BodyFraming } from '@jujubecroft/types';
 import { isBodyless } from '@jujubecroft/types';
 
+import type { NotRunProof } from '../execution/ExecutionRecord.js';
 import { headerValue } from '../util/headers.js';
 
 /** Who decided the status of a response. */
 export type StatusSource = 'gateway' | 'replica';
 
-/** What proves that a request did not run; null if nothing does. */
-export type NotRunEvidence = 'stated' | 'unsent' | null;
-
 /** Status, headers and body of a complete response. */
 export interface CompleteResponse {
   readonly status: number;
@@ -29,8 +27,10 @@
   readonly onStatus: (
     status: number,
     decidedBy: StatusSource,
-    evidence: NotRunEvidence,
+    proof: NotRunProof | null,
   ) => void;
+  /** Whether callers take a status for the promise that their request did not run. */
+  readonly promisesNotRun: (status: number) => boolean;
 }
 
 /** Larger chunks are not copied to be framed. */
@@ -64,7 +64,12 @@
   }
 }
 
-/** The response to one caller, which is written at most once. */
+/**
+ * The response to one caller, which is written at most once.
+ *
+ * Every status for a request that was read leaves through it. One that promises that the request
+ * did not run needs the proof; without it, nothing is written.
+ */
 export class CallerResponse {
   /** Connection on which the head and a first chunk were written. */
   #socket: Socket | null = null;
@@ -101,6 +106,8 @@
   /**
    * Writes the head of a replica's response whose body follows.
    *
+   * @throws Error if the status promises that the request did not run
+   *
    * A body that only the end of the connection delimits is sent the same way,
    * since a length or a last chunk would state that it is complete.
    */
@@ -109,25 +116,30 @@
     headers: readonly string[],
     framing: BodyFraming,
   ): void {
-    this.#writeHead(status, headers, framing);
-    this.options.onStatus(status, 'replica', null);
+    this.#writeHead({ status, decidedBy: 'replica', headers, framing }, null);
   }
 
   #writeHead(
-    status: number,
-    headers: readonly string[],
-    framing: BodyFraming,
+    { status, decidedBy, headers, framing }: Omit<CompleteResponse, 'body'>,
+    proof: NotRunProof | null,
   ): void {
+    const { isStopping, onStatus, promisesNotRun } = this.options;
+    if (proof === null && promisesNotRun(status)) {
+      throw new Error(
+        `no proof for status ${status}, which promises "not run"`,
+      );
+    }
     if (framing === 'closeDelimited') {
       this.res.useChunkedEncodingByDefault = false;
       this.res.shouldKeepAlive = false;
     }
     // Closing the connection after this response makes the caller connect to
     // another instance.
-    const closing = this.options.isStopping() ? ['connection', 'close'] : [];
+    const closing = isStopping() ? ['connection', 'close'] : [];
     this.res.sendDate = false;
     this.#hasLength = hasLength(headers);
     this.res.writeHead(status, [...headers, ...closing]);
+    onStatus(status, decidedBy, proof);
   }
 
   /**
@@ -182,21 +194,32 @@
    * Writes a complete response.
    *
    * @param response - the response
-   * @param evidence - what proves that the request did not run
+   * @throws Error if the status promises that the request did not run
    */
-  send(
-    { status, decidedBy, headers, body, framing }: CompleteResponse,
-    evidence: NotRunEvidence = null,
-  ): void {
+  send(response: CompleteResponse): void {
+    this.#sendComplete(response, null);
+  }
+
+  /**
+   * Refuses the request with a complete response.
+   *
+   * @param response - the response
+   * @param proof - proves that the request did not run
+   */
+  refuse(response: CompleteResponse, proof: NotRunProof): void {
+    this.#sendComplete(response, proof);
+  }
+
+  #sendComplete(response: CompleteResponse, proof: NotRunProof | null): void {
+    const { status, headers, body, framing } = response;
     const { method = '' } = this.res.req;
     const needsLength =
       framing === 'selfDelimited' &&
       !isBodyless(method, status) &&
       !hasLength(headers);
     const length = needsLength ? ['content-length', String(body.length)] : [];
-    this.#writeHead(status, [...headers, ...length], framing);
+    this.#writeHead({ ...response, headers: [...headers, ...length] }, proof);
     this.res.end(body);
-    this.options.onStatus(status, decidedBy, evidence);
   }
 
   /**
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -8,10 +8,11 @@
   WithdrawReason,
 } from '@jujubecroft/decisions';
 import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
-import type { BackendServerId, ResultCodeId } from '@jujubecroft/types';
+import type { ResultCodeId } from '@jujubecroft/types';
 
 import type { RunningExchange } from '../backends/sendAttempt.js';
 import { sendAttempt } from '../backends/sendAttempt.js';
+import type { ExecutionRecord } from '../execution/ExecutionRecord.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { headerValue } from '../util/headers.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
@@ -58,24 +59,17 @@
   readonly #response: CallerResponse;
   readonly #recorder: RequestRecorder;
   readonly #finisher: RequestFinisher;
-  /** Replicas that the request was placed at before. */
-  readonly #tried = new Set<BackendServerId>();
   readonly #sseBuffer: SseEventBuffer | null;
   #exchange: RunningExchange | null = null;
   #attempt: GatewayAttempt | null = null;
   #withdrawReason: WithdrawReason | null = null;
-  /** Attempts of which some bytes may have left this instance. */
-  #sent = 0;
-  /** Attempts that failed before anything was sent. */
-  #unsent = 0;
-  /** Whether a replica may have executed the request. */
-  #mayHaveRun = false;
   readonly #timings: ResponseTimings;
 
   constructor(
     private readonly context: GatewayContext,
     private readonly request: GatewayRequest,
     private readonly call: IncomingRequest,
+    private readonly execution: ExecutionRecord,
     answer: CallerResponse,
   ) {
     this.#response = answer;
@@ -85,6 +79,7 @@
       context.dialect,
       request.id,
       answer,
+      execution,
       this.#recorder,
     );
     const isResumable =
@@ -157,7 +152,7 @@
     const decision = await placeWhenViewUsable(
       this.context,
       this.request,
-      this.#tried,
+      this.execution.tried,
     );
     if (decision.kind === 'send' && this.#outlastsInstance(decision.placed)) {
       this.#finishWithCode('instanceLeaving', STOPPING_INSTANCE_RETRY_MS, {
@@ -183,13 +178,14 @@
       this.#recorder.answered(result.status, this.#progress);
       return false;
     }
+    const { execution } = this;
     const recovery = router.recover(this.request, result, {
-      sent: this.#sent,
-      unsent: this.#unsent,
-      mayHaveRun: this.#mayHaveRun,
+      sent: execution.sent,
+      unsent: execution.unsent,
+      mayHaveRun: execution.mayHaveRun,
     });
     this.#recorder.failed(attempt, result, recovery, {
-      sent: this.#sent,
+      sent: execution.sent,
       reused,
     });
     return this.#applyRecovery(recovery);
@@ -199,7 +195,7 @@
   #outlastsInstance({ predictedWholeMs }: PlacedCandidate): boolean {
     const { stopPlan, clock } = this.context;
     return (
-      this.#sent === 0 &&
+      this.execution.sent === 0 &&
       outlastsStop(this.request, predictedWholeMs, clock(), stopPlan)
     );
   }
@@ -209,14 +205,15 @@
     candidates,
   }: SendDecision): Promise<FinishedAttempt> {
     const { router, connections, metrics } = this.context;
-    const { request } = this;
+    const { request, execution } = this;
     const { replica } = placed.load;
     const attempt = router.beginAttempt(
       request,
       placed,
-      this.#sent + this.#unsent + 1,
-      this.#sent + 1,
+      execution.sent + execution.unsent + 1,
+      execution.sent + 1,
     );
+    execution.begin(replica.id);
     this.#attempt = attempt;
     this.#sseBuffer?.discardPartial();
     this.#recorder.placed(attempt, candidates);
@@ -263,7 +260,7 @@
     }
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
-    this.#countAttempt(result, replica.id);
+    execution.end(result);
     this.#recorder.responseEnded(attempt, result, assembler.progress);
     const reused = exchangeEnd.kind === 'failed' && exchangeEnd.reused;
     checkReplicaAfter(this.context, replica, exchangeEnd, result);
@@ -347,16 +344,6 @@
     });
   }
 
-  #countAttempt(result: AttemptResult, replica: BackendServerId): void {
-    if (result.kind === 'unsent') {
-      this.#unsent += 1;
-    } else {
-      this.#sent += 1;
-    }
-    this.#tried.add(replica);
-    this.#mayHaveRun ||= !['notRun', 'unsent'].includes(result.kind);
-  }
-
   /**
    * Acts on a recovery decision.
    *
@@ -395,9 +382,8 @@
 
   get #progress(): RequestProgress {
     return {
-      sent: this.#sent,
-      unsent: this.#unsent,
-      mayHaveRun: this.#mayHaveRun,
+      sent: this.execution.sent,
+      unsent: this.execution.unsent,
       firstByteMs: this.#timings.firstByteMs,
       longestPauseMs: this.#timings.longestPauseMs,
     };
--- a/packages/gateway/src/forward/RequestFinisher.ts
+++ b/packages/gateway/src/forward/RequestFinisher.ts
@@ -3,10 +3,10 @@
 
 import type { CallerDialect } from '../ports/CallerDialect.js';
 import type {
-  CallerResponse,
-  CompleteResponse,
-  NotRunEvidence,
-} from './CallerResponse.js';
+  ExecutionRecord,
+  NotRunProof,
+} from '../execution/ExecutionRecord.js';
+import type { CallerResponse, CompleteResponse } from './CallerResponse.js';
 import { gatewayResponse } from './gatewayResponse.js';
 import type { LogFields } from './logFields.js';
 import type { RequestProgress, RequestRecorder } from './RequestRecorder.js';
@@ -14,12 +14,13 @@
 /** Log fields of what the caller received; a status of null means none. */
 function statusFields(
   response: CompleteResponse | null,
-  proof: NotRunEvidence,
+  proof: NotRunProof | null,
 ): LogFields {
   return {
     status: response?.status ?? null,
     decidedBy: response?.decidedBy ?? null,
-    proof,
+    proof: proof?.kind ?? null,
+    ...(proof?.kind === 'stated' ? { statedBy: proof.statedBy } : {}),
   };
 }
 
@@ -31,12 +32,14 @@
    * @param dialect - header names and formats of the deployment
    * @param request - id of the request
    * @param answer - response to the caller
+   * @param execution - what became of the attempts
    * @param notes - logs and counts the outcome
    */
   constructor(
     private readonly dialect: CallerDialect,
     private readonly request: RequestId,
     private readonly answer: CallerResponse,
+    private readonly execution: ExecutionRecord,
     private readonly notes: RequestRecorder,
   ) {}
 
@@ -84,38 +87,35 @@
       this.notes.ended('callerLeft', code, progress, facts);
       return;
     }
-    const { mayHaveRun } = progress;
     // The error response of a replica is more specific than a result code of
     // the gateway.
-    if (this.#failure && !this.answer.hasStarted && mayHaveRun) {
+    if (this.#failure && !this.answer.hasStarted && this.execution.mayHaveRun) {
       this.forwardFailure(progress);
       return;
     }
-    const started = this.answer.hasStarted;
     const isRefusal = RESULT_CODES[code].ran === 'no';
-    const reportedCode = isRefusal && mayHaveRun ? 'backendMaybeRan' : code;
-    const response =
-      started || this.answer.isClosed
-        ? null
-        : gatewayResponse(
-            this.dialect,
-            reportedCode,
-            this.request,
-            retryAfterMs,
-          );
-    const isRefused = reportedCode === code && isRefusal;
-    const sentKind = progress.sent === 0 ? 'unsent' : 'stated';
-    const proof = isRefused ? sentKind : null;
+    const proof = isRefusal ? this.execution.proveNotRun() : null;
+    const reportedCode = isRefusal && !proof ? 'backendMaybeRan' : code;
+    const started = this.answer.hasStarted;
+    const response = gatewayResponse(
+      this.dialect,
+      reportedCode,
+      this.request,
+      retryAfterMs,
+    );
+    const isSent = !started && !this.answer.isClosed;
     if (started) {
       this.answer.cut();
-    } else if (response) {
-      this.answer.send(response, proof);
+    } else if (isSent && proof) {
+      this.answer.refuse(response, proof);
+    } else if (isSent) {
+      this.answer.send(response);
     }
-    const event = isRefused ? 'requestRefused' : 'requestCut';
+    const event = proof ? 'requestRefused' : 'requestCut';
     this.notes.ended(event, reportedCode, progress, {
       retryAfterMs: Math.round(retryAfterMs),
       started,
-      ...statusFields(response, proof),
+      ...statusFields(isSent ? response : null, proof),
       ...(reportedCode === code ? {} : { cause: code }),
       ...facts,
     });
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -34,8 +34,6 @@
   readonly sent: number;
   /** Attempts that failed before anything was sent. */
   readonly unsent: number;
-  /** Whether a replica may have executed the request. */
-  readonly mayHaveRun: boolean;
   /**
    * Reading of the clock at the first byte, in milliseconds; null before it
    * arrived.
--- a/packages/gateway/src/forward/createCallerResponse.ts
+++ b/packages/gateway/src/forward/createCallerResponse.ts
@@ -26,11 +26,12 @@
   const { dialect, metrics } = context;
   return new CallerResponse(res, {
     isStopping: () => context.leaving,
-    onStatus: (status, decidedBy, evidence) => {
+    promisesNotRun: dialect.promisesNotRun,
+    onStatus: (status, decidedBy, proof) => {
       metrics.statuses.inc({
         status: statusLabel(status, dialect.promisesNotRun(status)),
         decided_by: decidedBy,
-        proof: evidence ?? 'none',
+        proof: proof?.kind ?? 'none',
       });
     },
   });
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -3,6 +3,7 @@
 import { StreamBinding } from '@jujubecroft/decisions';
 import type { RequestId, ResultCodeId, Route } from '@jujubecroft/types';
 
+import { ExecutionRecord } from '../execution/ExecutionRecord.js';
 import { createCallerResponse } from '../forward/createCallerResponse.js';
 import { fingerprintOf } from '../forward/fingerprintOf.js';
 import { partKeysOf } from '../forward/partKeysOf.js';
@@ -53,9 +54,15 @@
   return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
+/** A request that no attempt was made for, and its response. */
+interface UnsentCall {
+  readonly context: GatewayContext;
+  readonly res: ServerResponse;
+  readonly execution: ExecutionRecord;
+}
+
 function refuse(
-  context: GatewayContext,
-  res: ServerResponse,
+  { context, res, execution }: UnsentCall,
   code: ResultCodeId,
   id: RequestId | null,
   fields: Readonly<Record<string, unknown>> = {},
@@ -63,18 +70,19 @@
   const retryAfterMs = RETRY_AFTER_MS[code] ?? 0;
   const response = createCallerResponse(context, res);
   const complete = gatewayResponse(context.dialect, code, id, retryAfterMs);
-  const { isClosed } = response;
-  if (!isClosed) {
-    response.send(complete, 'unsent');
+  const proof = execution.proveNotRun();
+  const isSent = !response.isClosed && proof !== null;
+  if (isSent) {
+    response.refuse(complete, proof);
   }
   const table = context.router.board.table;
   context.metrics.refusals.inc({ code, priority: '' });
   context.log.write('requestRefused', {
     request: id,
     code,
-    status: isClosed ? null : complete.status,
+    status: isSent ? complete.status : null,
     decidedBy: complete.decidedBy,
-    proof: 'unsent',
+    proof: proof?.kind ?? null,
     retryAfterMs,
     configuration: table?.cfg.version ?? null,
     ...fields,
@@ -140,11 +148,13 @@
 ): Promise<void> {
   const arrivedMs = context.clock();
   const { router, dialect } = context;
+  const execution = new ExecutionRecord();
+  const unsent: UnsentCall = { context, res, execution };
   const limits = router.board.table?.cfg.limits;
   const head = dialect.readRequest(req.rawHeaders);
   const target = req.url ?? '/';
   if (headBytes(req) > (limits?.maxHeaderBytes ?? DEFAULT_MAX_HEAD_BYTES)) {
-    refuse(context, res, 'headTooLarge', head.id);
+    refuse(unsent, 'headTooLarge', head.id);
     return;
   }
   const read = await readBody(
@@ -158,23 +168,23 @@
   if (read.kind === 'tooLarge') {
     // The unread rest of the body would be parsed as the next request.
     res.shouldKeepAlive = false;
-    refuse(context, res, 'bodyTooLarge', head.id);
+    refuse(unsent, 'bodyTooLarge', head.id);
     return;
   }
   await awaitPendingClose();
   if (head.id === null) {
-    refuse(context, res, 'requestIdMissing', null, { target });
+    refuse(unsent, 'requestIdMissing', null, { target });
     return;
   }
   if ((await context.lease.obtain()) === 'outdated') {
-    refuse(context, res, 'viewOutdated', head.id);
+    refuse(unsent, 'viewOutdated', head.id);
     return;
   }
   const path = target.split('?', 1)[0] ?? target;
   const host = headerValue(req.rawHeaders, 'host') ?? '';
   const match = router.match(host, path, head.key);
   if (match.kind === 'refused') {
-    refuse(context, res, match.code, head.id, { path });
+    refuse(unsent, match.code, head.id, { path });
     return;
   }
   const call: IncomingRequest = {
@@ -193,6 +203,7 @@
     context,
     request,
     call,
+    execution,
     createCallerResponse(context, res),
   );
   const onClose = (): void => {
--- /dev/null
+++ b/packages/gateway/tests/execution/ExecutionRecord.test.ts
@@ -0,0 +1,70 @@
+import type { AttemptResult } from '@jujubecroft/decisions';
+import type { BackendServerId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+import { describe } from '@jujubecroft/testing';
+
+import { ExecutionRecord } from '../../src/execution/ExecutionRecord.js';
+
+const UNSENT: AttemptResult = { kind: 'unsent', reason: 'refused' };
+const NOT_RUN: AttemptResult = { kind: 'notRun', reason: 'status 503' };
+const MAY_HAVE_RUN: readonly AttemptResult[] = [
+  { kind: 'answered', status: 404, framing: 'selfDelimited' },
+  { kind: 'failed', status: 500 },
+  { kind: 'lost', reason: 'reset' },
+  { kind: 'lost', reason: 'no response', isInvalid: true },
+  { kind: 'withdrawn', reason: 'callerLeft' },
+  { kind: 'withdrawn', reason: 'replicaRestarted' },
+];
+
+const replica = (number: number): BackendServerId =>
+  brand<BackendServerId>(`s-${number}`);
+
+function recordOf(results: readonly AttemptResult[]): ExecutionRecord {
+  const record = new ExecutionRecord();
+  results.forEach((result, index) => {
+    record.begin(replica(index));
+    record.end(result);
+  });
+  return record;
+}
+
+describe('ExecutionRecord', ({ describe: group }) => {
+  group('proves that a request did not run', ({ it }) => {
+    it('before any attempt, and after attempts of which nothing was sent', t => {
+      [[], [UNSENT, UNSENT]].forEach(results => {
+        const proof = recordOf(results).proveNotRun();
+        t.is(proof?.kind, 'unsent');
+        t.deepEqual(proof?.statedBy, []);
+      });
+    });
+
+    it('after statements of all replicas that it was sent to', t => {
+      const record = recordOf([NOT_RUN, UNSENT, NOT_RUN]);
+      const proof = record.proveNotRun();
+      t.is(proof?.kind, 'stated');
+      t.deepEqual(proof?.statedBy, [replica(0), replica(2)]);
+      t.is(record.sent, 2);
+      t.is(record.unsent, 1);
+    });
+  });
+
+  group('proves nothing', ({ it }) => {
+    // Guards against a promise while a replica may still begin to run the request.
+    it('while an attempt is in progress', t => {
+      const record = recordOf([NOT_RUN]);
+      record.begin(replica(1));
+      t.is(record.proveNotRun(), null);
+      record.end(UNSENT);
+      t.is(record.proveNotRun()?.kind, 'stated');
+    });
+
+    MAY_HAVE_RUN.forEach(result => {
+      // Guards against the statement of one replica that is taken for that of all.
+      it(`once an attempt may have run: ${JSON.stringify(result)}`, t => {
+        t.is(recordOf([result]).proveNotRun(), null);
+        t.is(recordOf([result, NOT_RUN]).proveNotRun(), null);
+        t.is(recordOf([UNSENT, result, UNSENT]).proveNotRun(), null);
+      });
+    });
+  });
+});
--- a/packages/gateway/tests/forward/CallerResponse.test.ts
+++ b/packages/gateway/tests/forward/CallerResponse.test.ts
@@ -6,9 +6,11 @@
 import fc from 'fast-check';
 import { describe } from '@jujubecroft/testing';
 
+import { ExecutionRecord } from '../../src/execution/ExecutionRecord.js';
 import { CallerResponse } from '../../src/forward/CallerResponse.js';
 
 const MAX_BYTES = 40_000;
+const PROMISING_STATUS = 503;
 
 async function withServer(
   handle: (answer: CallerResponse, res: ServerResponse) => void,
@@ -18,6 +20,7 @@
     handle(
       new CallerResponse(res, {
         isStopping: () => false,
+        promisesNotRun: status => status === PROMISING_STATUS,
         onStatus: () => undefined,
       }),
       res,
@@ -173,4 +176,66 @@
     await drained;
     t.pass();
   });
+
+  // Guards against a promise for a request that may have run, whatever path the status takes.
+  it('writes no status that promises "not run" without a proof', async t => {
+    const headers = ['content-length', '0'];
+    const paths: readonly ((answer: CallerResponse) => void)[] = [
+      answer => {
+        answer.start(PROMISING_STATUS, headers, 'selfDelimited');
+      },
+      answer => {
+        answer.send({
+          status: PROMISING_STATUS,
+          decidedBy: 'replica',
+          headers,
+          body: Buffer.alloc(0),
+          framing: 'selfDelimited',
+        });
+      },
+    ];
+    for (const write of paths) {
+      await withServer(
+        (answer, res) => {
+          t.throws(
+            () => {
+              write(answer);
+            },
+            { message: /no proof for status 503/ },
+          );
+          res.destroy();
+        },
+        async port => {
+          t.is(await rawAnswers(port, 'GET / HTTP/1.1\r\nhost: a\r\n\r\n'), '');
+        },
+      );
+    }
+  });
+
+  it('refuses with such a status where the proof is given', async t => {
+    const proof = new ExecutionRecord().proveNotRun();
+    await withServer(
+      answer => {
+        if (proof) {
+          answer.refuse(
+            {
+              status: PROMISING_STATUS,
+              decidedBy: 'gateway',
+              headers: ['connection', 'close'],
+              body: Buffer.from('refused'),
+              framing: 'selfDelimited',
+            },
+            proof,
+          );
+        }
+      },
+      async port => {
+        const text = await rawAnswers(
+          port,
+          'GET / HTTP/1.1\r\nhost: a\r\n\r\n',
+        );
+        t.regex(text, /^HTTP\/1.1 503 [^]*refused$/);
+      },
+    );
+  });
 });
