fix(gateway): a rejection that contradicts itself proves nothing

What callers got: 503, which promises "not run", for requests that the replica ran, if the replica stated "not run" and, in the same response, something that excludes it.

Cause: the presence of one header, or status 421 alone, was taken for the statement "not run", whatever else the response said. Nobody compared the statements.

Change: the platform's adapter says whether the statement "not run" is contradicted: by the stamp of an execution, by a status other than 421, 429 and 503 (the protocol's list; its 400 is for requests without an id), or by a value that denies it. Ids that differ are no id of the request. validateHead refuses such a head before anything in it is used; the attempt is lost, with the new fault "contradictory". A rejection with header fields in interim responses or trailers is refused as well (sendAttempt), since they may carry a stamp.

Why it works: "not run" is believed only if nothing in the response is against it. All else ends as an attempt that may have run, which is answered with 502 or, where that does no harm, retried. Rejections with the id and status 421, 429 or 503, and a 421 alone, are believed as before.

Not measured: whether sound replicas of a deployment send a stamp with their rejections. If they did, invalid_responses_total{fault="contradictory"} would show it.

--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -4,13 +4,14 @@
 import type { RequestId } from '@jujubecroft/types';
 
 import type { RawHeaders } from '../ports/CallerDialect.js';
-import { RESET_ERROR_CODE } from './KeepAliveAgent.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import { limitFraming } from '../responses/FramingLimit.js';
 import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import { RejectedRequests } from '../responses/RejectedRequests.js';
+import { RejectionFieldsError } from '../responses/RejectionFieldsError.js';
 import { toError } from '../util/toError.js';
 import type { BackendPool } from './BackendConnections.js';
+import { isParseError, isReset } from './exchangeErrors.js';
 
 /** Limit for the head of a response. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -91,22 +92,6 @@
 /** Set for every body, so that Node.js does not use chunked encoding. */
 const CONTENT_LENGTH = 'Content-Length';
 
-/** Error codes of a connection that was reset, or closed without a response. */
-const RESET_CODES: readonly unknown[] = [RESET_ERROR_CODE, 'ECONNRESET'];
-const PARSE_ERROR_PREFIX = 'HPE_';
-/** The connection ended inside a response, as it also does when its replica crashes. */
-const TRUNCATED_CODE = 'HPE_INVALID_EOF_STATE';
-
-function isReset(err: Error): boolean {
-  return 'code' in err && RESET_CODES.includes(err.code);
-}
-
-/** Whether the HTTP parser refused the bytes of a response. */
-function isParseError(err: Error): boolean {
-  const code = 'code' in err ? String(err.code) : '';
-  return code.startsWith(PARSE_ERROR_PREFIX) && code !== TRUNCATED_CODE;
-}
-
 /** Connections that were given to a request. */
 const USED_SOCKETS = new WeakSet<Socket>();
 const REJECTED_REQUESTS = new RejectedRequests();
@@ -139,12 +124,22 @@
   let sent = false;
   let aborted = false;
   let reused = false;
+  let isRejection = false;
+  let hasInterimFields = false;
   const body = { bytes: 0, chunks: 0 };
   let settle: (end: ExchangeEnd) => void = () => undefined;
   const ended = new Promise<ExchangeEnd>(resolve => {
     settle = resolve;
   });
 
+  const failed = (reason: string, wasReset: boolean): ExchangeEnd => ({
+    kind: 'failed',
+    sent,
+    reason,
+    reused,
+    wasReset,
+  });
+
   const abort = (): void => {
     aborted = true;
     req?.destroy(ABORTED_ERROR);
@@ -181,13 +176,7 @@
       const error = new InvalidResponseError('malformed', err.message);
       settle({ kind: 'invalid', sent, error });
     } else {
-      settle({
-        kind: 'failed',
-        sent,
-        reason: err.message,
-        reused,
-        wasReset: isReset(err),
-      });
+      settle(failed(err.message, isReset(err)));
     }
   };
 
@@ -240,21 +229,29 @@
       }),
     );
     res.on('error', onError);
-    res.on('end', () => {
-      settle(
-        agent.wasReset(socket)
-          ? {
-              kind: 'failed',
-              sent,
-              reused,
-              wasReset: true,
-              reason:
+    res.on(
+      'end',
+      guarded(() => {
+        if (isRejection && res.rawTrailers.length > 0) {
+          // The request has given up its connection by now.
+          socket.destroy();
+          throw new RejectionFieldsError();
+        }
+        settle(
+          agent.wasReset(socket)
+            ? failed(
                 'connection reset together with the last bytes of the response',
-            }
-          : { kind: 'complete' },
-      );
-    });
-    if (listener.onStart(res.statusCode ?? 0, res.rawHeaders)) {
+                true,
+              )
+            : { kind: 'complete' },
+        );
+      }),
+    );
+    isRejection = listener.onStart(res.statusCode ?? 0, res.rawHeaders);
+    if (isRejection && hasInterimFields) {
+      throw new RejectionFieldsError();
+    }
+    if (isRejection) {
       REJECTED_REQUESTS.add(socket, call.id);
     }
   };
@@ -285,6 +282,9 @@
       fail,
     );
     started.on('socket', guarded(onSocket));
+    started.on('information', ({ rawHeaders }) => {
+      hasInterimFields ||= rawHeaders.length > 0;
+    });
     started.on('response', guarded(onResponse));
     started.on('error', onFailure);
     // Ensures that the exchange settles whenever the connection closes;
@@ -301,7 +301,7 @@
     start();
   } catch (err) {
     const reason = toError(err).message;
-    settle({ kind: 'failed', sent, reason, reused, wasReset: false });
+    settle(failed(reason, false));
   }
 
   return {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -56,6 +56,8 @@
   addOptionalHeader,
   createHeaderFilter,
   headerMap,
+  headerValues,
+  listedValues,
   optionalHeader,
   parseCredentials,
   parseLastEventId,
--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -58,12 +58,19 @@
 
 /** Contents of the head of a backend server's response. */
 export interface ResponseHead {
-  /** Id of the request that the response belongs to; null if not stated. */
+  /**
+   * Id of the request that the response belongs to; null if not stated, or if several are.
+   */
   readonly requestId: string | null;
   /** Whether the response carries the stamp that proves execution. */
   readonly hasExecutionStamp: boolean;
   /** Whether the backend server states that it did not execute the request. */
   readonly notRun: boolean;
+  /**
+   * Whether it states that it did not execute the request, and anything that excludes this:
+   * the stamp of an execution, another status or the contrary.
+   */
+  readonly isContradictory: boolean;
   /** Whether callers take the status for the promise that the request did not run. */
   readonly promisesNotRun: boolean;
   /** Load of the backend server; null if not reported. */
--- a/packages/gateway/src/responses/InvalidResponseError.ts
+++ b/packages/gateway/src/responses/InvalidResponseError.ts
@@ -1,5 +1,7 @@
 /** Why bytes from a backend server are no response to the request. */
 export type ResponseFault =
+  /** The response states that the request did not run, and something that excludes this. */
+  | 'contradictory'
   /** An error response or a rejection has a body that is too large to be kept. */
   | 'errorBody'
   /** An event of a resumable stream is too large to be kept. */
@@ -10,7 +12,7 @@
   | 'invalidStatus'
   /** The bytes do not follow the grammar of HTTP. */
   | 'malformed'
-  /** The response states the id of another request, or none. */
+  /** The response states the id of another request, none or several. */
   | 'otherRequest'
   /** This instance failed to process the response. */
   | 'unexpected'
--- a/packages/gateway/src/responses/validateHead.ts
+++ b/packages/gateway/src/responses/validateHead.ts
@@ -47,8 +47,13 @@
   if (head.requestId !== requestId) {
     throw new InvalidResponseError('otherRequest', 'answer of another request');
   }
-  const isSuccess = status < MIN_ERROR_STATUS;
-  if (isSuccess && (!head.hasExecutionStamp || head.notRun)) {
+  if (head.isContradictory) {
+    throw new InvalidResponseError(
+      'contradictory',
+      `status ${status} with statements that exclude one another`,
+    );
+  }
+  if (status < MIN_ERROR_STATUS && !head.hasExecutionStamp) {
     throw new InvalidResponseError(
       'unproven',
       'success without the stamp of an execution',
--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -53,23 +53,35 @@
   return undefined;
 }
 
-const CONNECTION = 'connection';
-
-/** Names that the sender lists in its `connection` headers. */
-function namesInConnectionHeader(raw: RawHeaders): readonly string[] {
-  const names: string[] = [];
+/**
+ * Finds all headers with a name.
+ *
+ * @param raw - headers as received
+ * @param name - lower-case name
+ * @returns their values in order
+ */
+export function headerValues(raw: RawHeaders, name: string): readonly string[] {
+  const values: string[] = [];
   for (let index = 0; index < raw.length; index += 2) {
-    const name = raw[index] ?? '';
+    const received = raw[index] ?? '';
     // The length is compared first, since few names have to be converted then.
-    if (
-      name.length === CONNECTION.length &&
-      name.toLowerCase() === CONNECTION
-    ) {
-      const listed = (raw[index + 1] ?? '').split(',');
-      names.push(...listed.map(text => text.trim().toLowerCase()));
+    if (received.length === name.length && received.toLowerCase() === name) {
+      values.push(raw[index + 1] ?? '');
     }
   }
-  return names;
+  return values;
+}
+
+/** @returns the values that a header lists, separated by commas, in lower case */
+export function listedValues(value: string): readonly string[] {
+  return value.split(',').map(text => text.trim().toLowerCase());
+}
+
+const CONNECTION = 'connection';
+
+/** Names that the sender lists in its `connection` headers. */
+function namesInConnectionHeader(raw: RawHeaders): readonly string[] {
+  return headerValues(raw, CONNECTION).flatMap(listedValues);
 }
 
 /**
