test(gateway): which statements "not run" are contradictory, rejections with other fields

An interim response without fields (100) leaves a rejection valid, and trailers leave a success valid.

--- a/packages/gateway/tests/backends/sendAttempt.test.ts
+++ b/packages/gateway/tests/backends/sendAttempt.test.ts
@@ -183,4 +183,52 @@
       });
     });
   });
+
+  const REJECTION = 'HTTP/1.1 503 Full\r\ntransfer-encoding: chunked\r\n\r\n';
+  const LAST_CHUNK = '0\r\n';
+  const rejections: readonly (readonly [
+    string,
+    string,
+    'complete' | 'invalid',
+  ])[] = [
+    ['alone', `${REJECTION}${LAST_CHUNK}\r\n`, 'complete'],
+    [
+      'after an interim response without fields',
+      `HTTP/1.1 100 Continue\r\n\r\n${REJECTION}${LAST_CHUNK}\r\n`,
+      'complete',
+    ],
+    [
+      'after an interim response with fields',
+      `HTTP/1.1 103 Early\r\nx-a: 1\r\n\r\n${REJECTION}${LAST_CHUNK}\r\n`,
+      'invalid',
+    ],
+    ['with trailers', `${REJECTION}${LAST_CHUNK}x-a: 1\r\n\r\n`, 'invalid'],
+  ];
+  rejections.forEach(([title, bytes, kind]) => {
+    // Guards against a rejection that is believed although another part of the response
+    // may say the contrary.
+    it(`reports a rejection ${title} as ${kind}`, async t => {
+      await withServer(async ({ held, send, nextRequest }) => {
+        const arrived = nextRequest();
+        const exchange = send(() => true, { onStart: () => true });
+        await arrived;
+        const socket = held[0]?.socket;
+        socket?.write(bytes);
+        t.is((await exchange.ended).kind, kind);
+        await sleep(SETTLED_MS);
+        t.is(socket?.destroyed, kind === 'invalid');
+      });
+    });
+  });
+
+  // Guards against a success that is refused for its trailers.
+  it('reports a response other than a rejection with trailers as complete', async t => {
+    await withServer(async ({ held, send, nextRequest }) => {
+      const arrived = nextRequest();
+      const exchange = send(() => true);
+      await arrived;
+      held[0]?.socket?.write(`${REJECTION}${LAST_CHUNK}x-a: 1\r\n\r\n`);
+      t.is((await exchange.ended).kind, 'complete');
+    });
+  });
 });
