feat(gateway): errors of callers' connections are logged and counted

On a connection error (late, too large or wrong bytes) the HTTP framework writes 408, 431 or 400 by itself. Nothing told that it did; a request of the same connection that was at a replica ended as callerLeft, though its caller had not left.

No behaviour changes.

--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -242,6 +242,12 @@
     summary:
       'What a backend server sent is no response to the request, or could not be processed; the attempt ended.',
   },
+  connectionError: {
+    number: 512,
+    level: 'warn',
+    summary:
+      'Bytes on the connection of a caller were no request, were too many, or came too late.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { FastifyInstance } from 'fastify';
+import { statusOf, trackRequests } from '@jujubecroft/http-server';
 import type { CallerLimits } from '@jujubecroft/types';
 
 import { createApp } from '../createApp.js';
 import type { GatewayContext } from '../GatewayContext.js';
+import { createConnectionErrorLogger } from './createConnectionErrorLogger.js';
 import { handleRequest } from './handleRequest.js';
 import type { InFlightRequests } from './InFlightRequests.js';
 
@@ -58,6 +60,21 @@
   const { server } = app;
   // The framework manages the server; its router would only delay requests.
   server.removeAllListeners('request');
+  const requestsOn = trackRequests(server);
+  const logError = createConnectionErrorLogger(context);
+  server.prependListener(
+    'clientError',
+    (err: NodeJS.ErrnoException, socket) => {
+      // The framework answers all errors but those of a closed connection.
+      if (!socket.destroyed && err.code !== 'ECONNRESET') {
+        logError({
+          code: err.code ?? err.message,
+          status: socket.writable ? statusOf(err) : null,
+          unanswered: requestsOn(socket).map(({ req }) => req),
+        });
+      }
+    },
+  );
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
     handleRequest(context, inFlight, req, res).catch((err: unknown) => {
       context.log.write('unexpectedError', {
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -33,6 +33,12 @@
     labelNames: ['status', 'decided_by', 'proof'] as const,
     registers: this.#registers,
   });
+  readonly connectionErrors = new Counter({
+    name: 'jujubecroft_gateway_connection_errors_total',
+    help: "Errors of callers' connections, by error code and by the status that was written on the connection.",
+    labelNames: ['code', 'status'] as const,
+    registers: this.#registers,
+  });
   readonly heldBack = new Counter({
     name: 'jujubecroft_gateway_above_share_total',
     help: 'Requests refused since their organisation used more than its share of a short capacity.',
