--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -49,13 +49,16 @@
   parseRetryAfterMs,
   parseSlowdown,
 } from './util/headerNumbers.js';
+export { parseReportedLoad } from './util/parseReportedLoad.js';
 export { parsePromptParts } from './util/parsePromptParts.js';
 export { formatRowContent, parseRowContent } from './util/rowContent.js';
 export { keepLast } from './util/keepLast.js';
 export {
   addOptionalHeader,
+  agreedValue,
   createHeaderFilter,
   headerMap,
+  isDenied,
   headerValues,
   listedValues,
   optionalHeader,
--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -77,6 +77,33 @@
   return value.split(',').map(text => text.trim().toLowerCase());
 }
 
+/** Values that deny what the name of their header states. */
+const DENIALS: readonly string[] = ['0', 'false', 'no'];
+
+/**
+ * Returns what all headers with a name state.
+ *
+ * @param raw - headers as received
+ * @param name - name in lower case
+ * @returns the value; null if there is no such header or their values differ
+ */
+export function agreedValue(raw: RawHeaders, name: string): string | null {
+  const [first, ...others] = new Set(headerValues(raw, name));
+  return others.length === 0 ? (first ?? null) : null;
+}
+
+/**
+ * Whether a header denies what its name states, as with the value `false`.
+ *
+ * @param raw - headers as received
+ * @param name - name in lower case
+ */
+export function isDenied(raw: RawHeaders, name: string): boolean {
+  return headerValues(raw, name)
+    .flatMap(listedValues)
+    .some(value => DENIALS.includes(value));
+}
+
 const CONNECTION = 'connection';
 
 /** Names that the sender lists in its `connection` headers. */
