fix(gateway): nothing is written on a connection with an unanswered request

What callers saw: 408, 400 or 431 for a request that must not run twice and that a replica ran, or a second status line inside a stream that had begun, when what followed on the same connection was late, too large or no request. A CONNECT cut the connection.

Cause: the HTTP framework's handler of connection errors writes its status on the connection and destroys it, and does not ask whether a request of it is in progress.

Change: handleConnectionErrors, in the package http-server. If a request of the connection is unanswered, nothing is written: its processing goes on, what follows is read and dropped without the parser, and the connection ends after the last answer. It is closed once the caller has ended it as well or after a second, since closing it while the caller sends would reset it and lose the rest of the answer. Without an unanswered request the error is answered as before, now with "Connection: close". A caller that ends or resets its connection is noticed as before, and gets no status.

Why it works: only a request whose body is complete is sent on, and every request is known from the event with which the server hands it over until its response is closed. After an error the parser gets no more bytes, so that no later request begins.

--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { STATUS_CODES } from 'node:http';
 import type { FastifyInstance } from 'fastify';
-import { statusOf, trackRequests } from '@jujubecroft/http-server';
+import { handleConnectionErrors } from '@jujubecroft/http-server';
 import type { CallerLimits } from '@jujubecroft/types';
 
 import { createApp } from '../createApp.js';
@@ -26,6 +27,15 @@
 /** Interval at which the server checks connections against its timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
+/** Body of the answer to bytes that are no request, which has no id. */
+function connectionErrorBody(status: number): string {
+  return JSON.stringify({
+    error: STATUS_CODES[status],
+    message: 'The connection carried no complete request.',
+    statusCode: status,
+  });
+}
+
 /** HTTP server for callers. */
 export interface CallerServer {
   readonly app: FastifyInstance;
@@ -60,21 +70,12 @@
   const { server } = app;
   // The framework manages the server; its router would only delay requests.
   server.removeAllListeners('request');
-  const requestsOn = trackRequests(server);
-  const logError = createConnectionErrorLogger(context);
-  server.prependListener(
-    'clientError',
-    (err: NodeJS.ErrnoException, socket) => {
-      // The framework answers all errors but those of a closed connection.
-      if (!socket.destroyed && err.code !== 'ECONNRESET') {
-        logError({
-          code: err.code ?? err.message,
-          status: socket.writable ? statusOf(err) : null,
-          unanswered: requestsOn(socket).map(({ req }) => req),
-        });
-      }
-    },
-  );
+  handleConnectionErrors(server, {
+    // A request is sent on only once its body is complete.
+    hasBegun: req => req.complete,
+    bodyOf: connectionErrorBody,
+    onError: createConnectionErrorLogger(context),
+  });
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
     handleRequest(context, inFlight, req, res).catch((err: unknown) => {
       context.log.write('unexpectedError', {
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -1,4 +1,3 @@
 export type { ConnectionError } from './ConnectionError.js';
-export { statusOf } from './ConnectionError.js';
-export type { TrackedRequest } from './trackRequests.js';
-export { trackRequests } from './trackRequests.js';
+export type { ConnectionErrorHandling } from './handleConnectionErrors.js';
+export { handleConnectionErrors } from './handleConnectionErrors.js';
--- a/packages/http-server/src/trackRequests.ts
+++ b/packages/http-server/src/trackRequests.ts
@@ -11,7 +11,7 @@
  * Tracks the requests of all connections of a server until their responses are
  * complete or their connections are closed.
  *
- * @param server - HTTP server; must have no listener for requests yet
+ * @param server - HTTP server
  * @returns a function that returns the tracked requests of a connection, oldest
  *   first
  */
@@ -19,14 +19,17 @@
   server: Server,
 ): (socket: Duplex) => readonly TrackedRequest[] {
   const bySocket = new WeakMap<Duplex, Set<TrackedRequest>>();
-  server.on('request', (req: IncomingMessage, res: ServerResponse) => {
-    const tracked = { req, res };
-    const requests = bySocket.get(req.socket) ?? new Set<TrackedRequest>();
-    bySocket.set(req.socket, requests.add(tracked));
-    res.once('close', () => {
-      requests.delete(tracked);
-    });
-  });
+  server.prependListener(
+    'request',
+    (req: IncomingMessage, res: ServerResponse) => {
+      const tracked = { req, res };
+      const requests = bySocket.get(req.socket) ?? new Set<TrackedRequest>();
+      bySocket.set(req.socket, requests.add(tracked));
+      res.once('close', () => {
+        requests.delete(tracked);
+      });
+    },
+  );
   // A response that waits for an earlier one on its connection emits no event
   // when the connection is closed; the entry of the connection goes with it.
   return socket => [...(bySocket.get(socket) ?? [])];
