fix(instance): nothing is written on a connection with an unanswered call

What callers saw: 400 or 431 (and 408) in place of the answer of a call that a backend server runs, or inside a stream, when what followed on the same connection was no request.

Cause: the framework's handler of connection errors, as in the gateway.

Change: the application uses handleConnectionErrors of the package http-server. A call counts as begun once its body is complete, or at once for methods whose handlers the framework calls before it has read a body. Errors are logged (connectionError, field calls).

--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { STATUS_CODES } from 'node:http';
 import type { FastifyInstance } from 'fastify';
-import { handleConnectionErrors } from '@jujubecroft/http-server';
+import {
+  connectionErrorBody,
+  handleConnectionErrors,
+} from '@jujubecroft/http-server';
 import type { CallerLimits } from '@jujubecroft/types';
 
 import { createApp } from '../createApp.js';
@@ -27,15 +29,6 @@
 /** Interval at which the server checks connections against its timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-/** Body of the answer to bytes that are no request, which has no id. */
-function connectionErrorBody(status: number): string {
-  return JSON.stringify({
-    error: STATUS_CODES[status],
-    message: 'The connection carried no complete request.',
-    statusCode: status,
-  });
-}
-
 /** HTTP server for callers. */
 export interface CallerServer {
   readonly app: FastifyInstance;
--- a/packages/http-server/src/ConnectionError.ts
+++ b/packages/http-server/src/ConnectionError.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { STATUS_CODES } from 'node:http';
 
 /** An error of a caller's connection: its bytes were no request, or came too late. */
 export interface ConnectionError {
@@ -25,3 +26,18 @@
 export function statusOf({ code }: NodeJS.ErrnoException): number {
   return STATUS_BY_CODE.get(code) ?? BAD_REQUEST;
 }
+
+/**
+ * Returns the body of an answer to bytes that are no request, in the format that
+ * the framework has for errors.
+ *
+ * @param status - status of the answer
+ * @returns JSON
+ */
+export function connectionErrorBody(status: number): string {
+  return JSON.stringify({
+    error: STATUS_CODES[status],
+    message: 'The connection carried no complete request.',
+    statusCode: status,
+  });
+}
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -1,3 +1,4 @@
 export type { ConnectionError } from './ConnectionError.js';
+export { connectionErrorBody } from './ConnectionError.js';
 export type { ConnectionErrorHandling } from './handleConnectionErrors.js';
 export { handleConnectionErrors } from './handleConnectionErrors.js';
--- a/packages/instance/src/http/createHttpApp.ts
+++ b/packages/instance/src/http/createHttpApp.ts
@@ -5,6 +5,10 @@
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
+import {
+  connectionErrorBody,
+  handleConnectionErrors,
+} from '@jujubecroft/http-server';
 
 import { CONTEXT, type InstanceContext } from '../InstanceContext.js';
 import { AddressController } from './AddressController.js';
@@ -13,6 +17,15 @@
 import { HealthController } from './HealthController.js';
 import { ServiceController } from './ServiceController.js';
 
+/** Methods whose handlers the framework calls before it has read a body. */
+const METHODS_WITHOUT_BODY: ReadonlySet<string | undefined> = new Set([
+  'GET',
+  'HEAD',
+  'TRACE',
+]);
+/** Maximum number of calls that one log line names. */
+const MAX_LOGGED_CALLS = 8;
+
 @Module({})
 class InstanceModule {
   static with(context: InstanceContext): DynamicModule {
@@ -43,6 +56,17 @@
     forceCloseConnections: 'idle',
   });
   const fastify = adapter.getInstance();
+  handleConnectionErrors(fastify.server, {
+    hasBegun: ({ complete, method }) =>
+      complete || METHODS_WITHOUT_BODY.has(method),
+    bodyOf: connectionErrorBody,
+    onError: ({ code, status, unanswered }) => {
+      const calls = unanswered
+        .slice(0, MAX_LOGGED_CALLS)
+        .map(({ method = '', url = '' }) => `${method} ${url}`);
+      context.log.write('connectionError', { code, status, calls });
+    },
+  });
   fastify.removeAllContentTypeParsers();
   // Bodies are not parsed, since plain services receive them unchanged.
   fastify.addContentTypeParser(
