test(backends): a refusal proves nothing by its status alone

Through the product's own interface (`serve`), callers are told "not run" for requests that ran: any 503 of a plain service and any status other than 200 of an engine counts as a refusal. The claim of an idempotency key is then released, and the repeat runs the call again.

--- a/packages/bench/tests/whole-path/callers.test.ts
+++ b/packages/bench/tests/whole-path/callers.test.ts
@@ -176,6 +176,32 @@
       });
     });
 
+    // Guards against a claim that is released because the failure of a run was taken for
+    // "not run", so that the repeat runs the call again.
+    it('answers ran "maybe" when a service fails with status 503 after it ran a call', async t => {
+      await withFleet(async (fleet, url) => {
+        const input: CallOptions = {
+          path: '/services/stock/price',
+          headers: {
+            ...HEADERS,
+            'x-request-class': 'menu-price-check',
+            'idempotency-key': 'price-5',
+            'x-want-status': '503',
+          },
+          body: '{}',
+        };
+        const { status, text } = await sendCall(url, input);
+        t.is(errorSchema.parse(JSON.parse(text)).error.ran, 'maybe');
+        t.is(status, 502);
+        await sendCall(url, input);
+        const runs = await fleet.read(
+          fleet.services[0]?.url ?? '',
+          '/control/runs',
+        );
+        t.deepEqual(runs, { 'price-5': 1 });
+      });
+    });
+
     // Guards against half a reply that its caller gets under a length, and that is
     // stored as the whole one.
     it('passes on a reply without framing as it came, and never repeats it', async t => {
