fix(backends): "not run" needs the statement of the backend server

Callers of `serve` were told `ran: "no"` for requests that a backend server had run: a service that fails with 503 after the run, an engine that answers with any error status. A keyed call was released, and its repeat ran it again.

Cause: the status was taken for a statement about the run.

Change: `failureOf` reports "no" only for an error response with `x-not-run: true`, read to its end. 503 of a service and any status but 200 of an engine are `maybe` without it, and so is a statement that its status contradicts. Our stand-ins state it where they refuse before they start. The body of an engine's refusal is read so that a cut one is noticed; `dump` ignored it.

It works because nothing but the server that got the request decides `ran`.

--- a/packages/backends/src/startEngineAttempt.ts
+++ b/packages/backends/src/startEngineAttempt.ts
@@ -1,5 +1,6 @@
+import { finished } from 'node:stream/promises';
 import { createParser } from 'eventsource-parser';
-import type { Dispatcher, Pool } from 'undici';
+import type { Pool } from 'undici';
 
 import type {
   AttemptHandle,
@@ -7,6 +8,7 @@
   EngineCall,
   EngineProgress,
 } from './EngineCall.js';
+import { failureOf } from './util/failureOf.js';
 import { runAttempt } from './util/runAttempt.js';
 
 const OK = 200;
@@ -106,8 +108,11 @@
     body: bodyOf(call),
     signal,
   });
-  if (res.statusCode !== OK) {
-    await refuse(res, listener);
+  const failure = failureOf(res, status => status !== OK);
+  if (failure) {
+    // A response that is cut off ends as a transport error.
+    await finished(res.body.resume());
+    listener.onFailed(failure);
     return;
   }
   const reader = new StreamReader(listener);
@@ -122,15 +127,6 @@
   listener.onFailed({ ran: 'maybe', reason: 'broken' });
 }
 
-/** Reports a refusal: an engine that answers with an error status did not start the request. */
-async function refuse(
-  res: Dispatcher.ResponseData,
-  listener: AttemptListener<EngineProgress>,
-): Promise<void> {
-  await res.body.dump();
-  listener.onFailed({ ran: 'no', reason: 'refused' });
-}
-
 /**
  * Sends a request to an engine and reads its event stream.
  *
--- a/packages/backends/src/startServiceAttempt.ts
+++ b/packages/backends/src/startServiceAttempt.ts
@@ -3,6 +3,7 @@
 import { bodyFraming } from '@jujubecroft/types';
 
 import type { AttemptHandle, AttemptListener } from './EngineCall.js';
+import { failureOf } from './util/failureOf.js';
 import { runAttempt } from './util/runAttempt.js';
 
 /** One call to a plain service, forwarded as received. */
@@ -61,8 +62,9 @@
     signal,
   });
   const body = Buffer.from(await res.body.arrayBuffer());
-  if (res.statusCode === UNAVAILABLE) {
-    listener.onFailed({ ran: 'no', reason: 'refused' });
+  const failure = failureOf(res, status => status === UNAVAILABLE);
+  if (failure) {
+    listener.onFailed(failure);
     return;
   }
   const headers = forwardedHeaders(res.headers);
@@ -83,8 +85,8 @@
 /**
  * Sends a call to a plain service and waits for its complete reply.
  *
- * Status 503 means that the service did not run the call; any other status is the
- * answer of the service.
+ * Status 503 is a failure of the service; any other status is its answer, unless the
+ * service states that it did not run the call.
  *
  * @param pool - connections to the service
  * @param call - method, path, headers and body
--- a/packages/stand-ins/src/engine/startEngine.ts
+++ b/packages/stand-ins/src/engine/startEngine.ts
@@ -5,6 +5,7 @@
 
 import type { RunningServer } from '../util/RunningServer.js';
 import { DelayedValue } from '../util/DelayedValue.js';
+import { NOT_RUN_HEADERS } from '../util/notRunHeaders.js';
 import type { ChatRequest } from './chatSchema.js';
 import {
   chatSchema,
@@ -109,21 +110,23 @@
     const plan = planSequence(id, chat, engine.kv);
     streamAnswer(reply, engine.driver, plan);
   };
+  const refuse = (
+    reply: FastifyReply,
+    status: number,
+    message: string,
+  ): FastifyReply =>
+    reply.code(status).headers(NOT_RUN_HEADERS).send({ error: { message } });
+
   app.post('/v1/chat/completions', (req, reply) => {
     if (engine.crashed) {
-      void reply.code(UNAVAILABLE).send({ error: { message: 'crashed' } });
-      return reply;
+      return refuse(reply, UNAVAILABLE, 'crashed');
     }
     const parsed = chatSchema.safeParse(req.body);
     if (!parsed.success) {
-      void reply
-        .code(BAD_REQUEST)
-        .send({ error: { message: parsed.error.message } });
-      return reply;
+      return refuse(reply, BAD_REQUEST, parsed.error.message);
     }
     if (!engine.settings.models.includes(parsed.data.model)) {
-      void reply.code(NOT_FOUND).send({ error: { message: 'no such model' } });
-      return reply;
+      return refuse(reply, NOT_FOUND, 'no such model');
     }
     startAnswer(parsed.data, reply);
     return reply;
--- a/packages/stand-ins/src/service/startService.ts
+++ b/packages/stand-ins/src/service/startService.ts
@@ -4,6 +4,7 @@
 import { createRandom } from '@jujubecroft/types';
 
 import { DelayedValue } from '../util/DelayedValue.js';
+import { NOT_RUN_HEADERS } from '../util/notRunHeaders.js';
 import type { RunningServer } from '../util/RunningServer.js';
 
 const SAMPLE_INTERVAL_MS = 50;
@@ -125,7 +126,10 @@
   });
   app.all('/*', async (req, reply) => {
     if (service.crashed) {
-      return reply.code(UNAVAILABLE).send({ error: 'crashed' });
+      return reply
+        .code(UNAVAILABLE)
+        .headers(NOT_RUN_HEADERS)
+        .send({ error: 'crashed' });
     }
     const key = req.headers['idempotency-key'];
     await service.work(typeof key === 'string' ? key : 'none');
