test(decisions): a request keeps that an earlier attempt may have run

Callers of `serve` are told `ran: "no"` for an idempotent request whose first attempt was lost after it was sent, if a later attempt is refused, or if the request waits for another server up to its bound.

--- a/packages/decisions/tests/Router.test.ts
+++ b/packages/decisions/tests/Router.test.ts
@@ -38,6 +38,40 @@
       t.true(fixture.router.onTokens(id, fixture.attemptOf(id).number, 1));
     });
 
+    // Guards against "not run" for a request that may have run in an attempt before: only
+    // the last attempt was refused.
+    it('does not end a request as not run whose earlier attempt may have run', t => {
+      const engines = Array.from({ length: 20 }, (_, n) => engine(`e${n}`));
+      const fixture = new RouterFixture(
+        configuration({ backendServers: engines }),
+      );
+      const id = fixture.submit();
+      fixture.router.onFailed(id, fixture.attemptOf(id).number, BROKEN);
+      while (fixture.refused.length === 0) {
+        fixture.router.onFailed(id, fixture.attemptOf(id).number, REFUSED);
+      }
+      t.deepEqual(
+        fixture.refused.map(({ refusal }) => refusal.code),
+        ['backendMaybeRan'],
+      );
+    });
+
+    it('does not refuse a waiting request as not run whose earlier attempt may have run', t => {
+      const fixture = new RouterFixture(
+        configuration({ backendServers: [engine('e1')] }),
+      );
+      const id = fixture.submit();
+      fixture.router.onFailed(id, fixture.attemptOf(id).number, BROKEN);
+      fixture.router.configure(
+        configuration({ revision: 2, backendServers: [] }),
+      );
+      fixture.advance(60_000);
+      t.deepEqual(
+        fixture.refused.map(({ refusal }) => refusal.code),
+        ['backendMaybeRan'],
+      );
+    });
+
     const cases = [
       {
         name: 'idempotent, maybe ran',
