fix(decisions): a request that may have run never ends as not run

Callers of `serve` were told `ran: "no"` for requests of which an earlier attempt may have run: `backendNotRun` after a later attempt was refused, `queueWaitExceeded` after a wait for another server.

Cause: the code was chosen from the last failure, or from the queue alone.

Change: `endCode` chooses the code of both ends from the record. The attempts that may have run are counted by the controller, not by one recovery policy, before the policy decides; its bounds are as before.

It works because a code that promises "not run" is only the fallback of a record without any such attempt.

--- a/packages/decisions/src/Router.ts
+++ b/packages/decisions/src/Router.ts
@@ -28,6 +28,7 @@
   AttemptFailure,
   RecoveryPolicy,
 } from './policies/recovery/RecoveryPolicy.js';
+import { endCode } from './util/endCode.js';
 import { explain } from './util/explain.js';
 import { poolKey } from './util/poolKey.js';
 
@@ -224,7 +225,7 @@
         this.#releaseFromClassQueue(record);
         this.#end(record);
         this.#admission.refuse(record, {
-          code: record.tokensDelivered > 0 ? 'streamCut' : 'queueWaitExceeded',
+          code: endCode(record, 'queueWaitExceeded'),
           retryAfterMs: EXPIRED_RETRY_AFTER_MS,
           predictedWaitMs: nowMs - record.arrivedAtMs,
           budgetMs: record.rules.maxQueueMs,
--- a/packages/decisions/src/controllers/RecoveryController.ts
+++ b/packages/decisions/src/controllers/RecoveryController.ts
@@ -1,5 +1,3 @@
-import type { ResultCodeId } from '@jujubecroft/types';
-
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import { queueOf } from '../blackboard/Blackboard.js';
 import type { RequestRecord } from '../blackboard/RoutedRequest.js';
@@ -7,6 +5,7 @@
   AttemptFailure,
   RecoveryPolicy,
 } from '../policies/recovery/RecoveryPolicy.js';
+import { endCode } from '../util/endCode.js';
 import { explain } from '../util/explain.js';
 import { poolKey } from '../util/poolKey.js';
 import type { BackendController } from './BackendController.js';
@@ -40,16 +39,6 @@
 /** Number of attempts from which a request is not migrated any more. */
 const MAX_ATTEMPTS_TO_MIGRATE = 2;
 
-function failureCode(
-  record: RequestRecord,
-  failure: AttemptFailure,
-): ResultCodeId {
-  if (record.tokensDelivered > 0) {
-    return 'streamCut';
-  }
-  return failure.ran === 'no' ? 'backendNotRun' : 'backendMaybeRan';
-}
-
 /** Handles attempts that failed, make no progress or run on a straggler. */
 export class RecoveryController {
   constructor(
@@ -75,9 +64,10 @@
     }
     this.backends.onFailure(attempt.backendServer);
     record.failedOn.add(attempt.backendServer);
+    record.possiblyRunAttempts += failure.ran === 'no' ? 0 : 1;
     const verdict = this.recovery(record, failure);
     if (verdict === 'fail') {
-      this.#fail(record, failure);
+      this.#fail(record);
       return false;
     }
     this.#explainNextAttempt(record, verdict);
@@ -117,8 +107,8 @@
     queueOf(this.board, pool).pushDisplaced(record, this.board.clock());
   }
 
-  #fail(record: RequestRecord, failure: AttemptFailure): void {
-    const code = failureCode(record, failure);
+  #fail(record: RequestRecord): void {
+    const code = endCode(record, 'backendNotRun');
     if (record.attempt) {
       explain(this.board, record, {
         kind: 'failed',
--- a/packages/decisions/src/policies/recovery/budgeted-resume.ts
+++ b/packages/decisions/src/policies/recovery/budgeted-resume.ts
@@ -55,7 +55,6 @@
   if (failure.ran === 'no') {
     return true;
   }
-  record.possiblyRunAttempts += 1;
   return (
     record.possiblyRunAttempts < options.maxAttempts &&
     spendRetryCredit(board, record)
