test(backends): an unreachable host on an open connection proves nothing

An open connection ends with EHOSTUNREACH or ENETUNREACH as well when its path is lost, after the request was sent. `classifyFailure` takes both for a connection that was never opened.

--- a/packages/backends/tests/classifyFailure.test.ts
+++ b/packages/backends/tests/classifyFailure.test.ts
@@ -5,6 +5,10 @@
 const withCode = (code: string): Error =>
   Object.assign(new Error(code), { code });
 
+/** An error of the operating system, as a connection that is open or being opened reports it. */
+const during = (syscall: string, code: string): Error =>
+  Object.assign(withCode(code), { message: `${syscall} ${code}`, syscall });
+
 const CASES = [
   { err: withCode('ECONNREFUSED'), ran: 'no' },
   { err: withCode('EHOSTUNREACH'), ran: 'no' },
@@ -15,6 +19,10 @@
   { err: new Error('anything'), ran: 'maybe' },
   { err: 'a string', ran: 'maybe' },
   { err: null, ran: 'maybe' },
+  { err: during('connect', 'ECONNREFUSED'), ran: 'no' },
+  { err: during('connect', 'EHOSTUNREACH'), ran: 'no' },
+  { err: during('read', 'EHOSTUNREACH'), ran: 'maybe' },
+  { err: during('write', 'ENETUNREACH'), ran: 'maybe' },
 ] as const;
 
 describe('classifyFailure', ({ it }) => {
