fix(gateway): a request begins when the answer before it on its connection is complete

What callers saw: of two requests sent on one connection at once, the second ran and got no answer where the answer to the first ended the connection (an instance that stops, an answer that its connection delimits, 413). A request behind another one also ran on for a caller that had left.

Cause: the HTTP server hands over each request when it is read. The response of a later one has no connection until the earlier one is complete, and no event tells it that the connection has closed.

Change: CallerTurns lets a request begin once the response to the one before on its connection is complete, and not at all if that ends the connection; its caller gets no answer then and no replica has seen it. Bodies are read meanwhile. The answers leave in the same order as before; callers that wait for each answer notice nothing.

--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -8,6 +8,7 @@
 
 import { createApp } from '../createApp.js';
 import type { GatewayContext } from '../GatewayContext.js';
+import { CallerTurns } from './CallerTurns.js';
 import { createConnectionErrorLogger } from './createConnectionErrorLogger.js';
 import { handleRequest } from './handleRequest.js';
 import type { InFlightRequests } from './InFlightRequests.js';
@@ -69,8 +70,9 @@
     bodyOf: connectionErrorBody,
     onError: createConnectionErrorLogger(context),
   });
+  const turns = new CallerTurns();
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
-    handleRequest(context, inFlight, req, res).catch((err: unknown) => {
+    handleRequest(context, inFlight, turns, req, res).catch((err: unknown) => {
       context.log.write('unexpectedError', {
         error: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -19,6 +19,7 @@
 import { nextTurn } from '../util/nextTurn.js';
 import { once } from '../util/once.js';
 import { readBody } from './readBody.js';
+import type { CallerTurns } from './CallerTurns.js';
 import type { InFlightRequests } from './InFlightRequests.js';
 
 type MatchedRoute = Extract<Match, { kind: 'matched' }>;
@@ -137,16 +138,19 @@
  *
  * @param context - shared parts of the instance
  * @param inFlight - unfinished requests
+ * @param turns - order of the requests of each connection
  * @param req - the request
  * @param res - its response
  */
 export async function handleRequest(
   context: GatewayContext,
   inFlight: InFlightRequests,
+  turns: CallerTurns,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
   const arrivedMs = context.clock();
+  const turn = turns.take(req, res);
   const { router, dialect } = context;
   const execution = new ExecutionRecord();
   const unsent: UnsentCall = { context, res, execution };
@@ -171,6 +175,10 @@
     refuse(unsent, 'bodyTooLarge', head.id);
     return;
   }
+  if (!(await turn)) {
+    context.log.write('callerLeft', { request: head.id, code: 'notBegun' });
+    return;
+  }
   await awaitPendingClose();
   if (head.id === null) {
     refuse(unsent, 'requestIdMissing', null, { target });
