test(gateway): requests that wait for a connection whose opening fails

If the last connection to a replica is reset while several requests wait for it, the HTTP agent opens one for the first of them. If that fails, the first one ends as not sent, and the agent opens none for the others: they wait until another request to that replica is sent, or up to their time limit, and end with 504 although nothing was sent. No promise is broken.

--- a/packages/gateway/tests/backends/unsentAttempts.test.ts
+++ b/packages/gateway/tests/backends/unsentAttempts.test.ts
@@ -166,3 +166,31 @@
     });
   });
 });
+
+describe('requests that wait for a connection', ({ it }) => {
+  // Guards against requests that wait up to their time limit for nothing: the connection
+  // that is opened for the first of them fails, and no other one is requested.
+  it('do not wait on when the opening for one of them fails', async t => {
+    await withOpenings(async ({ openings, send, ...server }) => {
+      const running = send('running');
+      await openings[0]?.succeed();
+      const first = send('first');
+      const second = send('second');
+      server.resetAll();
+      await running.ended;
+      await sleep(SETTLED_MS);
+      openings[1]?.fail();
+      t.like(await first.ended, { kind: 'failed', sent: false });
+      await sleep(SETTLED_MS);
+      const next = openings[2]?.succeed().then(() => {
+        server.answerAll();
+      });
+      const state = await Promise.race([
+        second.ended.then(() => 'ended'),
+        sleep(4 * SETTLED_MS).then(() => 'waits'),
+      ]);
+      t.is(state, 'ended');
+      await next;
+    });
+  });
+});
