fix(gateway): refusing a next body does not reset the connection of an answer

What callers saw: the answer of a request that a replica ran was lost, wholly or its last part, where the next request on the connection had a body that is too large and was still arriving. A caller that left meanwhile went unnoticed, and the replica worked on.

Cause: after a response with "Connection: close" the server destroys the connection; with bytes unread, or arriving later, the operating system resets it and discards what the caller has not received. And a body that nobody reads pauses the connection, whose end is then not noticed.

Change: after the last response of any connection the server ends it, drops what still arrives, and closes it once the caller has ended it, or after a second; so far it did so only after errors. A body that is refused for its stated length is read and dropped.

--- a/packages/gateway/src/front/readBody.ts
+++ b/packages/gateway/src/front/readBody.ts
@@ -41,6 +41,9 @@
     return { kind: 'whole', body: null };
   }
   if (statedLength(req) > maxBytes) {
+    // An unread body would pause the connection, and its end would go unnoticed
+    // while earlier requests of it run.
+    req.resume();
     return { kind: 'tooLarge' };
   }
   return new Promise(resolve => {
--- a/packages/http-server/src/handleConnectionErrors.ts
+++ b/packages/http-server/src/handleConnectionErrors.ts
@@ -65,6 +65,9 @@
  * dropped, and the connection ends after the answer. If no request is
  * unanswered, the error is answered with its status.
  *
+ * After the last response of any connection, such as one that refuses a body
+ * unread, the connection also ends without a reset.
+ *
  * Replaces the listeners for these errors.
  *
  * @param server - the server
@@ -75,7 +78,8 @@
   { hasBegun, bodyOf, onError }: ConnectionErrorHandling,
 ): void {
   const requestsOn = trackRequests(server);
-  const failed = new WeakSet<Duplex>();
+  /** Connections from which no more requests are read. */
+  const closing = new WeakSet<Duplex>();
 
   const isUnanswered = ({ req, res }: TrackedRequest): boolean =>
     hasBegun(req) || res.headersSent || res.writableEnded;
@@ -89,10 +93,6 @@
       // Announces the end of the connection.
       last.res.shouldKeepAlive = false;
     }
-    // The server calls it after the last response of a connection.
-    socket.destroySoon = () => {
-      endGradually(socket);
-    };
     unanswered.forEach(({ res }) => {
       res.once('close', () => {
         if (!requestsOn(socket).some(isUnanswered)) {
@@ -108,13 +108,13 @@
     socket: Socket,
   ): void => {
     const hasLeft = code === UNEXPECTED_END;
-    if (failed.has(socket)) {
+    if (closing.has(socket)) {
       if (hasLeft) {
         socket.end();
       }
       return;
     }
-    failed.add(socket);
+    closing.add(socket);
     const unanswered = requestsOn(socket).filter(isUnanswered);
     const isAnswered = unanswered.length === 0 && socket.writable;
     const status = isAnswered ? answerStatus : null;
@@ -133,6 +133,14 @@
     }
   };
 
+  server.on('connection', (socket: Socket) => {
+    // The server calls it after the last response of a connection.
+    socket.destroySoon = () => {
+      closing.add(socket);
+      dropInput(socket);
+      endGradually(socket);
+    };
+  });
   server.removeAllListeners('clientError');
   server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
     const isOpen = !socket.destroyed && err.code !== 'ECONNRESET';
