test(soak): callers that send early or stall, and replicas that contradict themselves

Callers got a promise of "not run" for requests that ran. The soak's callers sent whole requests, one at a time, and its replicas' heads agreed with themselves, so that `true-refusals` saw none of it.

Each caller stays until it has a status, its gateway is gone, or 6.5 s; one in five breaks off.

--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -11,6 +11,7 @@
 /**
  * Fault of a replica, applied to a share of its responses.
  *
+ * `contradicts`: answers requests that ran with statuses or headers of a rejection.
  * `copiesRejections`: rejects requests, and sends a copy of each rejection where the next
  * response on its connection is expected. `garbles`: writes bytes that are not HTTP. `grey`:
  * answers with status 500. `losesAnswers`: closes the connection without a response.
@@ -19,6 +20,7 @@
  * `well`: no fault.
  */
 export type ReplicaFault =
+  | 'contradicts'
   | 'copiesRejections'
   | 'garbles'
   | 'grey'
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -2,7 +2,12 @@
 import { request } from 'undici';
 import { createRandom } from '@jujubecroft/types';
 
-import type { WorkOrder } from './answers.js';
+import type { CrashingRequest } from './callers/crashingRequests.js';
+import {
+  CRASHING_PART,
+  CRASHING_REQUEST,
+  CRASHING_WORK,
+} from './callers/crashingRequests.js';
 import type { CallerContext, GatewayEndpoint } from './callers/SoakCaller.js';
 import {
   ResetAwareClient,
@@ -18,7 +23,6 @@
   ObservedResponse,
   ReplicaDeparture,
   SentRequest,
-  SoakKind,
 } from './evidence.js';
 import type { FaultContext } from './faults/injectFault.js';
 import { injectFault } from './faults/injectFault.js';
@@ -53,29 +57,6 @@
 const CRASHING_MEAN_INTERVAL_MS = 500;
 /** The same for requests that share a crashing part. */
 const CRASHING_PART_MEAN_INTERVAL_MS = 120;
-/** Work of a request that crashes each replica that executes it. */
-const CRASHING_WORK: WorkOrder = {
-  workMs: 60,
-  events: 0,
-  gapMs: 0,
-  crashes: true,
-};
-
-/** A request that crashes replicas, as it is drawn. */
-interface CrashingRequest {
-  readonly kind: SoakKind;
-  readonly target: string;
-  readonly work: WorkOrder;
-}
-
-const CRASHING_REQUEST: CrashingRequest = {
-  kind: 'safe',
-  target: '/safe/crash',
-  work: CRASHING_WORK,
-};
-/** Part of a prompt that crashes each replica which begins to answer a request with it. */
-const CRASHING_PART = 'dead';
-
 /** One soak: applies load and faults to a started fleet and collects the evidence. */
 export class SoakRun {
   readonly #sent: SentRequest[] = [];
@@ -388,6 +369,7 @@
     return {
       fleet: this.fleet,
       bounds: SOAK_BOUNDS,
+      callers: this.#callerContext(),
       changeConfiguration: () => {
         this.#operator.configure();
       },
--- a/packages/soak/src/faults/faultTargets.ts
+++ b/packages/soak/src/faults/faultTargets.ts
@@ -52,6 +52,7 @@
     return { component: 'gateway', index: null };
   }
   if (
+    kind.startsWith('callers') ||
     kind.startsWith('configuration') ||
     kind === 'key-added' ||
     kind === 'burst'
@@ -62,6 +63,7 @@
     kind === 'crashing-request' ||
     kind === 'crashing-part' ||
     kind === 'drains-at-restarts' ||
+    kind === 'replicas-contradict' ||
     kind === 'replicas-drain-together'
   ) {
     return { component: 'replica', index: null };
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -1,22 +1,28 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { assertDefined } from '@jujubecroft/types';
 
+import type { CallerContext } from '../callers/SoakCaller.js';
+import { drawEarly, drawStalled, sendPieces } from '../callers/sendPieces.js';
 import type { InjectedFault, SoakBounds } from '../evidence.js';
 import type { SoakFleet, SoakGateway, SoakReplicaSlot } from '../SoakFleet.js';
 import { SERVICES } from '../SoakFleet.js';
 import type { ReplicaFault, StoreFault } from '../SoakEnvironment.js';
 import { soakNow } from '../soakNow.js';
 import type { SoakProcess } from '../processes/SoakProcess.js';
+import { applyReplicaFault } from './applyReplicaFault.js';
 import type { FaultLink, LinkMode } from './FaultLink.js';
 import type { LinkOrder } from './ReplicaLinks.js';
 import type { PeerFaultLink } from './PeerFaultLink.js';
 import { isPlanned, targetOf } from './faultTargets.js';
+import { cutMode, delayMode } from './linkModes.js';
 import type { FaultKind, PlannedFault } from './planFaults.js';
 
 /** Fleet and actions that the injectors of faults use. */
 export interface FaultContext {
   readonly fleet: SoakFleet;
   readonly bounds: SoakBounds;
+  /** Functions and state of callers. */
+  readonly callers: CallerContext;
   /** Writes a new configuration. */
   readonly changeConfiguration: () => void;
   /** Adds a key to an organisation. */
@@ -45,7 +51,6 @@
 const STORM_GAP_MS = 120;
 /** Pause between the stops of a rolling stop. */
 const ROLLING_GAP_MS = 400;
-const MAX_DELAY_MS = 400;
 const MAX_RATE_LIMIT_PER_S = 6;
 const MAX_COPY_AGE_MS = 4000;
 const MIN_PAUSE_MS = 1000;
@@ -167,17 +172,6 @@
 const replicaLinkOf = (context: FaultContext, fault: PlannedFault): FaultLink =>
   replicaOf(context, fault).link;
 
-/** Cuts a link in both directions or in one of them, depending on the strength. */
-function cutMode({ strength }: PlannedFault): LinkMode {
-  const kinds = ['away', 'cutForth', 'cutBack'] as const;
-  return { kind: kinds[Math.floor(strength * kinds.length)] ?? 'away' };
-}
-
-const delayMode = ({ strength }: PlannedFault): LinkMode => ({
-  kind: 'delay',
-  ms: Math.round(MAX_DELAY_MS * strength),
-});
-
 function storeFault(kind: StoreFault): Injector {
   return async ({ forMs }, { fleet }) => {
     fleet.store.setFault(kind);
@@ -186,20 +180,20 @@
   };
 }
 
-function replicaFault(kind: ReplicaFault): Injector {
-  return async (fault, context) => {
-    const { program } = replicaOf(context, fault);
-    program.sendMessage({ order: 'fault', fault: kind });
-    await sleep(fault.forMs);
-    program.sendMessage({ order: 'fault', fault: 'well' });
-  };
-}
+const replicaFault =
+  (kind: ReplicaFault): Injector =>
+  (fault, context) =>
+    applyReplicaFault([replicaOf(context, fault).program], kind, fault.forMs);
 
 const INJECTORS: Readonly<Record<FaultKind, Injector>> = {
   burst: ({ forMs }, context) => {
     context.burst(forMs);
     return sleep(forMs);
   },
+  'callers-send-early': ({ forMs }, { callers }) =>
+    sendPieces(callers, forMs, drawEarly),
+  'callers-stall': ({ forMs }, { callers }) =>
+    sendPieces(callers, forMs, drawStalled),
   'configuration-change': immediate(context => {
     context.changeConfiguration();
   }),
@@ -380,6 +374,10 @@
   },
   'replica-spoils-heads': replicaFault('spoilsHeads'),
   'replica-truncates': replicaFault('truncates'),
+  'replicas-contradict': ({ forMs }, { fleet }) => {
+    const programs = fleet.replicas.map(({ program }) => program);
+    return applyReplicaFault(programs, 'contradicts', forMs);
+  },
   'replicas-drain-together': async (fault, context) => {
     const untilMs = soakNow() + fault.forMs;
     for (let group = fault.target; soakNow() < untilMs; group += 1) {
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -52,6 +52,9 @@
   'replica-copies-rejections',
   'replica-never-ends',
   'replica-spoils-heads',
+  'callers-send-early',
+  'callers-stall',
+  'replicas-contradict',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -15,31 +15,13 @@
 } from '../SoakEnvironment.js';
 import { soakNow } from '../soakNow.js';
 import { workOf } from '../workOf.js';
+import { sendContradictingHead } from './contradictingHeads.js';
 import {
   invalidStatusLine,
   rawMessage,
   sendEndlessResponse,
 } from './invalidResponses.js';
-
-/** Message from the soak to a replica process, sent over the IPC channel. */
-export type ReplicaControlMessage =
-  | {
-      readonly order: 'leave';
-      /**
-       * Whether to mark the entry as leaving and announce the leave in answers; otherwise
-       * the entry is removed, and answers say nothing.
-       */
-      readonly announces: boolean;
-      /** Time for which the replica keeps serving after the store has acknowledged. */
-      readonly forMs: number;
-    }
-  | { readonly order: 'fault'; readonly fault: ReplicaFault }
-  /** Announces in answers alone that the replica is leaving. */
-  | { readonly order: 'leaveInAnswers' }
-  /** Refuses all requests with a requested pause; null to accept them again. */
-  | { readonly order: 'shed'; readonly pauseMs: number | null }
-  /** Sets the rate limit in requests per second; null for no limit. */
-  | { readonly order: 'limit'; readonly perS: number | null };
+import type { ReplicaControlMessage } from './ReplicaControlMessage.js';
 
 /** Maximum number of requests that are executed at once. */
 const MAX_RUNNING = 12;
@@ -272,7 +254,7 @@
       isLeaving: this.#announcesLeave,
     };
     const headers = this.dialect.answerHeaders(head, stamp, load);
-    if (isFaulty && this.#writeFaultyResponse(id, headers, res)) {
+    if (isFaulty && this.#writeFaultyResponse(head, headers, res)) {
       return;
     }
     if (this.#random() < UNFRAMED_SHARE) {
@@ -335,11 +317,16 @@
    * @returns false if the fault truncates the regular response instead
    */
   #writeFaultyResponse(
-    id: string,
+    head: SoakRequestMetadata,
     headers: Record<string, string>,
     res: ServerResponse,
   ): boolean {
     switch (this.#fault) {
+      case 'contradicts': {
+        const notRun = this.dialect.notRunHeaders(head, null);
+        sendContradictingHead(res, headers, notRun, this.#random);
+        return true;
+      }
       case 'grey':
         res.writeHead(HTTP_INTERNAL_SERVER_ERROR, headers);
         res.end('failed');
@@ -352,7 +339,7 @@
         res.socket?.end();
         return true;
       case 'neverEnds':
-        this.#sendEndless(id, headers, res);
+        this.#sendEndless(head.id ?? '', headers, res);
         return true;
       case 'spoilsHeads':
         res.socket?.write(
