test(cli): the soak of the suite draws early callers and contradicting replicas

Without these kinds the soak of the suite has no caller that has more than one request on its connection.

--- a/packages/cli/tests/soak.test.ts
+++ b/packages/cli/tests/soak.test.ts
@@ -12,6 +12,8 @@
 const SEED = 106;
 /** With this seed the run has a fault of each kind of invalid response. */
 const INVALID_RESPONSES_SEED = 690_009;
+/** With this seed the run has early and stalled callers, and replicas that contradict themselves. */
+const EARLY_CALLERS_SEED = 720_106;
 
 /** Runs a soak with the given options, and returns its output. */
 async function runSoak(
@@ -60,6 +62,18 @@
     t.regex(stdout, / 3 faults: /);
   });
 
+  // Callers begin the next request early, send in parts, stall and break off; replicas state
+  // "not run" after a run. Nothing may promise "not run" for a request that ran.
+  itAlone('breaks no untimed promise when callers send early', async t => {
+    const stdout = await runSoak(EARLY_CALLERS_SEED, [
+      ...['--seconds', '24', '--processes', '7'],
+      '--kinds',
+      'callers-send-early,callers-stall,replicas-contradict',
+    ]);
+    t.regex(stdout, /: kept; \d+ requests/);
+    t.regex(stdout, / 3 faults: /);
+  });
+
   // Gateways that outlive an interrupted soak would keep their addresses and
   // memory and disturb the next soak.
   itAlone('leaves no child process behind when interrupted', async t => {
