fix(http-server): connections after a CONNECT close with their server

What was seen: an instance that was asked to stop did not end while a caller that had sent a CONNECT left complete answers unread.

Cause: Node.js hands the connection of a CONNECT to the listener and no longer knows it, so closeAllConnections and closeIdleConnections miss it, and the server waits for its end. Before there was a listener, the connection was destroyed at once.

Change: the connections are remembered until they close, and these two functions close them as well.

Evidence: a caller that reads none of twelve answers of 900,000 bytes each and sends a CONNECT.

Why it works: Node.js calls closeIdleConnections itself when a server closes, and the gateway calls closeAllConnections at its stop.

--- a/packages/http-server/src/handleConnectionErrors.ts
+++ b/packages/http-server/src/handleConnectionErrors.ts
@@ -3,6 +3,7 @@
 import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
+import { closeDetached } from './closeDetached.js';
 import type { ConnectionError } from './ConnectionError.js';
 import { statusOf } from './ConnectionError.js';
 import { dropInput } from './dropInput.js';
@@ -80,6 +81,9 @@
   const requestsOn = trackRequests(server);
   /** Connections from which no more requests are read. */
   const closing = new WeakSet<Duplex>();
+  const addDetached = closeDetached(server, socket =>
+    requestsOn(socket).every(({ res }) => res.writableEnded),
+  );
 
   const isUnanswered = ({ req, res }: TrackedRequest): boolean =>
     hasBegun(req) || res.headersSent || res.writableEnded;
@@ -152,6 +156,7 @@
     if (!(socket instanceof Socket)) {
       return;
     }
+    addDetached(socket);
     // The server has removed its listeners: the one for the end, and the one
     // that lets a response go on when the caller accepts more.
     socket.on('end', () => socket.end());
