--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -106,10 +106,13 @@
   /**
    * Writes the head of a replica's response whose body follows.
    *
-   * @throws Error if the status promises that the request did not run
-   *
    * A body that only the end of the connection delimits is sent the same way,
    * since a length or a last chunk would state that it is complete.
+   *
+   * @param status - status of the replica
+   * @param headers - names and values in alternation
+   * @param framing - framing with which the body is received
+   * @throws Error if the status promises that the request did not run
    */
   start(
     status: number,
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -75,6 +75,8 @@
   const isSent = !response.isClosed && proof !== null;
   if (isSent) {
     response.refuse(complete, proof);
+  } else {
+    response.cut();
   }
   const table = context.router.board.table;
   context.metrics.refusals.inc({ code, priority: '' });
--- a/packages/http-server/src/handleConnectionErrors.ts
+++ b/packages/http-server/src/handleConnectionErrors.ts
@@ -47,6 +47,9 @@
  */
 function endGradually(socket: Duplex): void {
   socket.end(() => {
+    if (socket.destroyed) {
+      return;
+    }
     const timer = setTimeout(() => {
       socket.destroy();
     }, LINGER_MS);
@@ -85,6 +88,7 @@
     requestsOn(socket).every(({ res }) => res.writableEnded),
   );
 
+  // A response may also begin, or be queued, before the body of its request is complete.
   const isUnanswered = ({ req, res }: TrackedRequest): boolean =>
     hasBegun(req) || res.headersSent || res.writableEnded;
 
@@ -120,8 +124,8 @@
     }
     closing.add(socket);
     const unanswered = requestsOn(socket).filter(isUnanswered);
-    const isAnswered = unanswered.length === 0 && socket.writable;
-    const status = isAnswered ? answerStatus : null;
+    const mayAnswer = unanswered.length === 0 && socket.writable;
+    const status = mayAnswer ? answerStatus : null;
     onError({ code, status, unanswered: unanswered.map(({ req }) => req) });
     dropInput(socket);
     if (status !== null) {
