fix(cli): SIGHUP does not end a gateway that starts

Cause: the program listens for SIGHUP only once the gateway has started, some 200 to 900 ms after its process. Until then the signal ends the process. The log of the gateway has no line of the process that ended.

Change: the program ignores SIGHUP from its first line on, until the listener that reloads the settings is there. A signal that comes earlier is not lost: the settings are read later, and again at an interval.

Node.js itself takes some 40 ms until the first line, which the program can't cover.

--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -8,6 +8,10 @@
 const path = require('node:path');
 const vm = require('node:vm');
 
+if (process.argv[2] === 'gateway') {
+  // Until the program listens for it, SIGHUP would end the process.
+  process.on('SIGHUP', () => undefined);
+}
 const name = process.argv[2] === 'gateway' ? 'gateway' : 'jujubecroft';
 const bundle = path.join(__dirname, `${name}.cjs`);
 const cacheFile = path.join(__dirname, `${name}.cache`);
