--- a/review/lib-2/scenario.mjs
+++ b/review/lib-2/scenario.mjs
@@ -113,6 +113,7 @@
   #lines = [];
   #replicas = [];
   #gateways = null;
+  #closers = [];
   store = new Store();
 
   /** Adds a line to the record. */
@@ -139,7 +140,13 @@
     return all;
   }
 
+  /** Adds what is to be done at the end. */
+  onClose(run) {
+    this.#closers.push(run);
+  }
+
   async close(folder) {
+    this.#closers.forEach(run => run());
     await this.#gateways?.stop();
     this.#replicas.forEach(replica => replica.stop());
     this.store.stop();
