--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,12 +1,11 @@
 // A replica breaks off a long answer to a safe request. The instance has begun to pass it on,
 // repeats the request at another replica, and appends that one's answer to the first part.
 import { createHash } from 'node:crypto';
-import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { askRaw, drained } from '../lib-2/rawAnswer.mjs';
 import {
   configuration,
-  requesterHeaders,
   route,
   runScenario,
   TROUBLE,
@@ -31,76 +30,6 @@
 const digest = body =>
   createHash('sha256').update(body).digest('hex').slice(0, 12);
 
-/** Decodes a chunked body; null if its last chunk is missing. */
-function decodeChunks(bytes) {
-  const parts = [];
-  for (let at = 0; at < bytes.length;) {
-    const lineEnd = bytes.indexOf('\r\n', at);
-    const size =
-      lineEnd < 0 ? NaN : parseInt(bytes.toString('latin1', at, lineEnd), 16);
-    const from = lineEnd + 2;
-    if (size === 0) {
-      return Buffer.concat(parts);
-    }
-    if (!(from + size + 2 <= bytes.length)) {
-      return null;
-    }
-    parts.push(bytes.subarray(from, from + size));
-    at = from + size + 2;
-  }
-  return null;
-}
-
-/**
- * Sends a request on a channel of its own, and reads the answer to the end of the channel.
- * The body is null if the answer is not whole by its own framing.
- */
-function ask({ host, port }, id, path) {
-  return new Promise(resolve => {
-    const socket = connect(port, host);
-    const chunks = [];
-    const finish = () => {
-      const bytes = Buffer.concat(chunks);
-      const split = bytes.indexOf('\r\n\r\n');
-      const head = bytes.toString('latin1', 0, Math.max(0, split));
-      const rest = bytes.subarray(split + 4);
-      const length = Number(/^content-length: *(\d+)/im.exec(head)?.[1] ?? NaN);
-      const isChunked = /^transfer-encoding: *chunked/im.test(head);
-      const byLength = rest.length >= length ? rest.subarray(0, length) : null;
-      resolve({
-        status: Number(head.split(' ')[1] ?? 0),
-        stamp: /^x-jujubecroft-response-stamp: *(.*)$/im.exec(head)?.[1],
-        body: isChunked ? decodeChunks(rest) : byLength,
-        extra: Math.max(0, rest.length - length) || 0,
-      });
-    };
-    socket.on('data', chunk => chunks.push(chunk));
-    socket.once('close', finish);
-    socket.on('error', () => undefined);
-    const headers = Object.entries(requesterHeaders(id, 4000)).map(
-      ([name, value]) => `${name}: ${value}`,
-    );
-    socket.write(
-      [`GET ${path} HTTP/1.1`, ...headers, 'Connection: close', '', ''].join(
-        '\r\n',
-      ),
-    );
-  });
-}
-
-/** Resolves once a response takes more, or is closed. */
-function drained(res) {
-  return new Promise(resolve => {
-    const settle = () => {
-      res.off('drain', settle);
-      res.off('close', settle);
-      resolve();
-    };
-    res.once('drain', settle);
-    res.once('close', settle);
-  });
-}
-
 await runScenario(import.meta.dirname, async scenario => {
   const runs = new Map();
   let answers = 0;
@@ -164,7 +93,7 @@
       const number = sent;
       const id = `r${number}`;
       const path = number % 2 === 0 ? '/prices/chunked' : '/prices/length';
-      const got = await ask(gateways[index % 2].front, id, path);
+      const got = await askRaw(gateways[index % 2].front, { id, path });
       const kind = `${got.status}${got.body ? '' : ', not whole'}${got.extra > 0 ? ', bytes after it' : ''}`;
       counts.set(kind, (counts.get(kind) ?? 0) + 1);
       const isWrong =
