--- a/review/lib-2/replicaProcess.mjs
+++ b/review/lib-2/replicaProcess.mjs
@@ -6,7 +6,7 @@
 const [, , id, host] = process.argv;
 /** Channels that may wait to be taken. */
 const BACKLOG = 1;
-export const PIECES = 12;
+const PIECES = 12;
 const PIECE_MS = 250;
 
 /** Reads the head of a request; null until it is whole. */
--- a/review/lib-2/scenario.mjs
+++ b/review/lib-2/scenario.mjs
@@ -171,11 +171,23 @@
     scenario.note('given up: it took too long');
     void finish();
   }, TIMEOUT_MS);
+  let isFinishing = false;
   const finish = async () => {
+    if (isFinishing) {
+      return;
+    }
+    isFinishing = true;
     clearTimeout(timer);
     await scenario.close(folder);
     process.exit(code);
   };
+  ['SIGINT', 'SIGTERM'].forEach(signal => {
+    process.once(signal, () => {
+      scenario.note(`given up: ${signal}`);
+      code = NOT_RUN;
+      void finish();
+    });
+  });
   try {
     await scenario.startStore();
     const broken = await run(scenario);
