Review: show that a retried large answer is joined to a broken one

A safe request whose answer exceeds 1 MiB is relayed before it is complete. When the replica breaks the answer off, the request is sent to a second replica, and the body of that answer is appended to the part that the caller already has, under the first head. The caller gets a complete 200 with the first replica's stamp and a body of two runs.

--- /dev/null
+++ b/review/lib-3/Config.mjs
@@ -0,0 +1,39 @@
+// A configuration like that of a small deployment.
+export const HOST_NAME = 'ficu95.example';
+export const KEY = 'n2ctnfzs989anu6wsjnb';
+
+export const config = ({ version = 7, routes, services } = {}) => ({
+  version,
+  routes,
+  services,
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 4_194_304,
+    header_timeout_ms: 3000,
+    idle_timeout_ms: 15_000,
+  },
+  tenants: [{ name: 'hule930', api_keys: [KEY], priority: 1 }],
+});
+
+export const plainRoute = (kind, fields = {}) => ({
+  name: `r-${kind}`,
+  host: HOST_NAME,
+  prefix: `/${kind}/`,
+  kind,
+  timeout_ms: 4000,
+  target_latency_ms: 386,
+  priority: 2,
+  service: 'field-app',
+  attempts: kind === 'safe' ? 2 : 1,
+  public: false,
+  resumable: false,
+  ...fields,
+});
+
+export const plainService = {
+  name: 'field-app',
+  health_check_path: '/health',
+  max_connections: 110,
+  protocol: 'h1',
+  tls: false,
+};
