--- a/review/lib-3/Config.mjs
+++ b/review/lib-3/Config.mjs
@@ -37,3 +37,41 @@
   protocol: 'h1',
   tls: false,
 };
+
+export const engineService = {
+  name: 'jujube-llm',
+  health_check_path: '/health',
+  max_connections: 370,
+  protocol: 'h1',
+  tls: false,
+  engine: {
+    slots: 64,
+    kv_capacity_tokens: 685_000,
+    kv_token_bytes: 18_432,
+    link_mbps: 130_000,
+    moves: true,
+    backups: true,
+    stride: 6,
+    most: 12,
+    pin_ms: 4000,
+    hold_ms: 2000,
+    handle_s: 5,
+    models: [{ name: 'm' }],
+  },
+};
+
+export const draftRoute = {
+  name: 'r-audit-draft',
+  host: HOST_NAME,
+  prefix: '/audit/',
+  kind: 'streaming',
+  timeout_ms: 12_000,
+  target_latency_ms: 2000,
+  target_gap_ms: 1000,
+  priority: 2,
+  service: 'jujube-llm',
+  attempts: 1,
+  public: false,
+  sticky_sessions: true,
+  resumable: false,
+};
