--- a/review/lib-3/Client.mjs
+++ b/review/lib-3/Client.mjs
@@ -1,5 +1,5 @@
 // Stand-in for a requester: one request on a channel of its own.
-import { Agent, request } from 'node:http';
+import { request } from 'node:http';
 
 let sent = 0;
 
@@ -74,5 +74,3 @@
     req.end(body ?? undefined);
   });
 }
-
-export const keptChannels = () => new Agent({ keepAlive: true });
