fix(gateway): answers that end with a killed process do not look complete

Cause: a body that came without framing left without framing, so that the end of the connection completed it. The operating system ends the connections of a process that dies in the same way.

Change: bodies of unknown length go to callers in chunks. An end that is not confirmed is a lost attempt, which a resumable stream survives at another replica and others do not. Events are not held back.

--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -72,11 +72,11 @@
     : '';
 }
 
-/** Describes how an answer ended where that does not prove it complete. */
+/** Describes how an answer ended where its framing does not prove it complete. */
 function describeEnd({ framing, insideEvent }: Fields): string {
   const byClose =
     framing === 'closeDelimited'
-      ? '; its end is the end of the connection, which does not prove it complete'
+      ? '; its end is the end of the connection, which counts only if its backend server runs on'
       : '';
   return insideEvent === true
     ? `${byClose}; it ended inside an event`
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '@jujubecroft/events';
 
 import type { BackendConnections } from './backends/BackendConnections.js';
+import type { EndConfirmation } from './forward/EndConfirmation.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import type { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js';
 import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -29,6 +30,8 @@
   readonly replicaConnector: ReplicaConnector;
   /** Opens connections to replicas through other instances. */
   readonly relay: RelayConnector;
+  /** Confirms ends of responses that only their connection delimits. */
+  readonly endConfirmation: EndConfirmation;
   /** Software versions at which streams began. */
   readonly streams: StreamOrigins;
   /** Memory for responses that are not complete. */
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -15,6 +15,7 @@
 import { RelayConnector } from './relay/RelayConnector.js';
 import { ReplicaConnector } from './relay/ReplicaConnector.js';
 import { BufferBudget } from './responses/BufferBudget.js';
+import { EndConfirmation } from './forward/EndConfirmation.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js';
 import { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -126,6 +127,11 @@
     connections: new BackendConnections({ replicas: replicaConnector, relay }),
     replicaConnector,
     relay,
+    endConfirmation: new EndConfirmation({
+      timers,
+      connector: replicaConnector,
+      relay,
+    }),
     responseBudget: new BufferBudget(),
     dialect,
     metrics: new GatewayMetrics(),
--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -1,6 +1,5 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { BodyFraming } from '@jujubecroft/types';
 import { isBodyless } from '@jujubecroft/types';
 
 import type { NotRunProof } from '../execution/ExecutionRecord.js';
@@ -15,8 +14,6 @@
   readonly decidedBy: StatusSource;
   readonly headers: readonly string[];
   readonly body: Buffer;
-  /** Framing with which the body was received. */
-  readonly framing: BodyFraming;
 }
 
 /** What a `CallerResponse` asks and reports. */
@@ -106,24 +103,20 @@
   /**
    * Writes the head of a replica's response whose body follows.
    *
-   * A body that only the end of the connection delimits is sent the same way,
-   * since a length or a last chunk would state that it is complete.
+   * A body of unknown length is sent in chunks, so that it looks complete only once this
+   * instance has written the last one. The end of the connection would complete it as well
+   * when the process dies. Callers of HTTP/1.0 know no chunks and can't tell the two apart.
    *
    * @param status - status of the replica
    * @param headers - names and values in alternation
-   * @param framing - framing with which the body is received
    * @throws Error if the status promises that the request did not run
    */
-  start(
-    status: number,
-    headers: readonly string[],
-    framing: BodyFraming,
-  ): void {
-    this.#writeHead({ status, decidedBy: 'replica', headers, framing }, null);
+  start(status: number, headers: readonly string[]): void {
+    this.#writeHead({ status, decidedBy: 'replica', headers }, null);
   }
 
   #writeHead(
-    { status, decidedBy, headers, framing }: Omit<CompleteResponse, 'body'>,
+    { status, decidedBy, headers }: Omit<CompleteResponse, 'body'>,
     proof: NotRunProof | null,
   ): void {
     const { isStopping, onStatus, promisesNotRun } = this.options;
@@ -132,10 +125,6 @@
         `no proof for status ${status}, which promises "not run"`,
       );
     }
-    if (framing === 'closeDelimited') {
-      this.res.useChunkedEncodingByDefault = false;
-      this.res.shouldKeepAlive = false;
-    }
     // Closing the connection after this response makes the caller connect to
     // another instance.
     const closing = isStopping() ? ['connection', 'close'] : [];
@@ -179,16 +168,7 @@
     this.#drained.once('drain', listener);
   }
 
-  /**
-   * Whether a body may end here. The end of a connection does not prove what
-   * the end of a self-delimited response states.
-   *
-   * @param framing - framing with which the end of the body was received
-   */
-  mayEnd(framing: BodyFraming): boolean {
-    return framing === 'selfDelimited' || !this.#isSelfDelimited;
-  }
-
+  /** Ends the body, which states that it is complete. */
   end(): void {
     this.res.end();
   }
@@ -214,12 +194,9 @@
   }
 
   #sendComplete(response: CompleteResponse, proof: NotRunProof | null): void {
-    const { status, headers, body, framing } = response;
+    const { status, headers, body } = response;
     const { method = '' } = this.res.req;
-    const needsLength =
-      framing === 'selfDelimited' &&
-      !isBodyless(method, status) &&
-      !hasLength(headers);
+    const needsLength = !isBodyless(method, status) && !hasLength(headers);
     const length = needsLength ? ['content-length', String(body.length)] : [];
     this.#writeHead({ ...response, headers: [...headers, ...length] }, proof);
     this.res.end(body);
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -20,6 +20,7 @@
 import { ResponseTimings } from './ResponseTimings.js';
 import type { CallerResponse } from './CallerResponse.js';
 import { checkReplicaAfter } from './checkReplicaAfter.js';
+import { confirmEnd } from './confirmEnd.js';
 import { endAttempt } from './endAttempt.js';
 import { SseEventBuffer } from './SseEventBuffer.js';
 import type { IncomingRequest } from './IncomingRequest.js';
@@ -218,6 +219,7 @@
     this.#sseBuffer?.discardPartial();
     this.#recorder.placed(attempt, candidates);
     const assembler = this.#createAssembler();
+    let relayed: RelayedConnection | null = null;
     const exchange = sendAttempt(
       connections.poolFor(replica, connectionShare(router.board, request)),
       {
@@ -228,7 +230,10 @@
         body: this.call.body,
       },
       {
-        maySend: relay => this.#maySend(attempt, relay),
+        maySend: relay => {
+          relayed = relay;
+          return this.#maySend(attempt, relay);
+        },
         onStart: (status, headers) => {
           const isRejection = assembler.start(status, headers);
           this.#onHead(attempt, assembler);
@@ -245,7 +250,14 @@
       },
     );
     this.#exchange = exchange;
-    const exchangeEnd = await exchange.ended;
+    const connectionEnd = await exchange.ended;
+    const exchangeEnd = await confirmEnd(
+      this.context,
+      { replica, relayed },
+      connectionEnd,
+      assembler,
+      () => this.#withdrawReason !== null,
+    );
     this.#exchange = null;
     this.#attempt = null;
     const { result, failure, error } = endAttempt(
@@ -263,7 +275,7 @@
     execution.end(result);
     this.#recorder.responseEnded(attempt, result, assembler.progress);
     const reused = exchangeEnd.kind === 'failed' && exchangeEnd.reused;
-    checkReplicaAfter(this.context, replica, exchangeEnd, result);
+    checkReplicaAfter(this.context, replica, exchangeEnd);
     return { attempt, result, reused };
   }
 
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -134,6 +134,17 @@
     return (this.#events ?? this.#boundary)?.isInsideEvent === true;
   }
 
+  /**
+   * Whether it takes more than the end of the connection to show that the response is complete.
+   */
+  get endNeedsProof(): boolean {
+    return (
+      this.#head?.notRun === false &&
+      this.#framing === 'closeDelimited' &&
+      !this.#isInsideEvent
+    );
+  }
+
   /** Whether the body is relayed to the caller as it arrives. */
   get isRelaying(): boolean {
     return this.#isRelaying;
@@ -215,8 +226,8 @@
   }
 
   /**
-   * Finishes a response that has ended regularly and sends it to the caller
-   * unless it is an error that a retry may replace.
+   * Finishes a response whose end is certain and sends it to the caller unless it is an error
+   * that a retry may replace.
    *
    * A stream that ends inside an event was cut off, whatever its framing says.
    */
@@ -234,11 +245,6 @@
       return { result: { kind: 'lost', reason }, failure: null };
     }
     if (this.#isRelaying) {
-      if (!this.options.answer.mayEnd(this.#framing)) {
-        const reason =
-          'end of the connection does not prove the end of a stream';
-        return { result: { kind: 'lost', reason }, failure: null };
-      }
       this.#relay(this.#events?.flush() ?? Buffer.alloc(0));
       this.#endRelay();
       return { result: this.#answered, failure: null };
@@ -262,7 +268,6 @@
       decidedBy: 'replica',
       headers: dialect.toCallerHeaders(this.#headers),
       body: this.#buffered.take(),
-      framing: this.#framing,
     };
     if (status >= MIN_SERVER_ERROR_STATUS || answer.hasStarted) {
       return { result: { kind: 'failed', status }, failure: response };
@@ -300,11 +305,7 @@
   #startRelay(): void {
     const { answer, dialect } = this.options;
     if (!answer.hasStarted) {
-      answer.start(
-        this.#status,
-        dialect.toCallerHeaders(this.#headers),
-        this.#framing,
-      );
+      answer.start(this.#status, dialect.toCallerHeaders(this.#headers));
     }
   }
 }
--- a/packages/gateway/src/forward/gatewayResponse.ts
+++ b/packages/gateway/src/forward/gatewayResponse.ts
@@ -30,7 +30,6 @@
       'application/json',
       ...dialect.gatewayResponseHeaders(requestId, retryAfterMs),
     ],
-    framing: 'selfDelimited',
     body: Buffer.from(JSON.stringify({ error })),
   };
 }
--- a/packages/gateway/src/relay/RelayConnector.ts
+++ b/packages/gateway/src/relay/RelayConnector.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import type { Member, Membership, RelayPeers } from '@jujubecroft/decisions';
-import type { BackendServerId, Replica } from '@jujubecroft/types';
+import type { BackendServerId, InstanceId, Replica } from '@jujubecroft/types';
 
 import { firstOpen } from './firstOpen.js';
 import { openTunnel, TunnelError } from './openTunnel.js';
@@ -105,6 +105,31 @@
     return socket;
   }
 
+  /**
+   * Opens a connection to a replica through one instance.
+   *
+   * @param peer - the instance
+   * @param replica - the replica
+   * @param timeoutMs - timeout in milliseconds
+   * @returns the connection
+   * @throws Error if the instance no longer serves or can't connect in time
+   */
+  async connectThrough(
+    peer: InstanceId,
+    replica: Replica,
+    timeoutMs: number,
+  ): Promise<Socket> {
+    const member = this.membership.serving.find(({ id }) => id === peer);
+    if (!member) {
+      throw new Error('the other instance no longer serves');
+    }
+    return this.#connectThrough(
+      member,
+      replica,
+      AbortSignal.timeout(timeoutMs),
+    );
+  }
+
   async #connectThrough(
     { id: peer, peerAddress }: Member,
     replica: Replica,
--- a/packages/gateway/tests/forward/CallerResponse.test.ts
+++ b/packages/gateway/tests/forward/CallerResponse.test.ts
@@ -75,7 +75,7 @@
   answer: CallerResponse,
   chunks: readonly Buffer[],
 ): Promise<void> {
-  answer.start(200, [], 'selfDelimited');
+  answer.start(200, []);
   for (const chunk of chunks) {
     answer.write(chunk);
     await nextTurn();
@@ -144,7 +144,7 @@
     const drained = new Promise<void>(resolve => {
       void withServer(
         answer => {
-          answer.start(200, [], 'selfDelimited');
+          answer.start(200, []);
           answer.write(chunk);
           const fill = (): void => {
             if (answer.write(chunk)) {
@@ -182,7 +182,7 @@
     const headers = ['content-length', '0'];
     const paths: readonly ((answer: CallerResponse) => void)[] = [
       answer => {
-        answer.start(PROMISING_STATUS, headers, 'selfDelimited');
+        answer.start(PROMISING_STATUS, headers);
       },
       answer => {
         answer.send({
@@ -190,7 +190,6 @@
           decidedBy: 'replica',
           headers,
           body: Buffer.alloc(0),
-          framing: 'selfDelimited',
         });
       },
     ];
@@ -223,7 +222,6 @@
               decidedBy: 'gateway',
               headers: ['connection', 'close'],
               body: Buffer.from('refused'),
-              framing: 'selfDelimited',
             },
             proof,
           );
