fix(decisions): prompts of many parts no longer fill the heap of an instance

Cause: the estimate of what replicas have cached identified a part by the joined ids of all parts before it, text of n squared ids for n parts. It was built at each placement and kept for each replica, bounded by tokens of the prompt instead of memory.

Change: prefixes are known by a hash over the ids.

--- a/packages/decisions/src/gateway/placement/tolerance-split.ts
+++ b/packages/decisions/src/gateway/placement/tolerance-split.ts
@@ -6,7 +6,7 @@
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { estimatesOf } from '../GatewayBoard.js';
 import { firstEventMs } from '../firstEventMs.js';
-import { prefixPathsOf } from '../PromptCacheEstimate.js';
+import { prefixesOf } from '../PromptCacheEstimate.js';
 import { requestRank } from '../requestRank.js';
 import type { ServiceSpeeds } from '../speed/ServiceSpeeds.js';
 import type { CacheHolder } from './cacheFetch.js';
@@ -116,17 +116,16 @@
     speeds: ServiceSpeeds | undefined,
   ): RequestContext => {
     const { prompt, route, service } = request;
-    const parts = prompt?.parts ?? [];
     const shared = sharedParts(request);
     const last = shared.at(-1);
     const capacityOf = speeds
       ? (load: BackendLoad): number => speeds.capacityOf(load)
       : null;
     const home = last && homeReplica(last, loads, capacityOf);
-    const paths = prefixPathsOf(parts);
+    const prefixes = prefixesOf(prompt?.parts ?? []);
     const sharedTokens = tokensOf(shared);
     const cached = new Map(
-      all.map(load => [load, load.cacheEstimate.cachedTokens(parts, paths)]),
+      all.map(load => [load, load.cacheEstimate.cachedTokens(prefixes)]),
     );
     const holders = [...cached].map(([load, known]) => {
       const likelyTokens =
--- a/packages/decisions/tests/gateway/replicaRestart.test.ts
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -3,7 +3,7 @@
 import { brand } from '@jujubecroft/types';
 
 import type { BackendLoad, GatewayAttempt } from '../../src/index.js';
-import { prefixPathsOf } from '../../src/gateway/PromptCacheEstimate.js';
+import { prefixesOf } from '../../src/gateway/PromptCacheEstimate.js';
 import type { GatewayFixture } from './helpers/gatewayFixture.js';
 import { gatewayFixture, replica, route } from './helpers/gatewayFixture.js';
 
@@ -50,7 +50,7 @@
       fixture.router.onEnded(attempt, { kind: 'lost', reason });
     });
     const load = loadOf(fixture);
-    t.is(load.cacheEstimate.cachedTokens(PARTS, prefixPathsOf(PARTS)), 0);
+    t.is(load.cacheEstimate.cachedTokens(prefixesOf(PARTS)), 0);
     t.is(load.totalInFlight, 0);
     t.is(load.health.verdict, 'good');
     t.is(load.latencyRatioFor(0), 1);
@@ -70,7 +70,7 @@
     t.is(board.replicas.applyRows(rows, 2, 0)[0]?.kind, 'restarted');
     router.syncReplicas();
     const { cacheEstimate } = loadOf(fixture);
-    t.is(cacheEstimate.cachedTokens(PARTS, prefixPathsOf(PARTS)), 0);
+    t.is(cacheEstimate.cachedTokens(prefixesOf(PARTS)), 0);
     t.false(router.mayReceive(attempt));
     t.deepEqual(router.takeOrphanedAttempts(), [attempt]);
   });
