fix(gateway): the age of a stream is no longer taken from the limit of its route

Callers saw: streams that they continued after a loss of all instances were answered 200 with text joined from two software versions, where the operator had shortened the limit of the route while they ran, or where callers had longer limits than the route (10 of 10 each). Two more shapes need no loss: longer limits, once the old version has left for some seconds, and a route that has moved to another service. Streams of a service with one version were all refused after a loss of all instances (20 of 20).

Cause: a stream without a record goes on if its service has had one version for longer than the stream can be old, and that age was a guess from the present limit of the route. The history that it was compared with is as old as the process, and knows services, not where the route led before.

Change: the age is bounded by the longest time limit that any caller has stated, less what the caller has left. A row of the store holds that limit, the versions of services with the time at which former ones left, and since when routes lead to one service. It is written when one of these changes, and read again before anything is concluded. Records of streams are kept for the limit of their caller.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -25,8 +25,11 @@
    * say.
    */
   readonly firstRequest: RequestId | null;
-  /** Longest time since the first event, in milliseconds. */
-  readonly maxAgeMs: number;
+  /**
+   * How long the caller is still prepared to wait, counted from its first request, in
+   * milliseconds; null if it doesn't say.
+   */
+  readonly timeLeftMs: number | null;
   /** Who knew at which version the stream began, and how old the knowledge is. */
   readonly knownFrom?: string;
   readonly knownAgeMs?: number;
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -85,6 +85,17 @@
 export type { Keeper } from './streams/keepersOf.js';
 export { keepersOf } from './streams/keepersOf.js';
 export { StreamBinding } from './streams/StreamBinding.js';
+export type {
+  StreamHistory,
+  StreamObservation,
+} from './streams/StreamHistory.js';
+export {
+  isSameHistory,
+  observeStreams,
+  parseStreamHistory,
+  soleOriginFromMs,
+  soleServiceFromMs,
+} from './streams/StreamHistory.js';
 export type {
   KnownOrigin,
   StreamOrigin,
--- a/packages/decisions/src/gateway/streams/StreamBinding.ts
+++ b/packages/decisions/src/gateway/streams/StreamBinding.ts
@@ -13,6 +13,12 @@
   #isBound = false;
   #version: SoftwareVersion | null = null;
 
+  /**
+   * @param callerLimitMs - time for which the caller may continue the stream, in
+   *   milliseconds; null if it doesn't say
+   */
+  constructor(readonly callerLimitMs: number | null = null) {}
+
   /** Whether the caller has events of the stream. */
   get isBound(): boolean {
     return this.#isBound;
--- a/packages/decisions/src/gateway/streams/VersionHistory.ts
+++ b/packages/decisions/src/gateway/streams/VersionHistory.ts
@@ -102,6 +102,20 @@
     return { softwareVersion: version, forMs: nowMs - soleFromMs };
   }
 
+  /**
+   * Returns how long ago a replica of any other version was last known.
+   *
+   * @param service - id of the service
+   * @param version - the version that doesn't count
+   * @returns milliseconds; infinite if this instance has seen no other
+   */
+  sinceOthersMs(service: ServiceId, version: SoftwareVersion): number {
+    const others = [...(this.#services.get(service) ?? [])]
+      .filter(([other]) => other !== version)
+      .map(([, { lastMs }]) => lastMs);
+    return this.clock() - Math.max(-Infinity, ...others);
+  }
+
   /**
    * Extends the history by that of another instance, if the two overlap.
    *
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -15,7 +15,6 @@
 import type { RequestHead } from '../ports/CallerDialect.js';
 import { headerValue } from '../util/headers.js';
 import { bindResumption } from '../streams/bindResumption.js';
-import { maxStreamAgeMs } from '../streams/streamAge.js';
 import { nextTurn } from '../util/nextTurn.js';
 import { once } from '../util/once.js';
 import { readBody } from './readBody.js';
@@ -97,16 +96,15 @@
   route: Route,
   head: RequestHead,
 ): Pick<GatewayRequest, 'binding' | 'resumption'> {
-  const { firstRequest } = head;
+  const { firstRequest, timeLeftMs } = head;
   const isStream = route.kind === 'streaming';
   const isResumed = head.lastEventId !== null;
   return {
     binding:
-      isStream && (route.resumable || isResumed) ? new StreamBinding() : null,
-    resumption:
-      isStream && isResumed
-        ? { firstRequest, maxAgeMs: maxStreamAgeMs(route, head) }
+      isStream && (route.resumable || isResumed)
+        ? new StreamBinding(timeLeftMs)
         : null,
+    resumption: isStream && isResumed ? { firstRequest, timeLeftMs } : null,
   };
 }
 
--- a/packages/gateway/src/ports/DiscoveryStore.ts
+++ b/packages/gateway/src/ports/DiscoveryStore.ts
@@ -1,6 +1,8 @@
 import type { ListedMember, ReplicaRow } from '@jujubecroft/decisions';
 import type { RoutingConfiguration } from '@jujubecroft/types';
 
+import type { ConditionalTable } from '../duties/createHoldingStore.js';
+
 /** Replica entries and the store version up to which they are current. */
 export interface ReplicaRead {
   readonly rows: readonly ReplicaRow[];
@@ -54,5 +56,7 @@
   readonly announce: (self: ListedMember) => Promise<void>;
   /** Returns the stored entries of all instances. */
   readonly listInstances: () => Promise<readonly ListedMember[]>;
+  /** Table that keeps where streams can have begun. */
+  readonly streamHistory: ConditionalTable;
   readonly close: () => void;
 }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -207,6 +207,7 @@
     barredRequestLogger.logChanges();
     promptPartLogger.logChanges();
     limitLogger.logChanges();
+    context.streams.checkHistory();
     context.connections.closeUnusable();
     context.replicaConnector.probeLostPaths();
     const suspendedMs = takeSuspendedMs();
--- a/packages/gateway/src/state/createViewSync.ts
+++ b/packages/gateway/src/state/createViewSync.ts
@@ -55,6 +55,7 @@
       link.send(encodeState(toStreamDatagram(message)), to);
     },
     readReplicas: () => reader.confirmReplicas(),
+    history: store.streamHistory,
   });
   return { view, reader, peers };
 }
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -1,8 +1,13 @@
-import type { GatewayRequest, KnownOrigin } from '@jujubecroft/decisions';
+import type {
+  GatewayRequest,
+  KnownOrigin,
+  SoleVersion,
+} from '@jujubecroft/decisions';
 import { determineViewState, StreamRecords } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator/peers';
 import type { ServiceId, StreamKey } from '@jujubecroft/types';
 
+import type { ConditionalTable } from '../duties/createHoldingStore.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { FreshView } from './FreshView.js';
 import type { FoundOrigin } from './OriginLookup.js';
@@ -12,16 +17,19 @@
 import type { SendStreamMessage } from './OriginPublisher.js';
 import { CHECK_MS, OriginPublisher } from './OriginPublisher.js';
 import { streamKeyOf } from './streamKeyOf.js';
-import { streamLifeMs } from './streamAge.js';
+import { callerLimitMs, maxStreamAgeMs, streamLifeMs } from './streamAge.js';
+import { StreamHistoryKeeper } from './StreamHistoryKeeper.js';
 
 /** What the origins of streams are exchanged with. */
 export interface OriginLinks {
   readonly send: SendStreamMessage;
   /** Reads the replicas from the store; the result tells whether it answered. */
   readonly readReplicas: () => Promise<boolean>;
+  /** Keeps the history of streams. */
+  readonly history: ConditionalTable;
 }
 
-const NO_LINKS: OriginLinks = {
+const NO_LINKS: Omit<OriginLinks, 'history'> = {
   send: () => undefined,
   readReplicas: () => Promise.resolve(false),
 };
@@ -54,6 +62,7 @@
     ServiceId,
     { readonly atMs: number; readonly isNeeded: boolean }
   >();
+  readonly #history: StreamHistoryKeeper;
   #links = NO_LINKS;
 
   constructor(
@@ -76,23 +85,43 @@
     this.#lookup = new OriginLookup(context, send, (service, reply) => {
       this.#versions.extend(service, reply.sole, reply.viewAgeMs);
     });
-    this.#freshView = new FreshView(timers, () => this.#links.readReplicas());
+    this.#history = new StreamHistoryKeeper(context);
+    this.#freshView = new FreshView(timers, async () => {
+      const answered = await Promise.all([
+        this.#links.readReplicas(),
+        this.#history.refresh(),
+      ]);
+      return answered.every(Boolean);
+    });
   }
 
   /** Connects the other instances and the store. */
   connect(links: OriginLinks): void {
     this.#links = links;
+    this.#history.connect(links.history);
+  }
+
+  /** Writes to the store what the history lacks; to be called at short intervals. */
+  checkHistory(): void {
+    this.#history.check();
+  }
+
+  /** Records a request whose stream may be continued later. */
+  onRequest(request: GatewayRequest): void {
+    if (request.binding) {
+      this.#history.onLimit(callerLimitMs(request));
+    }
   }
 
   /** Records that the caller of a request has the first event of its stream. */
   onBegun(request: GatewayRequest): void {
-    const { binding, service, route } = request;
+    const { binding, service } = request;
     const softwareVersion = binding?.version ?? null;
     if (softwareVersion === null) {
       return;
     }
     this.#keysOf(request).forEach(key => {
-      const keepMs = streamLifeMs(route);
+      const keepMs = streamLifeMs(callerLimitMs(request));
       const origin = { service: service.id, softwareVersion };
       this.#publisher.onBegun({ ...origin, key, keepMs });
     });
@@ -179,16 +208,38 @@
     return known && { ...known, knownFrom: SOLE_VERSION };
   }
 
-  #soleOrigin({ service, resumption }: GatewayRequest): KnownOrigin | null {
+  #soleOrigin(request: GatewayRequest): KnownOrigin | null {
+    const { service, resumption } = request;
     const sole = this.#versions.soleVersion(service.id);
+    if (!sole || !resumption) {
+      return null;
+    }
+    const { softwareVersion } = sole;
     const { freshWithinMs } = this.context.settings;
-    const maxAgeMs = resumption?.maxAgeMs ?? Infinity;
+    const maxAgeMs = maxStreamAgeMs(resumption, this.#history.longestLimitMs);
     // Instances use views of that age, so that replicas are used as long after they left.
-    return sole && sole.forMs >= maxAgeMs + freshWithinMs
-      ? { service: service.id, softwareVersion: sole.softwareVersion, ageMs: 0 }
+    return this.#soleForMs(request, sole) >= maxAgeMs + freshWithinMs
+      ? { service: service.id, softwareVersion, ageMs: 0 }
       : null;
   }
 
+  /** Time for which all streams of a request's route have begun at one version. */
+  #soleForMs(
+    { route, service }: Pick<GatewayRequest, 'route' | 'service'>,
+    { softwareVersion, forMs }: SoleVersion,
+  ): number {
+    const storedForMs = Math.min(
+      this.#history.soleOriginForMs({ route, service }, softwareVersion),
+      // The row may lack what this instance has just learned.
+      this.#versions.sinceOthersMs(service.id, softwareVersion),
+    );
+    const ownForMs = Math.min(
+      this.#history.soleServiceForMs(route, service.id),
+      forMs,
+    );
+    return Math.max(storedForMs, ownForMs);
+  }
+
   /** Asks other instances, which also tell how long the service has had one version. */
   async #ask(request: GatewayRequest): Promise<FoundOrigin | null> {
     const { organisation, resumption, id, service } = request;
@@ -216,14 +267,20 @@
     const { router, settings } = this.context;
     const { board } = router;
     const { freshWithinMs } = settings;
-    const routes = board.table?.cfg.routes ?? [];
-    const lives = routes
-      .filter(({ shares }) => shares.some(share => share.service === service))
-      .map(streamLifeMs);
-    const forMs = this.#versions.soleVersion(service)?.forMs ?? 0;
+    const sole = this.#versions.soleVersion(service);
+    const routed = board.table?.service(service);
+    if (!sole || !routed) {
+      return false;
+    }
+    const routes = (board.table?.cfg.routes ?? []).filter(
+      ({ resumable, shares }) =>
+        resumable && shares.some(share => share.service === service),
+    );
+    const neededMs = streamLifeMs(this.#history.longestLimitMs) + freshWithinMs;
     return (
-      forMs >= Math.max(0, ...lives) + freshWithinMs &&
-      determineViewState(board, freshWithinMs) === 'current'
+      routes.every(
+        route => this.#soleForMs({ route, service: routed }, sole) >= neededMs,
+      ) && determineViewState(board, freshWithinMs) === 'current'
     );
   }
 
--- a/packages/gateway/src/streams/bindResumption.ts
+++ b/packages/gateway/src/streams/bindResumption.ts
@@ -39,6 +39,7 @@
   request: GatewayRequest,
 ): Promise<GatewayRequest> {
   const { binding, resumption } = request;
+  context.streams.onRequest(request);
   if (!binding || !resumption) {
     return request;
   }
--- a/packages/gateway/src/streams/streamAge.ts
+++ b/packages/gateway/src/streams/streamAge.ts
@@ -1,32 +1,49 @@
-import type { Route } from '@jujubecroft/types';
+import type { GatewayRequest, Resumption } from '@jujubecroft/decisions';
 
-import type { RequestHead } from '../ports/CallerDialect.js';
-
-/** Time within which a caller continues a stream that has ended, in milliseconds. */
+/** Time within which a caller continues a stream after its time limit, in milliseconds. */
 const CALLER_RETURN_MS = 5000;
-/** Time by which a caller's time limit may exceed the route's, in milliseconds. */
+/** Difference by which a caller's clock and the way of its requests may shift its time limit. */
 const TIME_LIMIT_SLACK_MS = 1000;
+/** Time limit that is assumed of callers that state none, in milliseconds. */
+const UNSTATED_LIMIT_MS = 3_600_000;
 
-/** Time after its first event in which a stream may be continued, in milliseconds. */
-export function streamLifeMs({ timeoutMs }: Route): number {
-  return timeoutMs + CALLER_RETURN_MS;
+/**
+ * Returns the time limit of a caller. The time limit of its route doesn't bound the time for
+ * which it may continue a stream.
+ *
+ * @param request - a request for a stream
+ * @returns milliseconds from its first request on
+ */
+export function callerLimitMs({
+  binding,
+}: Pick<GatewayRequest, 'binding'>): number {
+  return binding?.callerLimitMs ?? UNSTATED_LIMIT_MS;
+}
+
+/**
+ * Returns the time after its first event in which a stream may be continued.
+ *
+ * @param limitMs - time limit of the caller, in milliseconds
+ */
+export function streamLifeMs(limitMs: number): number {
+  return limitMs + CALLER_RETURN_MS;
 }
 
 /**
  * Returns the longest time since the first event of a stream that a request continues.
  *
- * A caller that doesn't name its first request is taken at its word on the time: its time
- * limit counts from its first attempt, so that the part that has passed bounds the age.
+ * The time limit of a caller counts from its first request, so that the part that has passed
+ * bounds the age.
  *
- * @param route - route of the request
- * @param head - head of the request
+ * @param resumption - what the caller states
+ * @param longestLimitMs - longest time limit of any caller, in milliseconds
  * @returns milliseconds
  */
 export function maxStreamAgeMs(
-  route: Route,
-  { firstRequest, timeLeftMs }: RequestHead,
+  { timeLeftMs }: Resumption,
+  longestLimitMs: number,
 ): number {
-  return firstRequest === null && timeLeftMs !== null
-    ? Math.max(0, route.timeoutMs - timeLeftMs) + TIME_LIMIT_SLACK_MS
-    : streamLifeMs(route);
+  return timeLeftMs === null
+    ? streamLifeMs(longestLimitMs)
+    : Math.max(0, longestLimitMs - timeLeftMs) + TIME_LIMIT_SLACK_MS;
 }
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -13,6 +13,7 @@
 } from '@jujubecroft/types';
 import { brand, createRandom } from '@jujubecroft/types';
 
+import { HOUSEKEEPING_INTERVAL_MS } from '../../src/createContext.js';
 import { placeWhenViewUsable } from '../../src/forward/placeWhenViewUsable.js';
 import type { GatewayContext } from '../../src/GatewayContext.js';
 import { createViewSync } from '../../src/state/createViewSync.js';
@@ -62,6 +63,8 @@
   readonly domains?: number;
   /** Software versions that replicas have in turn; one if omitted. */
   readonly versions?: readonly string[];
+  /** Whether there is a route of streams that may be resumed; false if omitted. */
+  readonly hasStreams?: boolean;
 }
 
 /** Time that a replica takes to reject a request. */
@@ -164,7 +167,11 @@
     this.#random = createRandom(seed);
     this.store = new VirtualStore(
       this.time,
-      createConfiguration(this.#configurationVersion, routes),
+      createConfiguration(
+        this.#configurationVersion,
+        routes,
+        conditions.hasStreams,
+      ),
     );
     this.#peers = new VirtualPeers(this.time, () => this.#random() < loss);
     Array.from({ length: replicas }, (_, index) => {
@@ -243,7 +250,11 @@
   configure(routes = this.conditions.routes ?? 1): number {
     this.#configurationVersion += 1;
     this.store.configure(
-      createConfiguration(this.#configurationVersion, routes),
+      createConfiguration(
+        this.#configurationVersion,
+        routes,
+        this.conditions.hasStreams,
+      ),
     );
     return this.#configurationVersion;
   }
@@ -308,6 +319,11 @@
       this.time.after(SERVER_START_MS, resolve, process);
     });
     await peers.start();
+    if (this.conditions.hasStreams === true) {
+      context.timers.every(HOUSEKEEPING_INTERVAL_MS, () => {
+        context.streams.checkHistory();
+      });
+    }
     this.#scheduleStalls(process);
     this.#scheduleRequests(name, process, context);
   }
--- a/packages/gateway/tests/helpers/VirtualStore.ts
+++ b/packages/gateway/tests/helpers/VirtualStore.ts
@@ -7,6 +7,7 @@
 
 import { eraOf, toStoreVersion } from '@jujubecroft/types';
 
+import type { TableRow } from '../../src/duties/createHoldingStore.js';
 import type { DiscoveryStore } from '../../src/index.js';
 import { HISTORY_GONE } from '../../src/index.js';
 import type {
@@ -54,6 +55,7 @@
   readonly version: number;
   readonly configuration: RoutingConfiguration;
   readonly configurationVersion: number;
+  readonly history: ReadonlyMap<string, TableRow>;
 }
 
 /** A watch that waits for a configuration. */
@@ -64,6 +66,7 @@
 /** A store of replica entries and the configuration, in virtual time. */
 export class VirtualStore {
   #rows = new Map<string, ReplicaRow>();
+  #history = new Map<string, TableRow>();
   readonly #link: VirtualLink;
   readonly leaves: AcknowledgedLeave[] = [];
   #pendingWatches: PendingWatch[] = [];
@@ -72,6 +75,8 @@
   #era = 0;
   #configurationVersion = 1;
   calls = 0;
+  /** Number of times that the history of streams was written. */
+  historyWrites = 0;
   /** Whether calls get no answer. */
   isSilent = false;
   /** Instances whose calls get no answer. */
@@ -110,12 +115,14 @@
       version: this.#version,
       configuration: this.configuration,
       configurationVersion: this.#configurationVersion,
+      history: new Map(this.#history),
     };
   }
 
   /** Restores an older copy: later writes are lost, and a new era begins. */
   restore({ rows, version, ...copy }: VirtualCopy): void {
     this.#rows = new Map(rows);
+    this.#history = new Map(copy.history);
     this.#version = version;
     this.configuration = copy.configuration;
     this.#configurationVersion = copy.configurationVersion;
@@ -227,6 +234,21 @@
         ),
       announce: () => Promise.resolve(),
       listInstances: () => Promise.resolve([]),
+      streamHistory: {
+        read: () =>
+          call(immediately, () => ({
+            answer: {
+              rows: [...this.#history.values()],
+              ...this.#versionAndClock,
+            },
+            bytes: ROW_BYTES,
+          })),
+        writeIf: (key, content, expectedVersion) =>
+          call(immediately, () => ({
+            answer: this.#writeHistory(key, content, expectedVersion),
+            bytes: 0,
+          })),
+      },
       close: () => undefined,
     };
   }
@@ -244,6 +266,23 @@
     });
   }
 
+  #writeHistory(
+    key: string,
+    content: unknown,
+    expectedVersion: number,
+  ): { readonly version: number; readonly storeMs: number } | null {
+    if ((this.#history.get(key)?.version ?? 0) !== expectedVersion) {
+      return null;
+    }
+    this.#version += 1;
+    this.historyWrites += 1;
+    const { version, storeMs } = this.#versionAndClock;
+    // As in the store, the content is serialised.
+    const stored: unknown = JSON.parse(JSON.stringify(content));
+    this.#history.set(key, { key, version, content: stored });
+    return { version, storeMs };
+  }
+
   #combine(version: number): number {
     return toStoreVersion(this.#era, version);
   }
--- a/packages/gateway/tests/helpers/virtualDeployment.ts
+++ b/packages/gateway/tests/helpers/virtualDeployment.ts
@@ -49,6 +49,15 @@
   shares: [{ service: SERVICE, weight: 1 }],
 };
 
+/** Route of streams that may be resumed. */
+export const STREAM_ROUTE: Route = {
+  ...ROUTE,
+  id: brand<RouteId>('r-2'),
+  prefix: '/two/',
+  kind: 'streaming',
+  resumable: true,
+};
+
 /**
  * @returns a random-looking name, which compresses about as well as an operator's names
  */
@@ -71,17 +80,19 @@
  *
  * @param version - version of the configuration
  * @param routes - number of its routes
+ * @param hasStreams - whether a route of streams is added
  */
 export function createConfiguration(
   version: number,
   routes: number,
+  hasStreams = false,
 ): RoutingConfiguration {
   const others = Array.from({ length: routes - 1 }, (_, index) =>
     createRoute(index, TIME_LIMIT_MS + (index === 0 ? version : 0)),
   );
   return {
     version,
-    routes: [ROUTE, ...others],
+    routes: [ROUTE, ...(hasStreams ? [STREAM_ROUTE] : []), ...others],
     services: [{ id: SERVICE, maxConnections: 100_000, engine: null }],
     limits: {
       maxHeaderBytes: 16_384,
--- a/packages/gateway/tests/helpers/virtualStreams.ts
+++ b/packages/gateway/tests/helpers/virtualStreams.ts
@@ -3,18 +3,14 @@
 import type {
   RequestFingerprint,
   RequestId,
-  Route,
   SoftwareVersion,
 } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
 import { bindResumption } from '../../src/streams/bindResumption.js';
-import { streamLifeMs } from '../../src/streams/streamAge.js';
-import { ROUTE, SERVICE, TIME_LIMIT_MS } from './virtualDeployment.js';
+import { SERVICE, STREAM_ROUTE, TIME_LIMIT_MS } from './virtualDeployment.js';
 import type { VirtualFleet } from './VirtualFleet.js';
 
-const STREAM_ROUTE: Route = { ...ROUTE, kind: 'streaming', resumable: true };
-
 type VirtualInstance = VirtualFleet['instances'][number];
 
 function instanceAt(fleet: VirtualFleet, index: number): VirtualInstance {
@@ -25,11 +21,21 @@
   return instance;
 }
 
+/** What a caller states about its time. */
+interface CallerTimes {
+  readonly limitMs: number;
+  /** Null if a request that continues a stream states none. */
+  readonly timeLeftMs: number | null;
+}
+
+const NO_TIMES: CallerTimes = { limitMs: TIME_LIMIT_MS, timeLeftMs: null };
+
 function createRequest(
   fleet: VirtualFleet,
   { context }: VirtualInstance,
   id: string,
   firstRequest: string | null,
+  { limitMs, timeLeftMs }: CallerTimes = NO_TIMES,
 ): GatewayRequest {
   const service = context.router.board.table?.service(SERVICE);
   if (!service) {
@@ -46,13 +52,13 @@
     arrivedMs: nowMs,
     deadlineMs: nowMs + TIME_LIMIT_MS,
     isCallerRetry: false,
-    binding: new StreamBinding(),
+    binding: new StreamBinding(limitMs),
     resumption:
       firstRequest === null
         ? null
         : {
             firstRequest: brand<RequestId>(firstRequest),
-            maxAgeMs: streamLifeMs(STREAM_ROUTE),
+            timeLeftMs,
           },
     fingerprint: () => brand<RequestFingerprint>(id),
     partKeys: () => [],
@@ -66,16 +72,20 @@
  * @param index - index of the instance
  * @param id - id of the request
  * @param version - software version that writes its first event
+ * @param limitMs - time limit of the caller
  */
 export function beginStream(
   fleet: VirtualFleet,
   index: number,
   id: string,
   version: string,
+  limitMs = TIME_LIMIT_MS,
 ): void {
   const instance = instanceAt(fleet, index);
-  const request = createRequest(fleet, instance, id, null);
+  const times = { limitMs, timeLeftMs: null };
+  const request = createRequest(fleet, instance, id, null, times);
   request.binding?.bind(brand<SoftwareVersion>(version));
+  instance.context.streams.onRequest(request);
   instance.context.streams.onBegun(request);
 }
 
@@ -85,16 +95,19 @@
  * @param fleet - the fleet
  * @param index - index of the instance
  * @param firstRequest - request that began the stream
+ * @param timeLeftMs - time that the caller states to have left; null for none
  * @returns the version at which it goes on; null if it is refused
  */
 export async function continueStream(
   fleet: VirtualFleet,
   index: number,
   firstRequest: string,
+  timeLeftMs: number | null = null,
 ): Promise<SoftwareVersion | null> {
   const instance = instanceAt(fleet, index);
   const id = `${firstRequest}-continued-${index}`;
-  const request = createRequest(fleet, instance, id, firstRequest);
+  const times = { limitMs: timeLeftMs ?? TIME_LIMIT_MS, timeLeftMs };
+  const request = createRequest(fleet, instance, id, firstRequest, times);
   const bound = await bindResumption(instance.context, request);
   return bound.binding?.version ?? null;
 }
--- a/packages/gateway/tests/startGateway.test.ts
+++ b/packages/gateway/tests/startGateway.test.ts
@@ -60,6 +60,10 @@
       return Promise.resolve();
     },
     listInstances: () => Promise.resolve(listed),
+    streamHistory: {
+      read: () => Promise.resolve({ rows: [], ...readNow() }),
+      writeIf: () => Promise.resolve(null),
+    },
     close: () => undefined,
   };
   const running = await startGateway(
--- a/packages/gateway/tests/state/StoreReader.test.ts
+++ b/packages/gateway/tests/state/StoreReader.test.ts
@@ -88,6 +88,10 @@
         })),
       announce: () => Promise.resolve(),
       listInstances: () => Promise.resolve([]),
+      streamHistory: {
+        read: () => read(() => ({ rows: [] })),
+        writeIf: () => Promise.resolve(null),
+      },
       close: () => undefined,
     };
   }
--- a/packages/gateway/tests/streams/originBytes.test.ts
+++ b/packages/gateway/tests/streams/originBytes.test.ts
@@ -44,6 +44,7 @@
     meanStallIntervalMs: 0,
     seed: 1,
     domains: 3,
+    hasStreams: true,
     versions,
   });
   await fleet.start();
--- a/packages/gateway/tests/streams/streamOrigins.test.ts
+++ b/packages/gateway/tests/streams/streamOrigins.test.ts
@@ -81,6 +81,7 @@
     meanStallIntervalMs: 0,
     freshWithinMs: 3000,
     domains: DOMAINS,
+    hasStreams: true,
     versions: VERSIONS,
     ...conditions,
   });
@@ -125,6 +126,7 @@
     meanStallIntervalMs: 0,
     freshWithinMs: 3000,
     domains: DOMAINS,
+    hasStreams: true,
     seed,
   });
   await fleet.start();
@@ -202,6 +204,7 @@
       meanStallIntervalMs: 0,
       freshWithinMs: 3000,
       domains: DOMAINS,
+      hasStreams: true,
       versions: VERSIONS,
       seed: 1,
     });
