fix(gateway): a retry no longer joins its answer to one that has begun

Streams that may be resumed repeated events without an id.

Cause: the decision to retry asked whether the request may run again, not what its caller has. A caller that does not read also made its replica seem silent.

Change: an answer that has begun is followed by another one only if it is a stream whose last event has an id; it is cut otherwise. Answers that nobody else can continue, or whose caller is slow, are not withdrawn for silence.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -254,15 +254,18 @@
    *
    * @param request - the request
    * @param result - how the attempt ended
-   * @param counts - the attempts so far
+   * @param progress - the attempts so far, and what the caller has received
    */
   recover(
     request: GatewayRequest,
     result: AttemptResult,
-    counts: Pick<RecoveryFacts, 'mayHaveRun' | 'sent' | 'unsent'>,
+    progress: Pick<
+      RecoveryFacts,
+      'canContinue' | 'mayHaveRun' | 'sent' | 'unsent'
+    >,
   ): Recovery {
     return decideRecovery(result, {
-      ...counts,
+      ...progress,
       route: request.route,
       timeLeftMs: request.deadlineMs - this.board.clock(),
       hasCandidates: () => candidatesFor(this.board, request).length > 0,
--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -17,6 +17,11 @@
   readonly unsent: number;
   /** Whether an earlier attempt may have run. */
   readonly mayHaveRun: boolean;
+  /**
+   * Whether another answer could follow what the caller has received: nothing, or events of
+   * a stream that another replica can continue.
+   */
+  readonly canContinue: boolean;
   readonly timeLeftMs: number;
   /** Whether any replica could answer, or continue the stream that has begun. */
   readonly hasCandidates: () => boolean;
@@ -75,6 +80,9 @@
   result: AttemptResult,
   facts: RecoveryFacts,
 ): Recovery {
+  if (!facts.canContinue && result.kind !== 'withdrawn') {
+    return { kind: 'answer', code: 'backendMaybeRan', retryAfterMs: 0 };
+  }
   switch (result.kind) {
     case 'answered':
       return { kind: 'passOn' };
@@ -128,7 +136,7 @@
       return { kind: 'answer', code: 'backendTimeout', retryAfterMs: 0 };
     case 'replicaRestarted':
     case 'silent':
-      return isIdempotent(facts.route) && canRetry(facts)
+      return facts.canContinue && isIdempotent(facts.route) && canRetry(facts)
         ? { kind: 'retry' }
         : { kind: 'answer', code: 'backendMaybeRan', retryAfterMs: 0 };
   }
--- a/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
+++ b/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
@@ -116,7 +116,12 @@
     if (typeof attempt === 'string') {
       return;
     }
-    const counts = { sent: 1, unsent: 0, mayHaveRun: true };
+    const counts = {
+      sent: 1,
+      unsent: 0,
+      mayHaveRun: true,
+      canContinue: true,
+    };
     t.is(router.recover(attempt.request, LOST, counts).kind, 'retry');
     router.onEnded(attempt, LOST);
     t.is(router.recover(attempt.request, LOST, counts).kind, 'answer');
--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -71,6 +71,7 @@
   /** Connection on which the head and a first chunk were written. */
   #socket: Socket | null = null;
   #hasLength = false;
+  #waitsForCaller = false;
   /** What emits `drain` after the latest write. */
   #drained: ServerResponse | Socket;
 
@@ -163,9 +164,18 @@
     return acceptsMore;
   }
 
+  /** Whether the caller has yet to read what was written. */
+  get waitsForCaller(): boolean {
+    return this.#waitsForCaller;
+  }
+
   /** Calls the listener once, when the caller accepts more data. */
   onDrain(listener: () => void): void {
-    this.#drained.once('drain', listener);
+    this.#waitsForCaller = true;
+    this.#drained.once('drain', () => {
+      this.#waitsForCaller = false;
+      listener();
+    });
   }
 
   /** Ends the body, which states that it is complete. */
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -117,10 +117,23 @@
     if (this.#withdrawReason !== null && movesToOtherReplica(reason)) {
       return;
     }
+    // A caller that doesn't read makes its replica seem silent. An answer that no other
+    // replica can continue is better late than cut.
+    const isKept = !this.#canContinue || this.#response.waitsForCaller;
+    if (reason === 'silent' && isKept) {
+      return;
+    }
     this.#withdrawReason = reason;
     this.#exchange?.abort();
   }
 
+  /** Whether another replica could write what follows the answer so far. */
+  get #canContinue(): boolean {
+    return (
+      !this.#response.hasStarted || this.#sseBuffer?.isContinuable === true
+    );
+  }
+
   /** Aborts the response to the caller. */
   cutResponse(): void {
     this.#response.cut();
@@ -184,6 +197,7 @@
       sent: execution.sent,
       unsent: execution.unsent,
       mayHaveRun: execution.mayHaveRun,
+      canContinue: this.#canContinue,
     });
     this.#recorder.failed(attempt, result, recovery, {
       sent: execution.sent,
--- a/packages/gateway/src/forward/SseEventBuffer.ts
+++ b/packages/gateway/src/forward/SseEventBuffer.ts
@@ -33,8 +33,11 @@
   /** Whether the parsed text ended with CR, so that LF may still belong to its last line. */
   #parsedCr = false;
   #lastId: string | null;
+  /** Whether the last released event has an id; true before the first. */
+  #isLastNamed = true;
   readonly #parser = createParser({
     onEvent: ({ id }) => {
+      this.#isLastNamed = id !== undefined;
       this.#lastId = id ?? this.#lastId;
     },
   });
@@ -59,6 +62,15 @@
     return this.#lastId;
   }
 
+  /**
+   * Whether another replica can continue after the released events. It would repeat those
+   * that follow the last one with an id.
+   */
+  get isContinuable(): boolean {
+    this.#parse();
+    return this.#isLastNamed;
+  }
+
   /**
    * Adds bytes of the stream.
    *
