fix(gateway): bodies of all requests share a bounded memory

Cause: each body had a limit, their sum had none, and a body was kept as a list of its chunks, each an object of its own.

Change: bodies are collected in one piece of memory each, counted until the request has ended, 64 MB for all together. A request without room is refused with 503 and code memoryFull, has not run, and may return after 0.3 s.

--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -34,6 +34,8 @@
   readonly endConfirmation: EndConfirmation;
   /** Software versions at which streams began. */
   readonly streams: StreamOrigins;
+  /** Memory for the bodies of requests. */
+  readonly requestBudget: BufferBudget;
   /** Memory for responses that are not complete. */
   readonly responseBudget: BufferBudget;
   readonly dialect: CallerDialect;
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -26,6 +26,8 @@
 import { ViewLease } from './state/ViewLease.js';
 import { StreamOrigins } from './streams/StreamOrigins.js';
 
+/** Memory for the bodies of all requests of an instance, in bytes. */
+const MAX_REQUEST_BYTES = 64 * 1024 * 1024;
 /** Interval of the periodic tasks of an instance. */
 export const HOUSEKEEPING_INTERVAL_MS = 100;
 
@@ -132,6 +134,7 @@
       connector: replicaConnector,
       relay,
     }),
+    requestBudget: new BufferBudget(MAX_REQUEST_BYTES),
     responseBudget: new BufferBudget(),
     dialect,
     metrics: new GatewayMetrics(),
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -28,6 +28,8 @@
   // An instance usually receives a configuration within a second.
   noRoutingKnown: 500,
   viewOutdated: STALE_VIEW_RETRY_MS,
+  // Bodies are sent on within a fraction of a second.
+  memoryFull: 300,
 };
 /** Limit for request bodies until a configuration is known. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -133,6 +135,17 @@
   };
 }
 
+/** A request whose body is being handled, and what is needed for its response. */
+interface ReceivedCall {
+  readonly inFlight: InFlightRequests;
+  readonly unsent: UnsentCall;
+  readonly head: RequestHead;
+  /** Whether the response to the previous request of the connection is complete. */
+  readonly turn: Promise<boolean>;
+  readonly req: IncomingMessage;
+  readonly arrivedMs: number;
+}
+
 /**
  * Handles one request of a caller.
  *
@@ -151,12 +164,10 @@
 ): Promise<void> {
   const arrivedMs = context.clock();
   const turn = turns.take(req, res);
-  const { router, dialect } = context;
   const execution = new ExecutionRecord();
   const unsent: UnsentCall = { context, res, execution };
-  const limits = router.board.table?.cfg.limits;
-  const head = dialect.readRequest(req.rawHeaders);
-  const target = req.url ?? '/';
+  const limits = context.router.board.table?.cfg.limits;
+  const head = context.dialect.readRequest(req.rawHeaders);
   if (headBytes(req) > (limits?.maxHeaderBytes ?? DEFAULT_MAX_HEAD_BYTES)) {
     refuse(unsent, 'headTooLarge', head.id);
     return;
@@ -164,17 +175,40 @@
   const read = await readBody(
     req,
     limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    context.requestBudget,
   );
-  if (read.kind === 'broken') {
-    context.log.write('callerLeft', { request: head.id, code: 'bodyBroken' });
-    return;
-  }
-  if (read.kind === 'tooLarge') {
-    // The unread rest of the body would be parsed as the next request.
-    res.shouldKeepAlive = false;
-    refuse(unsent, 'bodyTooLarge', head.id);
-    return;
+  switch (read.kind) {
+    case 'broken':
+      context.log.write('callerLeft', { request: head.id, code: 'bodyBroken' });
+      return;
+    case 'tooLarge':
+      // The unread rest of the body would be parsed as the next request.
+      res.shouldKeepAlive = false;
+      refuse(unsent, 'bodyTooLarge', head.id);
+      return;
+    case 'noMemory':
+      refuse(unsent, 'memoryFull', head.id);
+      return;
+    case 'whole':
+      try {
+        await handleWhole(
+          { inFlight, unsent, head, turn, req, arrivedMs },
+          read.body?.bytes ?? null,
+        );
+      } finally {
+        read.body?.release();
+      }
   }
+}
+
+/** Handles a request whose body is in memory. */
+async function handleWhole(
+  { inFlight, unsent, head, turn, req, arrivedMs }: ReceivedCall,
+  body: Buffer | null,
+): Promise<void> {
+  const { context, res, execution } = unsent;
+  const { router } = context;
+  const target = req.url ?? '/';
   if (!(await turn)) {
     context.log.write('callerLeft', { request: head.id, code: 'notBegun' });
     return;
@@ -200,7 +234,7 @@
     target,
     headers: req.rawHeaders,
     head,
-    body: read.body,
+    body,
   };
   const request = await bindResumption(
     context,
--- a/packages/gateway/src/front/readBody.ts
+++ b/packages/gateway/src/front/readBody.ts
@@ -1,10 +1,21 @@
 import type { IncomingMessage } from 'node:http';
 
+import type { BufferBudget } from '../responses/BufferBudget.js';
+import { GrowingBuffer } from '../responses/GrowingBuffer.js';
 import { headerValue } from '../util/headers.js';
 
+/** A request body in memory. */
+export interface RequestBody {
+  readonly bytes: Buffer;
+  /** Returns its memory to the budget, once nothing uses the bytes any more. */
+  readonly release: () => void;
+}
+
 /** Result of reading a body. */
 export type BodyReadResult =
-  | { readonly kind: 'whole'; readonly body: Buffer | null }
+  | { readonly kind: 'whole'; readonly body: RequestBody | null }
+  /** The bodies of all requests together leave no room for it. */
+  | { readonly kind: 'noMemory' }
   | { readonly kind: 'tooLarge' }
   | { readonly kind: 'broken' };
 
@@ -31,44 +42,59 @@
  *
  * @param req - the request
  * @param maxBytes - limit for the body, in bytes
+ * @param budget - memory for the bodies of all requests
  * @returns the body; null within the result if the request has none
  */
 export async function readBody(
   req: IncomingMessage,
   maxBytes: number,
+  budget: BufferBudget,
 ): Promise<BodyReadResult> {
   if (!hasBody(req)) {
     return { kind: 'whole', body: null };
   }
-  if (statedLength(req) > maxBytes) {
+  const stated = statedLength(req);
+  const isTooLarge = stated > maxBytes;
+  if (isTooLarge || !budget.has(stated)) {
     // An unread body would pause the connection, and its end would go unnoticed
     // while earlier requests of it run.
     req.resume();
-    return { kind: 'tooLarge' };
+    return { kind: isTooLarge ? 'tooLarge' : 'noMemory' };
   }
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new GrowingBuffer(budget, stated > 0 ? stated : maxBytes);
+    let isSettled = false;
+    const settle = (result: BodyReadResult): void => {
+      if (!isSettled) {
+        isSettled = true;
+        if (result.kind !== 'whole') {
+          body.take();
+        }
+        resolve(result);
+      }
+    };
     req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) {
+      if (isSettled) {
         // Discards the rest instead of destroying the request, which would also
         // close the connection before the error response is written.
-        chunks.length = 0;
-        resolve({ kind: 'tooLarge' });
         return;
       }
-      chunks.push(chunk);
+      if (body.length + chunk.length > maxBytes) {
+        settle({ kind: 'tooLarge' });
+      } else if (!body.append(chunk)) {
+        settle({ kind: 'noMemory' });
+      }
     });
     req.once('end', () => {
-      const [first = null] = chunks;
-      const body = chunks.length > 1 ? Buffer.concat(chunks) : first;
-      resolve({ kind: 'whole', body: body ?? Buffer.alloc(0) });
+      const release = (): void => {
+        body.take();
+      };
+      settle({ kind: 'whole', body: { bytes: body.bytes, release } });
     });
     // The caller closed the connection; nobody is left to receive a response.
     // Both events also follow the end, which has settled the result then.
     const onBroken = (): void => {
-      resolve({ kind: 'broken' });
+      settle({ kind: 'broken' });
     };
     req.on('error', onBroken);
     req.once('close', onBroken);
--- a/packages/gateway/src/responses/GrowingBuffer.ts
+++ b/packages/gateway/src/responses/GrowingBuffer.ts
@@ -13,8 +13,14 @@
   #bytes = NO_BYTES;
   #length = 0;
 
-  /** @param budget - what the capacity is taken from */
-  constructor(private readonly budget: BufferBudget) {}
+  /**
+   * @param budget - what the capacity is taken from
+   * @param expectedBytes - capacity that is not exceeded without need; infinite if unknown
+   */
+  constructor(
+    private readonly budget: BufferBudget,
+    private readonly expectedBytes = Infinity,
+  ) {}
 
   /** Number of collected bytes. */
   get length(): number {
@@ -36,9 +42,14 @@
     return true;
   }
 
+  /** The collected bytes, which stay part of the budget until they are taken. */
+  get bytes(): Buffer {
+    return this.#bytes.subarray(0, this.#length);
+  }
+
   /** Removes and returns the collected bytes. */
   take(): Buffer {
-    const taken = this.#bytes.subarray(0, this.#length);
+    const taken = this.bytes;
     this.budget.release(this.#bytes.length);
     this.#bytes = NO_BYTES;
     this.#length = 0;
@@ -50,7 +61,8 @@
     if (length <= capacity) {
       return true;
     }
-    const next = Math.max(length, 2 * capacity, MIN_CAPACITY);
+    const doubled = Math.max(2 * capacity, MIN_CAPACITY);
+    const next = Math.max(length, Math.min(doubled, this.expectedBytes));
     if (!this.budget.take(next - capacity)) {
       return false;
     }
--- a/packages/gateway/tests/front/readBody.test.ts
+++ b/packages/gateway/tests/front/readBody.test.ts
@@ -5,6 +5,7 @@
 
 import type { BodyReadResult } from '../../src/front/readBody.js';
 import { readBody } from '../../src/front/readBody.js';
+import { BufferBudget } from '../../src/responses/BufferBudget.js';
 
 const MAX_BYTES = 100;
 const HEAD = 'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n';
@@ -14,10 +15,11 @@
 /** Sends a request and reads until the server closes the connection. */
 async function exchange(
   text: string,
+  budget = new BufferBudget(),
 ): Promise<{ readonly response: string; readonly read: BodyReadResult[] }> {
   const read: BodyReadResult[] = [];
   const server = createServer((req, res) => {
-    void readBody(req, MAX_BYTES).then(result => {
+    void readBody(req, MAX_BYTES, budget).then(result => {
       read.push(result);
       res.shouldKeepAlive = false;
       res.writeHead(result.kind === 'whole' ? 200 : 413);
@@ -45,11 +47,42 @@
   return { response, read };
 }
 
+/** Bytes of the body that was read; null if there is none. */
+function bytesOf([result]: readonly BodyReadResult[]): Buffer | null {
+  return result?.kind === 'whole' ? (result.body?.bytes ?? null) : null;
+}
+
 describe('readBody', ({ it }) => {
   it('joins the chunks of a body without a stated length', async t => {
     const chunks = '3\r\none\r\n3\r\ntwo\r\n';
     const { read } = await exchange(HEAD + chunks + LAST_CHUNK);
-    t.deepEqual(read, [{ kind: 'whole', body: Buffer.from('onetwo') }]);
+    t.deepEqual(bytesOf(read), Buffer.from('onetwo'));
+  });
+
+  // Guards against bodies of all callers together that exceed the memory of an instance.
+  it('reads no body that the others leave no memory for', async t => {
+    const budget = new BufferBudget(MAX_BYTES);
+    t.true(budget.take(MAX_BYTES - 10));
+    const stated = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n\r\n';
+    const text = `${stated}${'x'.repeat(11)}`;
+    t.deepEqual((await exchange(text, budget)).read, [{ kind: 'noMemory' }]);
+    const chunked = `${HEAD}b\r\n${'x'.repeat(11)}\r\n${LAST_CHUNK}`;
+    t.deepEqual((await exchange(chunked, budget)).read, [{ kind: 'noMemory' }]);
+    t.is(budget.usedBytes, MAX_BYTES - 10);
+  });
+
+  // Guards against small chunks that take many times the memory of their bytes.
+  it('counts the memory of a body, and returns it', async t => {
+    const budget = new BufferBudget();
+    const chunks = '1\r\nx\r\n'.repeat(MAX_BYTES);
+    const { read } = await exchange(HEAD + chunks + LAST_CHUNK, budget);
+    t.is(bytesOf(read)?.length, MAX_BYTES);
+    t.is(budget.usedBytes, MAX_BYTES);
+    const [result] = read;
+    if (result?.kind === 'whole') {
+      result.body?.release();
+    }
+    t.is(budget.usedBytes, 0);
   });
 
   // Guards against closing the connection before the error response is written.
--- a/packages/types/src/resultCodes.ts
+++ b/packages/types/src/resultCodes.ts
@@ -188,6 +188,13 @@
       'No backend server has the software version that began the stream any more.',
     action: 'Send the request anew without a last event id.',
   },
+  memoryFull: {
+    number: 2013,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'The bodies of other requests leave no memory for this one.',
+    action: 'Come back after the time in Retry-After.',
+  },
   backendNotRun: {
     number: 3001,
     httpStatus: 502,
