fix(gateway): a stopping instance waits until its answers are delivered

Cause: the stop waited for requests in work. A request ends when the last byte of its answer is written, which leaves in memory what the caller's connection does not take.

Change: a response counts as in flight until its connection has taken all of it.

--- a/packages/gateway/src/front/InFlightRequests.ts
+++ b/packages/gateway/src/front/InFlightRequests.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import type { GatewayAttempt, WithdrawReason } from '@jujubecroft/decisions';
 
 import type { ForwardedRequest } from '../forward/ForwardedRequest.js';
@@ -20,12 +21,25 @@
  */
 export class InFlightRequests {
   readonly #requests = new Set<ForwardedRequest>();
+  /** Complete responses of which a part is still in memory. */
+  readonly #deliveries = new Set<ServerResponse>();
   #timer: NodeJS.Timeout | null = null;
 
   constructor(private readonly context: GatewayContext) {}
 
+  /** Number of requests without a complete response, and of responses not delivered. */
   get count(): number {
-    return this.#requests.size;
+    return this.#requests.size + this.#deliveries.size;
+  }
+
+  /** Tracks a complete response until the connection of its caller has taken all of it. */
+  trackDelivery(res: ServerResponse): void {
+    if (!res.writableFinished && !res.destroyed) {
+      this.#deliveries.add(res);
+      res.once('close', () => {
+        this.#deliveries.delete(res);
+      });
+    }
   }
 
   /** Runs a request and tracks it until it ends. */
@@ -47,6 +61,10 @@
     this.#requests.forEach(request => {
       request.cutResponse();
     });
+    // A regular end would complete a body that only the connection delimits.
+    this.#deliveries.forEach(({ socket }) => {
+      socket?.resetAndDestroy();
+    });
   }
 
   /** Stops the checks. */
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -259,5 +259,6 @@
     onClose();
   }
   await inFlight.track(forwarded);
+  inFlight.trackDelivery(res);
   context.streams.onEnded(request);
 }
