fix(gateway): a failed opening no longer leaves other requests without a connection

Callers saw: requests that wait for a connection to a replica waited on, up to their time limit, when the opening for one of them failed and no other request was sent.

Cause: the agent of Node.js tells the request for which the opening failed, and opens the next connection only after another one has ended. The failed request stays in its queue.

Change: the agent removes the failed request and opens a connection for the next one.

Test: unsentAttempts.test.ts "do not wait on when the opening for one of them fails", known red before, passes.

--- a/packages/gateway/src/backends/KeepAliveAgent.ts
+++ b/packages/gateway/src/backends/KeepAliveAgent.ts
@@ -4,7 +4,7 @@
   IncomingMessage,
 } from 'node:http';
 import { Agent } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 
 import { headerValue } from '../util/headers.js';
 import { endedByReset } from './endedByReset.js';
@@ -51,6 +51,21 @@
   readonly _httpMessage?: { readonly res?: IncomingMessage };
 }
 
+/** Handles a connection that was opened for a request, or the failure to open it. */
+type OpeningHandler = (err: Error | null, socket?: Socket) => void;
+
+/** Methods of the HTTP agent that Node.js lets agents override but does not declare. */
+interface AgentMethods {
+  readonly createSocket: (
+    req: ClientRequest,
+    options: ClientRequestArgs,
+    handle: OpeningHandler,
+  ) => void;
+  readonly removeSocket: (socket: Socket, options: ClientRequestArgs) => void;
+}
+
+const BASE_METHODS = Agent.prototype as unknown as AgentMethods;
+
 /** Idle timeout of a connection after its last response, in milliseconds. */
 function idleTimeoutMs({ _httpMessage: lastRequest }: KeptSocket): number {
   const rawHeaders = lastRequest?.res?.rawHeaders ?? [];
@@ -115,6 +130,41 @@
       });
   }
 
+  /**
+   * Opens a connection for a request.
+   *
+   * If that fails, Node.js leaves further requests that wait for a connection without one
+   * until another request is sent.
+   */
+  createSocket(
+    req: ClientRequest,
+    options: ClientRequestArgs,
+    handle: OpeningHandler,
+  ): void {
+    BASE_METHODS.createSocket.call(this, req, options, (err, socket) => {
+      handle(err, socket);
+      if (err) {
+        this.#openForNext(req, options);
+      }
+    });
+  }
+
+  /** Opens a connection for the next waiting request, instead of the failed one. */
+  #openForNext(failed: ClientRequest, options: ClientRequestArgs): void {
+    Object.entries(this.requests).forEach(([name, queue]) => {
+      const others = queue?.filter(req => (req as unknown) !== failed) ?? [];
+      if (others.length === 0) {
+        Reflect.deleteProperty(this.requests, name);
+      } else if (queue && others.length < queue.length) {
+        queue.splice(0, queue.length, ...others);
+      }
+    });
+    if (Object.keys(this.requests).length > 0) {
+      // As after the end of a connection, one is opened for the first in the queue.
+      BASE_METHODS.removeSocket.call(this, new Socket(), options);
+    }
+  }
+
   /** Opens a connection, at once or with the callback. */
   override createConnection(
     { host, port }: ClientRequestArgs,
