fix(gateway): bound the history of streams by the configuration

The row that keeps where streams can have begun grew with the names of services that there had been, up to the limit of the store for rows, after which it could not be written any more.

Services to which no route of streams leads are left out; a service that returns counts anew. Time limits of callers count up to an hour.

--- a/packages/decisions/src/gateway/streams/StreamHistory.ts
+++ b/packages/decisions/src/gateway/streams/StreamHistory.ts
@@ -142,10 +142,11 @@
   const resumable = routes.filter(
     ({ kind, resumable: isResumable }) => kind === 'streaming' && isResumable,
   );
-  const services = new Set<string>([
-    ...Object.keys(known?.services ?? {}),
-    ...resumable.flatMap(({ shares }) => shares.map(({ service }) => service)),
-  ]);
+  // A service to which no such route leads is left out, so that the history doesn't grow with
+  // the names that there have been.
+  const services = new Set<string>(
+    resumable.flatMap(({ shares }) => shares.map(({ service }) => service)),
+  );
   const limitMs = LIMIT_UNIT_MS * Math.ceil(longestLimitMs / LIMIT_UNIT_MS);
   return {
     longestLimitMs: Math.max(known?.longestLimitMs ?? 0, limitMs),
--- a/packages/gateway/src/streams/streamAge.ts
+++ b/packages/gateway/src/streams/streamAge.ts
@@ -4,8 +4,11 @@
 const CALLER_RETURN_MS = 5000;
 /** Difference by which a caller's clock and the way of its requests may shift its time limit. */
 const TIME_LIMIT_SLACK_MS = 1000;
-/** Time limit that is assumed of callers that state none, in milliseconds. */
-const UNSTATED_LIMIT_MS = 3_600_000;
+/**
+ * Longest time limit of a caller that is believed, and that is assumed of callers that state
+ * none, in milliseconds.
+ */
+const MAX_LIMIT_MS = 3_600_000;
 
 /**
  * Returns the time limit of a caller. The time limit of its route doesn't bound the time for
@@ -17,7 +20,7 @@
 export function callerLimitMs({
   binding,
 }: Pick<GatewayRequest, 'binding'>): number {
-  return binding?.callerLimitMs ?? UNSTATED_LIMIT_MS;
+  return Math.min(MAX_LIMIT_MS, binding?.callerLimitMs ?? MAX_LIMIT_MS);
 }
 
 /**
