test(soak): send for longer than a millisecond

The test sends requests for 1 ms, and sends none if that time has passed before the first look at the clock. It sends for 100 ms now, which is still one request, and requires the same of it.

--- a/packages/soak/tests/callers/sendPieces.test.ts
+++ b/packages/soak/tests/callers/sendPieces.test.ts
@@ -11,6 +11,8 @@
 import type { ObservedResponse } from '../../src/evidence.js';
 
 const HOST = '127.0.0.1';
+/** Time for which requests are sent; shorter than the time between two of them. */
+const SENDING_MS = 100;
 const BYTES = 'POST /unsafe/x HTTP/1.1\r\n\r\nbody';
 
 /** @returns the responses that callers of a server observe that sends the given bytes */
@@ -37,7 +39,7 @@
     onSent: () => undefined,
     onResponse: (response: ObservedResponse) => responses.push(response),
   } as unknown as CallerContext;
-  await sendPieces(context, 1, drawEarly);
+  await sendPieces(context, SENDING_MS, drawEarly);
   server.close();
   return responses;
 }
