refactor(gateway): one predicate for resumable streams, one key for a replica's run

What a route of resumable streams is was written four times, once without the kind of the route, so that records of streams were sent for services with a resumable route of another kind. hasResumableStreams replaces them. The keeper of the stream history computed what it observes twice for each write; the search for other versions and the key of a replica's run were written twice.

--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -82,6 +82,7 @@
 } from './shares/WorkReport.js';
 export { StoreClock } from './StoreClock.js';
 export { connectionShare } from './usableCandidates.js';
+export { hasResumableStreams } from './streams/hasResumableStreams.js';
 export type { Keeper } from './streams/keepersOf.js';
 export { keepersOf } from './streams/keepersOf.js';
 export { StreamBinding } from './streams/StreamBinding.js';
--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -1,5 +1,6 @@
 import type { Route } from '@jujubecroft/types';
 
+import { hasResumableStreams } from '../streams/hasResumableStreams.js';
 import type {
   AttemptResult,
   Recovery,
@@ -50,9 +51,7 @@
  * @returns true for safe requests and for streams that can be resumed
  */
 export function isIdempotent(route: Route): boolean {
-  return (
-    route.kind === 'safe' || (route.kind === 'streaming' && route.resumable)
-  );
+  return route.kind === 'safe' || hasResumableStreams(route);
 }
 
 function canRetry(facts: RecoveryFacts): boolean {
--- a/packages/decisions/src/gateway/streams/StreamHistory.ts
+++ b/packages/decisions/src/gateway/streams/StreamHistory.ts
@@ -6,6 +6,8 @@
   SoftwareVersion,
 } from '@jujubecroft/types';
 
+import { hasResumableStreams } from './hasResumableStreams.js';
+
 /** Maximum number of versions without replicas that are kept for one service. */
 const MAX_FORMER_VERSIONS = 8;
 /** Unit in which the longest time limit is kept, so that it seldom changes. */
@@ -139,9 +141,7 @@
   known: StreamHistory | null,
   { routes, replicas, longestLimitMs, storeMs }: StreamObservation,
 ): StreamHistory {
-  const resumable = routes.filter(
-    ({ kind, resumable: isResumable }) => kind === 'streaming' && isResumable,
-  );
+  const resumable = routes.filter(hasResumableStreams);
   // A service to which no such route leads is left out, so that the history doesn't grow with
   // the names that there have been.
   const services = new Set<string>(
--- a/packages/decisions/src/gateway/streams/VersionHistory.ts
+++ b/packages/decisions/src/gateway/streams/VersionHistory.ts
@@ -93,13 +93,12 @@
     if (this.#fromMs === null || !version || present.length > 1) {
       return null;
     }
-    const nowMs = this.clock();
-    const others = [...(this.#services.get(service) ?? [])]
-      .filter(([other]) => other !== version)
-      .map(([, { lastMs }]) => lastMs);
     const fromMs = this.#extendedFromMs.get(service) ?? this.#fromMs;
-    const soleFromMs = Math.max(fromMs, ...others);
-    return { softwareVersion: version, forMs: nowMs - soleFromMs };
+    const forMs = Math.min(
+      this.clock() - fromMs,
+      this.sinceOthersMs(service, version),
+    );
+    return { softwareVersion: version, forMs };
   }
 
   /**
--- a/packages/gateway/src/backends/BackendConnections.ts
+++ b/packages/gateway/src/backends/BackendConnections.ts
@@ -4,6 +4,7 @@
 import type { RelayConnector } from '../relay/RelayConnector.js';
 import type { ReplicaConnector } from '../relay/ReplicaConnector.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
+import { runKeyOf } from '../relay/runKeyOf.js';
 
 import { KeepAliveAgent } from './KeepAliveAgent.js';
 
@@ -25,11 +26,6 @@
   readonly relay: Pick<RelayConnector, 'isUsable' | 'openCount' | 'relayOf'>;
 }
 
-/** Key of one run of a replica at one address. */
-function poolKey({ id, address, bornMs }: Replica): string {
-  return `${id} ${address} ${bornMs ?? ''}`;
-}
-
 function createPool(
   replica: Replica,
   maxConnections: number,
@@ -72,7 +68,7 @@
    *   would wait although a connection is permitted.
    */
   poolFor(replica: Replica, maxConnections: number): BackendPool {
-    const key = poolKey(replica);
+    const key = runKeyOf(replica);
     const existing = this.#pools.get(key);
     if (existing) {
       existing.agent.maxSockets = maxConnections;
@@ -85,7 +81,7 @@
 
   /** Closes the pools of all replicas except the given ones. */
   keepOnly(replicas: readonly Replica[]): void {
-    const used = new Set(replicas.map(poolKey));
+    const used = new Set(replicas.map(runKeyOf));
     [...this.#pools]
       .filter(([key]) => !used.has(key))
       .forEach(([key, { agent }]) => {
@@ -99,14 +95,14 @@
 
   /** Closes the idle connections to a replica, whose path is doubtful. */
   closeIdle(replica: Replica): void {
-    this.#pools.get(poolKey(replica))?.agent.closeIdle();
+    this.#pools.get(runKeyOf(replica))?.agent.closeIdle();
   }
 
   /** Closes the idle connections to a replica that go through other instances. */
   closeRelayed(replica: Replica): void {
     const { relay } = this.connectors;
     this.#pools
-      .get(poolKey(replica))
+      .get(runKeyOf(replica))
       ?.agent.closeIdle(socket => relay.relayOf(socket) !== null);
   }
 
--- a/packages/gateway/src/forward/EndConfirmation.ts
+++ b/packages/gateway/src/forward/EndConfirmation.ts
@@ -3,6 +3,7 @@
 import type { ReplicaConnector } from '../relay/ReplicaConnector.js';
 import type { RelayConnector } from '../relay/RelayConnector.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
+import { runKeyOf } from '../relay/runKeyOf.js';
 import type { Timers } from '../ports/Timers.js';
 
 /**
@@ -46,8 +47,7 @@
     replica: Replica,
     relayed: RelayedConnection | null,
   ): Promise<boolean> {
-    const { id, address, bornMs } = replica;
-    const key = `${id} ${address} ${bornMs ?? ''} ${relayed?.peer ?? ''}`;
+    const key = `${runKeyOf(replica)} ${relayed?.peer ?? ''}`;
     const shared = this.#shared.get(key) ?? this.#start(key, replica, relayed);
     this.#shared.set(key, shared);
     return shared;
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -7,7 +7,11 @@
   Recovery,
   WithdrawReason,
 } from '@jujubecroft/decisions';
-import { connectionShare, outlastsStop } from '@jujubecroft/decisions';
+import {
+  connectionShare,
+  hasResumableStreams,
+  outlastsStop,
+} from '@jujubecroft/decisions';
 import type { ResultCodeId } from '@jujubecroft/types';
 
 import type { RunningExchange } from '../backends/sendAttempt.js';
@@ -83,9 +87,7 @@
       execution,
       this.#recorder,
     );
-    const isResumable =
-      request.route.kind === 'streaming' && request.route.resumable;
-    this.#sseBuffer = isResumable
+    this.#sseBuffer = hasResumableStreams(request.route)
       ? new SseEventBuffer(call.head.lastEventId, context.responseBudget)
       : null;
   }
--- a/packages/gateway/src/streams/StreamHistoryKeeper.ts
+++ b/packages/gateway/src/streams/StreamHistoryKeeper.ts
@@ -1,6 +1,7 @@
 import type { GatewayRequest, StreamHistory } from '@jujubecroft/decisions';
 import {
   determineViewState,
+  hasResumableStreams,
   isSameHistory,
   observeStreams,
   parseStreamHistory,
@@ -178,7 +179,7 @@
     if (isUnchanged) {
       return true;
     }
-    const isComplete = !this.#lacksSomething(read);
+    const isComplete = isSameHistory(read.history, this.#observed(read));
     this.#compared = isComplete ? compared : null;
     return isComplete;
   }
@@ -202,10 +203,10 @@
   async #update(table: ConditionalTable): Promise<void> {
     const read = await this.#readFrom(table);
     this.#read = read;
-    if (!this.#lacksSomething(read)) {
+    const history = this.#observed(read);
+    if (isSameHistory(read.history, history)) {
       return;
     }
-    const history = this.#observed(read);
     const written = await table.writeIf(
       keyOf(read.era),
       history,
@@ -243,9 +244,7 @@
     return (
       board.table !== null &&
       board.storeClock.latestMs < Infinity &&
-      board.table.cfg.routes.some(
-        ({ kind, resumable }) => kind === 'streaming' && resumable,
-      ) &&
+      board.table.cfg.routes.some(hasResumableStreams) &&
       determineViewState(board, freshWithinMs) === 'current'
     );
   }
@@ -260,10 +259,6 @@
     return this.#read?.history?.longestLimitMs ?? 0;
   }
 
-  #lacksSomething(read: ReadHistory): boolean {
-    return !isSameHistory(read.history, this.#observed(read));
-  }
-
   #observed({ history }: ReadHistory): StreamHistory {
     const { board } = this.context.router;
     return observeStreams(history, {
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -3,7 +3,11 @@
   KnownOrigin,
   SoleVersion,
 } from '@jujubecroft/decisions';
-import { determineViewState, StreamRecords } from '@jujubecroft/decisions';
+import {
+  determineViewState,
+  hasResumableStreams,
+  StreamRecords,
+} from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator/peers';
 import type { ServiceId, StreamKey } from '@jujubecroft/types';
 
@@ -273,8 +277,9 @@
       return false;
     }
     const routes = (board.table?.cfg.routes ?? []).filter(
-      ({ resumable, shares }) =>
-        resumable && shares.some(share => share.service === service),
+      route =>
+        hasResumableStreams(route) &&
+        route.shares.some(share => share.service === service),
     );
     const neededMs = streamLifeMs(this.#history.longestLimitMs) + freshWithinMs;
     return (
