--- a/packages/gateway/tests/streams/lossOfAll.test.ts
+++ b/packages/gateway/tests/streams/lossOfAll.test.ts
@@ -83,13 +83,9 @@
   }
 }
 
-async function play(
-  { beforeLoss, afterLoss }: Shape,
-  instances: number,
-  seed: number,
-  returnMs: number,
-): Promise<Outcome> {
-  const fleet = new VirtualFleet({
+/** A fleet with a route of streams, whose replicas have one version. */
+function createFleet(instances: number, seed: number): VirtualFleet {
+  return new VirtualFleet({
     instances,
     replicas: REPLICAS,
     loss: 0.01,
@@ -101,6 +97,15 @@
     versions: ['v1'],
     seed,
   });
+}
+
+async function play(
+  { beforeLoss, afterLoss }: Shape,
+  instances: number,
+  seed: number,
+  returnMs: number,
+): Promise<Outcome> {
+  const fleet = createFleet(instances, seed);
   const random = createRandom(seed);
   const someIndex = (): number => Math.floor(random() * instances);
   await fleet.start();
@@ -168,17 +173,7 @@
 
   // Guards against instances that all write what one of them could.
   itAlone('cost few writes, at 195 instances', async t => {
-    const fleet = new VirtualFleet({
-      instances: 195,
-      replicas: REPLICAS,
-      loss: 0.01,
-      meanStallMs: 0,
-      meanStallIntervalMs: 0,
-      freshWithinMs: 3000,
-      domains: 3,
-      hasStreams: true,
-      seed: 1,
-    });
+    const fleet = createFleet(195, 1);
     await fleet.start();
     fleet.store.put(createReplica('n-0', false, 'v2'));
     await fleet.time.run(5000);
