fix(gateway): take the times of the stream history from the store's own readings

Cause: what was observed got the time of an upper bound on the store's clock. The bound is up to half a second too high just after a start under load, so that a stream had to wait that much longer until its version was proven.

Change: the time is that of the read of the row, or as of which the view or the configuration holds if that is later. Whatever has left the view was there before one of these, so nothing counts as gone too early.

--- a/packages/decisions/src/gateway/streams/StreamHistory.ts
+++ b/packages/decisions/src/gateway/streams/StreamHistory.ts
@@ -59,7 +59,7 @@
   readonly replicas: readonly Replica[];
   /** Longest time limit of a caller of this instance, in milliseconds; 0 for none. */
   readonly longestLimitMs: number;
-  /** Upper bound on the store's clock, in milliseconds. */
+  /** Time at which it is observed, on the store's clock, in milliseconds. */
   readonly storeMs: number;
 }
 
--- a/packages/gateway/src/streams/StreamHistoryKeeper.ts
+++ b/packages/gateway/src/streams/StreamHistoryKeeper.ts
@@ -243,7 +243,6 @@
     const { freshWithinMs } = this.context.settings;
     return (
       board.table !== null &&
-      board.storeClock.latestMs < Infinity &&
       board.table.cfg.routes.some(hasResumableStreams) &&
       determineViewState(board, freshWithinMs) === 'current'
     );
@@ -259,13 +258,18 @@
     return this.#read?.history?.longestLimitMs ?? 0;
   }
 
-  #observed({ history }: ReadHistory): StreamHistory {
+  #observed({ history, storeMs }: ReadHistory): StreamHistory {
     const { board } = this.context.router;
     return observeStreams(history, {
       routes: board.table?.cfg.routes ?? [],
       replicas: board.replicas.replicas,
       longestLimitMs: this.#longestLimitMs,
-      storeMs: board.storeClock.latestMs,
+      // Whatever is no longer in the view was there before one of these times.
+      storeMs: Math.max(
+        storeMs,
+        board.replicas.asOfMs,
+        board.configurationAsOfMs,
+      ),
     });
   }
 
