feat(events): one line for each connection that ends without a complete answer

A caller that got neither an answer nor a refusal could not be told from one that left: an unexpected error named no request, a stop was logged as callerLeft, a request behind an answer that ends its connection and an undelivered answer had no line about the connection at all. Withdrawals were logged only after their outcome.

- responseIncomplete (514) names each request whose connection ended before its response was complete, with the reason, what was read and written, and version and age of the configuration; unanswered_total counts them by reason.
- attemptWithdrawn (513) is written before it is decided what follows: reason, silence of the replica and of the attempt, attempts there, retries and time left; withdrawals_total counts them.
Both are bounded as all events are, and lines left out are counted by reason.
- requestCut and callerLeft state bytes written, the last withdrawal and the configuration with its age; unexpectedError names the request.
- explain shows what became of the other requests that were withdrawn at the same server within 100 ms, and names the end of the connection where it is the cause.

No decision changes.

--- a/packages/decisions/src/gateway/ConfigurationHistory.ts
+++ b/packages/decisions/src/gateway/ConfigurationHistory.ts
@@ -23,9 +23,15 @@
  */
 export class ConfigurationHistory {
   #entries: readonly HistoryEntry[] = [];
+  #recordedMs = -Infinity;
 
   constructor(private readonly clock: Clock) {}
 
+  /** For how long the newest configuration has been in force here, in milliseconds. */
+  get ageMs(): number {
+    return this.clock() - this.#recordedMs;
+  }
+
   /**
    * Records a configuration that replaces another one.
    *
@@ -38,11 +44,12 @@
     before: RoutingConfiguration | null,
     after: RoutingConfiguration,
   ): RoutingConfiguration {
+    this.#recordedMs = this.clock();
     if (!before) {
       return after;
     }
     const changes = diffConfigurations(before, after);
-    const kept = { changes, atMs: this.clock() };
+    const kept = { changes, atMs: this.#recordedMs };
     this.#entries = [...this.#entries, kept].slice(-MAX_ENTRIES);
     return applyChanges(before, changes);
   }
--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -1,3 +1,8 @@
+import {
+  describeIncomplete,
+  describeOthersWithdrawn,
+  describeWithdrawal,
+} from './describeWithdrawal.js';
 import type { ParsedLine } from './readLogLines.js';
 
 /** What happened to one request, according to its log lines. */
@@ -17,6 +22,14 @@
   'requestRefused',
 ];
 
+/** Reasons of incomplete responses that other lines about the end don't state. */
+const OWN_FAULTS: readonly unknown[] = [
+  'error',
+  'instanceStopped',
+  'notBegun',
+  'unknown',
+];
+
 function formatValue(value: unknown): string {
   return typeof value === 'string' || typeof value === 'number'
     ? String(value)
@@ -133,12 +146,22 @@
     `the caller closed its connection after ${formatValue(f.afterMs)} ms`,
 };
 
-function sentenceOf(line: ParsedLine): string {
-  const render = SENTENCES[line.id];
-  const text = render
-    ? render(line.fields)
-    : `${line.id} ${JSON.stringify(line.fields)}`;
-  return `${line.time} ${line.instance}: ${text}`;
+function textOfLine(line: ParsedLine, lines: readonly ParsedLine[]): string {
+  switch (line.id) {
+    case 'attemptWithdrawn':
+      return `${describeWithdrawal(line)}${describeOthersWithdrawn(line, lines)}`;
+    case 'responseIncomplete':
+      return describeIncomplete(line);
+    default:
+      return (
+        SENTENCES[line.id]?.(line.fields) ??
+        `${line.id} ${JSON.stringify(line.fields)}`
+      );
+  }
+}
+
+function sentenceOf(line: ParsedLine, lines: readonly ParsedLine[]): string {
+  return `${line.time} ${line.instance}: ${textOfLine(line, lines)}`;
 }
 
 /** Describes a crash or stop of the instance that wrote the last line of the request, if there was one. */
@@ -189,12 +212,23 @@
     return 'no line names this request: it never reached an instance, or its lines were left out';
   }
   const end = own.findLast(({ id }) => END_EVENTS.includes(id));
+  const incomplete = own.findLast(({ id }) => id === 'responseIncomplete');
+  if (
+    incomplete &&
+    (!end ||
+      end.id === 'requestAnswered' ||
+      OWN_FAULTS.includes(incomplete.fields.reason))
+  ) {
+    return describeIncomplete(incomplete);
+  }
   if (!end) {
     return (
       describeInstanceEnd(last, lines) ?? 'the logs end before the request does'
     );
   }
   const failed = own.findLast(({ id }) => id === 'attemptFailed');
+  const withdrawn = own.findLast(({ id }) => id === 'attemptWithdrawn');
+  const others = withdrawn ? describeOthersWithdrawn(withdrawn, lines) : '';
   switch (end.id) {
     case 'requestAnswered':
       return 'it was answered';
@@ -205,7 +239,9 @@
         ? describeFailure(failed)
         : `it was refused and did not run: ${formatValue(end.fields.code)}${describeShare(end.fields)}${describeCrashes(end.fields)}`;
     default:
-      return failed ? describeFailure(failed) : formatValue(end.fields.code);
+      return failed
+        ? `${describeFailure(failed)}${failed.fields.result === 'withdrawn' ? others : ''}`
+        : formatValue(end.fields.code);
   }
 }
 
@@ -249,5 +285,8 @@
   const own = [...linesOf(lines, request)].sort((a, b) =>
     a.instance === b.instance ? a.atMs - b.atMs : a.time.localeCompare(b.time),
   );
-  return { steps: own.map(sentenceOf), cause: causeOf(own, lines) };
+  return {
+    steps: own.map(line => sentenceOf(line, lines)),
+    cause: causeOf(own, lines),
+  };
 }
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -248,6 +248,18 @@
     summary:
       'Bytes on the connection of a caller were no request, were too many, or came too late.',
   },
+  attemptWithdrawn: {
+    number: 513,
+    level: 'warn',
+    summary:
+      'This instance withdraws an attempt; what becomes of the request is not decided yet.',
+  },
+  responseIncomplete: {
+    number: 514,
+    level: 'warn',
+    summary:
+      'The connection of a caller ended before the response to its request was complete.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/events/tests/explainRequest.test.ts
+++ b/packages/events/tests/explainRequest.test.ts
@@ -62,4 +62,68 @@
     t.regex(firstStep(line) ?? '', /ERR_HTTP_REQUEST_TIMEOUT.*nothing was/);
     t.deepEqual(explainRequest(readLogLines(line), 'other').steps, []);
   });
+
+  // Guards against a cut of many streams at once of which each looks like a single case.
+  it('states what became of the other requests withdrawn at the same moment', t => {
+    const line = (
+      id: string,
+      request: string,
+      atMs: number,
+      more: Readonly<Record<string, unknown>> = {},
+    ): string =>
+      JSON.stringify({
+        id,
+        instance: 'i-1',
+        time: 't',
+        request,
+        atMs,
+        ...more,
+      });
+    const withdrawn = (request: string, atMs: number, server = 's-1'): string =>
+      line('attemptWithdrawn', request, atMs, {
+        backendServer: server,
+        reason: 'silent',
+        silentMs: 760,
+        budgetLeft: 1,
+        configuration: 9,
+        configurationAgeMs: 120,
+      });
+    const log = [
+      ...['q', 'cut', 'answered', 'running'].map(id => withdrawn(id, 1000)),
+      withdrawn('later', 1101),
+      withdrawn('elsewhere', 1000, 's-2'),
+      line('attemptFailed', 'q', 1001, {
+        result: 'withdrawn',
+        reason: 'silent',
+      }),
+      line('requestCut', 'q', 1001, { code: 'backendMaybeRan', started: true }),
+      line('requestCut', 'cut', 1001),
+      line('requestAnswered', 'answered', 1900),
+    ].join('\n');
+    const { steps, cause } = explainRequest(readLogLines(log), 'q');
+    t.regex(steps[0] ?? '', /\(silent\).*760 ms ago.*configuration 9 .*120 ms/);
+    t.regex(
+      cause,
+      /gave up the attempt \(silent\); 3 others.*: 1 cut or failed, 1 answered, 1 without an end/,
+    );
+  });
+
+  // Guards against a stop that looks as if the caller had left by itself.
+  it('names the end of the connection if the instance caused it', t => {
+    const log = [
+      { id: 'callerLeft', afterMs: 5 },
+      {
+        id: 'responseIncomplete',
+        reason: 'instanceStopped',
+        requestRead: 'whole',
+        status: null,
+      },
+    ].map(fields =>
+      JSON.stringify({ instance: 'i-1', time: 't', request: 'q', ...fields }),
+    );
+    t.regex(
+      explainRequest(readLogLines(log.join('\n')), 'q').cause,
+      /end of a stop; the request was read completely, nothing was written/,
+    );
+  });
 });
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -7,6 +7,7 @@
 
 import type { BackendConnections } from './backends/BackendConnections.js';
 import type { EndConfirmation } from './forward/EndConfirmation.js';
+import type { ResponseWatch } from './front/ResponseWatch.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import type { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js';
 import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -41,6 +42,8 @@
   readonly dialect: CallerDialect;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
+  /** Logs responses that end before they are complete. */
+  readonly responseWatch: ResponseWatch;
   readonly delays: EventLoopDelayMonitor;
   /** Monotonic clock, in milliseconds. */
   readonly clock: () => number;
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -10,6 +10,7 @@
 
 import { BackendConnections } from './backends/BackendConnections.js';
 import type { SocketFactory } from './backends/openSocket.js';
+import { ResponseWatch } from './front/ResponseWatch.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { onPathLost } from './relay/onPathLost.js';
 import { RelayConnector } from './relay/RelayConnector.js';
@@ -121,6 +122,7 @@
       }
     },
   });
+  const metrics = new GatewayMetrics();
   const parts: Omit<GatewayContext, 'streams'> = {
     settings,
     router,
@@ -137,8 +139,9 @@
     requestBudget: new BufferBudget(MAX_REQUEST_BYTES),
     responseBudget: new BufferBudget(),
     dialect,
-    metrics: new GatewayMetrics(),
+    metrics,
     log,
+    responseWatch: new ResponseWatch({ clock, dialect, log, metrics, router }),
     delays: new EventLoopDelayMonitor(clock, HOUSEKEEPING_INTERVAL_MS),
     clock,
     timers,
--- a/packages/gateway/src/forward/CallerResponse.ts
+++ b/packages/gateway/src/forward/CallerResponse.ts
@@ -72,6 +72,8 @@
   #socket: Socket | null = null;
   #hasLength = false;
   #waitsForCaller = false;
+  #bodyBytes = 0;
+  #cutCode: string | null = null;
   /** What emits `drain` after the latest write. */
   #drained: ServerResponse | Socket;
 
@@ -96,6 +98,16 @@
     return this.res.destroyed || this.res.writableEnded;
   }
 
+  /** Number of bytes of the body that were passed to the connection. */
+  get bodyBytes(): number {
+    return this.#bodyBytes;
+  }
+
+  /** Why the response was aborted; null if it was not or nobody said why. */
+  get cutCode(): string | null {
+    return this.#cutCode;
+  }
+
   /** Whether the framing of the response proves that its body is complete. */
   get #isSelfDelimited(): boolean {
     return this.res.chunkedEncoding || this.#hasLength;
@@ -148,6 +160,7 @@
     if (chunk.length === 0) {
       return true;
     }
+    this.#bodyBytes += chunk.length;
     const { res } = this;
     const socket = this.#socket;
     if (socket?.writable === true && chunk.length <= MAX_COPIED_BYTES) {
@@ -209,6 +222,7 @@
     const needsLength = !isBodyless(method, status) && !hasLength(headers);
     const length = needsLength ? ['content-length', String(body.length)] : [];
     this.#writeHead({ ...response, headers: [...headers, ...length] }, proof);
+    this.#bodyBytes += body.length;
     this.res.end(body);
   }
 
@@ -218,8 +232,11 @@
    *
    * A regular end of the connection would complete a body that only the
    * connection delimits, such as that of a caller without chunked coding.
+   *
+   * @param code - why, for the log; null if it is known otherwise
    */
-  cut(): void {
+  cut(code: string | null = null): void {
+    this.#cutCode ??= code;
     const { socket } = this.res;
     if (this.hasStarted && !this.#isSelfDelimited && !this.isClosed) {
       socket?.resetAndDestroy();
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -79,7 +79,7 @@
   ) {
     this.#response = answer;
     this.#timings = new ResponseTimings(context.clock);
-    this.#recorder = new RequestRecorder(context, request);
+    this.#recorder = new RequestRecorder(context, request, answer);
     this.#finisher = new RequestFinisher(
       context.dialect,
       request.id,
@@ -126,6 +126,7 @@
       return;
     }
     this.#withdrawReason = reason;
+    this.#recorder.withdrawn(this.#attempt, reason);
     this.#exchange?.abort();
   }
 
--- a/packages/gateway/src/forward/RequestFinisher.ts
+++ b/packages/gateway/src/forward/RequestFinisher.ts
@@ -83,7 +83,7 @@
     progress: RequestProgress,
   ): void {
     if (code === 'callerLeft') {
-      this.answer.cut();
+      this.answer.cut(code);
       this.notes.ended('callerLeft', code, progress, facts);
       return;
     }
@@ -105,7 +105,7 @@
     );
     const isSent = !started && !this.answer.isClosed;
     if (started) {
-      this.answer.cut();
+      this.answer.cut(reportedCode);
     } else if (isSent && proof) {
       this.answer.refuse(response, proof);
     } else if (isSent) {
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -3,6 +3,7 @@
   GatewayAttempt,
   GatewayRequest,
   Recovery,
+  WithdrawReason,
 } from '@jujubecroft/decisions';
 import {
   determineViewState,
@@ -14,8 +15,10 @@
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import { faultOf } from '../responses/InvalidResponseError.js';
+import type { CallerResponse } from './CallerResponse.js';
 import type { LogFields } from './logFields.js';
 import {
+  configurationFields,
   continuityOf,
   evidenceFields,
   responseFields,
@@ -24,6 +27,7 @@
   versionFields,
 } from './logFields.js';
 import type { ResponseProgress } from './ResponseAssembler.js';
+import { WithdrawalRecorder } from './WithdrawalRecorder.js';
 
 /** Outcomes of a request without a complete response. */
 export type UnansweredOutcome = 'callerLeft' | 'requestCut' | 'requestRefused';
@@ -66,10 +70,14 @@
   /** Progress of the latest response at its end; null if there was none. */
   #response: ResponseProgress | null = null;
 
+  readonly #withdrawals: WithdrawalRecorder;
+
   constructor(
     private readonly context: GatewayContext,
     private readonly request: GatewayRequest,
+    private readonly answer: Pick<CallerResponse, 'bodyBytes' | 'hasStarted'>,
   ) {
+    this.#withdrawals = new WithdrawalRecorder(context, request, answer);
     this.#labels = {
       kind: request.route.kind,
       priority: String(request.priority),
@@ -161,6 +169,11 @@
     }
   }
 
+  /** Records that an attempt is withdrawn; null if the request waits for one. */
+  withdrawn(attempt: GatewayAttempt | null, reason: WithdrawReason): void {
+    this.#withdrawals.note(attempt, reason);
+  }
+
   /** Records the first byte of a response. */
   firstByte({ sentMs, predictedMs }: GatewayAttempt): void {
     const { context, request } = this;
@@ -316,6 +329,9 @@
       code,
       afterMs: Math.round(context.clock() - request.arrivedMs),
       attempts: sent + unsent,
+      bodyBytes: this.answer.bodyBytes,
+      ...this.#withdrawals.lastFields,
+      ...configurationFields(context.router.board),
       ...facts,
     });
   }
--- a/packages/gateway/src/forward/createCallerResponse.ts
+++ b/packages/gateway/src/forward/createCallerResponse.ts
@@ -23,8 +23,8 @@
   context: GatewayContext,
   res: ServerResponse,
 ): CallerResponse {
-  const { dialect, metrics } = context;
-  return new CallerResponse(res, {
+  const { dialect, metrics, responseWatch } = context;
+  const response = new CallerResponse(res, {
     isStopping: () => context.leaving,
     promisesNotRun: dialect.promisesNotRun,
     onStatus: (status, decidedBy, proof) => {
@@ -35,4 +35,6 @@
       });
     },
   });
+  responseWatch.setWriter(res, response);
+  return response;
 }
--- a/packages/gateway/src/forward/logFields.ts
+++ b/packages/gateway/src/forward/logFields.ts
@@ -15,6 +15,23 @@
 /** Fields of a log entry. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
+/**
+ * Log fields of the configuration in force.
+ *
+ * @param board - shared state of the decision logic
+ * @returns its version, and for how many milliseconds it has been in force at this
+ *   instance; null before the first one
+ */
+export function configurationFields({
+  table,
+  configurations,
+}: Pick<GatewayBoard, 'configurations' | 'table'>): LogFields {
+  return {
+    configuration: table?.cfg.version ?? null,
+    configurationAgeMs: table ? Math.round(configurations.ageMs) : null,
+  };
+}
+
 /**
  * Log fields of an admission decision.
  *
--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -70,12 +70,16 @@
     bodyOf: connectionErrorBody,
     onError: createConnectionErrorLogger(context),
   });
+  const { dialect, log, responseWatch } = context;
   const turns = new CallerTurns();
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+    responseWatch.add(req, res);
     handleRequest(context, inFlight, turns, req, res).catch((err: unknown) => {
-      context.log.write('unexpectedError', {
+      log.write('unexpectedError', {
+        request: dialect.readRequest(req.rawHeaders).id,
         error: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
+      responseWatch.note(res, 'error');
       res.destroy();
     });
   });
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -10,6 +10,7 @@
 import type { IncomingRequest } from '../forward/IncomingRequest.js';
 import { ForwardedRequest } from '../forward/ForwardedRequest.js';
 import { gatewayResponse } from '../forward/gatewayResponse.js';
+import { configurationFields } from '../forward/logFields.js';
 import { STALE_VIEW_RETRY_MS } from '../forward/placeWhenViewUsable.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RequestHead } from '../ports/CallerDialect.js';
@@ -77,7 +78,7 @@
   if (isSent) {
     response.refuse(complete, proof);
   } else {
-    response.cut();
+    response.cut(code);
   }
   const table = context.router.board.table;
   context.metrics.refusals.inc({ code, priority: '' });
@@ -179,7 +180,11 @@
   );
   switch (read.kind) {
     case 'broken':
-      context.log.write('callerLeft', { request: head.id, code: 'bodyBroken' });
+      context.log.write('callerLeft', {
+        request: head.id,
+        code: 'bodyBroken',
+        ...configurationFields(context.router.board),
+      });
       return;
     case 'tooLarge':
       // The unread rest of the body would be parsed as the next request.
@@ -210,7 +215,12 @@
   const { router } = context;
   const target = req.url ?? '/';
   if (!(await turn)) {
-    context.log.write('callerLeft', { request: head.id, code: 'notBegun' });
+    context.responseWatch.note(res, 'notBegun');
+    context.log.write('callerLeft', {
+      request: head.id,
+      code: 'notBegun',
+      ...configurationFields(router.board),
+    });
     return;
   }
   await awaitPendingClose();
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -39,6 +39,18 @@
     labelNames: ['code', 'status'] as const,
     registers: this.#registers,
   });
+  readonly unanswered = new Counter({
+    name: 'jujubecroft_gateway_unanswered_total',
+    help: 'Requests whose connection ended before their response was complete, by reason.',
+    labelNames: ['reason'] as const,
+    registers: this.#registers,
+  });
+  readonly withdrawals = new Counter({
+    name: 'jujubecroft_gateway_withdrawals_total',
+    help: 'Attempts at backend servers that this instance withdrew, by reason.',
+    labelNames: ['service', 'reason'] as const,
+    registers: this.#registers,
+  });
   readonly heldBack = new Counter({
     name: 'jujubecroft_gateway_above_share_total',
     help: 'Requests refused since their organisation used more than its share of a short capacity.',
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -249,6 +249,7 @@
       sideServer.close();
       sideServer.closeAllConnections();
     });
+    context.responseWatch.onStop();
     inFlight.cutResponses();
     callerServer.server.closeAllConnections();
     await callerServer.app.close();
