fix(streams): bound the age of a stream by nothing that its request states

Callers that state their whole time limit anew with each request got status 200 and the rest of their stream from another software version, after a loss of all instances with the old version gone just before.

Cause: the age of a stream was taken as the longest limit of any caller less what the request states as left. What is left proves an age only if the limit counts from the first request, which callers need not do. A restated limit made every stream about as old as the last request.

Now a stream without a record goes on only if its service has had one version for the longest life of any stream that is known, 5 s for the return of its caller and the age of a view. The longest life is the longest limit that a request states, or the age that a record proves plus the limit of the request that continues it. Records carry the time since the stream was first reported, and are not kept for a shorter time than before when a later request states less. The life grows by an eighth at least, so that streams that are continued again and again cost few writes; the row of the form before is still read.

--- a/packages/decisions/src/gateway/BackendLoad.ts
+++ b/packages/decisions/src/gateway/BackendLoad.ts
@@ -25,14 +25,11 @@
    * say.
    */
   readonly firstRequest: RequestId | null;
-  /**
-   * How long the caller is still prepared to wait, counted from its first request, in
-   * milliseconds; null if it doesn't say.
-   */
-  readonly timeLeftMs: number | null;
   /** Who knew at which version the stream began, and how old the knowledge is. */
   readonly knownFrom?: string;
   readonly knownAgeMs?: number;
+  /** Age that the stream is known to have, in milliseconds. */
+  readonly provenAgeMs?: number;
 }
 
 /** What routing decisions need to know about one request of a caller. */
--- a/packages/decisions/src/gateway/streams/StreamBinding.ts
+++ b/packages/decisions/src/gateway/streams/StreamBinding.ts
@@ -14,7 +14,7 @@
   #version: SoftwareVersion | null = null;
 
   /**
-   * @param callerLimitMs - time for which the caller may continue the stream, in
+   * @param callerLimitMs - time that the caller will wait from this request on, in
    *   milliseconds; null if it doesn't say
    */
   constructor(readonly callerLimitMs: number | null = null) {}
--- a/packages/decisions/src/gateway/streams/StreamHistory.ts
+++ b/packages/decisions/src/gateway/streams/StreamHistory.ts
@@ -10,8 +10,13 @@
 
 /** Maximum number of versions without replicas that are kept for one service. */
 const MAX_FORMER_VERSIONS = 8;
-/** Unit in which the longest time limit is kept, so that it seldom changes. */
-const LIMIT_UNIT_MS = 1000;
+/** Unit in which the longest life is kept, so that it seldom changes. */
+const LIFE_UNIT_MS = 1000;
+/**
+ * Factor by which the longest life grows at least. Streams that are continued again and again
+ * grow older all the while, and each change is a write.
+ */
+const LIFE_GROWTH = 1.125;
 /** Stands for a version that replicas don't state. */
 const UNKNOWN_VERSION = '';
 
@@ -26,11 +31,20 @@
 });
 
 const streamHistorySchema = z.object({
-  longestLimitMs: z.number(),
+  longestLifeMs: z.number(),
   services: z.record(z.string(), serviceHistorySchema),
   routes: z.record(z.string(), routeHistorySchema),
 });
 
+/** The form of instances that kept the longest time limit of a caller instead. */
+const formerHistorySchema = streamHistorySchema
+  .omit({ longestLifeMs: true })
+  .extend({ longestLimitMs: z.number() })
+  .transform(({ longestLimitMs, ...history }) => ({
+    ...history,
+    longestLifeMs: longestLimitMs,
+  }));
+
 /** The versions of a service that streams may have begun at. */
 export type ServiceHistory = Readonly<z.infer<typeof serviceHistorySchema>>;
 
@@ -42,8 +56,11 @@
  * a loss of all instances. All times are on the store's clock, in milliseconds.
  */
 export interface StreamHistory {
-  /** Longest time limit of a caller, which bounds the time for which it may return. */
-  readonly longestLimitMs: number;
+  /**
+   * Longest known life of a stream within the time limits of its caller, which bounds the
+   * age at which streams are continued.
+   */
+  readonly longestLifeMs: number;
   /**
    * By service: since when all of its versions are known, and for each when its last replica
    * left; null while it has replicas.
@@ -57,8 +74,8 @@
 export interface StreamObservation {
   readonly routes: readonly Route[];
   readonly replicas: readonly Replica[];
-  /** Longest time limit of a caller of this instance, in milliseconds; 0 for none. */
-  readonly longestLimitMs: number;
+  /** Longest life of a stream that this instance knows, in milliseconds; 0 for none. */
+  readonly longestLifeMs: number;
   /** Time at which it is observed, on the store's clock, in milliseconds. */
   readonly storeMs: number;
 }
@@ -71,7 +88,9 @@
  * @throws ZodError if the content is not a valid history
  */
 export function parseStreamHistory(content: unknown): StreamHistory | null {
-  return content === null ? null : streamHistorySchema.parse(content);
+  return content === null
+    ? null
+    : streamHistorySchema.or(formerHistorySchema).parse(content);
 }
 
 /** Key of a route; a route with another host or prefix may get other streams. */
@@ -118,6 +137,14 @@
   return known?.service === service ? known : { service, fromMs: storeMs };
 }
 
+/** Returns the longest life to be kept, in milliseconds. */
+function raiseLife(knownMs: number, observedMs: number): number {
+  const raisedMs = Math.max(observedMs, LIFE_GROWTH * knownMs);
+  return observedMs <= knownMs
+    ? knownMs
+    : LIFE_UNIT_MS * Math.ceil(raisedMs / LIFE_UNIT_MS);
+}
+
 /** Returns the versions that the replicas of a service have now. */
 function presentVersions(
   replicas: readonly Replica[],
@@ -139,7 +166,7 @@
  */
 export function observeStreams(
   known: StreamHistory | null,
-  { routes, replicas, longestLimitMs, storeMs }: StreamObservation,
+  { routes, replicas, longestLifeMs, storeMs }: StreamObservation,
 ): StreamHistory {
   const resumable = routes.filter(hasResumableStreams);
   // A service to which no such route leads is left out, so that the history doesn't grow with
@@ -147,9 +174,8 @@
   const services = new Set<string>(
     resumable.flatMap(({ shares }) => shares.map(({ service }) => service)),
   );
-  const limitMs = LIMIT_UNIT_MS * Math.ceil(longestLimitMs / LIMIT_UNIT_MS);
   return {
-    longestLimitMs: Math.max(known?.longestLimitMs ?? 0, limitMs),
+    longestLifeMs: raiseLife(known?.longestLifeMs ?? 0, longestLifeMs),
     services: Object.fromEntries(
       [...services].map(service => [
         service,
@@ -176,7 +202,7 @@
 ): boolean {
   const normalise = (history: StreamHistory): string =>
     JSON.stringify([
-      history.longestLimitMs,
+      history.longestLifeMs,
       Object.entries(history.services)
         .map(([id, { fromMs, leftMs }]) => [
           id,
--- a/packages/decisions/src/gateway/streams/StreamRecords.ts
+++ b/packages/decisions/src/gateway/streams/StreamRecords.ts
@@ -12,15 +12,21 @@
 export interface StreamRecord extends StreamOrigin {
   readonly key: StreamKey;
   readonly keepMs: number;
+  /** Time since the stream was first reported; it is at least as old. */
+  readonly provenAgeMs: number;
 }
 
 /** A known origin and how long ago it was last reported. */
 export interface KnownOrigin extends StreamOrigin {
   readonly ageMs: number;
+  /** Time since the stream was first reported; it is at least as old. */
+  readonly provenAgeMs: number;
 }
 
-interface KeptRecord extends StreamRecord {
+interface KeptRecord extends Omit<StreamRecord, 'provenAgeMs'> {
   readonly atMs: number;
+  /** When the stream was first reported. */
+  readonly firstMs: number;
   /** Whether the stream was reported with different origins. */
   readonly isAmbiguous: boolean;
 }
@@ -40,8 +46,12 @@
    *
    * A caller that sends two requests under one id may begin two streams. Their origin is
    * ambiguous then, and neither of them is continued.
+   *
+   * @returns the age that the stream is known to have, in milliseconds
    */
-  add(record: StreamRecord): void {
+  add({ provenAgeMs, ...record }: StreamRecord): number {
+    const nowMs = this.clock();
+    const firstMs = nowMs - provenAgeMs;
     const known = this.#find(record.key);
     const isAmbiguous =
       known !== undefined &&
@@ -49,12 +59,18 @@
         known.service !== record.service ||
         known.softwareVersion !== record.softwareVersion);
     this.#kept.delete(record.key);
-    this.#kept.set(record.key, {
+    const leftMs = known ? known.atMs + known.keepMs - nowMs : 0;
+    const kept: KeptRecord = {
       ...record,
-      atMs: this.clock(),
+      // A caller that states less than before may still return.
+      keepMs: Math.max(record.keepMs, leftMs),
+      atMs: nowMs,
+      firstMs: Math.min(firstMs, known?.firstMs ?? firstMs),
       isAmbiguous,
-    });
+    };
+    this.#kept.set(record.key, kept);
     this.#prune();
+    return nowMs - kept.firstMs;
   }
 
   /** Returns the origin of a stream; null if it is unknown or ambiguous. */
@@ -63,8 +79,14 @@
     if (!known || known.isAmbiguous) {
       return null;
     }
-    const { service, softwareVersion, atMs } = known;
-    return { service, softwareVersion, ageMs: this.clock() - atMs };
+    const { service, softwareVersion, atMs, firstMs } = known;
+    const nowMs = this.clock();
+    return {
+      service,
+      softwareVersion,
+      ageMs: nowMs - atMs,
+      provenAgeMs: nowMs - firstMs,
+    };
   }
 
   /** All unambiguous records, with the time for which they are still to be kept. */
@@ -72,11 +94,12 @@
     const nowMs = this.clock();
     return [...this.#kept.values()]
       .filter(({ isAmbiguous }) => !isAmbiguous)
-      .map(({ key, service, softwareVersion, keepMs, atMs }) => ({
+      .map(({ key, service, softwareVersion, keepMs, atMs, firstMs }) => ({
         key,
         service,
         softwareVersion,
         keepMs: atMs + keepMs - nowMs,
+        provenAgeMs: nowMs - firstMs,
       }))
       .filter(({ keepMs }) => keepMs > 0);
   }
--- a/packages/decisions/tests/gateway/streams/StreamHistory.test.ts
+++ b/packages/decisions/tests/gateway/streams/StreamHistory.test.ts
@@ -19,7 +19,7 @@
 const SERVICE = brand<ServiceId>('pool');
 const OTHER = brand<ServiceId>('other');
 
-const EMPTY: StreamHistory = { longestLimitMs: 0, services: {}, routes: {} };
+const EMPTY: StreamHistory = { longestLifeMs: 0, services: {}, routes: {} };
 
 function routeTo(...services: ServiceId[]): Route {
   return route({
@@ -37,7 +37,7 @@
   const replicas = versions.map((softwareVersion, index) =>
     replica(`p-${index}`, { service: SERVICE, softwareVersion }),
   );
-  return { routes, replicas, longestLimitMs: 4000, storeMs };
+  return { routes, replicas, longestLifeMs: 4000, storeMs };
 }
 
 /** Observes one after the other, and stores the result as JSON in between. */
@@ -107,6 +107,25 @@
     t.is(soleFromMs(known), 1000);
   });
 
+  it('writes the longest life in few steps', t => {
+    const lives = Array.from({ length: 1000 }, (_, index) => 12_000 + index);
+    const steps = lives.reduce<readonly number[]>((known, longestLifeMs) => {
+      const next = observeStreams(
+        { ...EMPTY, longestLifeMs: known.at(-1) ?? 0 },
+        { ...observation(10, [V1]), longestLifeMs },
+      ).longestLifeMs;
+      return next === known.at(-1) ? known : [...known, next];
+    }, []);
+    t.deepEqual(steps, [12_000, 14_000]);
+  });
+
+  // Guards against refusals while instances are replaced by newer ones.
+  it('reads the form that kept the longest time limit', t => {
+    const { longestLifeMs, ...rest } = history(observation(10, [V1]));
+    const former = { ...rest, longestLimitMs: longestLifeMs };
+    t.deepEqual(parseStreamHistory(former), { ...rest, longestLifeMs });
+  });
+
   it('is the same while nothing changes', t => {
     const known = history(observation(10, [V1]));
     t.true(isSameHistory(known, observeStreams(known, observation(50, [V1]))));
--- a/packages/decisions/tests/gateway/streams/StreamRecords.test.ts
+++ b/packages/decisions/tests/gateway/streams/StreamRecords.test.ts
@@ -18,6 +18,7 @@
     service: SERVICE,
     softwareVersion: brand<SoftwareVersion>(version),
     keepMs,
+    provenAgeMs: 0,
   };
 }
 
@@ -35,6 +36,19 @@
     t.is(records.find(brand<StreamKey>('a')), null);
   });
 
+  // Guards against streams that count as young since they were continued.
+  it('knows how long ago a stream was first reported', t => {
+    const clock = manualClock();
+    const records = new StreamRecords(clock.now);
+    t.is(records.add(record('a')), 0);
+    clock.advance(900);
+    t.is(records.add(record('a', 'v1.1', 50)), 900);
+    clock.advance(60);
+    t.is(records.find(brand<StreamKey>('a'))?.provenAgeMs, 960);
+    t.is(records.current[0]?.provenAgeMs, 960);
+    t.is(records.add({ ...record('a'), provenAgeMs: 5000 }), 5000);
+  });
+
   // Guards against a caller that uses an id twice and gets the rest of the other stream.
   it('knows no origin that was reported in two ways', t => {
     const records = new StreamRecords(manualClock().now);
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -106,7 +106,7 @@
       isStream && (route.resumable || isResumed)
         ? new StreamBinding(timeLeftMs)
         : null,
-    resumption: isStream && isResumed ? { firstRequest, timeLeftMs } : null,
+    resumption: isStream && isResumed ? { firstRequest } : null,
   };
 }
 
--- a/packages/gateway/src/streams/OriginPublisher.ts
+++ b/packages/gateway/src/streams/OriginPublisher.ts
@@ -27,6 +27,8 @@
 /** A stream of this instance that has not ended. */
 interface RunningStream {
   readonly record: StreamRecord;
+  /** Local time of the record. */
+  readonly atMs: number;
   isPublished: boolean;
 }
 
@@ -51,7 +53,7 @@
   constructor(
     private readonly context: Pick<
       GatewayContext,
-      'membership' | 'metrics' | 'timers'
+      'clock' | 'membership' | 'metrics' | 'timers'
     >,
     private readonly own: StreamRecords,
     private readonly isNeeded: (service: ServiceId) => boolean,
@@ -60,8 +62,12 @@
 
   /** Records a stream whose caller has its first event. */
   onBegun(record: StreamRecord): void {
-    this.own.add(record);
-    const stream = { record, isPublished: false };
+    const provenAgeMs = this.own.add(record);
+    const stream = {
+      record: { ...record, provenAgeMs },
+      atMs: this.context.clock(),
+      isPublished: false,
+    };
     this.#running.set(record.key, stream);
     this.#publishIfNeeded(stream);
     this.#scheduleCheck();
@@ -99,10 +105,11 @@
   }
 
   #publishIfNeeded(stream: RunningStream): void {
-    const { record } = stream;
+    const { record, atMs } = stream;
     if (!stream.isPublished && this.isNeeded(record.service)) {
       stream.isPublished = true;
-      this.#publish([record]);
+      const provenAgeMs = record.provenAgeMs + this.context.clock() - atMs;
+      this.#publish([{ ...record, provenAgeMs }]);
     }
   }
 
--- a/packages/gateway/src/streams/StreamHistoryKeeper.ts
+++ b/packages/gateway/src/streams/StreamHistoryKeeper.ts
@@ -40,7 +40,7 @@
 interface Compared {
   readonly read: ReadHistory;
   readonly table: unknown;
-  readonly longestLimitMs: number;
+  readonly longestLifeMs: number;
   readonly versions: string;
 }
 
@@ -54,12 +54,12 @@
  *
  * Whatever instances know of it is gone when all of them are lost at once. The row is
  * written when a version of a service or the service of a route changes, and when a
- * caller has a longer time limit than any before, but not for each stream.
+ * stream may live for longer than any before, but not for each stream.
  */
 export class StreamHistoryKeeper {
   #table: ConditionalTable | null = null;
   #read: ReadHistory | null = null;
-  #longestLimitMs = 0;
+  #longestLifeMs = 0;
   /** Since when this instance observes what the row lacks; null while it lacks nothing. */
   #lackingSinceMs: number | null = null;
   #isBusy = false;
@@ -80,18 +80,18 @@
     this.#table = table;
   }
 
-  /** Records the time limit of a caller whose stream may be resumed, in milliseconds. */
-  onLimit(limitMs: number): void {
-    this.#longestLimitMs = Math.max(this.#longestLimitMs, limitMs);
-    if (limitMs > this.#knownLimitMs) {
+  /** Records the life that a stream may reach, in milliseconds. */
+  onLife(lifeMs: number): void {
+    this.#longestLifeMs = Math.max(this.#longestLifeMs, lifeMs);
+    if (lifeMs > this.#knownLifeMs) {
       this.#startUpdate();
     }
   }
 
-  /** Longest time limit of any caller, in milliseconds; infinite if it is not known. */
-  get longestLimitMs(): number {
+  /** Longest known life of a stream, in milliseconds; infinite if there is no row. */
+  get longestLifeMs(): number {
     return this.#read?.history
-      ? Math.max(this.#knownLimitMs, this.#longestLimitMs)
+      ? Math.max(this.#knownLifeMs, this.#longestLifeMs)
       : Infinity;
   }
 
@@ -159,7 +159,7 @@
     const compared: Compared = {
       read,
       table: board.table,
-      longestLimitMs: this.#longestLimitMs,
+      longestLifeMs: this.#longestLifeMs,
       versions: [
         ...new Set(
           board.replicas.replicas.map(
@@ -174,7 +174,7 @@
       before !== null &&
       before.read === read &&
       before.table === compared.table &&
-      before.longestLimitMs === compared.longestLimitMs &&
+      before.longestLifeMs === compared.longestLifeMs &&
       before.versions === compared.versions;
     if (isUnchanged) {
       return true;
@@ -254,8 +254,8 @@
     return Math.min(MAX_DELAY_MS, DELAY_PER_RANK_MS * rank);
   }
 
-  get #knownLimitMs(): number {
-    return this.#read?.history?.longestLimitMs ?? 0;
+  get #knownLifeMs(): number {
+    return this.#read?.history?.longestLifeMs ?? 0;
   }
 
   #observed({ history, storeMs }: ReadHistory): StreamHistory {
@@ -263,7 +263,7 @@
     return observeStreams(history, {
       routes: board.table?.cfg.routes ?? [],
       replicas: board.replicas.replicas,
-      longestLimitMs: this.#longestLimitMs,
+      longestLifeMs: this.#longestLifeMs,
       // Whatever is no longer in the view was there before one of these times.
       storeMs: Math.max(
         storeMs,
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -21,7 +21,11 @@
 import type { SendStreamMessage } from './OriginPublisher.js';
 import { CHECK_MS, OriginPublisher } from './OriginPublisher.js';
 import { streamKeyOf } from './streamKeyOf.js';
-import { callerLimitMs, maxStreamAgeMs, streamLifeMs } from './streamAge.js';
+import {
+  callerLimitMs,
+  maxStreamAgeMs,
+  reachableLifeMs,
+} from './streamLife.js';
 import { StreamHistoryKeeper } from './StreamHistoryKeeper.js';
 
 /** What the origins of streams are exchanged with. */
@@ -113,21 +117,25 @@
   /** Records a request whose stream may be continued later. */
   onRequest(request: GatewayRequest): void {
     if (request.binding) {
-      this.#history.onLimit(callerLimitMs(request));
+      this.#history.onLife(callerLimitMs(request));
     }
   }
 
   /** Records that the caller of a request has the first event of its stream. */
   onBegun(request: GatewayRequest): void {
-    const { binding, service } = request;
+    const { binding, resumption, service } = request;
     const softwareVersion = binding?.version ?? null;
     if (softwareVersion === null) {
       return;
     }
     this.#keysOf(request).forEach(key => {
-      const keepMs = streamLifeMs(callerLimitMs(request));
-      const origin = { service: service.id, softwareVersion };
-      this.#publisher.onBegun({ ...origin, key, keepMs });
+      this.#publisher.onBegun({
+        key,
+        service: service.id,
+        softwareVersion,
+        keepMs: maxStreamAgeMs(callerLimitMs(request)),
+        provenAgeMs: resumption?.provenAgeMs ?? 0,
+      });
     });
   }
 
@@ -157,6 +165,9 @@
       (await this.#findSole(request)) ??
       (await this.#ask(request)) ??
       (await this.#findSole(request));
+    if (found) {
+      this.#history.onLife(reachableLifeMs(request, found.provenAgeMs));
+    }
     this.context.metrics.streamOrigins.inc({
       service: request.service.id,
       source: found ? sourceOf(found) : 'unknown',
@@ -219,14 +230,21 @@
       return null;
     }
     const { softwareVersion } = sole;
-    const { freshWithinMs } = this.context.settings;
-    const maxAgeMs = maxStreamAgeMs(resumption, this.#history.longestLimitMs);
-    // Instances use views of that age, so that replicas are used as long after they left.
-    return this.#soleForMs(request, sole) >= maxAgeMs + freshWithinMs
-      ? { service: service.id, softwareVersion, ageMs: 0 }
+    return this.#soleForMs(request, sole) >= this.#neededHistoryMs
+      ? { service: service.id, softwareVersion, ageMs: 0, provenAgeMs: 0 }
       : null;
   }
 
+  /**
+   * Time for which a service must have had one version, so that all streams that are
+   * continued have begun at it. It doesn't depend on what a request states.
+   */
+  get #neededHistoryMs(): number {
+    // Instances use views of that age, so that replicas are used as long after they left.
+    const { freshWithinMs } = this.context.settings;
+    return maxStreamAgeMs(this.#history.longestLifeMs) + freshWithinMs;
+  }
+
   /** Time for which all streams of a request's route have begun at one version. */
   #soleForMs(
     { route, service }: Pick<GatewayRequest, 'route' | 'service'>,
@@ -281,7 +299,7 @@
         hasResumableStreams(route) &&
         route.shares.some(share => share.service === service),
     );
-    const neededMs = streamLifeMs(this.#history.longestLimitMs) + freshWithinMs;
+    const neededMs = this.#neededHistoryMs;
     return (
       routes.every(
         route => this.#soleForMs({ route, service: routed }, sole) >= neededMs,
--- a/packages/gateway/src/streams/bindResumption.ts
+++ b/packages/gateway/src/streams/bindResumption.ts
@@ -57,6 +57,7 @@
       ...resumption,
       knownFrom: found.knownFrom,
       knownAgeMs: found.ageMs,
+      provenAgeMs: found.provenAgeMs,
     },
   };
   context.streams.onBegun(bound);
--- a/packages/gateway/src/streams/originMessage.ts
+++ b/packages/gateway/src/streams/originMessage.ts
@@ -22,6 +22,8 @@
 
 /** Largest time in a message, in milliseconds. */
 const MAX_TIME_MS = 0xffff_ffff;
+/** Unit of the ages of streams, so that those of about one age form one group. */
+const AGE_UNIT_MS = 100;
 /** Stands for a service or version that is not known. */
 const UNKNOWN = '';
 
@@ -36,8 +38,13 @@
   return GatewayState.fromPartial({ streams: message });
 }
 
+/** Age of a stream in a message; rounded down, it remains proven. */
+function toProvenAge(ms: number): number {
+  return toTime(AGE_UNIT_MS * Math.floor(ms / AGE_UNIT_MS));
+}
+
 /**
- * Groups records by service, version and time.
+ * Groups records by service, version, time and age.
  *
  * @param records - the records
  * @returns the message fields
@@ -47,8 +54,13 @@
 ): proto.StreamOrigins[] {
   const groups = new Map<string, StreamRecord[]>();
   records.forEach(record => {
-    const { service, softwareVersion, keepMs } = record;
-    const name = JSON.stringify([service, softwareVersion, toTime(keepMs)]);
+    const { service, softwareVersion, keepMs, provenAgeMs } = record;
+    const name = JSON.stringify([
+      service,
+      softwareVersion,
+      toTime(keepMs),
+      toProvenAge(provenAgeMs),
+    ]);
     groups.set(name, [...(groups.get(name) ?? []), record]);
   });
   return [...groups.values()].flatMap(group => {
@@ -58,6 +70,7 @@
           service: first.service,
           softwareVersion: first.softwareVersion,
           keepMs: toTime(first.keepMs),
+          provenAgeMs: toProvenAge(first.provenAgeMs),
           keys: toHashBytes(group.map(({ key }) => key)),
         }
       : [];
@@ -70,12 +83,13 @@
 ): readonly StreamRecord[] {
   return origins
     .filter(({ softwareVersion }) => softwareVersion !== UNKNOWN)
-    .flatMap(({ service, softwareVersion, keepMs, keys }) =>
+    .flatMap(({ service, softwareVersion, keepMs, provenAgeMs, keys }) =>
       fromHashBytes<StreamKey>(keys).map(key => ({
         key,
         service: brand<ServiceId>(service),
         softwareVersion: brand<SoftwareVersion>(softwareVersion),
         keepMs,
+        provenAgeMs,
       })),
     );
 }
@@ -90,6 +104,7 @@
     service: origin?.service ?? UNKNOWN,
     softwareVersion: origin?.softwareVersion ?? UNKNOWN,
     ageMs: toTime(origin?.ageMs ?? 0),
+    provenAgeMs: toTime(origin?.provenAgeMs ?? 0),
     soleVersion: sole?.softwareVersion ?? UNKNOWN,
     soleForMs: toTime(sole?.forMs ?? 0),
     viewAgeMs: toTime(viewAgeMs),
@@ -98,7 +113,8 @@
 
 /** @returns what an answer says */
 export function fromAnswer(answer: proto.OriginAnswer): OriginReply {
-  const { service, softwareVersion, ageMs, soleVersion, soleForMs } = answer;
+  const { service, softwareVersion, ageMs, provenAgeMs } = answer;
+  const { soleVersion, soleForMs } = answer;
   return {
     origin:
       softwareVersion === UNKNOWN
@@ -107,6 +123,7 @@
             service: brand<ServiceId>(service),
             softwareVersion: brand<SoftwareVersion>(softwareVersion),
             ageMs,
+            provenAgeMs,
           },
     sole:
       soleVersion === UNKNOWN
--- a/packages/gateway/tests/helpers/virtualStreams.ts
+++ b/packages/gateway/tests/helpers/virtualStreams.ts
@@ -21,21 +21,12 @@
   return instance;
 }
 
-/** What a caller states about its time. */
-interface CallerTimes {
-  readonly limitMs: number;
-  /** Null if a request that continues a stream states none. */
-  readonly timeLeftMs: number | null;
-}
-
-const NO_TIMES: CallerTimes = { limitMs: TIME_LIMIT_MS, timeLeftMs: null };
-
 function createRequest(
   fleet: VirtualFleet,
   { context }: VirtualInstance,
   id: string,
   firstRequest: string | null,
-  { limitMs, timeLeftMs }: CallerTimes = NO_TIMES,
+  limitMs: number,
 ): GatewayRequest {
   const service = context.router.board.table?.service(SERVICE);
   if (!service) {
@@ -58,7 +49,6 @@
         ? null
         : {
             firstRequest: brand<RequestId>(firstRequest),
-            timeLeftMs,
           },
     fingerprint: () => brand<RequestFingerprint>(id),
     partKeys: () => [],
@@ -82,8 +72,7 @@
   limitMs = TIME_LIMIT_MS,
 ): void {
   const instance = instanceAt(fleet, index);
-  const times = { limitMs, timeLeftMs: null };
-  const request = createRequest(fleet, instance, id, null, times);
+  const request = createRequest(fleet, instance, id, null, limitMs);
   request.binding?.bind(brand<SoftwareVersion>(version));
   instance.context.streams.onRequest(request);
   instance.context.streams.onBegun(request);
@@ -95,7 +84,7 @@
  * @param fleet - the fleet
  * @param index - index of the instance
  * @param firstRequest - request that began the stream
- * @param timeLeftMs - time that the caller states to have left; null for none
+ * @param timeLeftMs - time that the caller states to have left; null for `TIME_LIMIT_MS`
  * @returns the version at which it goes on; null if it is refused
  */
 export async function continueStream(
@@ -106,8 +95,8 @@
 ): Promise<SoftwareVersion | null> {
   const instance = instanceAt(fleet, index);
   const id = `${firstRequest}-continued-${index}`;
-  const times = { limitMs: timeLeftMs ?? TIME_LIMIT_MS, timeLeftMs };
-  const request = createRequest(fleet, instance, id, firstRequest, times);
+  const limitMs = timeLeftMs ?? TIME_LIMIT_MS;
+  const request = createRequest(fleet, instance, id, firstRequest, limitMs);
   const bound = await bindResumption(instance.context, request);
   return bound.binding?.version ?? null;
 }
