refactor(streams): a module of its own for what shows a sole origin of streams

StreamOrigins held the lookups of records and the proof by the history of versions at once; nothing changes for callers.

--- /dev/null
+++ b/packages/gateway/src/streams/SoleOrigin.ts
@@ -0,0 +1,125 @@
+import type {
+  GatewayRequest,
+  KnownOrigin,
+  SoleVersion,
+} from '@jujubecroft/decisions';
+import {
+  determineViewState,
+  hasResumableStreams,
+} from '@jujubecroft/decisions';
+import type { ServiceId } from '@jujubecroft/types';
+
+import type { GatewayContext } from '../GatewayContext.js';
+import { CHECK_MS } from './OriginPublisher.js';
+import type { StreamHistoryKeeper } from './StreamHistoryKeeper.js';
+import { maxStreamAgeMs } from './streamLife.js';
+
+/**
+ * Tells whether all streams that may be continued have begun at one version of a service.
+ *
+ * That doesn't depend on what a request states about itself, since a caller may state its
+ * whole time limit anew in each request.
+ */
+export class SoleOrigin {
+  /** Whether the streams of a service need records, and when that was checked. */
+  readonly #needs = new Map<
+    ServiceId,
+    { readonly atMs: number; readonly isNeeded: boolean }
+  >();
+
+  /**
+   * @param context - view and clock
+   * @param history - what the store knows of the services and of the life of streams
+   */
+  constructor(
+    private readonly context: Pick<
+      GatewayContext,
+      'clock' | 'router' | 'settings'
+    >,
+    private readonly history: StreamHistoryKeeper,
+  ) {}
+
+  /**
+   * Finds the only origin that the stream of a request can have, by the present view.
+   *
+   * @param request - a request that continues a stream
+   * @returns null if there may be several
+   */
+  find({
+    route,
+    service,
+  }: Pick<GatewayRequest, 'route' | 'service'>): KnownOrigin | null {
+    const sole = this.#versions.soleVersion(service.id);
+    return sole && this.#forMs({ route, service }, sole) >= this.#neededMs
+      ? {
+          service: service.id,
+          softwareVersion: sole.softwareVersion,
+          ageMs: 0,
+          provenAgeMs: 0,
+        }
+      : null;
+  }
+
+  /**
+   * Whether other instances can't be certain of the version of a service's streams
+   * without their records.
+   */
+  needsRecords(service: ServiceId): boolean {
+    const nowMs = this.context.clock();
+    const checked = this.#needs.get(service);
+    if (checked && nowMs - checked.atMs < CHECK_MS) {
+      return checked.isNeeded;
+    }
+    const isNeeded = !this.#isCertain(service);
+    this.#needs.set(service, { atMs: nowMs, isNeeded });
+    return isNeeded;
+  }
+
+  get #versions(): GatewayContext['router']['board']['versions'] {
+    return this.context.router.board.versions;
+  }
+
+  /** Time for which a service must have had one version, in milliseconds. */
+  get #neededMs(): number {
+    // Instances use views of that age, so that replicas are used as long after they left.
+    const { freshWithinMs } = this.context.settings;
+    return maxStreamAgeMs(this.history.longestLifeMs) + freshWithinMs;
+  }
+
+  /** Time for which all streams of a route have begun at one version, in milliseconds. */
+  #forMs(
+    { route, service }: Pick<GatewayRequest, 'route' | 'service'>,
+    { softwareVersion, forMs }: SoleVersion,
+  ): number {
+    const storedForMs = Math.min(
+      this.history.soleOriginForMs({ route, service }, softwareVersion),
+      // The row may lack what this instance has just learned.
+      this.#versions.sinceOthersMs(service.id, softwareVersion),
+    );
+    const ownForMs = Math.min(
+      this.history.soleServiceForMs(route, service.id),
+      forMs,
+    );
+    return Math.max(storedForMs, ownForMs);
+  }
+
+  /** Whether the view is current and the service has had one version for long enough. */
+  #isCertain(id: ServiceId): boolean {
+    const { router, settings } = this.context;
+    const { board } = router;
+    const service = board.table?.service(id);
+    if (!service) {
+      return false;
+    }
+    const routes = (board.table?.cfg.routes ?? []).filter(
+      route =>
+        hasResumableStreams(route) &&
+        route.shares.some(share => share.service === id),
+    );
+    return (
+      this.#versions.soleVersion(id) !== null &&
+      routes.every(route => this.find({ route, service }) !== null) &&
+      determineViewState(board, settings.freshWithinMs) === 'current'
+    );
+  }
+}
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -1,13 +1,5 @@
-import type {
-  GatewayRequest,
-  KnownOrigin,
-  SoleVersion,
-} from '@jujubecroft/decisions';
-import {
-  determineViewState,
-  hasResumableStreams,
-  StreamRecords,
-} from '@jujubecroft/decisions';
+import type { GatewayRequest } from '@jujubecroft/decisions';
+import { StreamRecords } from '@jujubecroft/decisions';
 import type { proto } from '@jujubecroft/operator/peers';
 import type { ServiceId, StreamKey } from '@jujubecroft/types';
 
@@ -19,7 +11,8 @@
 import { fromHashBytes } from '../util/shortHash.js';
 import { fromOrigins, toAnswer } from './originMessage.js';
 import type { SendStreamMessage } from './OriginPublisher.js';
-import { CHECK_MS, OriginPublisher } from './OriginPublisher.js';
+import { OriginPublisher } from './OriginPublisher.js';
+import { SoleOrigin } from './SoleOrigin.js';
 import { streamKeyOf } from './streamKeyOf.js';
 import {
   callerLimitMs,
@@ -65,11 +58,7 @@
   readonly #publisher: OriginPublisher;
   readonly #lookup: OriginLookup;
   readonly #freshView: FreshView;
-  /** Whether the streams of a service need records, and when that was checked. */
-  readonly #needs = new Map<
-    ServiceId,
-    { readonly atMs: number; readonly isNeeded: boolean }
-  >();
+  readonly #sole: SoleOrigin;
   readonly #history: StreamHistoryKeeper;
   #links = NO_LINKS;
 
@@ -87,13 +76,14 @@
     this.#publisher = new OriginPublisher(
       context,
       this.#records,
-      service => this.#needsRecords(service),
+      service => this.#sole.needsRecords(service),
       send,
     );
     this.#lookup = new OriginLookup(context, send, (service, reply) => {
       this.#versions.extend(service, reply.sole, reply.viewAgeMs);
     });
     this.#history = new StreamHistoryKeeper(context);
+    this.#sole = new SoleOrigin(context, this.#history);
     this.#freshView = new FreshView(timers, async () => {
       const answered = await Promise.all([
         this.#links.readReplicas(),
@@ -214,54 +204,15 @@
 
   /** Finds the only version that a service has had while the stream may have begun. */
   async #findSole(request: GatewayRequest): Promise<FoundOrigin | null> {
-    if (this.#soleOrigin(request) === null) {
+    if (this.#sole.find(request) === null) {
       return null;
     }
     // A version that this instance has not heard of may have begun the stream.
     const isFresh = await this.#freshView.confirm();
-    const known = isFresh ? this.#soleOrigin(request) : null;
+    const known = isFresh ? this.#sole.find(request) : null;
     return known && { ...known, knownFrom: SOLE_VERSION };
   }
 
-  #soleOrigin(request: GatewayRequest): KnownOrigin | null {
-    const { service, resumption } = request;
-    const sole = this.#versions.soleVersion(service.id);
-    if (!sole || !resumption) {
-      return null;
-    }
-    const { softwareVersion } = sole;
-    return this.#soleForMs(request, sole) >= this.#neededHistoryMs
-      ? { service: service.id, softwareVersion, ageMs: 0, provenAgeMs: 0 }
-      : null;
-  }
-
-  /**
-   * Time for which a service must have had one version, so that all streams that are
-   * continued have begun at it. It doesn't depend on what a request states.
-   */
-  get #neededHistoryMs(): number {
-    // Instances use views of that age, so that replicas are used as long after they left.
-    const { freshWithinMs } = this.context.settings;
-    return maxStreamAgeMs(this.#history.longestLifeMs) + freshWithinMs;
-  }
-
-  /** Time for which all streams of a request's route have begun at one version. */
-  #soleForMs(
-    { route, service }: Pick<GatewayRequest, 'route' | 'service'>,
-    { softwareVersion, forMs }: SoleVersion,
-  ): number {
-    const storedForMs = Math.min(
-      this.#history.soleOriginForMs({ route, service }, softwareVersion),
-      // The row may lack what this instance has just learned.
-      this.#versions.sinceOthersMs(service.id, softwareVersion),
-    );
-    const ownForMs = Math.min(
-      this.#history.soleServiceForMs(route, service.id),
-      forMs,
-    );
-    return Math.max(storedForMs, ownForMs);
-  }
-
   /** Asks other instances, which also tell how long the service has had one version. */
   async #ask(request: GatewayRequest): Promise<FoundOrigin | null> {
     const { organisation, resumption, id, service } = request;
@@ -269,44 +220,6 @@
     return this.#lookup.find(streamKeyOf(organisation, first), service.id);
   }
 
-  /**
-   * Whether other instances can't be certain of the version of a service's streams
-   * without their records.
-   */
-  #needsRecords(service: ServiceId): boolean {
-    const nowMs = this.context.clock();
-    const checked = this.#needs.get(service);
-    if (checked && nowMs - checked.atMs < CHECK_MS) {
-      return checked.isNeeded;
-    }
-    const isNeeded = !this.#isCertain(service);
-    this.#needs.set(service, { atMs: nowMs, isNeeded });
-    return isNeeded;
-  }
-
-  /** Whether the view is current and the service has had one version for long enough. */
-  #isCertain(service: ServiceId): boolean {
-    const { router, settings } = this.context;
-    const { board } = router;
-    const { freshWithinMs } = settings;
-    const sole = this.#versions.soleVersion(service);
-    const routed = board.table?.service(service);
-    if (!sole || !routed) {
-      return false;
-    }
-    const routes = (board.table?.cfg.routes ?? []).filter(
-      route =>
-        hasResumableStreams(route) &&
-        route.shares.some(share => share.service === service),
-    );
-    const neededMs = this.#neededHistoryMs;
-    return (
-      routes.every(
-        route => this.#soleForMs({ route, service: routed }, sole) >= neededMs,
-      ) && determineViewState(board, freshWithinMs) === 'current'
-    );
-  }
-
   #answer(question: proto.OriginQuestion, from: string): void {
     const { number, key, service } = question;
     const [asked] = fromHashBytes<StreamKey>(key);
