fix(front): read what has arrived before an idle connection is closed

Callers whose connection had been idle sent a request in time, and the connection was reset without an answer or a refusal when the event loop of the instance was delayed meanwhile.

Cause: the limit for idle connections is a timer, and timers fire before reads. After a delay beyond the limit (and the second that Node.js adds), the timer closes the connection with the request unread in its buffer.

Evidence: idleConnections "serves a request that arrived while the event loop was blocked" failed before (limit 1 s, request after 0.8 s, delay 2.2 s: the connection closed after one answer of two, each run) and passes now. The other three tests of the file, about limits that change or end between requests, passed before as well.

Change: a listener of the server waits for one turn of the event loop and closes the connection only if nothing was read. Bytes that are read stop the timer in Node.js.

--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -9,6 +9,7 @@
 import { createApp } from '../createApp.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { CallerTurns } from './CallerTurns.js';
+import { closeIdleConnections } from './closeIdleConnections.js';
 import { createConnectionErrorLogger } from './createConnectionErrorLogger.js';
 import { handleRequest } from './handleRequest.js';
 import type { InFlightRequests } from './InFlightRequests.js';
@@ -70,6 +71,7 @@
     bodyOf: connectionErrorBody,
     onError: createConnectionErrorLogger(context),
   });
+  closeIdleConnections(server);
   const { dialect, log, responseWatch } = context;
   const turns = new CallerTurns();
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
