fix(front): keep a connection open for as long as its answer announced

Callers were told that a connection may be idle for some seconds, and it was closed earlier. A caller that follows Keep-Alive uses it until then, so its next request may cross the close and get neither an answer nor a refusal.

Cause: Node.js writes the limit that was in force when the request arrived into the Keep-Alive header, and applies the one in force when the response is complete. A configuration that shrinks the limit while a request runs makes them differ.

Connections that were idle already when the limit shrank kept their time before as well.

Change: after such a response, the connection's time is extended by the difference. The limit of the configuration still holds for all later responses.

--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -12,6 +12,7 @@
 import { closeIdleConnections } from './closeIdleConnections.js';
 import { createConnectionErrorLogger } from './createConnectionErrorLogger.js';
 import { handleRequest } from './handleRequest.js';
+import { keepAsAnnounced } from './keepAsAnnounced.js';
 import type { InFlightRequests } from './InFlightRequests.js';
 
 /**
@@ -72,6 +73,7 @@
     onError: createConnectionErrorLogger(context),
   });
   closeIdleConnections(server);
+  keepAsAnnounced(server);
   const { dialect, log, responseWatch } = context;
   const turns = new CallerTurns();
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
