fix(gateway): count and bound requests from the moment they are read

Callers saw: an instance that stops closed connections on which it had read a whole request, with neither an answer nor a refusal; and a request whose view or stream origin didn't come had no answer at its time limit.

Cause: a request was known to `InFlightRequests` only after its body, the turn on its connection, the wait for the pending close, the lease of the view and the search for its origin. A stop looked at the count, found 0, and closed. Between that look and the end of the connections it also awaited the link to other instances, while requests were read. No time limit bounded the waits.

Change: a request is tracked from its head until its response is delivered. Its wait before the first attempt ends with its time limit (503 `notSentInTime`, with the proof that nothing was sent) and with the stop (503 `instanceLeaving`). At its end a stop refuses what waits or is read from then on, stops to listen, lets the refusals be written, and closes the connections of callers in the same turn of the event loop as its last look at the count.

Why it works: the refusal of a request that was read during the end of the stop is written in the turn of the event loop that read it. So no request that was read is without a response when the connections are closed, except those that are at a replica at the end of the grace period.

--- a/packages/gateway/src/front/InFlightRequests.ts
+++ b/packages/gateway/src/front/InFlightRequests.ts
@@ -4,6 +4,7 @@
 import type { ForwardedRequest } from '../forward/ForwardedRequest.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { nextTurn } from '../util/nextTurn.js';
+import type { ReceivedRequest } from './ReceivedRequest.js';
 
 /** Interval between checks for silent attempts. */
 const CHECK_INTERVAL_MS = 50;
@@ -14,22 +15,56 @@
 const MAX_SKIPPED_CHECKS = 3;
 
 /**
- * The unfinished requests of one instance.
+ * The unfinished requests of one instance, from the moment their heads were read.
  *
  * Attempts are checked only while there are requests: a timer without work
  * caused a third of the wake-ups of an idle instance.
  */
 export class InFlightRequests {
+  readonly #received = new Set<ReceivedRequest>();
+  /** Those of them that were waited for until they could be sent. */
   readonly #requests = new Set<ForwardedRequest>();
   /** Complete responses of which a part is still in memory. */
   readonly #deliveries = new Set<ServerResponse>();
   #timer: NodeJS.Timeout | null = null;
+  #isClosing = false;
 
   constructor(private readonly context: GatewayContext) {}
 
   /** Number of requests without a complete response, and of responses not delivered. */
   get count(): number {
-    return this.#requests.size + this.#deliveries.size;
+    return this.#received.size + this.#deliveries.size;
+  }
+
+  /** Tracks a request until `leave` is called. */
+  enter(request: ReceivedRequest): void {
+    this.#received.add(request);
+    this.#timer ??= this.#startChecks();
+    if (this.#isClosing) {
+      request.refuse('instanceLeaving');
+    }
+  }
+
+  /**
+   * Ends the tracking of a request; its response is tracked from then on until the
+   * connection of its caller has taken all of it.
+   */
+  leave(request: ReceivedRequest, res: ServerResponse): void {
+    if (res.writableEnded) {
+      this.trackDelivery(res);
+    }
+    this.#received.delete(request);
+    if (this.#received.size === 0) {
+      this.stop();
+    }
+  }
+
+  /** Refuses all requests that have not been placed, and those that are read from now on. */
+  refuseUnplaced(): void {
+    this.#isClosing = true;
+    this.#received.forEach(request => {
+      request.refuse('instanceLeaving');
+    });
   }
 
   /** Tracks a complete response until the connection of its caller has taken all of it. */
@@ -42,17 +77,13 @@
     }
   }
 
-  /** Runs a request and tracks it until it ends. */
-  async track(request: ForwardedRequest): Promise<void> {
+  /** Runs a request and checks its attempts until it ends. */
+  async run(request: ForwardedRequest): Promise<void> {
     this.#requests.add(request);
-    this.#timer ??= this.#startChecks();
     try {
       await request.run();
     } finally {
       this.#requests.delete(request);
-      if (this.#requests.size === 0) {
-        this.stop();
-      }
     }
   }
 
@@ -76,7 +107,7 @@
   }
 
   /**
-   * Checks for silent attempts at a fixed interval.
+   * Checks the requests at a fixed interval.
    *
    * If the event loop is blocked, responses wait unread and the delay looks
    * like a silent replica, which would cause needless retries. Each check
@@ -96,15 +127,20 @@
       }
       skippedChecks = 0;
       void nextTurn().then(() => {
-        this.#checkAttempts();
+        this.#checkRequests();
       });
     }, CHECK_INTERVAL_MS);
   }
 
   /**
-   * Withdraws attempts that must move to another replica or must not continue.
+   * Ends waits whose time limit has passed, and withdraws attempts that must move to another
+   * replica or must not continue.
    */
-  #checkAttempts(): void {
+  #checkRequests(): void {
+    const nowMs = this.context.clock();
+    this.#received.forEach(request => {
+      request.checkTime(nowMs);
+    });
     const { router, replicaConnector } = this.context;
     router.findPathsToCheck().forEach(replica => {
       void replicaConnector.check(replica);
--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -36,6 +36,8 @@
   readonly server: Server;
   /** Applies the limits of a configuration. */
   readonly limit: (limits: CallerLimits) => void;
+  /** Accepts no more connections, and closes those without a request. */
+  readonly stopListening: () => void;
 }
 
 /**
@@ -86,5 +88,8 @@
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
     },
+    stopListening: () => {
+      server.close();
+    },
   };
 }
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -1,36 +1,25 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { GatewayRequest, Match } from '@jujubecroft/decisions';
-import { StreamBinding } from '@jujubecroft/decisions';
-import type { RequestId, ResultCodeId, Route } from '@jujubecroft/types';
+import type { GatewayRequest } from '@jujubecroft/decisions';
+import type { ResultCodeId } from '@jujubecroft/types';
 
 import { ExecutionRecord } from '../execution/ExecutionRecord.js';
 import { createCallerResponse } from '../forward/createCallerResponse.js';
-import { fingerprintOf } from '../forward/fingerprintOf.js';
-import { partKeysOf } from '../forward/partKeysOf.js';
 import type { IncomingRequest } from '../forward/IncomingRequest.js';
 import { ForwardedRequest } from '../forward/ForwardedRequest.js';
-import { gatewayResponse } from '../forward/gatewayResponse.js';
-import { STALE_VIEW_RETRY_MS } from '../forward/placeWhenViewUsable.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RequestHead } from '../ports/CallerDialect.js';
 import { headerValue } from '../util/headers.js';
 import { bindResumption } from '../streams/bindResumption.js';
 import { nextTurn } from '../util/nextTurn.js';
-import { once } from '../util/once.js';
+import type { BodyReadResult } from './readBody.js';
 import { readBody } from './readBody.js';
 import type { CallerTurns } from './CallerTurns.js';
 import type { InFlightRequests } from './InFlightRequests.js';
+import { ReceivedRequest } from './ReceivedRequest.js';
+import type { UnsentCall } from './refuseRequest.js';
+import { refuseRequest } from './refuseRequest.js';
+import { toGatewayRequest } from './toGatewayRequest.js';
 
-type MatchedRoute = Extract<Match, { kind: 'matched' }>;
-
-/** Retry delays sent with refusals after which the same request may succeed. */
-const RETRY_AFTER_MS: Partial<Record<ResultCodeId, number>> = {
-  // An instance usually receives a configuration within a second.
-  noRoutingKnown: 500,
-  viewOutdated: STALE_VIEW_RETRY_MS,
-  // Bodies are sent on within a fraction of a second.
-  memoryFull: 300,
-};
 /** Limit for request bodies until a configuration is known. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** Limit for request heads until a configuration is known. */
@@ -56,191 +45,101 @@
   return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
-/** A request that no attempt was made for, and its response. */
-interface UnsentCall {
-  readonly context: GatewayContext;
-  readonly res: ServerResponse;
-  readonly execution: ExecutionRecord;
-}
-
-function refuse(
-  { context, res, execution }: UnsentCall,
-  code: ResultCodeId,
-  id: RequestId | null,
-  fields: Readonly<Record<string, unknown>> = {},
-): void {
-  const retryAfterMs = RETRY_AFTER_MS[code] ?? 0;
-  const response = createCallerResponse(context, res);
-  const complete = gatewayResponse(context.dialect, code, id, retryAfterMs);
-  const proof = execution.proveNotRun();
-  const isSent = !response.isClosed && proof !== null;
-  if (isSent) {
-    response.refuse(complete, proof);
-  } else {
-    response.cut();
-  }
-  const table = context.router.board.table;
-  context.metrics.refusals.inc({ code, priority: '' });
-  context.log.write('requestRefused', {
-    request: id,
-    code,
-    status: isSent ? complete.status : null,
-    decidedBy: complete.decidedBy,
-    proof: proof?.kind ?? null,
-    retryAfterMs,
-    configuration: table?.cfg.version ?? null,
-    ...fields,
-  });
-}
-
-/** Whether the answer may be resumed, and whether the caller resumes an earlier one. */
-function streamFieldsOf(
-  route: Route,
-  head: RequestHead,
-): Pick<GatewayRequest, 'binding' | 'resumption'> {
-  const { firstRequest, timeLeftMs } = head;
-  const isStream = route.kind === 'streaming';
-  const isResumed = head.lastEventId !== null;
-  return {
-    binding:
-      isStream && (route.resumable || isResumed)
-        ? new StreamBinding(timeLeftMs)
-        : null,
-    resumption: isStream && isResumed ? { firstRequest, timeLeftMs } : null,
-  };
-}
-
-function toGatewayRequest(
-  context: GatewayContext,
-  call: IncomingRequest,
-  id: RequestId,
-  { route, service, organisation, priority }: MatchedRoute,
-  arrivedMs: number,
-): GatewayRequest {
-  const { head } = call;
-  const timeLeftMs = head.timeLeftMs ?? route.timeoutMs;
-  return {
-    id,
-    route,
-    service,
-    organisation: organisation?.id ?? null,
-    priority,
-    prompt: head.prompt,
-    arrivedMs,
-    deadlineMs: arrivedMs + Math.min(route.timeoutMs, timeLeftMs),
-    isCallerRetry: context.router.isCallerRetry(route, timeLeftMs),
-    ...streamFieldsOf(route, head),
-    fingerprint: once(() => fingerprintOf(call, organisation?.id ?? null)),
-    partKeys: once(() => partKeysOf(head.prompt, organisation?.id ?? null)),
-  };
-}
-
-/** A request whose body is being handled, and what is needed for its response. */
+/** A request that is being read, and what is needed to send it. */
 interface ReceivedCall {
-  readonly inFlight: InFlightRequests;
-  readonly unsent: UnsentCall;
+  readonly context: GatewayContext;
+  readonly received: ReceivedRequest;
   readonly head: RequestHead;
+  readonly reading: Promise<BodyReadResult>;
   /** Whether the response to the previous request of the connection is complete. */
   readonly turn: Promise<boolean>;
   readonly req: IncomingMessage;
   readonly arrivedMs: number;
 }
 
-/**
- * Handles one request of a caller.
- *
- * @param context - shared parts of the instance
- * @param inFlight - unfinished requests
- * @param turns - order of the requests of each connection
- * @param req - the request
- * @param res - its response
- */
-export async function handleRequest(
-  context: GatewayContext,
-  inFlight: InFlightRequests,
-  turns: CallerTurns,
-  req: IncomingMessage,
-  res: ServerResponse,
-): Promise<void> {
-  const arrivedMs = context.clock();
-  const turn = turns.take(req, res);
-  const execution = new ExecutionRecord();
-  const unsent: UnsentCall = { context, res, execution };
-  const limits = context.router.board.table?.cfg.limits;
-  const head = context.dialect.readRequest(req.rawHeaders);
-  if (headBytes(req) > (limits?.maxHeaderBytes ?? DEFAULT_MAX_HEAD_BYTES)) {
-    refuse(unsent, 'headTooLarge', head.id);
-    return;
-  }
-  const read = await readBody(
-    req,
-    limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-    context.requestBudget,
-  );
-  switch (read.kind) {
-    case 'broken':
-      context.log.write('callerLeft', { request: head.id, code: 'bodyBroken' });
-      return;
-    case 'tooLarge':
-      // The unread rest of the body would be parsed as the next request.
-      res.shouldKeepAlive = false;
-      refuse(unsent, 'bodyTooLarge', head.id);
-      return;
-    case 'noMemory':
-      refuse(unsent, 'memoryFull', head.id);
-      return;
-    case 'whole':
-      try {
-        await handleWhole(
-          { inFlight, unsent, head, turn, req, arrivedMs },
-          read.body?.bytes ?? null,
-        );
-      } finally {
-        read.body?.release();
-      }
-  }
-}
+/** What becomes of a request before its first attempt. */
+type Preparation =
+  | {
+      /** It may be placed. */
+      readonly kind: 'placeable';
+      readonly request: GatewayRequest;
+      readonly call: IncomingRequest;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly code: ResultCodeId;
+      readonly fields?: Readonly<Record<string, unknown>>;
+    }
+  | {
+      /** The connection ended before the request could begin. */
+      readonly kind: 'left';
+      readonly code: 'bodyBroken' | 'notBegun';
+    };
 
-/** Handles a request whose body is in memory. */
-async function handleWhole(
-  { inFlight, unsent, head, turn, req, arrivedMs }: ReceivedCall,
-  body: Buffer | null,
-): Promise<void> {
-  const { context, res, execution } = unsent;
+const BODY_REFUSALS = {
+  tooLarge: 'bodyTooLarge',
+  noMemory: 'memoryFull',
+} as const;
+
+/** Waits for all that a request needs before it can be placed. */
+async function prepare({
+  context,
+  received,
+  head,
+  reading,
+  turn,
+  req,
+  arrivedMs,
+}: ReceivedCall): Promise<Preparation> {
   const { router } = context;
+  const read = await reading;
+  if (read.kind === 'broken') {
+    return { kind: 'left', code: 'bodyBroken' };
+  }
+  if (read.kind !== 'whole') {
+    return { kind: 'refused', code: BODY_REFUSALS[read.kind] };
+  }
   const target = req.url ?? '/';
   if (!(await turn)) {
-    context.log.write('callerLeft', { request: head.id, code: 'notBegun' });
-    return;
+    return { kind: 'left', code: 'notBegun' };
   }
   await awaitPendingClose();
   if (head.id === null) {
-    refuse(unsent, 'requestIdMissing', null, { target });
-    return;
+    return { kind: 'refused', code: 'requestIdMissing', fields: { target } };
   }
   if ((await context.lease.obtain()) === 'outdated') {
-    refuse(unsent, 'viewOutdated', head.id);
-    return;
+    return { kind: 'refused', code: 'viewOutdated' };
   }
   const path = target.split('?', 1)[0] ?? target;
   const host = headerValue(req.rawHeaders, 'host') ?? '';
   const match = router.match(host, path, head.key);
   if (match.kind === 'refused') {
-    refuse(unsent, match.code, head.id, { path });
-    return;
+    return { kind: 'refused', code: match.code, fields: { path } };
   }
   const call: IncomingRequest = {
     method: req.method ?? 'GET',
     target,
     headers: req.rawHeaders,
     head,
-    body,
+    body: read.body?.bytes ?? null,
   };
-  const request = await bindResumption(
-    context,
-    toGatewayRequest(context, call, head.id, match, arrivedMs),
-  );
-  router.onRequest(request);
+  const unbound = toGatewayRequest(context, call, head.id, match, arrivedMs);
+  received.limitTo(unbound.deadlineMs);
+  const request = await bindResumption(context, unbound);
+  if (received.hasEnded) {
+    context.streams.onEnded(request);
+  }
+  return { kind: 'placeable', request, call };
+}
+
+/** Sends a request to replicas until its caller has a response or has left. */
+async function forward(
+  { context, res, execution }: UnsentCall,
+  inFlight: InFlightRequests,
+  request: GatewayRequest,
+  call: IncomingRequest,
+): Promise<void> {
+  context.router.onRequest(request);
   const forwarded = new ForwardedRequest(
     context,
     request,
@@ -255,10 +154,79 @@
   };
   res.once('close', onClose);
   // The caller may have left before or while its request was read.
-  if (res.destroyed || req.socket.readableEnded) {
+  if (res.destroyed || res.req.socket.readableEnded) {
     onClose();
   }
-  await inFlight.track(forwarded);
-  inFlight.trackDelivery(res);
-  context.streams.onEnded(request);
+  try {
+    await inFlight.run(forwarded);
+  } finally {
+    context.streams.onEnded(request);
+  }
+}
+
+/**
+ * Handles one request of a caller.
+ *
+ * @param context - shared parts of the instance
+ * @param inFlight - unfinished requests
+ * @param turns - order of the requests of each connection
+ * @param req - the request
+ * @param res - its response
+ */
+export async function handleRequest(
+  context: GatewayContext,
+  inFlight: InFlightRequests,
+  turns: CallerTurns,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const arrivedMs = context.clock();
+  const turn = turns.take(req, res);
+  const execution = new ExecutionRecord();
+  const unsent: UnsentCall = { context, res, execution };
+  const limits = context.router.board.table?.cfg.limits;
+  const head = context.dialect.readRequest(req.rawHeaders);
+  if (headBytes(req) > (limits?.maxHeaderBytes ?? DEFAULT_MAX_HEAD_BYTES)) {
+    refuseRequest(unsent, 'headTooLarge', head.id);
+    return;
+  }
+  const received = new ReceivedRequest(
+    arrivedMs + (head.timeLeftMs ?? Infinity),
+  );
+  inFlight.enter(received);
+  const reading = readBody(
+    req,
+    limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    context.requestBudget,
+  );
+  try {
+    const prepared = await received.wait(
+      prepare({ context, received, head, reading, turn, req, arrivedMs }),
+    );
+    switch (prepared.kind) {
+      case 'left':
+        context.log.write('callerLeft', {
+          request: head.id,
+          code: prepared.code,
+        });
+        break;
+      case 'refused':
+        if (!req.complete) {
+          // The unread rest of the body would be parsed as the next request.
+          res.shouldKeepAlive = false;
+        }
+        refuseRequest(unsent, prepared.code, head.id, prepared.fields);
+        break;
+      case 'placeable':
+        await forward(unsent, inFlight, prepared.request, prepared.call);
+        break;
+    }
+  } finally {
+    inFlight.leave(received, res);
+    void reading.then(read => {
+      if (read.kind === 'whole') {
+        read.body?.release();
+      }
+    });
+  }
 }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -65,9 +65,13 @@
  * requests are admitted more strictly.
  */
 const STRICT_SHARE = 0.3;
-/** Share of the grace period after which unfinished requests are aborted. */
+/** Share of the grace period by which requests must have ended. */
 const CUT_SHARE = 0.95;
+/** Share of the grace period after which unfinished requests are aborted. */
+const CLOSE_SHARE = 0.97;
 const IDLE_CHECK_INTERVAL_MS = 50;
+/** Interval of the checks whether the last requests have been refused. */
+const REFUSAL_CHECK_INTERVAL_MS = 5;
 /**
  * Delay of the event loop above which failed calls are no evidence of an outage, in
  * milliseconds.
@@ -238,19 +242,21 @@
   log.write('instanceStarted', { settings });
 
   const close = async (): Promise<void> => {
+    // At once after the last look at the unfinished requests, since more could be read
+    // while other parts are closed.
+    inFlight.stop();
+    inFlight.cutResponses();
+    callerServer.server.closeAllConnections();
     clearInterval(housekeeping);
     duties?.stop();
     reader.stop();
     // The server for other instances closes only once its tunnels have ended.
     tunnels.close();
     await peers.stop();
-    inFlight.stop();
     sideServers.forEach(sideServer => {
       sideServer.close();
       sideServer.closeAllConnections();
     });
-    inFlight.cutResponses();
-    callerServer.server.closeAllConnections();
     await callerServer.app.close();
     context.connections.destroy();
     ports.store.close();
@@ -258,6 +264,7 @@
 
   const stop = async (): Promise<void> => {
     const cutMs = clock() + CUT_SHARE * settings.graceMs;
+    const closeMs = clock() + CLOSE_SHARE * settings.graceMs;
     const strictFromMs = clock() + STRICT_SHARE * settings.graceMs;
     context.leaving = true;
     context.stopPlan = { strictFromMs, untilMs: cutMs };
@@ -271,6 +278,13 @@
       await sleep(IDLE_CHECK_INTERVAL_MS);
     }
     context.streams.handOver();
+    // What is read from here on, or waits, has been sent to no replica.
+    inFlight.refuseUnplaced();
+    callerServer.stopListening();
+    // At least one turn of the event loop, in which the refusals are written.
+    do {
+      await sleep(REFUSAL_CHECK_INTERVAL_MS);
+    } while (inFlight.count > 0 && clock() < closeMs);
     log.write('instanceStopped', { cut: inFlight.count });
     await close();
   };
--- a/packages/types/src/resultCodes.ts
+++ b/packages/types/src/resultCodes.ts
@@ -195,6 +195,13 @@
     summary: 'The bodies of other requests leave no memory for this one.',
     action: 'Come back after the time in Retry-After.',
   },
+  notSentInTime: {
+    number: 2014,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'The time limit of the request passed before it could be sent.',
+    action: 'Come back with a new time limit.',
+  },
   backendNotRun: {
     number: 3001,
     httpStatus: 502,
