fix(gateway): answer a request whose handling throws an error

Callers saw: a closed connection, with neither an answer nor a refusal, for a whole request whose handling threw an error before anything was written.

Cause: the listener of the callers' server destroyed the response on any error.

Evidence, before the change: with an error injected into the lease of the view, and with one between the end of an attempt and its record, the caller got the end of its connection and no status. No real cause of an error was found: a status that promises "not run" without the statement is turned away by `validateHead` before it could be passed on, and errors of the listeners of an exchange end that exchange.

Change: as long as nothing was written, the caller gets 503 `internalNotRun` where it is proven that no attempt was made, and 500 `internal`, which promises nothing, otherwise. A response that has begun is cut, a complete one is left alone. The error is logged with the id of the request and what its caller got, and counted in `request_errors_total`.

Why it works: the execution record gives a proof only while no attempt was begun or all have ended unsent, so an error within an attempt never becomes a promise.

--- a/packages/gateway/src/front/ReceivedRequest.ts
+++ b/packages/gateway/src/front/ReceivedRequest.ts
@@ -5,7 +5,6 @@
 export interface EndedWait {
   readonly kind: 'refused';
   readonly code: WaitEnd;
-  readonly fields?: undefined;
 }
 
 /**
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -11,6 +11,7 @@
 import { headerValue } from '../util/headers.js';
 import { bindResumption } from '../streams/bindResumption.js';
 import { nextTurn } from '../util/nextTurn.js';
+import { answerError } from './answerError.js';
 import type { BodyReadResult } from './readBody.js';
 import { readBody } from './readBody.js';
 import type { CallerTurns } from './CallerTurns.js';
@@ -164,6 +165,34 @@
   }
 }
 
+/** Acts on what came of the preparation of a request. */
+async function proceed(
+  unsent: UnsentCall,
+  inFlight: InFlightRequests,
+  head: RequestHead,
+  prepared: Preparation,
+): Promise<void> {
+  const { context, res } = unsent;
+  switch (prepared.kind) {
+    case 'left':
+      context.log.write('callerLeft', {
+        request: head.id,
+        code: prepared.code,
+      });
+      break;
+    case 'refused':
+      if (!res.req.complete) {
+        // The unread rest of the body would be parsed as the next request.
+        res.shouldKeepAlive = false;
+      }
+      refuseRequest(unsent, prepared.code, head.id, prepared.fields);
+      break;
+    case 'placeable':
+      await forward(unsent, inFlight, prepared.request, prepared.call);
+      break;
+  }
+}
+
 /**
  * Handles one request of a caller.
  *
@@ -203,24 +232,9 @@
     const prepared = await received.wait(
       prepare({ context, received, head, reading, turn, req, arrivedMs }),
     );
-    switch (prepared.kind) {
-      case 'left':
-        context.log.write('callerLeft', {
-          request: head.id,
-          code: prepared.code,
-        });
-        break;
-      case 'refused':
-        if (!req.complete) {
-          // The unread rest of the body would be parsed as the next request.
-          res.shouldKeepAlive = false;
-        }
-        refuseRequest(unsent, prepared.code, head.id, prepared.fields);
-        break;
-      case 'placeable':
-        await forward(unsent, inFlight, prepared.request, prepared.call);
-        break;
-    }
+    await proceed(unsent, inFlight, head, prepared);
+  } catch (err) {
+    answerError(unsent, head.id, err);
   } finally {
     inFlight.leave(received, res);
     void reading.then(read => {
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -39,6 +39,12 @@
     labelNames: ['code', 'status'] as const,
     registers: this.#registers,
   });
+  readonly requestErrors = new Counter({
+    name: 'jujubecroft_gateway_request_errors_total',
+    help: 'Requests whose handling threw an unexpected error, by what their callers got.',
+    labelNames: ['outcome'] as const,
+    registers: this.#registers,
+  });
   readonly heldBack = new Counter({
     name: 'jujubecroft_gateway_above_share_total',
     help: 'Requests refused since their organisation used more than its share of a short capacity.',
--- a/packages/types/src/resultCodes.ts
+++ b/packages/types/src/resultCodes.ts
@@ -301,6 +301,13 @@
     summary: 'An unexpected fault inside the instance.',
     action: 'Report the request id to the maintainers.',
   },
+  internalNotRun: {
+    number: 5002,
+    httpStatus: 503,
+    ran: 'no',
+    summary: 'An unexpected fault inside the instance before the request ran.',
+    action: 'Retry at another instance.',
+  },
 } as const satisfies Readonly<Record<string, ResultCode>>;
 
 export type ResultCodeId = keyof typeof RESULT_CODES;
