--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -38,6 +38,8 @@
   readonly server: Server;
   /** Applies the limits of a configuration. */
   readonly limit: (limits: CallerLimits) => void;
+  /** Accepts no more connections, and closes those without a request. */
+  readonly stopListening: () => void;
 }
 
 /**
@@ -74,13 +76,12 @@
   });
   closeIdleConnections(server);
   keepAsAnnounced(server);
-  const { dialect, log, responseWatch } = context;
+  const { log, responseWatch } = context;
   const turns = new CallerTurns();
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
     responseWatch.add(req, res);
     handleRequest(context, inFlight, turns, req, res).catch((err: unknown) => {
       log.write('unexpectedError', {
-        request: dialect.readRequest(req.rawHeaders).id,
         error: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
       responseWatch.note(res, 'error');
@@ -94,5 +95,8 @@
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
     },
+    stopListening: () => {
+      server.close();
+    },
   };
 }
