fix(gateway): refuse a request whose time is used up before a replica got it

Callers whose request had not reached any replica got 504, which promises nothing: one that may run once only could not be sent again.

Cause: the time limit is that of the route when the request is matched, counted from its arrival. If a configuration shortens it while the body is read, or the body takes longer than the limit, the limit has passed at the first placement. The request was placed all the same and its attempt withdrawn at once.

It is answered 503 now, with the proof that no byte was sent.

Change: the first placement refuses a request whose deadline has passed.

The test brings requests into seven states (head or body half read, waiting for a connection to a replica, running, retried, streaming) and applies eight changes to each: routes, services, keys, time limits, attempts and kinds, limits of callers and connections. All other 55 combinations passed before as well. Tests of the decisions of the gateway pass (316).

--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -123,6 +123,21 @@
   };
 }
 
+/**
+ * Rejects a request whose time was used up before any replica got it, as when its body
+ * took longer to arrive than its route allows. Sent, it could only fail.
+ */
+function refuseExpired(): PlacementDecision {
+  return {
+    kind: 'refuse',
+    code: 'overloaded',
+    retryAfterMs: MIN_RETRY_AFTER_MS,
+    verdict: null,
+    best: null,
+    candidates: 0,
+  };
+}
+
 /**
  * Restricts a request that may crash its replica to the one with the fewest
  * requests in flight.
@@ -191,6 +206,9 @@
   if (barredMs !== null) {
     return refuseCrashing(barredMs);
   }
+  if (isFirst && request.deadlineMs <= board.clock()) {
+    return refuseExpired();
+  }
   if (all.length === 0 && request.binding?.isBound === true) {
     return refuseContinuation(request.binding);
   }
