perf(decisions): index a configuration without the product of routes and organisations

While a new configuration is indexed, the instance reads nothing: events of streams, requests and answers wait, and timers fire late.

Cause: the priority order of a service computed one organisation per priority anew for each of its routes, and each service searched all routes.

The order is the same: only priorities count, and one organisation stands for each. The tests of the directory pass (130).

--- a/packages/decisions/src/gateway/PriorityOrder.ts
+++ b/packages/decisions/src/gateway/PriorityOrder.ts
@@ -27,21 +27,26 @@
 }
 
 /**
- * Returns one caller per distinct priority; null stands for callers without an
- * organisation.
+ * Returns one organisation per distinct priority, which stands for all of that priority.
+ *
+ * @param organisations - the organisations
  */
-function callersByPriority(
-  route: Route,
+export function organisationPerPriority(
   organisations: readonly RoutedOrganisation[],
-): readonly (RoutedOrganisation | null)[] {
-  if (route.isPublic || organisations.length === 0) {
-    return [null];
-  }
+): readonly RoutedOrganisation[] {
   return [
     ...new Map(organisations.map(entry => [entry.priority, entry])).values(),
   ];
 }
 
+/** Returns the callers of a route; null stands for those without an organisation. */
+function callersOf(
+  { isPublic }: Route,
+  organisations: readonly RoutedOrganisation[],
+): readonly (RoutedOrganisation | null)[] {
+  return isPublic || organisations.length === 0 ? [null] : organisations;
+}
+
 /**
  * Total order of urgency among all requests that can reach one service.
  *
@@ -61,8 +66,9 @@
    *   them
    */
   constructor({ routes, organisations }: PriorityScope) {
+    const callers = organisationPerPriority(organisations ?? []);
     const all = routes.flatMap(route =>
-      callersByPriority(route, organisations ?? []).map(caller => ({
+      callersOf(route, callers).map(caller => ({
         route,
         key: keyOf(route, caller),
       })),
--- a/packages/decisions/src/gateway/RoutingTable.ts
+++ b/packages/decisions/src/gateway/RoutingTable.ts
@@ -6,7 +6,7 @@
   ServiceId,
 } from '@jujubecroft/types';
 
-import { PriorityOrder } from './PriorityOrder.js';
+import { organisationPerPriority, PriorityOrder } from './PriorityOrder.js';
 
 /** Priority order of a service that no route leads to. */
 const EMPTY_ORDER = new PriorityOrder({ routes: [], organisations: null });
@@ -29,6 +29,21 @@
   return directoryOf(prefix.slice(0, -1));
 }
 
+/** Groups the routes by the services that they lead to. */
+function routesByService({
+  routes,
+}: RoutingConfiguration): ReadonlyMap<ServiceId, readonly Route[]> {
+  const groups = new Map<ServiceId, Route[]>();
+  routes.forEach(route => {
+    new Set(route.shares.map(({ service }) => service)).forEach(service => {
+      const group = groups.get(service) ?? [];
+      group.push(route);
+      groups.set(service, group);
+    });
+  });
+  return groups;
+}
+
 /**
  * Index of one routing configuration for look-ups.
  *
@@ -46,9 +61,15 @@
     cfg.routes.forEach(route => {
       this.#addRoute(route);
     });
+    const routesOf = routesByService(cfg);
+    // Priorities only, since the work for all organisations would stall the instance.
+    const organisations =
+      cfg.organisations && organisationPerPriority(cfg.organisations);
     cfg.services.forEach(service => {
+      const routes = routesOf.get(service.id) ?? [];
+      const order = new PriorityOrder({ routes, organisations });
       this.#services.set(service.id, service);
-      this.#priorities.set(service.id, this.#priorityOrder(service.id));
+      this.#priorities.set(service.id, order);
     });
     cfg.organisations?.forEach(organisation => {
       organisation.keys.forEach(key => {
@@ -98,16 +119,6 @@
     return this.#priorities.get(id) ?? EMPTY_ORDER;
   }
 
-  #priorityOrder(id: ServiceId): PriorityOrder {
-    const { routes, organisations } = this.cfg;
-    return new PriorityOrder({
-      routes: routes.filter(({ shares }) =>
-        shares.some(({ service }) => service === id),
-      ),
-      organisations,
-    });
-  }
-
   #addRoute(route: Route): void {
     const host = canonicalHost(route.host);
     const known = this.#routes.get(host);
