fix(gateway): follow the store to another address in the settings file

Callers were served by the last view for good once the settings named another address of the store and the old one was closed: on moved routes by the old service, with removed keys, at backend servers that had left. Only a restart ended it.

Cause: addresses were read once, when the ports were created. A reload replaced the settings of the context and nothing else, and compared only that part, so that a changed address wasn't even noticed. Settings that need a restart were replaced as well: an instance whose zone or listening address changed in the file told others about a place where it was not.

The retry budget and the grace period follow the file, too.

--- a/packages/decisions/src/gateway/RetryBudget.ts
+++ b/packages/decisions/src/gateway/RetryBudget.ts
@@ -43,10 +43,15 @@
   #peakSeenMs = -Infinity;
 
   constructor(
-    private readonly rules: RetryBudgetRules,
+    private rules: RetryBudgetRules,
     private readonly clock: Clock,
   ) {}
 
+  /** Replaces the rules; what was counted under the former ones still counts. */
+  changeRules(rules: RetryBudgetRules): void {
+    this.rules = rules;
+  }
+
   /**
    * Updates the number of instances that share the budget, including this one.
    * A lower number takes effect only after two windows.
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -48,6 +48,12 @@
     summary:
       'The process was suspended for a while; it reloads its view of the fleet.',
   },
+  settingsNeedRestart: {
+    number: 108,
+    level: 'warn',
+    summary:
+      'The settings file has changes that take effect at the next start.',
+  },
   configurationInForce: {
     number: 201,
     level: 'info',
--- a/packages/gateway/src/backends/JsonClient.ts
+++ b/packages/gateway/src/backends/JsonClient.ts
@@ -41,13 +41,15 @@
 /** Calls one server with JSON bodies, with a timeout for each call. */
 export class JsonClient {
   readonly #agent: KeepAliveAgent;
+  #lastAddress: string | null = null;
 
   /**
-   * @param address - host and port of the server
+   * @param address - returns the host and port of the server, which may change; calls in
+   *   progress end at the former ones
    * @param options - connection limit and timeouts
    */
   constructor(
-    private readonly address: string,
+    private readonly address: () => string,
     private readonly options: JsonClientOptions,
   ) {
     const { connections: maxConnections, connectTimeoutMs } = options;
@@ -65,8 +67,13 @@
     headers = {},
     waitMs = 0,
   }: JsonCall): Promise<JsonReply> {
+    const address = this.address();
+    if (address !== this.#lastAddress) {
+      this.#agent.closeIdle();
+      this.#lastAddress = address;
+    }
     const reply = await sendHttpRequest({
-      address: this.address,
+      address,
       agent: this.#agent,
       method: content === undefined ? 'GET' : 'POST',
       path,
--- a/packages/gateway/src/runFromSettings.ts
+++ b/packages/gateway/src/runFromSettings.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@jujubecroft/events';
 import { createBoundedLog } from '@jujubecroft/events';
 
+import { applySettings } from './applySettings.js';
 import type { SocketFactory } from './backends/openSocket.js';
 import type { EarlyConnections } from './front/acceptEarlyConnections.js';
 import type { GatewaySettings } from './GatewaySettings.js';
@@ -57,7 +58,11 @@
   /** Path of the settings file. */
   readonly file: string;
   readonly read: () => DocumentParseResult<Settings>;
-  readonly createPorts: (settings: Settings, log: EventLog) => GatewayPorts;
+  /** Creates the ports; the settings that it is given may change later. */
+  readonly createPorts: (
+    settings: () => Settings,
+    log: EventLog,
+  ) => GatewayPorts;
 }
 
 const logToStdout: LogFactory = ({ instance, logLevel }) =>
@@ -102,20 +107,23 @@
   options: RunOptions = {},
 ): Promise<GatewayProcess> {
   const { held = null, createLog = logToStdout, connect } = options;
-  const settings = readOrThrow(source, options);
+  let settings = readOrThrow(source, options);
   const log = createLog(settings.gateway);
-  const ports = { ...source.createPorts(settings, log), connect };
+  const ports = { ...source.createPorts(() => settings, log), connect };
   const running = await startGateway(settings.gateway, ports, log, held);
-  let inForce = JSON.stringify(settings.gateway);
 
   const reload = (): void => {
     try {
-      const next = readOrThrow(source, options).gateway;
-      const serialized = JSON.stringify(next);
-      if (serialized !== inForce) {
-        inForce = serialized;
-        running.context.settings = next;
-        log.write('settingsReloaded', { settings: next });
+      const next = readOrThrow(source, options);
+      if (JSON.stringify(next) === JSON.stringify(settings)) {
+        return;
+      }
+      settings = next;
+      const fields = applySettings(running.context, next.gateway);
+      const { gateway, ...others } = next;
+      log.write('settingsReloaded', { settings: { ...gateway, ...others } });
+      if (fields.length > 0) {
+        log.write('settingsNeedRestart', { fields });
       }
     } catch (err) {
       const error = err instanceof Error ? err.message : String(err);
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -257,8 +257,9 @@
   };
 
   const stop = async (): Promise<void> => {
-    const cutMs = clock() + CUT_SHARE * settings.graceMs;
-    const strictFromMs = clock() + STRICT_SHARE * settings.graceMs;
+    const { graceMs } = context.settings;
+    const cutMs = clock() + CUT_SHARE * graceMs;
+    const strictFromMs = clock() + STRICT_SHARE * graceMs;
     context.leaving = true;
     context.stopPlan = { strictFromMs, untilMs: cutMs };
     context.membership.leave();
@@ -266,7 +267,7 @@
     peers.spread();
     // Callers cache addresses for a while and keep using open connections until
     // a response closes them.
-    await sleep(ANNOUNCE_SHARE * settings.graceMs);
+    await sleep(ANNOUNCE_SHARE * graceMs);
     while (inFlight.count + tunnels.count > 0 && clock() < cutMs) {
       await sleep(IDLE_CHECK_INTERVAL_MS);
     }
--- a/packages/gateway/tests/backends/JsonClient.test.ts
+++ b/packages/gateway/tests/backends/JsonClient.test.ts
@@ -17,7 +17,7 @@
     res.end(text);
   });
   const port = await listenOn(server, HOST);
-  const client = new JsonClient(`${HOST}:${port}`, {
+  const client = new JsonClient(() => `${HOST}:${port}`, {
     connections: 1,
     connectTimeoutMs: 500,
     timeoutMs: 1000,
