refactor(decisions): one result code for requests whose time ended before a send

Requests that wait before their placement and requests that are placed too late got different codes for the same end; operators would have counted the second as overload.

--- a/packages/decisions/src/gateway/placeRequest.ts
+++ b/packages/decisions/src/gateway/placeRequest.ts
@@ -130,8 +130,8 @@
 function refuseExpired(): PlacementDecision {
   return {
     kind: 'refuse',
-    code: 'overloaded',
-    retryAfterMs: MIN_RETRY_AFTER_MS,
+    code: 'notSentInTime',
+    retryAfterMs: 0,
     verdict: null,
     best: null,
     candidates: 0,
