test(gateway): sound replicas that fall silent while they write many answers

Callers saw streams that were cut, and requests that failed, although their replica was sound and went on a second later.

--- /dev/null
+++ b/packages/decisions/tests/gateway/recovery/silentReplicas.test.ts
@@ -0,0 +1,70 @@
+import { describe } from '@jujubecroft/testing';
+
+import type { GatewayAttempt } from '../../../src/index.js';
+import type { GatewayFixture } from '../helpers/gatewayFixture.js';
+import {
+  gatewayFixture,
+  replica,
+  route,
+  SERVICE,
+} from '../helpers/gatewayFixture.js';
+
+const STREAM = route({
+  gapTargetMs: 250,
+  maxAttempts: 2,
+  resumable: true,
+  timeoutMs: 10_000,
+});
+const ATTEMPTS = 20;
+/** Longer than the pause after which a stream may move. */
+const SILENCE_MS = 800;
+
+/** Sends requests to the first of two replicas, which then falls silent mid-stream. */
+function silentStreams(
+  { router, board, request, clock }: GatewayFixture,
+  count: number,
+): readonly GatewayAttempt[] {
+  const [load] = [...board.backends.values()];
+  const attempts = Array.from({ length: count }, () => {
+    const asked = request(STREAM);
+    router.onRequest(asked);
+    const decision = router.place(asked, new Set());
+    if (decision.kind !== 'send' || !load) {
+      throw new Error('the request was refused');
+    }
+    const attempt = router.beginAttempt(asked, { ...decision.placed, load }, 1);
+    router.onBytes(attempt);
+    return attempt;
+  });
+  clock.advance(SILENCE_MS);
+  return attempts;
+}
+
+describe('a replica that falls silent', ({ it }) => {
+  // Guards against streams that are cut although their replica is sound: all of its attempts
+  // are overdue at the same moment, and each of them saw the same last retry.
+  it('loses no attempt without a retry and a place that are its own', t => {
+    const fixture = gatewayFixture([STREAM], [replica('s-1'), replica('s-2')], {
+      retryBudget: { ratio: 0, extra: 15, windowMs: 10_000 },
+    });
+    const { router, board } = fixture;
+    const attempts = silentStreams(fixture, ATTEMPTS);
+    t.is(attempts.length, ATTEMPTS);
+    const ends = router.findAttemptsToMove().map(attempt => {
+      const result = { kind: 'withdrawn', reason: 'silent' } as const;
+      router.onEnded(attempt, result);
+      const recovery = router.recover(attempt.request, result, {
+        sent: 1,
+        unsent: 0,
+        mayHaveRun: true,
+        canContinue: true,
+      });
+      return recovery.kind;
+    });
+    t.deepEqual(
+      ends.filter(kind => kind !== 'retry'),
+      [],
+    );
+    t.true(board.budget.left(SERVICE) >= 0);
+  });
+});
