fix(gateway): give an attempt at a silent replica up only after the next one is reserved

Callers saw streams that were cut, and requests that failed with 502, when a sound replica wrote nothing for a second or so and went on.

Cause: an irreversible step on a condition that was checked for each attempt alone and used up by all together. A silent replica makes all of its attempts overdue at the same moment. Each saw the same last retry and the same other replica; all were aborted, and then took retries one by one. Those beyond the budget were cut or failed.

For each attempt, by urgency and then by time left, a place at a responsive replica and a retry are reserved; without both it stays. The second attempt runs beside the first, and whichever answers first goes on. One that is rejected or fails leaves the first in place.

A quarter is left to other retries until a replica has been silent for 1.5 s.

The router's test uses the reservation now: it requires as many retries and places taken as there are moves, and that no attempt at the silent replica is gone.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -7,7 +7,8 @@
   RoutingConfiguration,
 } from '@jujubecroft/types';
 
-import { isBarred, isSuspect } from './crashes/crashesOf.js';
+import { isSuspect } from './crashes/crashesOf.js';
+import { findBarredAttempts } from './crashes/findBarredAttempts.js';
 import { beginAttempt, recordBytes, recordEnd } from './attemptLifecycle.js';
 import type {
   GatewayAttempt,
@@ -31,10 +32,15 @@
 import type { AttemptResult, Recovery } from './recovery/AttemptResult.js';
 import type { RecoveryFacts } from './recovery/decideRecovery.js';
 import { decideRecovery } from './recovery/decideRecovery.js';
+import type {
+  AttemptNumbers,
+  ReservedMove,
+} from './recovery/silentAttempts.js';
+import { findAttemptsToMove, reserveMove } from './recovery/silentAttempts.js';
 import { passesLastCheck } from './passesLastCheck.js';
 import { isRestarted } from './replicaRuns.js';
 import { candidatesFor } from './streams/candidatesFor.js';
-import { isUnresponsive, shouldMoveElsewhere } from './usableCandidates.js';
+import { isUnresponsive } from './usableCandidates.js';
 import { RoutingTable } from './RoutingTable.js';
 
 /**
@@ -275,20 +281,20 @@
     });
   }
 
-  /**
-   * Returns the attempts to be continued on another replica because theirs has
-   * become unresponsive or has lost the answer.
-   */
+  /** See {@link findAttemptsToMove}. */
   findAttemptsToMove(): readonly GatewayAttempt[] {
-    const attempts: GatewayAttempt[] = [];
-    this.board.backends.forEach(load => {
-      load.attempts.forEach(attempt => {
-        if (shouldMoveElsewhere(this.board, attempt)) {
-          attempts.push(attempt);
-        }
-      });
-    });
-    return attempts;
+    return findAttemptsToMove(this.board);
+  }
+
+  /** See {@link reserveMove}. */
+  reserveMove(
+    attempt: GatewayAttempt,
+    numbers: AttemptNumbers,
+    tried: ReadonlySet<BackendServerId>,
+  ): ReservedMove | null {
+    return reserveMove(this.board, attempt, numbers, () =>
+      this.place(attempt.request, new Set([...tried, attempt.load.replica.id])),
+    );
   }
 
   /**
@@ -319,21 +325,9 @@
     return isNew;
   }
 
-  /**
-   * Returns the attempts without a first byte whose request has become barred and may
-   * crash its replica.
-   */
+  /** See {@link findBarredAttempts}. */
   findBarredAttempts(): readonly GatewayAttempt[] {
-    const { barred, parts } = this.board.crashes;
-    if (barred.length === 0 && parts.barred.length === 0) {
-      return [];
-    }
-    return [...this.board.backends.values()].flatMap(load =>
-      [...load.attempts].filter(
-        ({ firstByteMs, request }) =>
-          firstByteMs === null && isBarred(this.board, request),
-      ),
-    );
+    return findBarredAttempts(this.board);
   }
 
   /**
--- a/packages/decisions/src/gateway/RetryBudget.ts
+++ b/packages/decisions/src/gateway/RetryBudget.ts
@@ -70,23 +70,30 @@
    * fractional or negative.
    */
   left(service: ServiceId): number {
+    return this.#allowed(service) - this.#historyOf(service).retries.length;
+  }
+
+  /** Returns the number of retries of this instance in one window. */
+  #allowed(service: ServiceId): number {
     const { requests, retries } = this.#historyOf(service);
     const oldestMs = this.clock() - this.rules.windowMs;
     dropOlderThan(requests, oldestMs);
     dropOlderThan(retries, oldestMs);
     const allowed =
       this.rules.ratio * requests.length + this.rules.extra / this.#instances;
-    return USED_BUDGET_SHARE * allowed - retries.length;
+    return USED_BUDGET_SHARE * allowed;
   }
 
   /**
    * Takes one retry out of the budget.
    *
    * @param service - service that the retry goes to
+   * @param reserve - share of the budget that must be left afterwards, for retries that
+   *   are needed more
    * @returns whether a retry was left
    */
-  take(service: ServiceId): boolean {
-    if (this.left(service) < 1) {
+  take(service: ServiceId, reserve = 0): boolean {
+    if (this.left(service) < 1 + reserve * this.#allowed(service)) {
       return false;
     }
     this.#historyOf(service).retries.push(this.clock());
--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -31,6 +31,8 @@
 
 /** Why this instance withdrew an attempt. */
 export type WithdrawReason =
+  /** A silent replica went on before the next one answered. */
+  | 'answeredElsewhere'
   | 'callerLeft'
   | 'crashesBackends'
   | 'replicaRestarted'
--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -133,6 +133,7 @@
       return { kind: 'answer', code: 'crashesBackends', retryAfterMs: 0 };
     case 'timeLimit':
       return { kind: 'answer', code: 'backendTimeout', retryAfterMs: 0 };
+    case 'answeredElsewhere':
     case 'replicaRestarted':
     case 'silent':
       return facts.canContinue && isIdempotent(facts.route) && canRetry(facts)
--- a/packages/decisions/src/gateway/updateReplicaHealth.ts
+++ b/packages/decisions/src/gateway/updateReplicaHealth.ts
@@ -21,8 +21,9 @@
  * Whether the end of an attempt says nothing about its replica.
  *
  * This holds when the caller leaves, unless the replica seems to have lost the
- * answer, for requests that a replica rejected or did not get because of a
- * pause that it requested, and for those sent before the path to it was lost.
+ * answer, or another replica goes on with the answer first, for requests that a
+ * replica rejected or did not get because of a pause that it requested, and for
+ * those sent before the path to it was lost.
  */
 function isInconclusive(
   board: GatewayBoard,
@@ -37,8 +38,8 @@
   }
   return (
     result.kind === 'withdrawn' &&
-    result.reason === 'callerLeft' &&
-    !isAnswerLost(board, attempt)
+    (result.reason === 'answeredElsewhere' ||
+      (result.reason === 'callerLeft' && !isAnswerLost(board, attempt)))
   );
 }
 
--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -3,12 +3,9 @@
   GatewayAttempt,
   GatewayRequest,
 } from './BackendLoad.js';
-import { isSuspect } from './crashes/crashesOf.js';
 import type { GatewayBoard } from './GatewayBoard.js';
-import { estimatesOf } from './GatewayBoard.js';
 import { isOnLostPath } from './paths/isOnLostPath.js';
 import { isIdempotent } from './recovery/decideRecovery.js';
-import { candidatesFor } from './streams/candidatesFor.js';
 
 /**
  * Share of a replica's connection limit that all instances together use. The
@@ -25,15 +22,9 @@
  * counts as unresponsive. Engines send an event to each stream several times a
  * second.
  */
-const SILENCE_TIMEOUT_MS = 700;
-/** Time without any byte from a replica before its attempts may be moved. */
-const STALL_TIMEOUT_MS = 200;
-/**
- * Time-out for the first byte, as a multiple of the prediction, and its
- * minimum.
- */
-const PREDICTION_MULTIPLE = 2.5;
-const MIN_FIRST_BYTE_TIMEOUT_MS = 250;
+export const SILENCE_TIMEOUT_MS = 700;
+/** Time-out for the first byte, as a multiple of the prediction. */
+export const PREDICTION_MULTIPLE = 2.5;
 /**
  * Number of later attempts answered first after which an answer may count as
  * lost.
@@ -46,10 +37,6 @@
  * requests.
  */
 const MIN_LOST_ANSWERS = 2;
-/** Shortest time left in which another replica could answer at all. */
-const MIN_MOVE_TIME_LEFT_MS = 100;
-/** Gap in a stream after which it is moved, as a multiple of its target. */
-const GAP_TARGET_MULTIPLE = 3;
 
 /**
  * Returns how many connections this instance may open to one replica.
@@ -147,7 +134,7 @@
  *
  * Unlike doubts about its health, these leave no exception.
  */
-function accepts(
+export function accepts(
   { limits, pauses }: GatewayBoard,
   load: BackendLoad,
   { priority }: GatewayRequest,
@@ -205,76 +192,3 @@
   }
   return responsive.length > 0 ? responsive : open;
 }
-
-/** Whether another replica could take over the request of an attempt. */
-function canMoveElsewhere(
-  board: GatewayBoard,
-  { request, load, sentNumber }: GatewayAttempt,
-): boolean {
-  const { route, service, deadlineMs } = request;
-  return (
-    isIdempotent(route) &&
-    sentNumber < route.maxAttempts &&
-    deadlineMs - board.clock() > MIN_MOVE_TIME_LEFT_MS &&
-    board.budget.left(service.id) >= 1 &&
-    !isSuspect(board, request) &&
-    candidatesFor(board, request).some(
-      other =>
-        other !== load &&
-        !isUnresponsive(board, other) &&
-        accepts(board, other, request),
-    )
-  );
-}
-
-/** Whether the answer to an attempt is so late that its replica seems dead. */
-function isOverdue(board: GatewayBoard, attempt: GatewayAttempt): boolean {
-  const { request, load } = attempt;
-  const nowMs = board.clock();
-  if (isAnswerLost(board, attempt)) {
-    return true;
-  }
-  if (
-    !isOnLostPath(board, attempt) &&
-    nowMs - load.lastByteMs < STALL_TIMEOUT_MS
-  ) {
-    return false;
-  }
-  if (attempt.lastByteMs !== null) {
-    const gapTimeoutMs = Math.max(
-      SILENCE_TIMEOUT_MS,
-      GAP_TARGET_MULTIPLE * request.route.gapTargetMs,
-    );
-    return nowMs - attempt.lastByteMs > gapTimeoutMs;
-  }
-  const usualMs = request.service.engine
-    ? attempt.predictedMs
-    : estimatesOf(board, request.service.id).answerMs *
-      board.speeds.factorOf(load);
-  const timeoutMs = Math.max(
-    MIN_FIRST_BYTE_TIMEOUT_MS,
-    PREDICTION_MULTIPLE * usualMs,
-  );
-  return nowMs - attempt.sentMs > timeoutMs;
-}
-
-/**
- * Whether an attempt should be withdrawn and its request moved to another
- * replica.
- *
- * Detects a replica that is dead, disconnected or hanging: the first byte is
- * late or the stream pauses for long, and the replica does not send anything to
- * other requests of this instance either. Without another replica to move to,
- * withdrawing would only end the answer sooner.
- *
- * @param board - the blackboard
- * @param attempt - an attempt that has not ended
- * @returns true only for requests that may run again
- */
-export function shouldMoveElsewhere(
-  board: GatewayBoard,
-  attempt: GatewayAttempt,
-): boolean {
-  // The first check is cheap and rarely true; the second looks at all replicas.
-  return isOverdue(board, attempt) && canMoveElsewhere(board, attempt);
-}
--- a/packages/decisions/tests/gateway/recovery/silentReplicas.test.ts
+++ b/packages/decisions/tests/gateway/recovery/silentReplicas.test.ts
@@ -50,21 +50,18 @@
     const { router, board } = fixture;
     const attempts = silentStreams(fixture, ATTEMPTS);
     t.is(attempts.length, ATTEMPTS);
-    const ends = router.findAttemptsToMove().map(attempt => {
-      const result = { kind: 'withdrawn', reason: 'silent' } as const;
-      router.onEnded(attempt, result);
-      const recovery = router.recover(attempt.request, result, {
-        sent: 1,
-        unsent: 0,
-        mayHaveRun: true,
-        canContinue: true,
-      });
-      return recovery.kind;
+    const leftBefore = board.budget.left(SERVICE);
+    const moves = router.findAttemptsToMove().flatMap(attempt => {
+      const numbers = { number: 2, sentNumber: 2 };
+      const move = router.reserveMove(attempt, numbers, new Set());
+      return move
+        ? [router.beginAttempt(attempt.request, move.placed, 2, 2)]
+        : [];
     });
-    t.deepEqual(
-      ends.filter(kind => kind !== 'retry'),
-      [],
-    );
-    t.true(board.budget.left(SERVICE) >= 0);
+    const [silent, other] = [...board.backends.values()];
+    t.true(moves.length > 0 && moves.length < ATTEMPTS);
+    t.is(leftBefore - board.budget.left(SERVICE), moves.length);
+    t.deepEqual([...(other?.attempts ?? [])], moves);
+    t.deepEqual([...(silent?.attempts ?? [])], attempts);
   });
 });
--- a/packages/gateway/src/execution/ExecutionRecord.ts
+++ b/packages/gateway/src/execution/ExecutionRecord.ts
@@ -19,7 +19,7 @@
 export class ExecutionRecord {
   readonly #tried = new Set<BackendServerId>();
   readonly #statedBy: BackendServerId[] = [];
-  #inProgress: BackendServerId | null = null;
+  readonly #inProgress = new Set<BackendServerId>();
   #sent = 0;
   #unsent = 0;
   #mayHaveRun = false;
@@ -46,16 +46,14 @@
 
   /** Records the beginning of an attempt; until its end, nothing is proven. */
   begin(replica: BackendServerId): void {
-    this.#inProgress = replica;
+    this.#inProgress.add(replica);
   }
 
-  /** Records the end of the attempt in progress. */
-  end(result: AttemptResult): void {
-    const replica = this.#inProgress;
-    if (replica === null) {
-      throw new Error('no attempt is in progress');
+  /** Records the end of an attempt in progress. */
+  end(replica: BackendServerId, result: AttemptResult): void {
+    if (!this.#inProgress.delete(replica)) {
+      throw new Error(`no attempt is in progress at ${replica}`);
     }
-    this.#inProgress = null;
     this.#tried.add(replica);
     if (result.kind === 'unsent') {
       this.#unsent += 1;
@@ -71,7 +69,7 @@
 
   /** @returns the proof that the request did not run; null if it may have run */
   proveNotRun(): NotRunProof | null {
-    if (this.#inProgress !== null || this.#mayHaveRun) {
+    if (this.#inProgress.size > 0 || this.#mayHaveRun) {
       return null;
     }
     const proof: Omit<NotRunProof, typeof PROVEN> = {
--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -43,6 +43,12 @@
   readonly longestPauseMs: number;
 }
 
+/**
+ * What follows an attempt without a response for the caller: a recovery, or another attempt
+ * that began before it ended and goes on (`moved`), or that it was to relieve (`kept`).
+ */
+export type NextStep = Recovery['kind'] | 'kept' | 'moved';
+
 /** How a failed attempt was sent. */
 interface FailedSend {
   /** Attempts of the request of which some bytes may have left this instance. */
@@ -230,17 +236,23 @@
     });
   }
 
+  /** Counts an attempt that begins while the one at a silent replica goes on. */
+  moving(): void {
+    const service = this.request.service.id;
+    this.context.metrics.retries.inc({ service, after: 'withdrawn' });
+  }
+
   /** Records an attempt without a response for the caller. */
   failed(
     attempt: GatewayAttempt,
     result: AttemptResult,
-    recovery: Recovery,
+    next: NextStep,
     { sent, reused }: FailedSend,
   ): void {
     const { context, request } = this;
     const { load, softwareVersion } = attempt;
     const service = request.service.id;
-    if (recovery.kind === 'retry') {
+    if (next === 'retry') {
       context.metrics.retries.inc({ service, after: result.kind });
     }
     context.log.write('attemptFailed', {
@@ -253,7 +265,7 @@
       ...('reason' in result ? { reason: result.reason } : {}),
       ...('status' in result ? { status: result.status } : {}),
       ...responseFields(this.#response),
-      next: recovery.kind,
+      next,
       sent,
       reused,
       ...(request.binding ? { hasEvents: request.binding.isBound } : {}),
--- a/packages/gateway/src/forward/ResponseAssembler.ts
+++ b/packages/gateway/src/forward/ResponseAssembler.ts
@@ -145,6 +145,16 @@
     );
   }
 
+  /** Whether the head is that of an answer for the caller, not a rejection or a failure. */
+  get isAnswer(): boolean {
+    return (
+      this.#head?.notRun === false &&
+      (this.#isRelaying ||
+        (this.#status < MIN_SERVER_ERROR_STATUS &&
+          !this.options.answer.hasStarted))
+    );
+  }
+
   /** Whether the body is relayed to the caller as it arrives. */
   get isRelaying(): boolean {
     return this.#isRelaying;
--- a/packages/gateway/src/front/InFlightRequests.ts
+++ b/packages/gateway/src/front/InFlightRequests.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import type { GatewayAttempt, WithdrawReason } from '@jujubecroft/decisions';
+import type { GatewayAttempt } from '@jujubecroft/decisions';
 
 import type { ForwardedRequest } from '../forward/ForwardedRequest.js';
 import type { GatewayContext } from '../GatewayContext.js';
@@ -102,23 +102,33 @@
   }
 
   /**
-   * Withdraws attempts that must move to another replica or must not continue.
+   * Moves requests off silent replicas, and withdraws attempts that must not continue.
    */
   #checkAttempts(): void {
     const { router, replicaConnector } = this.context;
     router.findPathsToCheck().forEach(replica => {
       void replicaConnector.check(replica);
     });
-    this.#withdraw(router.findAttemptsToMove(), 'silent');
-    this.#withdraw(router.takeOrphanedAttempts(), 'replicaRestarted');
-    this.#withdraw(router.findBarredAttempts(), 'crashesBackends');
+    this.#forEachOf(router.findAttemptsToMove(), (request, attempt) => {
+      request.move(attempt);
+    });
+    this.#forEachOf(router.takeOrphanedAttempts(), (request, attempt) => {
+      request.giveUp(attempt);
+    });
+    this.#forEachOf(router.findBarredAttempts(), request => {
+      request.withdraw('crashesBackends');
+    });
   }
 
-  #withdraw(attempts: readonly GatewayAttempt[], reason: WithdrawReason): void {
+  /** Calls a function with each of the attempts that is running, and its request. */
+  #forEachOf(
+    attempts: readonly GatewayAttempt[],
+    act: (request: ForwardedRequest, attempt: GatewayAttempt) => void,
+  ): void {
     attempts.forEach(attempt => {
       this.#requests.forEach(request => {
         if (request.isRunning(attempt)) {
-          request.withdraw(reason);
+          act(request, attempt);
         }
       });
     });
--- a/packages/gateway/tests/execution/ExecutionRecord.test.ts
+++ b/packages/gateway/tests/execution/ExecutionRecord.test.ts
@@ -23,7 +23,7 @@
   const record = new ExecutionRecord();
   results.forEach((result, index) => {
     record.begin(replica(index));
-    record.end(result);
+    record.end(replica(index), result);
   });
   return record;
 }
@@ -54,7 +54,7 @@
       const record = recordOf([NOT_RUN]);
       record.begin(replica(1));
       t.is(record.proveNotRun(), null);
-      record.end(UNSENT);
+      record.end(replica(1), UNSENT);
       t.is(record.proveNotRun()?.kind, 'stated');
     });
 
