fix(gateway): keep attempts that are being answered when an entry shows a restart

Callers saw streams that were cut while their replica wrote them, after another program had put another software version into its entry.

Cause: an entry with another version under one id counts as a restart, and all attempts at the replica were withdrawn at one moment. Those beyond the retry budget ended, as at silent replicas.

An attempt that got bytes within the last 700 ms belongs to a run that goes on, whatever its entry says. It is withdrawn once it falls silent. Attempts without any byte are withdrawn at once, as before.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -37,6 +37,7 @@
   ReservedMove,
 } from './recovery/silentAttempts.js';
 import { findAttemptsToMove, reserveMove } from './recovery/silentAttempts.js';
+import { takeOrphanedAttempts } from './recovery/takeOrphanedAttempts.js';
 import { passesLastCheck } from './passesLastCheck.js';
 import { isRestarted } from './replicaRuns.js';
 import { candidatesFor } from './streams/candidatesFor.js';
@@ -330,24 +331,9 @@
     return findBarredAttempts(this.board);
   }
 
-  /**
-   * Returns the attempts on runs that have since been superseded by a restart,
-   * each of them once.
-   *
-   * They would otherwise wait for answers that can no longer arrive: a replica
-   * that crashes without closing its connections leaves them open, and since it
-   * answers other requests after the restart it does not look unresponsive.
-   */
+  /** See {@link takeOrphanedAttempts}. */
   takeOrphanedAttempts(): readonly GatewayAttempt[] {
-    const { supersededRuns } = this.board;
-    if (supersededRuns.size === 0) {
-      return [];
-    }
-    const orphans = [...supersededRuns].flatMap(({ attempts }) => [
-      ...attempts,
-    ]);
-    supersededRuns.clear();
-    return orphans;
+    return takeOrphanedAttempts(this.board);
   }
 
   /** Number of attempts of this instance that have not ended. */
--- a/packages/decisions/tests/gateway/replicaRestart.test.ts
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -86,6 +86,24 @@
     t.deepEqual(fixture.router.takeOrphanedAttempts(), []);
   });
 
+  // Guards against answers that are cut while they arrive, since the entry of their replica
+  // was overwritten. A run that has ended falls silent.
+  it('returns an attempt that is being answered only once it falls silent', t => {
+    const fixture = gatewayFixture([STREAM], [first]);
+    const { router, clock } = fixture;
+    const attempt = send(fixture);
+    router.onBytes(attempt);
+    restart(fixture);
+    clock.advance(500);
+    t.deepEqual(router.takeOrphanedAttempts(), []);
+    router.onBytes(attempt);
+    clock.advance(600);
+    t.deepEqual(router.takeOrphanedAttempts(), []);
+    clock.advance(200);
+    t.deepEqual(router.takeOrphanedAttempts(), [attempt]);
+    t.deepEqual(router.takeOrphanedAttempts(), []);
+  });
+
   // A peer that does not know of the restart reports the load of the previous
   // run.
   it('ignores reports of other instances on the previous run', t => {
