fix(gateway): name requests whose connection ends before they begin

A request behind an earlier one on its connection is never sent if that answer ends the connection. The log said that its caller had left, and `explain` told an operator the same, although the instance may have ended the connection itself.

Cause: one event for two ends. The new event `requestNotBegun` names what is certain: the connection ended first, and no backend server received the request.

The rule by which a caller counts as gone has a name and its reason now: the end of its side of the connection can't be told from the end of the connection.

--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -14,6 +14,7 @@
   'callerLeft',
   'requestAnswered',
   'requestCut',
+  'requestNotBegun',
   'requestRefused',
 ];
 
@@ -131,6 +132,8 @@
   connectionError: describeConnectionError,
   callerLeft: f =>
     `the caller closed its connection after ${formatValue(f.afterMs)} ms`,
+  requestNotBegun: () =>
+    'its connection ended while it waited for the answer to an earlier request',
 };
 
 function sentenceOf(line: ParsedLine): string {
@@ -200,6 +203,8 @@
       return 'it was answered';
     case 'callerLeft':
       return 'the caller closed its connection before the answer ended';
+    case 'requestNotBegun':
+      return 'its connection ended before it began; it was sent to no backend server';
     case 'requestRefused':
       return failed
         ? describeFailure(failed)
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -248,6 +248,12 @@
     summary:
       'Bytes on the connection of a caller were no request, were too many, or came too late.',
   },
+  requestNotBegun: {
+    number: 520,
+    level: 'info',
+    summary:
+      'A connection ended before its next request could begin; no backend server received the request.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -71,10 +71,13 @@
       readonly code: ResultCodeId;
       readonly fields?: Readonly<Record<string, unknown>>;
     }
+  | {
+      /** The caller left before its body was complete. */
+      readonly kind: 'bodyBroken';
+    }
   | {
       /** The connection ended before the request could begin. */
-      readonly kind: 'left';
-      readonly code: 'bodyBroken' | 'notBegun';
+      readonly kind: 'notBegun';
     };
 
 const BODY_REFUSALS = {
@@ -95,14 +98,14 @@
   const { router } = context;
   const read = await reading;
   if (read.kind === 'broken') {
-    return { kind: 'left', code: 'bodyBroken' };
+    return { kind: 'bodyBroken' };
   }
   if (read.kind !== 'whole') {
     return { kind: 'refused', code: BODY_REFUSALS[read.kind] };
   }
   const target = req.url ?? '/';
   if (!(await turn)) {
-    return { kind: 'left', code: 'notBegun' };
+    return { kind: 'notBegun' };
   }
   await awaitPendingClose();
   if (head.id === null) {
@@ -133,6 +136,17 @@
   return { kind: 'placeable', request, call };
 }
 
+/**
+ * Whether the caller of a request has closed its connection.
+ *
+ * A caller that only ends its side, and would still read, can't be told from one that closes
+ * the connection: the end is all that arrives until something is written. Callers that give
+ * up do the latter, so no replica runs a request after the end.
+ */
+function hasLeft(res: ServerResponse): boolean {
+  return res.destroyed || res.req.socket.readableEnded;
+}
+
 /** Sends a request to replicas until its caller has a response or has left. */
 async function forward(
   { context, res, execution }: UnsentCall,
@@ -155,7 +169,7 @@
   };
   res.once('close', onClose);
   // The caller may have left before or while its request was read.
-  if (res.destroyed || res.req.socket.readableEnded) {
+  if (hasLeft(res)) {
     onClose();
   }
   try {
@@ -174,12 +188,15 @@
 ): Promise<void> {
   const { context, res } = unsent;
   switch (prepared.kind) {
-    case 'left':
+    case 'bodyBroken':
       context.log.write('callerLeft', {
         request: head.id,
-        code: prepared.code,
+        code: prepared.kind,
       });
       break;
+    case 'notBegun':
+      context.log.write('requestNotBegun', { request: head.id });
+      break;
     case 'refused':
       if (!res.req.complete) {
         // The unread rest of the body would be parsed as the next request.
