--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -266,6 +266,12 @@
     summary:
       'The connection of a caller ended before the response to its request was complete.',
   },
+  requestNotBegun: {
+    number: 515,
+    level: 'info',
+    summary:
+      'A connection ended before its next request could begin; no backend server received the request.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
