fix(decisions): apply a new limit of connections to requests that were matched before

Backend servers reset connections above their limit. After a configuration that lowers it, an instance could open more than its new share, and requests could be lost.

Cause: the share of connections was computed from the service as the request was matched with it.

Evidence: GatewayRouter "applies a new limit of connections to requests of an earlier configuration" failed before (share 76 with a limit of 10 in force) and passes now (8).

Change: the limit in force counts; that of the request only if its service is gone.

--- a/packages/decisions/src/gateway/usableCandidates.ts
+++ b/packages/decisions/src/gateway/usableCandidates.ts
@@ -62,8 +62,9 @@
   board: GatewayBoard,
   { service }: Pick<GatewayRequest, 'service'>,
 ): number {
-  const share =
-    (USED_CONNECTION_SHARE * service.maxConnections) / board.instances;
+  // The request may belong to an earlier configuration, whose limit is outdated.
+  const { maxConnections } = board.table?.service(service.id) ?? service;
+  const share = (USED_CONNECTION_SHARE * maxConnections) / board.instances;
   return Math.max(MIN_CONNECTIONS, Math.floor(share));
 }
 
--- a/packages/decisions/tests/gateway/GatewayRouter.test.ts
+++ b/packages/decisions/tests/gateway/GatewayRouter.test.ts
@@ -251,6 +251,20 @@
     t.is(connectionShare(board, request(CALL)), 19);
   });
 
+  // Guards against retries of earlier requests that open more connections than replicas take.
+  it('applies a new limit of connections to requests of an earlier configuration', t => {
+    const { board, request, router } = gatewayFixture([CALL], REPLICAS);
+    const earlier = request(CALL);
+    const shrunk = configuration([CALL], 2);
+    router.configure({
+      ...shrunk,
+      services: shrunk.services.map(each => ({ ...each, maxConnections: 10 })),
+    });
+    t.is(connectionShare(board, earlier), 8);
+    router.configure({ ...shrunk, version: 3, services: [] });
+    t.is(connectionShare(board, earlier), 76);
+  });
+
   it("detects a caller's retry by the time that it has left", t => {
     const { router } = gatewayFixture([CALL], REPLICAS);
     t.false(router.isCallerRetry(CALL, 4000));
