--- a/packages/gateway/src/front/ResponseWatch.ts
+++ b/packages/gateway/src/front/ResponseWatch.ts
@@ -71,11 +71,11 @@
     });
   }
 
-  /** Sets what writes a response. */
+  /** Sets what writes a response; what is set first remains. */
   setWriter(res: ServerResponse, writer: OpenResponse['writer']): void {
     const open = this.#open.get(res);
     if (open) {
-      open.writer = writer;
+      open.writer ??= writer;
     }
   }
 
