fix(gateway): let moves use small retry budgets from the start

The quarter of the budget that moves leave to other retries is rounded down to whole retries. An instance with less than one and a third retries in a window could not move any request off a dead replica for 1.5 s otherwise, as in large fleets with few requests for each instance.

The timer that ends the overlap of two attempts ignores an overlap that has ended, instead of relying on being cancelled in time.

--- a/packages/decisions/src/gateway/RetryBudget.ts
+++ b/packages/decisions/src/gateway/RetryBudget.ts
@@ -89,11 +89,12 @@
    *
    * @param service - service that the retry goes to
    * @param reserve - share of the budget that must be left afterwards, for retries that
-   *   are needed more
+   *   are needed more; only whole retries are kept, so that a small budget can be used
    * @returns whether a retry was left
    */
   take(service: ServiceId, reserve = 0): boolean {
-    if (this.left(service) < 1 + reserve * this.#allowed(service)) {
+    const kept = Math.floor(reserve * this.#allowed(service));
+    if (this.left(service) < 1 + kept) {
       return false;
     }
     this.#historyOf(service).retries.push(this.clock());
--- a/packages/decisions/tests/gateway/recovery/silentReplicas.test.ts
+++ b/packages/decisions/tests/gateway/recovery/silentReplicas.test.ts
@@ -1,4 +1,6 @@
 import { describe } from '@jujubecroft/testing';
+import type { RouteId } from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
 
 import type { GatewayAttempt } from '../../../src/index.js';
 import type { GatewayFixture } from '../helpers/gatewayFixture.js';
@@ -64,4 +66,42 @@
     t.deepEqual([...(other?.attempts ?? [])], moves);
     t.deepEqual([...(silent?.attempts ?? [])], attempts);
   });
+
+  // Guards against less urgent requests that use up the retries of more urgent ones, and
+  // against requests with little time that wait behind those with much.
+  it('gives retries to the most urgent first, then to those with the least time', t => {
+    const urgent = route({ ...STREAM, id: brand<RouteId>('r-2'), priority: 0 });
+    const fixture = gatewayFixture(
+      [STREAM, urgent],
+      [replica('s-1'), replica('s-2')],
+    );
+    const { router, board, request, clock } = fixture;
+    const [load] = [...board.backends.values()];
+    const sent = [
+      [STREAM, 9000],
+      [STREAM, 4000],
+      [urgent, 8000],
+      [urgent, 6000],
+    ] as const;
+    sent.forEach(([of, leftMs]) => {
+      const deadlineMs = clock.now() + leftMs;
+      const asked = request(of, [], { deadlineMs });
+      const decision = router.place(asked, new Set());
+      if (decision.kind === 'send' && load) {
+        const attempt = router.beginAttempt(
+          asked,
+          { ...decision.placed, load },
+          1,
+        );
+        router.onBytes(attempt);
+      }
+    });
+    clock.advance(SILENCE_MS);
+    t.deepEqual(
+      router
+        .findAttemptsToMove()
+        .map(({ request: { deadlineMs } }) => deadlineMs - clock.now()),
+      [6000, 8000, 4000, 9000].map(leftMs => leftMs - SILENCE_MS),
+    );
+  });
 });
--- a/packages/gateway/src/forward/AttemptRace.ts
+++ b/packages/gateway/src/forward/AttemptRace.ts
@@ -104,7 +104,9 @@
   #onSent(run: AttemptRun): void {
     if (run === this.#second) {
       this.#sharedTimer = setTimeout(() => {
-        this.#takeOver();
+        if (run === this.#second) {
+          this.#takeOver();
+        }
       }, MAX_SHARED_MS);
     }
   }
