fix(gateway): a replica at which an attempt was withheld may still be used

Callers saw streams that were cut, with time and retries left and with a sound replica of the stream's version.

Cause: before the first byte of an attempt, the instance checks that its view is current. Beside load the view may have aged while the connection was opened. Nothing was sent then, but the replica counted as tried. A stream whose version has one other replica had no candidate left, and was cut right after the view had been renewed.

The replica of a withheld attempt is no longer excluded. If it may really receive nothing, placement leaves it out. Three unsent attempts still end the request. The replica of an only attempt stays excluded as before, since the request would be admitted a second time otherwise.

--- a/packages/gateway/src/execution/ExecutionRecord.ts
+++ b/packages/gateway/src/execution/ExecutionRecord.ts
@@ -24,7 +24,7 @@
   #unsent = 0;
   #mayHaveRun = false;
 
-  /** Replicas of all attempts that have ended. */
+  /** Replicas that no further attempt should use. */
   get tried(): ReadonlySet<BackendServerId> {
     return this.#tried;
   }
@@ -67,6 +67,19 @@
     }
   }
 
+  /**
+   * Allows another attempt at a replica, since this instance withheld the one there before
+   * anything was sent.
+   *
+   * The replica of the only attempt stays excluded: a request without any would count as new
+   * and be admitted again.
+   */
+  release(replica: BackendServerId): void {
+    if (this.#tried.size + this.#inProgress.size > 1) {
+      this.#tried.delete(replica);
+    }
+  }
+
   /** @returns the proof that the request did not run; null if it may have run */
   proveNotRun(): NotRunProof | null {
     if (this.#inProgress.size > 0 || this.#mayHaveRun) {
--- a/packages/gateway/src/forward/AttemptRun.ts
+++ b/packages/gateway/src/forward/AttemptRun.ts
@@ -40,6 +40,8 @@
   /** Whether another attempt writes the answer. */
   #isSuperseded = false;
   #relayed: RelayedConnection | null = null;
+  /** Whether the last check before the send failed. */
+  #isWithheld = false;
 
   /**
    * @param state - shared by all attempts of the request
@@ -115,6 +117,9 @@
     router.onEnded(attempt, result);
     metrics.attempts.inc({ service: request.service.id, result: result.kind });
     execution.end(replica.id, result);
+    if (this.#isWithheld) {
+      execution.release(replica.id);
+    }
     recorder.responseEnded(attempt, result, assembler.progress);
     const reused = exchangeEnd.kind === 'failed' && exchangeEnd.reused;
     checkReplicaAfter(context, replica, exchangeEnd);
@@ -165,6 +170,7 @@
     const { lease, router } = context;
     this.#relayed = relay;
     const maySend = lease.isUsable && router.mayReceive(this.attempt);
+    this.#isWithheld = !maySend;
     if (maySend) {
       recorder.sending(this.attempt, relay);
       this.listener.onSent();
--- a/packages/gateway/tests/execution/ExecutionRecord.test.ts
+++ b/packages/gateway/tests/execution/ExecutionRecord.test.ts
@@ -67,4 +67,18 @@
       });
     });
   });
+
+  group('releases a replica at which an attempt was withheld', ({ it }) => {
+    // Guards against a request that is admitted twice since it looks like a new one.
+    it('unless there was no other attempt', t => {
+      const record = recordOf([UNSENT]);
+      record.release(replica(0));
+      t.deepEqual([...record.tried], [replica(0)]);
+      record.begin(replica(1));
+      record.end(replica(1), UNSENT);
+      record.release(replica(1));
+      t.deepEqual([...record.tried], [replica(0)]);
+      t.is(record.unsent, 2);
+    });
+  });
 });
