fix(gateway): an entry with another version alone ends no attempt

Callers got 502 for requests that their replica was working on, after another program had put another software version into its entry. Requests that may run only once all failed; of the others, those beyond the retry budget.

Cause: another version under one id counts as a restart, and attempts without a byte were withdrawn at once, on a condition that many share. Besides, each counted as evidence that its content crashes replicas.

A later start in the entry is taken for the end of a run as before. Where only the version differs, the attempt moves with a reserved place and retry beside the first one, or it stays: the system closes the connections of a process that has really ended. Lost by this: requests on a run of unknown start that vanished with its machine, and that can't move, wait for their time limit instead of ending at once.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -37,7 +37,10 @@
   ReservedMove,
 } from './recovery/silentAttempts.js';
 import { findAttemptsToMove, reserveMove } from './recovery/silentAttempts.js';
-import { takeOrphanedAttempts } from './recovery/takeOrphanedAttempts.js';
+import {
+  hasRunEnded,
+  takeOrphanedAttempts,
+} from './recovery/takeOrphanedAttempts.js';
 import { passesLastCheck } from './passesLastCheck.js';
 import { isRestarted } from './replicaRuns.js';
 import { candidatesFor } from './streams/candidatesFor.js';
@@ -336,6 +339,11 @@
     return takeOrphanedAttempts(this.board);
   }
 
+  /** See {@link hasRunEnded}. */
+  hasRunEnded(attempt: GatewayAttempt): boolean {
+    return hasRunEnded(this.board, attempt);
+  }
+
   /** Number of attempts of this instance that have not ended. */
   get inFlight(): number {
     let sum = 0;
--- a/packages/decisions/src/gateway/recovery/takeOrphanedAttempts.ts
+++ b/packages/decisions/src/gateway/recovery/takeOrphanedAttempts.ts
@@ -1,5 +1,6 @@
 import type { GatewayAttempt } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
+import { isLaterRun } from '../replicaRuns.js';
 import { SILENCE_TIMEOUT_MS } from '../usableCandidates.js';
 
 /** Whether bytes of an answer have arrived lately, which shows that its run goes on. */
@@ -40,3 +41,22 @@
     });
   return orphans;
 }
+
+/**
+ * Whether the run of an attempt has certainly ended: the entry of its replica states a
+ * later start.
+ *
+ * Another software version shows a restart as well, but a program that overwrites the entry
+ * by mistake may have written it. The system closes the connections of a process that ends,
+ * so such an attempt loses little if it stays where it is.
+ *
+ * @param board - the blackboard
+ * @param attempt - an attempt on a run that seems to be superseded
+ */
+export function hasRunEnded(
+  { replicas }: GatewayBoard,
+  { load: { replica } }: GatewayAttempt,
+): boolean {
+  const now = replicas.find(replica.id);
+  return now !== undefined && isLaterRun(now, replica);
+}
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -101,9 +101,16 @@
     this.#race.withdraw(reason);
   }
 
-  /** Aborts an attempt at a run of a replica that was replaced by another one. */
-  giveUp(attempt: GatewayAttempt): void {
-    this.#race.withdrawAttempt(attempt, 'replicaRestarted');
+  /**
+   * Leaves an attempt at a run that seems to have been replaced by another one. Unless that is
+   * certain, the attempt is given up only for one at another replica.
+   */
+  leave(attempt: GatewayAttempt): void {
+    if (this.#state.context.router.hasRunEnded(attempt)) {
+      this.#race.withdrawAttempt(attempt, 'replicaRestarted');
+    } else {
+      this.move(attempt);
+    }
   }
 
   /**
--- a/packages/gateway/src/front/InFlightRequests.ts
+++ b/packages/gateway/src/front/InFlightRequests.ts
@@ -113,7 +113,7 @@
       request.move(attempt);
     });
     this.#forEachOf(router.takeOrphanedAttempts(), (request, attempt) => {
-      request.giveUp(attempt);
+      request.leave(attempt);
     });
     this.#forEachOf(router.findBarredAttempts(), request => {
       request.withdraw('crashesBackends');
