--- a/packages/events/src/explainRequest.ts
+++ b/packages/events/src/explainRequest.ts
@@ -1,3 +1,8 @@
+import {
+  describeIncomplete,
+  describeOthersWithdrawn,
+  describeWithdrawal,
+} from './describeWithdrawal.js';
 import type { ParsedLine } from './readLogLines.js';
 
 /** What happened to one request, according to its log lines. */
@@ -14,9 +19,18 @@
   'callerLeft',
   'requestAnswered',
   'requestCut',
+  'requestNotBegun',
   'requestRefused',
 ];
 
+/** Reasons of incomplete responses that other lines about the end don't state. */
+const OWN_FAULTS: readonly unknown[] = [
+  'error',
+  'instanceStopped',
+  'notBegun',
+  'unknown',
+];
+
 function formatValue(value: unknown): string {
   return typeof value === 'string' || typeof value === 'number'
     ? String(value)
@@ -131,14 +145,26 @@
   connectionError: describeConnectionError,
   callerLeft: f =>
     `the caller closed its connection after ${formatValue(f.afterMs)} ms`,
+  requestNotBegun: () =>
+    'its connection ended while it waited for the answer to an earlier request',
 };
 
-function sentenceOf(line: ParsedLine): string {
-  const render = SENTENCES[line.id];
-  const text = render
-    ? render(line.fields)
-    : `${line.id} ${JSON.stringify(line.fields)}`;
-  return `${line.time} ${line.instance}: ${text}`;
+function textOfLine(line: ParsedLine, lines: readonly ParsedLine[]): string {
+  switch (line.id) {
+    case 'attemptWithdrawn':
+      return `${describeWithdrawal(line)}${describeOthersWithdrawn(line, lines)}`;
+    case 'responseIncomplete':
+      return describeIncomplete(line);
+    default:
+      return (
+        SENTENCES[line.id]?.(line.fields) ??
+        `${line.id} ${JSON.stringify(line.fields)}`
+      );
+  }
+}
+
+function sentenceOf(line: ParsedLine, lines: readonly ParsedLine[]): string {
+  return `${line.time} ${line.instance}: ${textOfLine(line, lines)}`;
 }
 
 /** Describes a crash or stop of the instance that wrote the last line of the request, if there was one. */
@@ -189,23 +215,38 @@
     return 'no line names this request: it never reached an instance, or its lines were left out';
   }
   const end = own.findLast(({ id }) => END_EVENTS.includes(id));
+  const incomplete = own.findLast(({ id }) => id === 'responseIncomplete');
+  if (
+    incomplete &&
+    (!end ||
+      end.id === 'requestAnswered' ||
+      OWN_FAULTS.includes(incomplete.fields.reason))
+  ) {
+    return describeIncomplete(incomplete);
+  }
   if (!end) {
     return (
       describeInstanceEnd(last, lines) ?? 'the logs end before the request does'
     );
   }
   const failed = own.findLast(({ id }) => id === 'attemptFailed');
+  const withdrawn = own.findLast(({ id }) => id === 'attemptWithdrawn');
+  const others = withdrawn ? describeOthersWithdrawn(withdrawn, lines) : '';
   switch (end.id) {
     case 'requestAnswered':
       return 'it was answered';
     case 'callerLeft':
       return 'the caller closed its connection before the answer ended';
+    case 'requestNotBegun':
+      return 'its connection ended before it began; it was sent to no backend server';
     case 'requestRefused':
       return failed
         ? describeFailure(failed)
         : `it was refused and did not run: ${formatValue(end.fields.code)}${describeShare(end.fields)}${describeCrashes(end.fields)}`;
     default:
-      return failed ? describeFailure(failed) : formatValue(end.fields.code);
+      return failed
+        ? `${describeFailure(failed)}${failed.fields.result === 'withdrawn' ? others : ''}`
+        : formatValue(end.fields.code);
   }
 }
 
@@ -249,5 +290,8 @@
   const own = [...linesOf(lines, request)].sort((a, b) =>
     a.instance === b.instance ? a.atMs - b.atMs : a.time.localeCompare(b.time),
   );
-  return { steps: own.map(sentenceOf), cause: causeOf(own, lines) };
+  return {
+    steps: own.map(line => sentenceOf(line, lines)),
+    cause: causeOf(own, lines),
+  };
 }
--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -48,6 +48,12 @@
     summary:
       'The process was suspended for a while; it reloads its view of the fleet.',
   },
+  settingsNeedRestart: {
+    number: 108,
+    level: 'warn',
+    summary:
+      'The settings file has changes that take effect at the next start.',
+  },
   configurationInForce: {
     number: 201,
     level: 'info',
@@ -248,6 +254,24 @@
     summary:
       'Bytes on the connection of a caller were no request, were too many, or came too late.',
   },
+  attemptWithdrawn: {
+    number: 513,
+    level: 'warn',
+    summary:
+      'This instance withdraws an attempt; what becomes of the request is not decided yet.',
+  },
+  responseIncomplete: {
+    number: 514,
+    level: 'warn',
+    summary:
+      'The connection of a caller ended before the response to its request was complete.',
+  },
+  requestNotBegun: {
+    number: 515,
+    level: 'info',
+    summary:
+      'A connection ended before its next request could begin; no backend server received the request.',
+  },
   linesLeftOut: {
     number: 902,
     level: 'warn',
--- a/packages/gateway/src/forward/AttemptRun.ts
+++ b/packages/gateway/src/forward/AttemptRun.ts
@@ -83,6 +83,7 @@
       return;
     }
     this.#withdrawReason = reason;
+    this.state.recorder.withdrawn(this.attempt, reason);
     this.#exchange?.abort();
   }
 
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -51,7 +51,7 @@
     execution: ExecutionRecord,
     response: CallerResponse,
   ) {
-    const recorder = new RequestRecorder(context, request);
+    const recorder = new RequestRecorder(context, request, response);
     this.#state = {
       context,
       request,
@@ -98,6 +98,7 @@
    */
   withdraw(reason: 'callerLeft' | 'crashesBackends' | 'timeLimit'): void {
     this.#endReason = reason;
+    this.#state.recorder.withdrawn(null, reason);
     this.#race.withdraw(reason);
   }
 
