fix(gateway): return the memory of a body whose request was refused meanwhile

A request whose body isn't complete at its time limit is refused since the wait for it is bounded. Node.js reports nothing more about a request once its response is complete, so the reading of the body never settled and kept its part of the memory for bodies: enough of them, and whole requests are refused with `memoryFull`.

The reading now settles when the wait of its request has ended. The response to a head that is too large is tracked until it is delivered, as all others are.

--- a/packages/gateway/src/front/ReceivedRequest.ts
+++ b/packages/gateway/src/front/ReceivedRequest.ts
@@ -17,7 +17,8 @@
 export class ReceivedRequest {
   #hasEnded = false;
   #end: (end: EndedWait) => void = () => undefined;
-  readonly #ended = new Promise<EndedWait>(resolve => {
+  /** Settles when the wait before the first attempt is ended. */
+  readonly ended = new Promise<EndedWait>(resolve => {
     this.#end = resolve;
   });
 
@@ -58,6 +59,6 @@
    * @returns the result, unless the wait ended before it
    */
   wait<Result>(work: Promise<Result>): Promise<EndedWait | Result> {
-    return Promise.race([this.#ended, work]);
+    return Promise.race([this.ended, work]);
   }
 }
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -234,6 +234,7 @@
   const head = context.dialect.readRequest(req.rawHeaders);
   if (headBytes(req) > (limits?.maxHeaderBytes ?? DEFAULT_MAX_HEAD_BYTES)) {
     refuseRequest(unsent, 'headTooLarge', head.id);
+    inFlight.trackDelivery(res);
     return;
   }
   const received = new ReceivedRequest(
@@ -244,6 +245,7 @@
     req,
     limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     context.requestBudget,
+    received.ended,
   );
   try {
     const prepared = await received.wait(
--- a/packages/gateway/src/front/readBody.ts
+++ b/packages/gateway/src/front/readBody.ts
@@ -43,12 +43,14 @@
  * @param req - the request
  * @param maxBytes - limit for the body, in bytes
  * @param budget - memory for the bodies of all requests
+ * @param abandoned - settles when nothing waits for the body any longer; never if omitted
  * @returns the body; null within the result if the request has none
  */
 export async function readBody(
   req: IncomingMessage,
   maxBytes: number,
   budget: BufferBudget,
+  abandoned?: Promise<unknown>,
 ): Promise<BodyReadResult> {
   if (!hasBody(req)) {
     return { kind: 'whole', body: null };
@@ -98,5 +100,7 @@
     };
     req.on('error', onBroken);
     req.once('close', onBroken);
+    // Once its response is complete, Node.js does not report the end of an unread request.
+    void abandoned?.then(onBroken);
   });
 }
