--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -238,6 +238,7 @@
   const head = context.dialect.readRequest(req.rawHeaders);
   if (headBytes(req) > (limits?.maxHeaderBytes ?? DEFAULT_MAX_HEAD_BYTES)) {
     refuseRequest(unsent, 'headTooLarge', head.id);
+    inFlight.trackDelivery(res);
     return;
   }
   const received = new ReceivedRequest(
@@ -248,6 +249,7 @@
     req,
     limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     context.requestBudget,
+    received.ended,
   );
   try {
     const prepared = await received.wait(
