fix(cli): listen for signals as the first thing a gateway does

Instances that were just starting ended: by SIGHUP, and by SIGTERM with the requests of callers that they had accepted already.

Cause: signals were listened for once the start had finished. For SIGTERM both listened after instanceStarted, though callers are accepted before.

Now the first statement of start.cjs and of load.cjs, which starts the whole program, listens for SIGHUP, and the gateway's start for SIGTERM; a stop that is requested meanwhile follows the start.

What remains is the start of Node.js itself, before any code of a program runs.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,3 +1,5 @@
+import './ignoreEarlyReload.js';
+
 import { Builtins, Cli } from 'clipanion';
 
 import { ConfigCheckCommand } from './commands/ConfigCheckCommand.js';
--- a/packages/cli/src/serveGateway.ts
+++ b/packages/cli/src/serveGateway.ts
@@ -15,8 +15,10 @@
 ): Promise<void> {
   // Imported on demand, so that other commands do not hold it in memory.
   const { runGateway } = await import('@jujubecroft/platform');
+  // Callers are accepted before the start has finished, so that it must not be cut short.
+  const stopRequested = waitForStopSignal();
   const gateway = await runGateway(file, options);
   process.on('SIGHUP', gateway.reload);
-  await waitForStopSignal();
+  await stopRequested;
   await gateway.stop();
 }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,5 @@
-// Builds dist/jujubecroft: a single executable that contains Node.js and the program.
+// Builds dist/jujubecroft: a single executable that contains Node.js and the program. The
+// program alone is started by dist/jujubecroft.cjs.
 import { execFileSync } from 'node:child_process';
 import {
   chmodSync,
@@ -13,7 +14,7 @@
 
 const root = path.resolve(import.meta.dirname, '..');
 const dist = path.join(root, 'dist');
-const bundleFile = path.join(dist, 'jujubecroft.cjs');
+const bundleFile = path.join(dist, 'program.cjs');
 const blob = path.join(dist, 'jujubecroft.blob');
 const binary = path.join(dist, 'jujubecroft');
 /** Marker in the Node.js binary that postject looks for. */
@@ -23,6 +24,10 @@
 mkdirSync(dist);
 
 await bundle(bundleFile);
+copyFileSync(
+  path.join(root, 'scripts/load.cjs'),
+  path.join(dist, 'jujubecroft.cjs'),
+);
 
 const seaConfig = path.join(dist, 'sea.json');
 writeFileSync(
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -3,15 +3,17 @@
 // An instance that was killed is available again as soon as its program is loaded, and
 // compilation takes a third of that time. V8 rejects a cache that does not match the
 // runtime; the program is then compiled as usual.
+if (process.argv[2] === 'gateway') {
+  // Until the program listens for it, SIGHUP would end the process. Nothing that takes
+  // time may precede this.
+  process.on('SIGHUP', () => undefined);
+}
+
 const { existsSync, readFileSync, writeFileSync } = require('node:fs');
 const Module = require('node:module');
 const path = require('node:path');
 const vm = require('node:vm');
 
-if (process.argv[2] === 'gateway') {
-  // Until the program listens for it, SIGHUP would end the process.
-  process.on('SIGHUP', () => undefined);
-}
 const name = process.argv[2] === 'gateway' ? 'gateway' : 'jujubecroft';
 const bundle = path.join(__dirname, `${name}.cjs`);
 const cacheFile = path.join(__dirname, `${name}.cache`);
