fix(gateway): send no request whose end was decided while it waited for a view

A replica got requests of callers that had left, and nothing ever withdrew them: the end of the request was decided while it waited for a current view before its placement, and was looked at only before that wait.

Evidence: with a view that is 300 ms late at the placement, a caller that left after 150 ms: its request reached the replica. None reaches it now.

A request whose time passes between two attempts is refused as not sent in time if no attempt was sent, instead of failing without a promise.

--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -178,9 +178,7 @@
   async #placeAndSend(): Promise<boolean> {
     const { context, request, execution, recorder } = this.#state;
     const { router } = context;
-    if (this.#endReason !== null) {
-      const callerLeft = this.#endReason === 'callerLeft';
-      this.#finishWithCode(callerLeft ? 'callerLeft' : 'backendTimeout', 0, {});
+    if (this.#finishIfEnded()) {
       return false;
     }
     const decision = await placeWhenViewUsable(
@@ -188,6 +186,10 @@
       request,
       execution.tried,
     );
+    // Its end may have been decided while it waited for a current view.
+    if (this.#finishIfEnded()) {
+      return false;
+    }
     if (decision.kind === 'send' && this.#outlastsInstance(decision.placed)) {
       this.#finishWithCode('instanceLeaving', STOPPING_INSTANCE_RETRY_MS, {
         predictedMs: Math.round(decision.placed.predictedWholeMs),
@@ -234,6 +236,23 @@
     return this.#applyRecovery(recovery);
   }
 
+  /** Finishes the request if no further attempt may follow, and returns whether it did. */
+  #finishIfEnded(): boolean {
+    if (this.#endReason === null) {
+      return false;
+    }
+    const callerLeft = this.#endReason === 'callerLeft';
+    this.#finishWithCode(callerLeft ? 'callerLeft' : this.#lateCode, 0, {});
+    return true;
+  }
+
+  /** Result code of a request whose time has passed between two attempts. */
+  get #lateCode(): ResultCodeId {
+    return this.#state.execution.proveNotRun()
+      ? 'notSentInTime'
+      : 'backendTimeout';
+  }
+
   /** Whether the instance would stop before the response is complete. */
   #outlastsInstance({ predictedWholeMs }: PlacedCandidate): boolean {
     const { context, request, execution } = this.#state;
