fix(gateway): end an attempt that can't begin

A replica looked busy for good after an error of the program between the placement of a request and its exchange: the attempt stayed in its load, and its caller got 500 although nothing had been sent.

Evidence: with an error in the choice of the connection pool, one attempt stayed in flight and the caller got 500. The attempt ends as unsent now, other replicas are tried, and the caller is refused with 503 and the proof; none is in flight.

--- a/packages/gateway/src/forward/AttemptRun.ts
+++ b/packages/gateway/src/forward/AttemptRun.ts
@@ -12,6 +12,7 @@
 import { checkReplicaAfter } from './checkReplicaAfter.js';
 import { confirmEnd } from './confirmEnd.js';
 import { endAttempt } from './endAttempt.js';
+import { toError } from '../util/toError.js';
 import { movesToOtherReplica } from './movesToOtherReplica.js';
 import type { RequestState } from './RequestState.js';
 import { ResponseAssembler } from './ResponseAssembler.js';
@@ -127,12 +128,12 @@
     return { attempt, result, reused };
   }
 
-  /** Sends the request and returns the end of the exchange, once it is certain. */
-  async #exchangeEnd(): Promise<ExchangeEnd> {
+  /** Begins the exchange with the replica. */
+  #send(): RunningExchange {
     const { context, request, call } = this.state;
     const { connections, router } = context;
     const { replica } = this.attempt.load;
-    this.#exchange = sendAttempt(
+    return sendAttempt(
       connections.poolFor(replica, connectionShare(router.board, request)),
       {
         id: request.id,
@@ -151,6 +152,18 @@
         onData: chunk => this.#onData(chunk),
       },
     );
+  }
+
+  /** Sends the request and returns the end of the exchange, once it is certain. */
+  async #exchangeEnd(): Promise<ExchangeEnd> {
+    const { context } = this.state;
+    const { replica } = this.attempt.load;
+    try {
+      this.#exchange = this.#send();
+    } catch (err) {
+      // Nothing was sent. The attempt ends as any other, so that its replica doesn't look busy.
+      return { kind: 'invalid', sent: false, error: toError(err) };
+    }
     const connectionEnd = await this.#exchange.ended;
     this.#exchange = null;
     const exchangeEnd = await confirmEnd(
