fix(gateway): place a request and begin its attempt in the same turn

Callers whose requests waited for the same renewal of the view saw them wait for a connection to a replica without room, although they could have been refused at once or sent elsewhere.

`placeWhenViewUsable` returned its decision through a promise. All requests that waited for one renewal go on in the same turn: each was placed before the attempt of any other was begun, so all of them were given the same last places (limit of connections, limit of requests per second, admission, tokens ahead).

The view is now obtained first, and nothing is awaited between the placement and the beginning of the attempt.

--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -183,8 +183,9 @@
       this.#finishWithCode(callerLeft ? 'callerLeft' : 'backendTimeout', 0, {});
       return false;
     }
-    const decision = await placeWhenViewUsable(
+    const decision = placeWhenViewUsable(
       context,
+      await context.lease.obtain(),
       request,
       execution.tried,
     );
--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -430,7 +430,8 @@
       fingerprint: () => fingerprint,
       partKeys: () => parts,
     };
-    const decision = await placeWhenViewUsable(context, request, new Set());
+    const view = await context.lease.obtain();
+    const decision = placeWhenViewUsable(context, view, request, new Set());
     if (decision.kind === 'send') {
       const atMs = this.time.nowMs;
       const missedLeaveMs = this.store.leaves
