--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -181,8 +181,9 @@
     if (this.#finishIfEnded()) {
       return false;
     }
-    const decision = await placeWhenViewUsable(
+    const decision = placeWhenViewUsable(
       context,
+      await context.lease.obtain(),
       request,
       execution.tried,
     );
