--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -181,16 +181,13 @@
     if (this.#finishIfEnded()) {
       return false;
     }
-    const decision = placeWhenViewUsable(
-      context,
-      await context.lease.obtain(),
-      request,
-      execution.tried,
-    );
+    const view = await context.lease.obtain();
     // Its end may have been decided while it waited for a current view.
     if (this.#finishIfEnded()) {
       return false;
     }
+    const { tried } = execution;
+    const decision = placeWhenViewUsable(context, view, request, tried);
     if (decision.kind === 'send' && this.#outlastsInstance(decision.placed)) {
       this.#finishWithCode('instanceLeaving', STOPPING_INSTANCE_RETRY_MS, {
         predictedMs: Math.round(decision.placed.predictedWholeMs),
