fix(gateway): count an attempt whose end is not yet certain

A request on a route with two attempts was sent to three replicas, or twice to the same one.

Of two attempts of a request, the first may end by the end of its connection alone. Whether that was regular is checked for 150 ms and more, and the second attempt may take over and end meanwhile. `ExecutionRecord` counted attempts, and excluded their replicas, only at their end. So the next attempt had the number of the one being checked, and could be placed at its replica, where the end of the later of the two then threw ("no attempt is in progress") and ended the request.

An attempt now counts as sent, and its replica as tried, from its beginning; one that turns out not to be sent is taken off.

--- a/packages/gateway/src/execution/ExecutionRecord.ts
+++ b/packages/gateway/src/execution/ExecutionRecord.ts
@@ -29,9 +29,9 @@
     return this.#tried;
   }
 
-  /** Number of attempts of which some bytes may have left this instance. */
+  /** Number of attempts of which some bytes may have left this instance, or may yet. */
   get sent(): number {
-    return this.#sent;
+    return this.#sent + this.#inProgress.size;
   }
 
   /** Number of attempts that failed before anything was sent. */
@@ -44,9 +44,13 @@
     return this.#mayHaveRun;
   }
 
-  /** Records the beginning of an attempt; until its end, nothing is proven. */
+  /**
+   * Records the beginning of an attempt; until its end, nothing is proven. It may last for a
+   * while beside the next one, until it is certain how it ended.
+   */
   begin(replica: BackendServerId): void {
     this.#inProgress.add(replica);
+    this.#tried.add(replica);
   }
 
   /** Records the end of an attempt in progress. */
@@ -54,7 +58,6 @@
     if (!this.#inProgress.delete(replica)) {
       throw new Error(`no attempt is in progress at ${replica}`);
     }
-    this.#tried.add(replica);
     if (result.kind === 'unsent') {
       this.#unsent += 1;
       return;
@@ -75,7 +78,7 @@
    * and be admitted again.
    */
   release(replica: BackendServerId): void {
-    if (this.#tried.size + this.#inProgress.size > 1) {
+    if (this.#tried.size > 1) {
       this.#tried.delete(replica);
     }
   }
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -136,8 +136,8 @@
       return;
     }
     const { sent, unsent, tried } = execution;
-    const number = sent + unsent + 2;
-    const sentNumber = sent + 2;
+    const number = sent + unsent + 1;
+    const sentNumber = sent + 1;
     const move = router.reserveMove(attempt, { number, sentNumber }, tried);
     if (move) {
       this.#race.runSecond(
--- a/packages/gateway/tests/execution/ExecutionRecord.test.ts
+++ b/packages/gateway/tests/execution/ExecutionRecord.test.ts
@@ -68,6 +68,23 @@
     });
   });
 
+  group('counts an attempt in progress', ({ it }) => {
+    // Guards against an attempt beside another one, at the same replica or beyond the number
+    // of attempts of the route.
+    it('as sent, at a replica that no further attempt uses', t => {
+      const record = new ExecutionRecord();
+      record.begin(replica(0));
+      record.begin(replica(1));
+      t.is(record.sent, 2);
+      t.deepEqual([...record.tried], [replica(0), replica(1)]);
+      record.end(replica(1), UNSENT);
+      t.is(record.sent, 1);
+      t.is(record.unsent, 1);
+      record.release(replica(1));
+      t.deepEqual([...record.tried], [replica(0)]);
+    });
+  });
+
   group('releases a replica at which an attempt was withheld', ({ it }) => {
     // Guards against a request that is admitted twice since it looks like a new one.
     it('unless there was no other attempt', t => {
