fix(gateway): check attempts on a run that may go on again later

Requests at a silent replica whose entry had been overwritten waited until their time limit, although a retry and a place became free meanwhile.

Where only the software version of an entry differs, the attempts on the run before move to another replica if that can be reserved, and stay otherwise. But the run was taken off the blackboard when they were returned once, so no later check saw those that stayed: the condition was judged at one moment and then never again. Such a run now stays in `doubtfulRuns` while it has attempts, where checks for silent replicas find them; if its entry shows a later start, they are returned as orphans again.

The new test found no attempt to move at the second check on the code before, 5 s after the last byte; now it finds the attempt, and none once bytes arrive or the attempt has ended.

--- a/packages/decisions/src/gateway/GatewayBoard.ts
+++ b/packages/decisions/src/gateway/GatewayBoard.ts
@@ -98,6 +98,10 @@
    * their attempts have been withdrawn.
    */
   readonly supersededRuns: Set<BackendLoad>;
+  /**
+   * Those of them that have attempts, and may go on although their entry shows a restart.
+   */
+  readonly doubtfulRuns: Set<BackendLoad>;
   readonly estimates: Map<ServiceId, ServiceEstimates>;
   /** Lasting speeds of replicas, where they are uneven. */
   readonly speeds: FleetSpeeds;
@@ -170,6 +174,7 @@
       : null,
     backends,
     supersededRuns: new Set(),
+    doubtfulRuns: new Set(),
     estimates: new Map(),
     speeds: new FleetSpeeds(clock, backends),
     configurations: new ConfigurationHistory(clock),
--- a/packages/decisions/src/gateway/recovery/silentAttempts.ts
+++ b/packages/decisions/src/gateway/recovery/silentAttempts.ts
@@ -123,7 +123,7 @@
   board: GatewayBoard,
 ): readonly GatewayAttempt[] {
   const attempts: GatewayAttempt[] = [];
-  board.backends.forEach(load => {
+  [...board.backends.values(), ...board.doubtfulRuns].forEach(load => {
     load.attempts.forEach(attempt => {
       // The first check is cheap and rarely true; the second looks at all replicas.
       if (isOverdue(board, attempt) && canMoveElsewhere(board, attempt)) {
--- a/packages/decisions/src/gateway/recovery/takeOrphanedAttempts.ts
+++ b/packages/decisions/src/gateway/recovery/takeOrphanedAttempts.ts
@@ -1,4 +1,4 @@
-import type { GatewayAttempt } from '../BackendLoad.js';
+import type { BackendLoad, GatewayAttempt } from '../BackendLoad.js';
 import type { GatewayBoard } from '../GatewayBoard.js';
 import { isLaterRun } from '../replicaRuns.js';
 import { SILENCE_TIMEOUT_MS } from '../usableCandidates.js';
@@ -11,6 +11,26 @@
   return lastByteMs !== null && clock() - lastByteMs <= SILENCE_TIMEOUT_MS;
 }
 
+/** Whether a run has certainly ended: the entry of its replica states a later start. */
+function isEnded(
+  { replicas }: GatewayBoard,
+  { replica }: BackendLoad,
+): boolean {
+  const now = replicas.find(replica.id);
+  return now !== undefined && isLaterRun(now, replica);
+}
+
+/** Considers the doubtful runs again that have ended after all, or have no attempts. */
+function reconsiderDoubtful(board: GatewayBoard): void {
+  const { supersededRuns, doubtfulRuns } = board;
+  [...doubtfulRuns]
+    .filter(load => load.inFlight === 0 || isEnded(board, load))
+    .forEach(load => {
+      doubtfulRuns.delete(load);
+      supersededRuns.add(load);
+    });
+}
+
 /**
  * Returns the attempts on runs that have since been superseded by a restart, and takes
  * them off the blackboard.
@@ -21,14 +41,16 @@
  *
  * An entry that shows a restart may have been written by another program. An attempt that
  * is being answered belongs to a run that goes on, whatever the entry says, and is returned
- * only once it falls silent.
+ * only once it falls silent. Those on a run that has not certainly ended stay in
+ * `doubtfulRuns`: they may find neither a retry nor a place now, and move later.
  *
  * @param board - the blackboard
  */
 export function takeOrphanedAttempts(
   board: GatewayBoard,
 ): readonly GatewayAttempt[] {
-  const { supersededRuns } = board;
+  const { supersededRuns, doubtfulRuns } = board;
+  reconsiderDoubtful(board);
   const orphans = [...supersededRuns].flatMap(({ attempts }) =>
     [...attempts].filter(attempt => !isBeingAnswered(board, attempt)),
   );
@@ -38,6 +60,9 @@
     )
     .forEach(load => {
       supersededRuns.delete(load);
+      if (load.inFlight > 0 && !isEnded(board, load)) {
+        doubtfulRuns.add(load);
+      }
     });
   return orphans;
 }
@@ -54,9 +79,8 @@
  * @param attempt - an attempt on a run that seems to be superseded
  */
 export function hasRunEnded(
-  { replicas }: GatewayBoard,
-  { load: { replica } }: GatewayAttempt,
+  board: GatewayBoard,
+  { load }: GatewayAttempt,
 ): boolean {
-  const now = replicas.find(replica.id);
-  return now !== undefined && isLaterRun(now, replica);
+  return isEnded(board, load);
 }
--- a/packages/decisions/tests/gateway/replicaRestart.test.ts
+++ b/packages/decisions/tests/gateway/replicaRestart.test.ts
@@ -104,6 +104,44 @@
     t.deepEqual(router.takeOrphanedAttempts(), []);
   });
 
+  // Guards against requests that wait at a silent replica until their time limit, since no
+  // retry was left when its entry was found overwritten.
+  it('returns an attempt on a run that may go on to later checks for silent replicas', t => {
+    const resumable = route({ maxAttempts: 2, resumable: true });
+    const fixture = gatewayFixture(
+      [resumable],
+      [replica('p-1'), replica('p-2')],
+    );
+    const { board, router, clock, request } = fixture;
+    const decision = router.place(request(resumable), new Set());
+    if (decision.kind !== 'send') {
+      throw new Error('the request was refused');
+    }
+    const { placed } = decision;
+    const attempt = router.beginAttempt(request(resumable), placed, 1);
+    router.onBytes(attempt);
+    const overwritten = {
+      ...placed.load.replica,
+      softwareVersion: brand<SoftwareVersion>('v2'),
+    };
+    const { id } = overwritten;
+    board.replicas.applyRows(
+      [{ id, rowVersion: 2, replica: overwritten }],
+      2,
+      0,
+    );
+    router.syncReplicas();
+    clock.advance(5000);
+    t.deepEqual(router.takeOrphanedAttempts(), [attempt]);
+    t.deepEqual(router.takeOrphanedAttempts(), []);
+    t.deepEqual(router.findAttemptsToMove(), [attempt]);
+    router.onBytes(attempt);
+    t.deepEqual(router.findAttemptsToMove(), []);
+    router.onEnded(attempt, { kind: 'lost', reason: 'closed' });
+    clock.advance(5000);
+    t.deepEqual(router.findAttemptsToMove(), []);
+  });
+
   // A peer that does not know of the restart reports the load of the previous
   // run.
   it('ignores reports of other instances on the previous run', t => {
