--- a/packages/decisions/src/gateway/recovery/silentAttempts.ts
+++ b/packages/decisions/src/gateway/recovery/silentAttempts.ts
@@ -116,7 +116,7 @@
   board: GatewayBoard,
 ): readonly GatewayAttempt[] {
   const attempts: GatewayAttempt[] = [];
-  board.backends.forEach(load => {
+  [...board.backends.values(), ...board.doubtfulRuns].forEach(load => {
     load.attempts.forEach(attempt => {
       // The first check is cheap and rarely true; the second looks at all replicas.
       if (isOverdue(board, attempt) && canMoveElsewhere(board, attempt)) {
@@ -149,6 +149,8 @@
   place: () => PlacementDecision,
 ): ReservedMove | null {
   const { route, service } = attempt.request;
+  // A placement looks at all replicas, and each attempt that stays is judged in each check,
+  // so it comes last.
   if (sentNumber > route.maxAttempts || !canMoveElsewhere(board, attempt)) {
     return null;
   }
