test(soak): silent replicas, changes in series, and a promise about sound replicas

Callers lost requests at replicas that only paused: these wrote nothing for a second and went on, and the gateway ended the requests. The soak had no such replica, and no configurations that move, split or drop routes, shorten limits or remove keys while requests run.

- `replica-silence`: one, half or all replicas of a service write nothing for 0.5 to 1.5 s, again and again.
They report their entries and keep their connections.
Forty callers more keep theirs, so that a replica has many requests of each gateway when it falls silent.
- `configuration-series`: a configuration every 0.3 s on average.
- `sound-answers`: a request that a replica without other faults runs gets a complete answer of a replica.
Its doc comment lists the evidence.

--- a/packages/soak/src/SoakEnvironment.ts
+++ b/packages/soak/src/SoakEnvironment.ts
@@ -30,12 +30,19 @@
   | 'truncates'
   | 'well';
 
+/** A share of a route's requests. */
+export interface SoakShare {
+  readonly service: string;
+  readonly weight: number;
+}
+
 /** A route in a configuration of the soak. */
 export interface SoakRoute {
   readonly name: string;
   readonly prefix: string;
   readonly kind: SoakKind;
-  readonly service: string;
+  /** Services that get the route's requests. */
+  readonly shares: readonly SoakShare[];
   /** Maximum number of replicas that a request may be sent to. */
   readonly attempts: number;
   readonly timeoutMs: number;
@@ -46,6 +53,8 @@
   readonly version: number;
   readonly routes: readonly SoakRoute[];
   readonly services: readonly string[];
+  /** Time after which idle connections of callers are closed. */
+  readonly idleTimeoutMs: number;
   /** API keys by organisation. */
   readonly keys: ReadonlyMap<string, readonly string[]>;
 }
--- a/packages/soak/src/SoakRun.ts
+++ b/packages/soak/src/SoakRun.ts
@@ -8,7 +8,11 @@
   CRASHING_REQUEST,
   CRASHING_WORK,
 } from './callers/crashingRequests.js';
-import type { CallerContext, GatewayEndpoint } from './callers/SoakCaller.js';
+import type {
+  CallerContext,
+  CallerHabits,
+  GatewayEndpoint,
+} from './callers/SoakCaller.js';
 import {
   ResetAwareClient,
   sendRequest,
@@ -32,7 +36,7 @@
 import type { SoakEnvironment } from './SoakEnvironment.js';
 import type { SoakFleet, SoakGateway } from './SoakFleet.js';
 import { soakNow } from './soakNow.js';
-import { SoakOperator } from './SoakOperator.js';
+import { repeatableKindsOf, SoakOperator } from './SoakOperator.js';
 import type { SoakOptions } from './SoakOptions.js';
 
 const CALLERS_PER_GATEWAY = 3;
@@ -42,7 +46,17 @@
 const MAX_PROBES_PER_S = 30;
 const MS_PER_SECOND = 1000;
 const BURST_CALLERS = 12;
-const BURST_MEAN_THINK_TIME_MS = 5;
+const BURST_HABITS: CallerHabits = {
+  meanThinkTimeMs: 5,
+  followsAddresses: true,
+};
+/** Enough callers for a replica to have many requests of each gateway at once. */
+const CROWD_CALLERS = 40;
+const CROWD_HABITS: CallerHabits = {
+  meanThinkTimeMs: 150,
+  followsAddresses: false,
+  minEvents: 30,
+};
 const ADDRESS_REFRESH_INTERVAL_MS = 500;
 const MIN_PROBE_INTERVAL_MS = 400;
 const PROBE_TIME_LIMIT_MS = 1000;
@@ -202,7 +216,10 @@
       (this.fleet.gateways.length * MS_PER_SECOND) / MAX_PROBES_PER_S,
     );
     Array.from({ length: count }).forEach((_, index) => {
-      this.#addCaller(meanThinkMs, index % 2 === 0);
+      this.#addCaller({
+        meanThinkTimeMs: meanThinkMs,
+        followsAddresses: index % 2 === 0,
+      });
     });
     this.#repeat(ADDRESS_REFRESH_INTERVAL_MS, () => this.#refreshAddresses());
     this.fleet.gateways.forEach(gateway => {
@@ -210,12 +227,8 @@
     });
   }
 
-  #addCaller(meanThinkTimeMs: number, followsAddresses: boolean): SoakCaller {
-    const caller = new SoakCaller(
-      this.#callerContext(),
-      meanThinkTimeMs,
-      followsAddresses,
-    );
+  #addCaller(habits: CallerHabits): SoakCaller {
+    const caller = new SoakCaller(this.#callerContext(), habits);
     this.#callers.push(caller);
     this.#loops.push(caller.run());
     return caller;
@@ -370,8 +383,8 @@
       fleet: this.fleet,
       bounds: SOAK_BOUNDS,
       callers: this.#callerContext(),
-      changeConfiguration: () => {
-        this.#operator.configure();
+      changeConfiguration: variant => {
+        this.#operator.configure(variant);
       },
       addKey: () => {
         this.#operator.addKey();
@@ -387,15 +400,23 @@
           this.#drawCrashingPart(),
         ),
       burst: forMs => {
-        const callers = Array.from({ length: BURST_CALLERS }, () =>
-          this.#addCaller(BURST_MEAN_THINK_TIME_MS, true),
-        );
-        setTimeout(() => {
-          callers.forEach(caller => {
-            caller.stop();
-          });
-        }, forMs);
+        this.#addCallers(BURST_CALLERS, forMs, BURST_HABITS);
+      },
+      crowd: (forMs, service) => {
+        const kinds = repeatableKindsOf(service);
+        this.#addCallers(CROWD_CALLERS, forMs, { ...CROWD_HABITS, kinds });
       },
     };
   }
+
+  #addCallers(count: number, forMs: number, habits: CallerHabits): void {
+    const callers = Array.from({ length: count }, () =>
+      this.#addCaller(habits),
+    );
+    setTimeout(() => {
+      callers.forEach(caller => {
+        caller.stop();
+      });
+    }, forMs);
+  }
 }
--- a/packages/soak/src/callers/SoakCaller.ts
+++ b/packages/soak/src/callers/SoakCaller.ts
@@ -116,6 +116,21 @@
   }
 }
 
+/** How a caller behaves. */
+export interface CallerHabits {
+  /** Mean pause between requests. */
+  readonly meanThinkTimeMs: number;
+  /**
+   * Whether to reconnect when the address is no longer listed; otherwise the connection is
+   * used until it closes.
+   */
+  readonly followsAddresses: boolean;
+  /** Kinds of requests; all if omitted. */
+  readonly kinds?: readonly SoakKind[];
+  /** Minimum number of events of streams; 1 if omitted. */
+  readonly minEvents?: number;
+}
+
 /** A caller that sends requests one at a time over a persistent connection. */
 export class SoakCaller {
   #client: ResetAwareClient | null = null;
@@ -127,21 +142,18 @@
 
   /**
    * @param context - shared by all callers
-   * @param meanThinkTimeMs - mean pause between requests
-   * @param followsAddresses - whether to reconnect when the address is no longer
-   *   listed; otherwise the connection is used until it closes
+   * @param habits - how this caller behaves
    */
   constructor(
     private readonly context: CallerContext,
-    private readonly meanThinkTimeMs: number,
-    private readonly followsAddresses: boolean,
+    private readonly habits: CallerHabits,
   ) {}
 
   /** Sends requests until {@link SoakCaller.stop} is called. */
   async run(): Promise<void> {
     while (!this.#stopped) {
       await this.#sendNext();
-      const pauseMs = this.meanThinkTimeMs * 2 * this.context.random();
+      const pauseMs = this.habits.meanThinkTimeMs * 2 * this.context.random();
       await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
     await this.#client?.destroy();
@@ -207,7 +219,7 @@
 
   #connect(): GatewayEndpoint | null {
     const isUnlisted =
-      this.followsAddresses &&
+      this.habits.followsAddresses &&
       this.#endpoint &&
       !this.context.isListed(this.#endpoint.address);
     if (isUnlisted === true) {
@@ -234,12 +246,15 @@
     const { random, nextId } = this.context;
     const pick = <T>(items: readonly T[]): T =>
       items[Math.floor(random() * items.length)] as T;
-    const kind = pick(KINDS);
+    const { kinds = KINDS, minEvents = 1 } = this.habits;
+    const kind = pick(kinds);
     const isStreaming = kind === 'stream' || kind === 'resumable';
     this.#requestCount += 1;
     const work: WorkOrder = {
       workMs: Math.round(MAX_WORK_MS * random()),
-      events: isStreaming ? 1 + Math.floor(MAX_EVENTS * random()) : 0,
+      events: isStreaming
+        ? minEvents + Math.floor((MAX_EVENTS + 1 - minEvents) * random())
+        : 0,
       gapMs: Math.round(MAX_GAP_MS * random()),
       ...(isStreaming
         ? { parts: [COMMON_PART, subjectOf(this.#requestCount)] }
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -124,6 +124,13 @@
       /** Time from which all responses announce that the replica is leaving. */
       readonly atMs: number;
     }
+  | {
+      readonly type: 'silent';
+      readonly replica: string;
+      /** Time from which the replica writes nothing. */
+      readonly atMs: number;
+      readonly forMs: number;
+    }
   | {
       readonly type: 'limit';
       readonly replica: string;
@@ -170,6 +177,8 @@
   readonly version: number;
   /** Time at which the store acknowledged the write. */
   readonly ackedMs: number;
+  /** Shortest time limit of its routes. */
+  readonly shortestTimeoutMs: number;
   /** Time at which a later configuration removed its probe route, or Infinity. */
   routeRemovedMs: number;
 }
--- a/packages/soak/src/faults/faultTargets.ts
+++ b/packages/soak/src/faults/faultTargets.ts
@@ -5,6 +5,7 @@
 /** Planned operations, which must not affect callers. */
 const PLANNED_KINDS: readonly FaultKind[] = [
   'configuration-change',
+  'configuration-series',
   'configuration-storm',
   'drains-at-restarts',
   'gateway-reload',
@@ -63,6 +64,7 @@
     kind === 'crashing-request' ||
     kind === 'crashing-part' ||
     kind === 'drains-at-restarts' ||
+    kind === 'replica-silence' ||
     kind === 'replicas-contradict' ||
     kind === 'replicas-drain-together'
   ) {
--- a/packages/soak/src/faults/injectFault.ts
+++ b/packages/soak/src/faults/injectFault.ts
@@ -3,6 +3,7 @@
 
 import type { CallerContext } from '../callers/SoakCaller.js';
 import { drawEarly, drawStalled, sendPieces } from '../callers/sendPieces.js';
+import type { ConfigurationVariant } from '../configurationVariants.js';
 import type { InjectedFault, SoakBounds } from '../evidence.js';
 import type { SoakFleet, SoakGateway, SoakReplicaSlot } from '../SoakFleet.js';
 import { SERVICES } from '../SoakFleet.js';
@@ -10,12 +11,14 @@
 import { soakNow } from '../soakNow.js';
 import type { SoakProcess } from '../processes/SoakProcess.js';
 import { applyReplicaFault } from './applyReplicaFault.js';
+import { changeInSeries } from './changeInSeries.js';
 import type { FaultLink, LinkMode } from './FaultLink.js';
 import type { LinkOrder } from './ReplicaLinks.js';
 import type { PeerFaultLink } from './PeerFaultLink.js';
 import { isPlanned, targetOf } from './faultTargets.js';
 import { cutMode, delayMode } from './linkModes.js';
 import type { FaultKind, PlannedFault } from './planFaults.js';
+import { silenceReplicas } from './silenceReplicas.js';
 
 /** Fleet and actions that the injectors of faults use. */
 export interface FaultContext {
@@ -23,15 +26,20 @@
   readonly bounds: SoakBounds;
   /** Functions and state of callers. */
   readonly callers: CallerContext;
-  /** Writes a new configuration. */
-  readonly changeConfiguration: () => void;
+  /** Writes a new configuration; the regular one if no variant is given. */
+  readonly changeConfiguration: (variant?: ConfigurationVariant) => void;
   /** Adds a key to an organisation. */
   readonly addKey: () => void;
   /** Repeats a request that crashes each replica that executes it. */
   readonly sendCrashingRequests: (forMs: number) => Promise<void>;
   /** Sends requests that crash replicas and are alike in one part of their prompts. */
   readonly sendCrashingParts: (forMs: number) => Promise<void>;
-  /** Adds callers for a while. */
+  /**
+   * Adds many callers for a while that keep their connections and send repeatable requests,
+   * usually to one service.
+   */
+  readonly crowd: (forMs: number, service: string) => void;
+  /** Adds callers with many requests for a while. */
   readonly burst: (forMs: number) => void;
 }
 
@@ -197,6 +205,8 @@
   'configuration-change': immediate(context => {
     context.changeConfiguration();
   }),
+  'configuration-series': (fault, { changeConfiguration }) =>
+    changeInSeries(fault, changeConfiguration),
   'configuration-storm': async (_, context) => {
     for (let change = 0; change < STORM_CHANGES; change += 1) {
       context.changeConfiguration();
@@ -372,6 +382,11 @@
     await sleep(fault.forMs);
     program.sendMessage({ order: 'shed', pauseMs: null });
   },
+  'replica-silence': (fault, { fleet, crowd }) => {
+    const service = SERVICES[fault.target % SERVICES.length] ?? '';
+    crowd(fault.forMs, service);
+    return silenceReplicas(fault, service, fleet.replicas);
+  },
   'replica-spoils-heads': replicaFault('spoilsHeads'),
   'replica-truncates': replicaFault('truncates'),
   'replicas-contradict': ({ forMs }, { fleet }) => {
--- a/packages/soak/src/faults/planFaults.ts
+++ b/packages/soak/src/faults/planFaults.ts
@@ -55,6 +55,8 @@
   'callers-send-early',
   'callers-stall',
   'replicas-contradict',
+  'replica-silence',
+  'configuration-series',
 ] as const;
 
 /** All kinds of faults and planned operations. */
--- a/packages/soak/src/processes/ReplicaControlMessage.ts
+++ b/packages/soak/src/processes/ReplicaControlMessage.ts
@@ -17,5 +17,7 @@
   | { readonly order: 'leaveInAnswers' }
   /** Refuses all requests with a requested pause; null to accept them again. */
   | { readonly order: 'shed'; readonly pauseMs: number | null }
+  /** Writes nothing for a while, and goes on afterwards. */
+  | { readonly order: 'silence'; readonly forMs: number }
   /** Sets the rate limit in requests per second; null for no limit. */
   | { readonly order: 'limit'; readonly perS: number | null };
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -22,6 +22,7 @@
   sendEndlessResponse,
 } from './invalidResponses.js';
 import type { ReplicaControlMessage } from './ReplicaControlMessage.js';
+import { Silence } from './Silence.js';
 
 /** Maximum number of requests that are executed at once. */
 const MAX_RUNNING = 12;
@@ -47,6 +48,7 @@
   readonly #queue: (() => void)[] = [];
   /** Rejections to be sent a second time, by connection. */
   readonly #rejections = new WeakMap<Socket, string>();
+  readonly #silence = new Silence();
   #fault: ReplicaFault = 'well';
   #running = 0;
   /** Whether the entry says that the replica is leaving, or will say so. */
@@ -95,6 +97,13 @@
       this.#pauseMs = order.pauseMs;
       return;
     }
+    if (order.order === 'silence') {
+      const { forMs } = order;
+      this.#silence.begin(forMs);
+      const { replica } = this.place;
+      this.#writeNote({ type: 'silent', replica, atMs: soakNow(), forMs });
+      return;
+    }
     if (order.order === 'limit') {
       const { perS } = order;
       this.#limitPerS = perS;
@@ -185,6 +194,7 @@
       endsMs: atMs + durationMs,
     });
     if (!ran) {
+      await this.#silence.ended();
       const headers = this.dialect.notRunHeaders(head, pauseMs);
       if (this.#fault === 'copiesRejections') {
         this.#rejections.set(req.socket, rawMessage(REJECTED_LINE, headers));
@@ -242,7 +252,7 @@
     const isFaulty =
       !['copiesRejections', 'well'].includes(this.#fault) &&
       this.#random() < FAULTY_SHARE;
-    await this.#delay(work.workMs, res);
+    await this.#pace(work.workMs, res);
     if (work.crashes === true && work.events === 0) {
       process.exit(1);
     }
@@ -288,7 +298,7 @@
         return;
       }
       res.write(text);
-      await this.#delay(work.gapMs, res);
+      await this.#pace(work.gapMs, res);
     }
     res.end();
   }
@@ -369,6 +379,12 @@
     }
   }
 
+  /** Waits for the given time and the end of a silence, before the next bytes. */
+  async #pace(ms: number, res: ServerResponse): Promise<void> {
+    await this.#delay(ms, res);
+    await this.#silence.ended();
+  }
+
   /** Waits for the given time, or until the connection closes. */
   async #delay(ms: number, res: ServerResponse): Promise<void> {
     if (ms <= 0 || res.destroyed) {
--- a/packages/soak/src/promises/allPromises.ts
+++ b/packages/soak/src/promises/allPromises.ts
@@ -17,6 +17,7 @@
 import { requestedPauses } from './requested-pauses.js';
 import { servesAgain } from './serves-again.js';
 import type { SoakInvariant } from './SoakInvariant.js';
+import { soundAnswers } from './sound-answers.js';
 import { trueRefusals } from './true-refusals.js';
 import { unchangedRequests } from './unchanged-requests.js';
 import { wholeOwnAnswers } from './whole-own-answers.js';
@@ -41,6 +42,7 @@
   replicaLimits,
   requestedPauses,
   servesAgain,
+  soundAnswers,
   soundParts,
   trueRefusals,
   unchangedRequests,
--- a/packages/soak/tests/promises/allPromises.test.ts
+++ b/packages/soak/tests/promises/allPromises.test.ts
@@ -5,6 +5,7 @@
 import { ALL_INVARIANTS } from '../../src/promises/allPromises.js';
 import { EvidenceIndex } from '../../src/promises/EvidenceIndex.js';
 import {
+  configurationWriteOf,
   evidenceOf,
   executionOf,
   faultOf,
@@ -508,9 +509,7 @@
     seen: {
       sent: [requestOf('q-4', 'probe', { version: 5 })],
       answers: [responseOf(requestOf('q-4', 'probe'), '', { status: 404 })],
-      configurationWrites: [
-        { version: 5, ackedMs: 7000, routeRemovedMs: Infinity },
-      ],
+      configurationWrites: [configurationWriteOf(5, { ackedMs: 7000 })],
     },
     broken: ['configuration-in-force'],
   },
@@ -527,9 +526,7 @@
         { ...responseOf(requestOf('q-5', 'safe'), 'r-1'), endedMs: 9900 },
         responseOf(requestOf('q-6', 'probe'), '', { status: 404 }),
       ],
-      configurationWrites: [
-        { version: 5, ackedMs: 9700, routeRemovedMs: Infinity },
-      ],
+      configurationWrites: [configurationWriteOf(5, { ackedMs: 9700 })],
     },
     broken: ['configuration-in-force', 'whole-own-answers'],
   },
--- a/packages/soak/tests/promises/evidenceFixture.ts
+++ b/packages/soak/tests/promises/evidenceFixture.ts
@@ -1,5 +1,6 @@
 import { plainBody, streamBody } from '../../src/answers.js';
 import type {
+  ConfigurationWrite,
   Evidence,
   InjectedFault,
   ObservedResponse,
@@ -121,6 +122,20 @@
   };
 }
 
+/** Returns a configuration that was written before requests are sent. */
+export function configurationWriteOf(
+  version: number,
+  changes: Partial<ConfigurationWrite> = {},
+): ConfigurationWrite {
+  return {
+    version,
+    ackedMs: 0,
+    shortestTimeoutMs: 5000,
+    routeRemovedMs: Infinity,
+    ...changes,
+  };
+}
+
 /** Returns evidence with the given observations, empty otherwise. */
 export function evidenceOf(
   observations: Partial<Omit<Evidence, 'answers'>> & {
