--- a/packages/cli/tests/soak.test.ts
+++ b/packages/cli/tests/soak.test.ts
@@ -14,6 +14,8 @@
 const INVALID_RESPONSES_SEED = 690_009;
 /** With this seed the run has early and stalled callers, and replicas that contradict themselves. */
 const EARLY_CALLERS_SEED = 720_106;
+/** With this seed the run has silent replicas and a series of changes. */
+const SILENT_REPLICAS_SEED = 810_007;
 
 /** Runs a soak with the given options, and returns its output. */
 async function runSoak(
@@ -74,6 +76,21 @@
     t.regex(stdout, / 3 faults: /);
   });
 
+  // Replicas write nothing for a second or so, while routes, limits and keys change in
+  // series. A request that runs at such a replica must not be ended for it.
+  itAlone(
+    'breaks no untimed promise when sound replicas fall silent',
+    async t => {
+      const stdout = await runSoak(SILENT_REPLICAS_SEED, [
+        ...['--seconds', '22', '--processes', '8'],
+        '--kinds',
+        'replica-silence,configuration-series',
+      ]);
+      t.regex(stdout, /: kept; \d+ requests/);
+      t.regex(stdout, / 2 faults: /);
+    },
+  );
+
   // Gateways that outlive an interrupted soak would keep their addresses and
   // memory and disturb the next soak.
   itAlone('leaves no child process behind when interrupted', async t => {
