--- a/packages/gateway/tests/helpers/VirtualFleet.ts
+++ b/packages/gateway/tests/helpers/VirtualFleet.ts
@@ -17,6 +17,7 @@
 import { placeWhenViewUsable } from '../../src/forward/placeWhenViewUsable.js';
 import type { GatewayContext } from '../../src/GatewayContext.js';
 import { createViewSync } from '../../src/state/createViewSync.js';
+import type { ForwardingParts } from './virtualDeployment.js';
 import {
   createConfiguration,
   createReplica,
@@ -65,6 +66,8 @@
   readonly versions?: readonly string[];
   /** Whether there is a route of streams that may be resumed; false if omitted. */
   readonly hasStreams?: boolean;
+  /** What instances need to forward requests; omitted if they only place them. */
+  readonly forwarding?: ForwardingParts;
 }
 
 /** Time that a replica takes to reject a request. */
@@ -135,7 +138,6 @@
 
 /** A fleet whose instances run their real loops, on one virtual clock. */
 export class VirtualFleet {
-  readonly time = new VirtualTime();
   readonly store: VirtualStore;
   /** Requests for which a replica was chosen. */
   readonly sent: DispatchedRequest[] = [];
@@ -161,7 +163,14 @@
   #requestCount = 0;
   #configurationVersion = 1;
 
-  constructor(private readonly conditions: FleetConditions) {
+  /**
+   * @param conditions - size, faults and load
+   * @param time - clock of all instances
+   */
+  constructor(
+    private readonly conditions: FleetConditions,
+    readonly time = new VirtualTime(),
+  ) {
     const { instances, replicas, loss, routes = 1, seed } = conditions;
     const { versions = ['v1'] } = conditions;
     this.#random = createRandom(seed);
@@ -295,6 +304,7 @@
       null,
       1 + Math.ceil(time.nowMs),
       domains,
+      this.conditions.forwarding,
     );
     const others = names.filter(other => other !== name);
     context.membership.onList(
--- a/packages/gateway/tests/helpers/virtualDeployment.ts
+++ b/packages/gateway/tests/helpers/virtualDeployment.ts
@@ -14,6 +14,7 @@
 } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
+import type { ContextDependencies } from '../../src/createContext.js';
 import { createContext } from '../../src/createContext.js';
 import type { GatewayContext } from '../../src/GatewayContext.js';
 import { createVirtualTimers } from './createVirtualTimers.js';
@@ -150,6 +151,9 @@
   readonly timeOfDay: () => number;
 }
 
+/** What an instance needs to forward requests. */
+export type ForwardingParts = Pick<ContextDependencies, 'connect' | 'dialect'>;
+
 /**
  * Creates the context of an instance in virtual time, without any state.
  *
@@ -160,6 +164,8 @@
  * @param duties - options for duties; null if the fleet has none
  * @param startedMs - start time of the process, which grows from run to run
  * @param domains - number of failure domains
+ * @param forwarding - what it needs to forward requests; if omitted, no headers can be read
+ *   or written
  */
 export function createVirtualContext(
   instance: string,
@@ -169,6 +175,7 @@
   duties: VirtualDutyOptions | null = null,
   startedMs = duties?.startedMs ?? 1,
   domains = 1,
+  forwarding: ForwardingParts = { dialect: null as never },
 ): GatewayContext {
   return createContext(
     {
@@ -190,9 +197,7 @@
       logLevel: 'info',
     },
     {
-      // Requests are only placed and never forwarded, so no headers are read or
-      // written.
-      dialect: null as never,
+      ...forwarding,
       log: SILENT_LOG,
       clock: () => time.nowMs,
       timers: createVirtualTimers(time, process),
