--- a/packages/gateway/src/forward/RequestRecorder.ts
+++ b/packages/gateway/src/forward/RequestRecorder.ts
@@ -3,6 +3,7 @@
   GatewayAttempt,
   GatewayRequest,
   Recovery,
+  WithdrawReason,
 } from '@jujubecroft/decisions';
 import {
   determineViewState,
@@ -14,8 +15,10 @@
 import type { GatewayContext } from '../GatewayContext.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
 import { faultOf } from '../responses/InvalidResponseError.js';
+import type { CallerResponse } from './CallerResponse.js';
 import type { LogFields } from './logFields.js';
 import {
+  configurationFields,
   continuityOf,
   evidenceFields,
   responseFields,
@@ -24,6 +27,7 @@
   versionFields,
 } from './logFields.js';
 import type { ResponseProgress } from './ResponseAssembler.js';
+import { WithdrawalRecorder } from './WithdrawalRecorder.js';
 
 /** Outcomes of a request without a complete response. */
 export type UnansweredOutcome = 'callerLeft' | 'requestCut' | 'requestRefused';
@@ -43,6 +47,12 @@
   readonly longestPauseMs: number;
 }
 
+/**
+ * What follows an attempt without a response for the caller: a recovery, or another attempt
+ * that began before it ended and goes on (`moved`), or that it was to relieve (`kept`).
+ */
+export type NextStep = Recovery['kind'] | 'kept' | 'moved';
+
 /** How a failed attempt was sent. */
 interface FailedSend {
   /** Attempts of the request of which some bytes may have left this instance. */
@@ -66,10 +76,14 @@
   /** Progress of the latest response at its end; null if there was none. */
   #response: ResponseProgress | null = null;
 
+  readonly #withdrawals: WithdrawalRecorder;
+
   constructor(
     private readonly context: GatewayContext,
     private readonly request: GatewayRequest,
+    private readonly answer: Pick<CallerResponse, 'bodyBytes' | 'hasStarted'>,
   ) {
+    this.#withdrawals = new WithdrawalRecorder(context, request, answer);
     this.#labels = {
       kind: request.route.kind,
       priority: String(request.priority),
@@ -161,6 +175,11 @@
     }
   }
 
+  /** Records that an attempt is withdrawn; null if the request waits for one. */
+  withdrawn(attempt: GatewayAttempt | null, reason: WithdrawReason): void {
+    this.#withdrawals.note(attempt, reason);
+  }
+
   /** Records the first byte of a response. */
   firstByte({ sentMs, predictedMs }: GatewayAttempt): void {
     const { context, request } = this;
@@ -230,17 +249,23 @@
     });
   }
 
+  /** Counts an attempt that begins while the one at a silent replica goes on. */
+  moving(): void {
+    const service = this.request.service.id;
+    this.context.metrics.retries.inc({ service, after: 'withdrawn' });
+  }
+
   /** Records an attempt without a response for the caller. */
   failed(
     attempt: GatewayAttempt,
     result: AttemptResult,
-    recovery: Recovery,
+    next: NextStep,
     { sent, reused }: FailedSend,
   ): void {
     const { context, request } = this;
     const { load, softwareVersion } = attempt;
     const service = request.service.id;
-    if (recovery.kind === 'retry') {
+    if (next === 'retry') {
       context.metrics.retries.inc({ service, after: result.kind });
     }
     context.log.write('attemptFailed', {
@@ -253,7 +278,7 @@
       ...('reason' in result ? { reason: result.reason } : {}),
       ...('status' in result ? { status: result.status } : {}),
       ...responseFields(this.#response),
-      next: recovery.kind,
+      next,
       sent,
       reused,
       ...(request.binding ? { hasEvents: request.binding.isBound } : {}),
@@ -316,6 +341,9 @@
       code,
       afterMs: Math.round(context.clock() - request.arrivedMs),
       attempts: sent + unsent,
+      bodyBytes: this.answer.bodyBytes,
+      ...this.#withdrawals.lastFields,
+      ...configurationFields(context.router.board),
       ...facts,
     });
   }
--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -9,8 +9,10 @@
 import { createApp } from '../createApp.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { CallerTurns } from './CallerTurns.js';
+import { closeIdleConnections } from './closeIdleConnections.js';
 import { createConnectionErrorLogger } from './createConnectionErrorLogger.js';
 import { handleRequest } from './handleRequest.js';
+import { keepAsAnnounced } from './keepAsAnnounced.js';
 import type { InFlightRequests } from './InFlightRequests.js';
 
 /**
@@ -36,6 +38,8 @@
   readonly server: Server;
   /** Applies the limits of a configuration. */
   readonly limit: (limits: CallerLimits) => void;
+  /** Accepts no more connections, and closes those without a request. */
+  readonly stopListening: () => void;
 }
 
 /**
@@ -70,12 +74,17 @@
     bodyOf: connectionErrorBody,
     onError: createConnectionErrorLogger(context),
   });
+  closeIdleConnections(server);
+  keepAsAnnounced(server);
+  const { log, responseWatch } = context;
   const turns = new CallerTurns();
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+    responseWatch.add(req, res);
     handleRequest(context, inFlight, turns, req, res).catch((err: unknown) => {
-      context.log.write('unexpectedError', {
+      log.write('unexpectedError', {
         error: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
+      responseWatch.note(res, 'error');
       res.destroy();
     });
   });
@@ -86,5 +95,8 @@
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
     },
+    stopListening: () => {
+      server.close();
+    },
   };
 }
