fix(decisions): keep attempts at a silent engine that nothing can follow

`Router.tick` cancelled every attempt without progress first and asked afterwards whether it could be resumed. All attempts at one engine fall silent at the same moment and compete for the retry credits of their class; those that got none were failed, as were all that may not run twice.

An attempt is now cancelled only after another server was chosen for it and its retry taken, in the same turn. Otherwise it stays until a later check, its next token, or 2.5 s of silence, after which it fails as before, since a dead engine writes nothing either.

--- a/packages/decisions/src/Router.ts
+++ b/packages/decisions/src/Router.ts
@@ -27,6 +27,7 @@
 import type {
   AttemptFailure,
   RecoveryPolicy,
+  RecoveryVerdict,
 } from './policies/recovery/RecoveryPolicy.js';
 import { endCode } from './util/endCode.js';
 import { explain } from './util/explain.js';
@@ -145,11 +146,18 @@
   /** Reports that an attempt failed; failures of earlier attempts are ignored. */
   onFailed(id: RequestId, attempt: number, failure: AttemptFailure): void {
     const record = this.#currentRecord(id, attempt);
-    if (!record) {
-      return;
+    if (record) {
+      this.#fail(record, failure);
     }
+  }
+
+  #fail(
+    record: RequestRecord,
+    failure: AttemptFailure,
+    decided?: RecoveryVerdict,
+  ): void {
     this.#freeSlot(record);
-    if (!this.#recovery.onFailed(record, failure)) {
+    if (!this.#recovery.onFailed(record, failure, decided)) {
       this.#end(record);
     }
     this.#dispatch.dispatchFromPool(poolKey(record.request.target));
@@ -192,15 +200,12 @@
 
   #failSilent(): void {
     this.#recovery.findSilent().forEach(record => {
-      const { attempt, request } = record;
-      if (!attempt) {
-        return;
+      const { attempt } = record;
+      const verdict = attempt && this.#recovery.decideSilent(record);
+      if (verdict) {
+        this.board.effects.cancel(record, attempt, 'silent');
+        this.#fail(record, { ran: 'maybe', reason: 'silent' }, verdict);
       }
-      this.board.effects.cancel(record, attempt, 'silent');
-      this.onFailed(request.id, attempt.number, {
-        ran: 'maybe',
-        reason: 'silent',
-      });
     });
   }
 
--- a/packages/decisions/src/controllers/RecoveryController.ts
+++ b/packages/decisions/src/controllers/RecoveryController.ts
@@ -4,6 +4,7 @@
 import type {
   AttemptFailure,
   RecoveryPolicy,
+  RecoveryVerdict,
 } from '../policies/recovery/RecoveryPolicy.js';
 import { endCode } from '../util/endCode.js';
 import { explain } from '../util/explain.js';
@@ -34,6 +35,13 @@
 const SERVICE_SILENCE_FACTOR = 8;
 /** Minimum of that time. */
 const MIN_SERVICE_SILENCE_MS = 5000;
+/**
+ * Longest silence of a server that may be sound, in milliseconds. Until then, an attempt is
+ * given up only if another server can take over.
+ */
+const MAX_SOUND_SILENCE_MS = 2500;
+/** What is known about an attempt at a silent server. */
+const SILENT: AttemptFailure = { ran: 'maybe', reason: 'silent' };
 /** Remaining tokens below which a request is not worth migrating. */
 const MIN_TOKENS_LEFT_TO_MIGRATE = 24;
 /** Number of attempts from which a request is not migrated any more. */
@@ -54,9 +62,14 @@
    *
    * @param record - the request; the slot of its attempt is already free
    * @param failure - what is known about the failure
+   * @param decided - what follows, if that was decided before; see `decideSilent`
    * @returns whether the request was queued again
    */
-  onFailed(record: RequestRecord, failure: AttemptFailure): boolean {
+  onFailed(
+    record: RequestRecord,
+    failure: AttemptFailure,
+    decided?: RecoveryVerdict,
+  ): boolean {
     const { board } = this;
     const { attempt } = record;
     if (!attempt) {
@@ -65,7 +78,7 @@
     this.backends.onFailure(attempt.backendServer);
     record.failedOn.add(attempt.backendServer);
     record.possiblyRunAttempts += failure.ran === 'no' ? 0 : 1;
-    const verdict = this.recovery(record, failure);
+    const verdict = decided ?? this.recovery(record, failure);
     if (verdict === 'fail') {
       this.#fail(record);
       return false;
@@ -87,6 +100,43 @@
     );
   }
 
+  /**
+   * Decides what follows an attempt at a silent server, before it is cancelled.
+   *
+   * All attempts at a silent server are found at about the same moment, and compete for
+   * retries and places. The server may be sound and go on.
+   *
+   * @param record - one of the requests that `findSilent` returned
+   * @returns the verdict, to be passed to `onFailed` in the same turn; null if the attempt
+   *   is to stay
+   */
+  decideSilent(record: RequestRecord): RecoveryVerdict | null {
+    const silentMs = this.board.clock() - record.lastProgressAtMs;
+    if (silentMs > MAX_SOUND_SILENCE_MS) {
+      return this.recovery(this.#afterSilence(record), SILENT);
+    }
+    if (
+      this.dispatch.chooseServer(this.#afterSilence(record)).view === undefined
+    ) {
+      return null;
+    }
+    const verdict = this.recovery(this.#afterSilence(record), SILENT);
+    return verdict === 'fail' ? null : verdict;
+  }
+
+  /** A request as it would be once its attempt at a silent server has failed. */
+  #afterSilence(record: RequestRecord): RequestRecord {
+    const { attempt, failedOn, possiblyRunAttempts } = record;
+    return {
+      ...record,
+      failedOn: new Set([
+        ...failedOn,
+        ...(attempt ? [attempt.backendServer] : []),
+      ]),
+      possiblyRunAttempts: possiblyRunAttempts + 1,
+    };
+  }
+
   /** @returns running requests on stragglers that another server can take over */
   findMigratable(): readonly RequestRecord[] {
     if (!this.options.migrateFromStragglers) {
