fix(gateway): don't count withdrawn attempts that were never sent

A request whose silent replica went on could not be retried when that replica failed later: its stream was cut although one of its two attempts was left.

The second attempt is withdrawn when the first goes on. If its connection was still being opened, nothing had been sent, but `withdrawn` counted as an attempt that a replica may have run. `endAttempt` now says that none was sent, as the exchange knows, and `ExecutionRecord` counts the attempt as unsent.

Three of the extended and new tests failed before: no `isUnsent`, 2 attempts instead of 1, and no proof for a request of which no byte was sent.

--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -27,7 +27,12 @@
       readonly isInvalid?: boolean;
     }
   /** This instance withdrew the request. */
-  | { readonly kind: 'withdrawn'; readonly reason: WithdrawReason };
+  | {
+      readonly kind: 'withdrawn';
+      readonly reason: WithdrawReason;
+      /** Whether no byte of the request left this instance; true only if none did. */
+      readonly isUnsent?: boolean;
+    };
 
 /** Why this instance withdrew an attempt. */
 export type WithdrawReason =
--- a/packages/gateway/src/execution/ExecutionRecord.ts
+++ b/packages/gateway/src/execution/ExecutionRecord.ts
@@ -34,7 +34,7 @@
     return this.#sent + this.#inProgress.size;
   }
 
-  /** Number of attempts that failed before anything was sent. */
+  /** Number of attempts that failed or were withdrawn before anything was sent. */
   get unsent(): number {
     return this.#unsent;
   }
@@ -58,7 +58,10 @@
     if (!this.#inProgress.delete(replica)) {
       throw new Error(`no attempt is in progress at ${replica}`);
     }
-    if (result.kind === 'unsent') {
+    const isUnsent =
+      result.kind === 'unsent' ||
+      (result.kind === 'withdrawn' && result.isUnsent === true);
+    if (isUnsent) {
       this.#unsent += 1;
       return;
     }
--- a/packages/gateway/src/forward/endAttempt.ts
+++ b/packages/gateway/src/forward/endAttempt.ts
@@ -69,7 +69,11 @@
       return withResult(
         reason === 'replicaRestarted' && !exchangeEnd.sent
           ? { kind: 'unsent', reason }
-          : { kind: 'withdrawn', reason },
+          : {
+              kind: 'withdrawn',
+              reason,
+              ...(exchangeEnd.sent ? {} : { isUnsent: true }),
+            },
       );
     }
   }
--- a/packages/gateway/tests/execution/ExecutionRecord.test.ts
+++ b/packages/gateway/tests/execution/ExecutionRecord.test.ts
@@ -6,6 +6,11 @@
 import { ExecutionRecord } from '../../src/execution/ExecutionRecord.js';
 
 const UNSENT: AttemptResult = { kind: 'unsent', reason: 'refused' };
+const WITHDRAWN_UNSENT: AttemptResult = {
+  kind: 'withdrawn',
+  reason: 'answeredElsewhere',
+  isUnsent: true,
+};
 const NOT_RUN: AttemptResult = { kind: 'notRun', reason: 'status 503' };
 const MAY_HAVE_RUN: readonly AttemptResult[] = [
   { kind: 'answered', status: 404, framing: 'selfDelimited' },
@@ -31,7 +36,7 @@
 describe('ExecutionRecord', ({ describe: group }) => {
   group('proves that a request did not run', ({ it }) => {
     it('before any attempt, and after attempts of which nothing was sent', t => {
-      [[], [UNSENT, UNSENT]].forEach(results => {
+      [[], [UNSENT, UNSENT], [WITHDRAWN_UNSENT]].forEach(results => {
         const proof = recordOf(results).proveNotRun();
         t.is(proof?.kind, 'unsent');
         t.deepEqual(proof?.statedBy, []);
@@ -40,6 +45,7 @@
 
     it('after statements of all replicas that it was sent to', t => {
       const record = recordOf([NOT_RUN, UNSENT, NOT_RUN]);
+      t.is(recordOf([NOT_RUN, WITHDRAWN_UNSENT]).sent, 1);
       const proof = record.proveNotRun();
       t.is(proof?.kind, 'stated');
       t.deepEqual(proof?.statedBy, [replica(0), replica(2)]);
--- a/packages/gateway/tests/forward/endAttempt.test.ts
+++ b/packages/gateway/tests/forward/endAttempt.test.ts
@@ -1,3 +1,4 @@
+import type { AttemptResult } from '@jujubecroft/decisions';
 import { describe } from '@jujubecroft/testing';
 
 import { endAttempt } from '../../src/forward/endAttempt.js';
@@ -16,4 +17,21 @@
       error,
     });
   });
+
+  // Guards against a request that may not be retried, since an attempt counts that was
+  // withdrawn before its connection was open.
+  it('tells whether a withdrawn attempt was sent', t => {
+    const complete = (): never => {
+      throw new Error('there is no response');
+    };
+    const resultOf = (sent: boolean): AttemptResult =>
+      endAttempt({ kind: 'aborted', sent }, { complete }, 'answeredElsewhere')
+        .result;
+    const withdrawn = { kind: 'withdrawn', reason: 'answeredElsewhere' };
+    t.deepEqual<unknown, unknown>(resultOf(true), withdrawn);
+    t.deepEqual<unknown, unknown>(resultOf(false), {
+      ...withdrawn,
+      isUnsent: true,
+    });
+  });
 });
