--- a/packages/decisions/src/gateway/RetryBudget.ts
+++ b/packages/decisions/src/gateway/RetryBudget.ts
@@ -89,27 +89,17 @@
     return USED_BUDGET_SHARE * allowed;
   }
 
-  /**
-   * Whether a retry is left.
-   *
-   * @param service - service that the retry would go to
-   * @param reserve - share of the budget that must be left afterwards, for retries that
-   *   are needed more; only whole retries are kept, so that a small budget can be used
-   */
-  has(service: ServiceId, reserve = 0): boolean {
-    const kept = Math.floor(reserve * this.#allowed(service));
-    return this.left(service) >= 1 + kept;
-  }
-
   /**
    * Takes one retry out of the budget.
    *
    * @param service - service that the retry goes to
-   * @param reserve - see `has`
+   * @param reserve - share of the budget that must be left afterwards, for retries that
+   *   are needed more; only whole retries are kept, so that a small budget can be used
    * @returns whether a retry was left
    */
   take(service: ServiceId, reserve = 0): boolean {
-    if (!this.has(service, reserve)) {
+    const kept = Math.floor(reserve * this.#allowed(service));
+    if (this.left(service) < 1 + kept) {
       return false;
     }
     this.#historyOf(service).retries.push(this.clock());
--- a/packages/decisions/src/gateway/recovery/silentAttempts.ts
+++ b/packages/decisions/src/gateway/recovery/silentAttempts.ts
@@ -156,14 +156,7 @@
   place: () => PlacementDecision,
 ): ReservedMove | null {
   const { route, service } = attempt.request;
-  const reserve =
-    silenceMs(board, attempt) > SOUND_SILENCE_MS ? 0 : SOUND_SILENCE_RESERVE;
-  // A placement looks at all replicas, and each attempt that stays is judged in each check.
-  const mayMove =
-    sentNumber <= route.maxAttempts &&
-    board.budget.has(service.id, reserve) &&
-    canMoveElsewhere(board, attempt);
-  if (!mayMove) {
+  if (sentNumber > route.maxAttempts || !canMoveElsewhere(board, attempt)) {
     return null;
   }
   const decision = place();
@@ -174,5 +167,7 @@
   ) {
     return null;
   }
+  const reserve =
+    silenceMs(board, attempt) > SOUND_SILENCE_MS ? 0 : SOUND_SILENCE_RESERVE;
   return board.budget.take(service.id, reserve) ? decision : null;
 }
