fix(streams): read what the store has answered before a confirmation counts as late

A caller that continued a stream without a record of it could get 503 with streamVersionUnknown although its service has had one version all along, if the instance stood still for 400 ms and the store had answered meanwhile.

Cause: the time limit of FreshView is a timer, and timers fire before pending reads in a turn of the event loop, so that a delay of the own process looked like silence of the store. Now the answers that have arrived are read first, as ViewLease and other time limits do.

--- a/packages/gateway/src/streams/FreshView.ts
+++ b/packages/gateway/src/streams/FreshView.ts
@@ -30,8 +30,16 @@
           return this.#start();
         }))
       : this.#start();
-    const timeout = this.timers.sleep(TIMEOUT_MS).then(() => false);
-    return Promise.race([confirmed, timeout]);
+    return Promise.race([confirmed, this.#timeOut()]);
+  }
+
+  /** @returns false once the time is used up and what has arrived by then is read */
+  async #timeOut(): Promise<false> {
+    await this.timers.sleep(TIMEOUT_MS);
+    // Timers fire before reads in a turn of the event loop, so that a delay of this process
+    // would otherwise look like silence of the store.
+    await this.timers.nextTurn();
+    return false;
   }
 
   /** Reads once more after a failure, which may be that of a kept connection. */
--- a/packages/gateway/tests/streams/FreshView.test.ts
+++ b/packages/gateway/tests/streams/FreshView.test.ts
@@ -1,6 +1,10 @@
+import { once } from 'node:events';
+import type { AddressInfo, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
 import { describe } from '@jujubecroft/testing';
 
 import { FreshView } from '../../src/streams/FreshView.js';
+import { RUNTIME_TIMERS } from '../../src/util/runtimeTimers.js';
 import { createVirtualTimers } from '../helpers/createVirtualTimers.js';
 import { VirtualProcess, VirtualTime } from '../helpers/VirtualTime.js';
 
@@ -29,6 +33,14 @@
   };
 }
 
+/** Occupies the event loop, as a process does that gets no processor time. */
+function stall(ms: number): void {
+  const untilMs = performance.now() + ms;
+  while (performance.now() < untilMs) {
+    // Nothing else may run meanwhile.
+  }
+}
+
 describe('FreshView', ({ it }) => {
   // Guards against a read whose answer left the store before the question came up.
   it('waits for a read that begins after the call', async t => {
@@ -66,4 +78,24 @@
     await time.run(1000);
     t.false(await confirmed);
   });
+
+  // Guards against a delay of the own process that counts as silence of the store.
+  it('uses an answer that arrived while its process stood still', async t => {
+    const server = createServer().listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const accepted = once(server, 'connection');
+    const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    const [store] = (await accepted) as [Socket];
+    const view = new FreshView(RUNTIME_TIMERS, () =>
+      once(client, 'data').then(() => true),
+    );
+    const confirmed = view.confirm();
+    store.write('answer');
+    stall(600);
+    const isConfirmed = await confirmed;
+    client.destroy();
+    store.destroy();
+    server.close();
+    t.true(isConfirmed);
+  });
 });
