fix(gateway): give up the second attempt if its replica has fallen silent as well

Callers got 502 or a cut stream when both replicas of a moved request were silent for a second: the first attempt was given up 250 ms after the second was sent, although the replica of the second wrote nothing to anybody either, and rejected the request afterwards.

--- a/packages/decisions/src/gateway/GatewayRouter.ts
+++ b/packages/decisions/src/gateway/GatewayRouter.ts
@@ -271,7 +271,7 @@
     result: AttemptResult,
     progress: Pick<
       RecoveryFacts,
-      'canContinue' | 'mayHaveRun' | 'sent' | 'unsent'
+      'canContinue' | 'mayHaveRun' | 'rejected' | 'sent' | 'unsent'
     >,
   ): Recovery {
     return decideRecovery(result, {
@@ -339,6 +339,11 @@
     return takeOrphanedAttempts(this.board);
   }
 
+  /** Whether the replica of an attempt writes nothing to any request of this instance. */
+  isSilent({ load }: GatewayAttempt): boolean {
+    return isUnresponsive(this.board, load);
+  }
+
   /** See {@link hasRunEnded}. */
   hasRunEnded(attempt: GatewayAttempt): boolean {
     return hasRunEnded(this.board, attempt);
--- a/packages/gateway/src/forward/AttemptRace.ts
+++ b/packages/gateway/src/forward/AttemptRace.ts
@@ -105,12 +105,23 @@
     if (run === this.#second) {
       this.#sharedTimer = setTimeout(() => {
         if (run === this.#second) {
-          this.#takeOver();
+          this.#endOverlap(run);
         }
       }, MAX_SHARED_MS);
     }
   }
 
+  /** Gives up one of two attempts without an answer. */
+  #endOverlap(second: AttemptRun): void {
+    const { router } = this.state.context;
+    if (router.isSilent(second.attempt)) {
+      // Its replica has fallen silent as well, so that it is no better than the first.
+      this.#endRace().supersede('answeredElsewhere');
+    } else {
+      this.#takeOver();
+    }
+  }
+
   #onAnswer(run: AttemptRun): void {
     if (run === this.#second) {
       this.#takeOver();
