fix(decisions): a rejection does not end a request that may have run

Callers got 502 or a cut stream when the replica that a request was moved to rejected it: the rejection used up the attempts of the route, and since the first attempt may have run, the request could not be refused.

A rejection ran nowhere. Where an earlier attempt may have run, it no longer counts towards the attempts of the route; it still costs a retry, and replicas that were tried stay excluded.

--- a/packages/decisions/src/gateway/recovery/decideRecovery.ts
+++ b/packages/decisions/src/gateway/recovery/decideRecovery.ts
@@ -12,6 +12,8 @@
   readonly route: Route;
   /** Number of attempts that reached a replica, this one included. */
   readonly sent: number;
+  /** Number of these that the replica stated not to have run. */
+  readonly rejected: number;
   /**
    * Number of attempts of which no byte left this instance, this one included.
    */
@@ -54,9 +56,22 @@
   return route.kind === 'safe' || hasResumableStreams(route);
 }
 
+/**
+ * Number of attempts that count towards those of the route. Once an attempt may have run,
+ * the caller can't be refused any more; a rejection, which ran nowhere, must not end its
+ * request then.
+ */
+function countedAttempts({
+  sent,
+  rejected,
+  mayHaveRun,
+}: RecoveryFacts): number {
+  return mayHaveRun ? sent - rejected : sent;
+}
+
 function canRetry(facts: RecoveryFacts): boolean {
   return (
-    facts.sent < facts.route.maxAttempts &&
+    countedAttempts(facts) < facts.route.maxAttempts &&
     facts.timeLeftMs > MIN_RETRY_MS &&
     !facts.isSuspect() &&
     facts.hasCandidates() &&
@@ -94,7 +109,7 @@
       return canRetry(facts) ? { kind: 'retry' } : refusal(facts);
     case 'failed':
       return isIdempotent(facts.route) &&
-        facts.sent < facts.route.maxAttempts &&
+        countedAttempts(facts) < facts.route.maxAttempts &&
         facts.retryHelps() &&
         canRetry(facts)
         ? { kind: 'retry' }
--- a/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
+++ b/packages/decisions/tests/gateway/crashes/suspectRequests.test.ts
@@ -119,6 +119,7 @@
     const counts = {
       sent: 1,
       unsent: 0,
+      rejected: 0,
       mayHaveRun: true,
       canContinue: true,
     };
--- a/packages/decisions/tests/gateway/recovery/decideRecovery.test.ts
+++ b/packages/decisions/tests/gateway/recovery/decideRecovery.test.ts
@@ -13,6 +13,7 @@
 const facts = (overrides: Partial<RecoveryFacts>): RecoveryFacts => ({
   route: SAFE,
   sent: 1,
+  rejected: 0,
   unsent: 0,
   mayHaveRun: false,
   canContinue: true,
@@ -76,6 +77,12 @@
       ],
       ['unsafe, failed', FAILED, { route: UNSAFE }, 'passOn'],
       ['unsafe, not run', NOT_RUN, { route: UNSAFE }, 'retry'],
+      [
+        'safe, not run after an attempt that may have run',
+        NOT_RUN,
+        { sent: 2, rejected: 1, mayHaveRun: true },
+        'retry',
+      ],
       [
         'unsafe, not run, last attempt',
         NOT_RUN,
--- a/packages/gateway/src/execution/ExecutionRecord.ts
+++ b/packages/gateway/src/execution/ExecutionRecord.ts
@@ -34,6 +34,11 @@
     return this.#sent + this.#inProgress.size;
   }
 
+  /** Number of attempts that their replicas stated not to have run. */
+  get rejected(): number {
+    return this.#statedBy.length;
+  }
+
   /** Number of attempts that failed or were withdrawn before anything was sent. */
   get unsent(): number {
     return this.#unsent;
--- a/packages/gateway/src/forward/ForwardedRequest.ts
+++ b/packages/gateway/src/forward/ForwardedRequest.ts
@@ -223,6 +223,7 @@
     }
     const recovery = router.recover(request, result, {
       sent: execution.sent,
+      rejected: execution.rejected,
       unsent: execution.unsent,
       mayHaveRun: execution.mayHaveRun,
       canContinue: this.#canContinue,
