--- a/packages/decisions/src/gateway/recovery/AttemptResult.ts
+++ b/packages/decisions/src/gateway/recovery/AttemptResult.ts
@@ -36,7 +36,7 @@
 
 /** Why this instance withdrew an attempt. */
 export type WithdrawReason =
-  /** A silent replica went on before the next one answered. */
+  /** The other one of two attempts of the request goes on. */
   | 'answeredElsewhere'
   | 'callerLeft'
   | 'crashesBackends'
