test(platform): clients that send ahead, hold connections or read nothing

Real processes on loopback, on a machine of 250 MB and 600 descriptors with the heap that an instance is deployed with. Crowds and bounds are fixed here, before the product changes: 60 clients that write up to 4 MB of requests and read no answer, 800 held connections, 60 uploads that stop before their end, 150 clients that leave an answer of 2 MB unread. The tests check that the process runs, the peak of its memory, its descriptors, and that an ordinary request is answered.

They run after the other tests, one at a time.

--- /dev/null
+++ b/ava.alone.config.js
@@ -0,0 +1,6 @@
+import config from './ava.config.js';
+
+/** Tests that measure a process, and run one at a time. */
+export const files = ['platform/tests/abusiveClients/**/*.test.ts'];
+
+export default { ...config, files, concurrency: 1, serial: true };
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -2,12 +2,16 @@
 //
 // Tests listed in KNOWN-RED.txt are skipped and printed. Each of them then runs by
 // itself and has to fail, so that the list does not keep tests that pass again.
+//
+// Without a file, tests that measure a process run after the others, one at a time.
 import { spawnSync } from 'node:child_process';
 import { existsSync, readFileSync } from 'node:fs';
 import path from 'node:path';
 
 const root = path.resolve(import.meta.dirname, '..');
 const AVA = path.join(root, 'node_modules', 'ava', 'entrypoints', 'cli.mjs');
+/** Configurations of ava that are run one after the other. */
+const GROUPS = ['ava.shared.config.js', 'ava.alone.config.js'];
 /** Prefix of the command of entries that are tests; other entries are manual runs. */
 const TEST_COMMAND = 'npx ava ';
 
@@ -47,7 +51,12 @@
   }
   const red = knownRedTests(text);
   const exclusions = red.flatMap(({ title }) => ['--match', `!*${title}*`]);
-  const status = ava([...exclusions, ...args], 'inherit');
+  const groups = args.some(arg => arg.endsWith('.ts'))
+    ? [[]]
+    : GROUPS.map(file => ['--config', file]);
+  const status = Math.max(
+    ...groups.map(group => ava([...group, ...exclusions, ...args], 'inherit')),
+  );
   const passing = red.filter(
     ({ title, file }) => ava(['--match', `*${title}*`, file], 'ignore') === 0,
   );
