fix(http-server): bound what the callers of an instance hold

Callers saw an instance end: one of them had sent many short requests ahead and read no answer; or nothing was left for them, as other clients held all descriptors of the machine.

Cause: Node.js parses all that it reads at once, and makes a request, a response and listeners of each head; a read of 64 KB holds thousands. Nothing limited the requests of a connection, and pausing the connection inside a read stops nothing. Nothing limited connections either.

The input of a connection is now passed to the parser of Node.js up to the end of one head or body at a time, and waits while 32 of its requests are unanswered (one while the callers hold half of their memory). All connections share an account: past its limits an idle or stalled connection is closed, or the one that holds most. Responses are counted where the server creates them, so that requests which it answers by itself, such as those without a host, count as well. The limits follow from the memory and descriptors in the settings. The limit for idle connections is applied in the same place, and a request in progress keeps its connection.

--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -278,6 +278,12 @@
     summary:
       'Log lines above the rate limit of their event were counted instead of written.',
   },
+  clientLimitReached: {
+    number: 516,
+    level: 'warn',
+    summary:
+      'Connections were closed since the clients of a server hold too much; the client is that of the latest one.',
+  },
   dutiesTaken: {
     number: 601,
     level: 'info',
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -4,6 +4,7 @@
   StopPlan,
 } from '@jujubecroft/decisions';
 import type { EventLog } from '@jujubecroft/events';
+import type { ClientResources } from '@jujubecroft/http-server';
 
 import type { BackendConnections } from './backends/BackendConnections.js';
 import type { EndConfirmation } from './forward/EndConfirmation.js';
@@ -35,6 +36,8 @@
   readonly endConfirmation: EndConfirmation;
   /** Software versions at which streams began. */
   readonly streams: StreamOrigins;
+  /** What the clients of its servers may hold. */
+  readonly resources: ClientResources;
   /** Memory for the bodies of requests. */
   readonly requestBudget: BufferBudget;
   /** Memory for responses that are not complete. */
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -1,5 +1,6 @@
 import type { LogLevel } from '@jujubecroft/events';
 import type { DutySettings, RetryBudgetRules } from '@jujubecroft/decisions';
+import type { MachineLimits } from '@jujubecroft/http-server';
 import type { FailureDomainId, InstanceId } from '@jujubecroft/types';
 
 /** Address on which a server listens. */
@@ -52,5 +53,7 @@
   readonly graceMs: number;
   /** Longest time for which callers may cache addresses, in milliseconds. */
   readonly maxAddressAgeMs: number;
+  /** Resources of the machine; `DEFAULT_MACHINE` if omitted. */
+  readonly machine?: MachineLimits;
   readonly logLevel: LogLevel;
 }
--- a/packages/gateway/src/applySettings.ts
+++ b/packages/gateway/src/applySettings.ts
@@ -13,6 +13,7 @@
   'metrics',
   'duties',
   'dividesCapacity',
+  'machine',
   'logLevel',
 ] as const satisfies readonly (keyof GatewaySettings)[];
 
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -6,6 +6,7 @@
   GatewayRouter,
   Membership,
 } from '@jujubecroft/decisions';
+import { DEFAULT_MACHINE, divideResources } from '@jujubecroft/http-server';
 import { createRandom } from '@jujubecroft/types';
 
 import { BackendConnections } from './backends/BackendConnections.js';
@@ -27,8 +28,6 @@
 import { ViewLease } from './state/ViewLease.js';
 import { StreamOrigins } from './streams/StreamOrigins.js';
 
-/** Memory for the bodies of all requests of an instance, in bytes. */
-const MAX_REQUEST_BYTES = 64 * 1024 * 1024;
 /** Interval of the periodic tasks of an instance. */
 export const HOUSEKEEPING_INTERVAL_MS = 100;
 
@@ -123,6 +122,7 @@
     },
   });
   const metrics = new GatewayMetrics();
+  const resources = divideResources(settings.machine ?? DEFAULT_MACHINE);
   const parts: Omit<GatewayContext, 'streams'> = {
     settings,
     router,
@@ -136,8 +136,9 @@
       connector: replicaConnector,
       relay,
     }),
-    requestBudget: new BufferBudget(MAX_REQUEST_BYTES),
-    responseBudget: new BufferBudget(),
+    resources,
+    requestBudget: new BufferBudget(resources.bodyBytes),
+    responseBudget: new BufferBudget(resources.responseBytes),
     dialect,
     metrics,
     log,
--- a/packages/gateway/src/front/ResponseWatch.ts
+++ b/packages/gateway/src/front/ResponseWatch.ts
@@ -10,6 +10,8 @@
   | 'bodyBroken'
   /** The caller ended or reset the connection. */
   | 'callerLeft'
+  /** Its client reached a limit, so that this instance closed the connection. */
+  | 'clientLimit'
   /** This instance ended the response by a decision, which the code names. */
   | 'cut'
   /** An unexpected error of this instance. */
--- a/packages/gateway/src/front/createCallerServer.ts
+++ b/packages/gateway/src/front/createCallerServer.ts
@@ -2,14 +2,16 @@
 import type { FastifyInstance } from 'fastify';
 import {
   connectionErrorBody,
+  CountedResponse,
   handleConnectionErrors,
+  limitClients,
 } from '@jujubecroft/http-server';
 import type { CallerLimits } from '@jujubecroft/types';
 
 import { createApp } from '../createApp.js';
 import type { GatewayContext } from '../GatewayContext.js';
 import { CallerTurns } from './CallerTurns.js';
-import { closeIdleConnections } from './closeIdleConnections.js';
+import { createClientLimitLogger } from './createClientLimitLogger.js';
 import { createConnectionErrorLogger } from './createConnectionErrorLogger.js';
 import { handleRequest } from './handleRequest.js';
 import { keepAsAnnounced } from './keepAsAnnounced.js';
@@ -60,6 +62,7 @@
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     http: {
+      ServerResponse: CountedResponse,
       maxHeaderSize: PARSER_MAX_HEAD_BYTES,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
@@ -74,7 +77,11 @@
     bodyOf: connectionErrorBody,
     onError: createConnectionErrorLogger(context),
   });
-  closeIdleConnections(server);
+  limitClients(
+    server,
+    context.resources.callers,
+    createClientLimitLogger(context, 'callers'),
+  );
   keepAsAnnounced(server);
   const { log, responseWatch } = context;
   const turns = new CallerTurns();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -75,6 +75,7 @@
 } from './runFromSettings.js';
 export { runFromSettings } from './runFromSettings.js';
 export { ADDRESS_PATTERN, parseAddress } from './util/parseAddress.js';
+export { machineOf } from '@jujubecroft/http-server';
 export type {
   DocumentParseResult,
   ValidationIssue,
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -39,6 +39,12 @@
     labelNames: ['code', 'status'] as const,
     registers: this.#registers,
   });
+  readonly clientLimits = new Counter({
+    name: 'jujubecroft_gateway_client_limits_total',
+    help: 'Connections of clients that were closed since their server reached a limit, by server and limit.',
+    labelNames: ['server', 'limit'] as const,
+    registers: this.#registers,
+  });
   readonly unanswered = new Counter({
     name: 'jujubecroft_gateway_unanswered_total',
     help: 'Requests whose connection ended before their response was complete, by reason.',
--- /dev/null
+++ b/packages/http-server/src/clients/ConnectionInput.ts
@@ -0,0 +1,211 @@
+import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+
+import { HeadBoundary } from './HeadBoundary.js';
+
+type DataListener = (data: Buffer) => void;
+
+const CONTENT_LENGTH = 'content-length';
+
+/** Length of a body as its head states it, in bytes; 0 if it states none. */
+function statedLength({ rawHeaders }: IncomingMessage): number {
+  const index = rawHeaders.findIndex(
+    (text, position) =>
+      position % 2 === 0 &&
+      text.length === CONTENT_LENGTH.length &&
+      text.toLowerCase() === CONTENT_LENGTH,
+  );
+  return index === -1 ? 0 : Number(rawHeaders[index + 1]);
+}
+
+/** What a `ConnectionInput` asks. */
+export interface InputControl {
+  /** Whether a further request may be read. */
+  readonly mayBegin: () => boolean;
+  /** Called with the size of each piece of a body that was passed. */
+  readonly onBody: (bytes: number) => void;
+  /** Called when the number of bytes that it keeps has changed. */
+  readonly onChange: () => void;
+}
+
+/**
+ * Passes the input of a connection to the parser of its HTTP server, one request at a time.
+ *
+ * By itself, a server parses all it reads at once, and makes objects of every request in
+ * it. A read of 64 KB holds thousands of short ones, and pausing the connection inside it
+ * has no effect. Here, the rest of a read waits while no further request may begin.
+ */
+export class ConnectionInput {
+  readonly #boundary = new HeadBoundary();
+  /** What the server would pass to its parser. */
+  readonly #listeners: readonly DataListener[];
+  /** Input that was read and not passed, oldest first. */
+  readonly #waiting: Buffer[] = [];
+  #waitingBytes = 0;
+  /** Size of the part of a head that was passed. */
+  #headBytes = 0;
+  /** The request whose body is passed; null between requests. */
+  #open: IncomingMessage | null = null;
+  /** What is left of that body; 0 if it has no stated length. */
+  #bodyBytesLeft = 0;
+  #isPassing = false;
+  #isPaused = false;
+  #isScheduled = false;
+
+  /**
+   * @param socket - connection that a server has just received
+   * @param control - decides when requests may begin
+   */
+  constructor(
+    private readonly socket: Socket,
+    private readonly control: InputControl,
+  ) {
+    this.#listeners = socket.listeners('data') as DataListener[];
+    // With a listener, the parser no longer reads the connection by itself.
+    socket.on('data', this.#onData);
+    this.#listeners.forEach(listener => {
+      socket.removeListener('data', listener);
+    });
+    socket.on('resume', this.#pass);
+  }
+
+  /** Number of bytes that were read and not passed. */
+  get waitingBytes(): number {
+    return this.#waitingBytes;
+  }
+
+  /** Number of bytes of a head that is not complete. */
+  get headBytes(): number {
+    return this.#headBytes;
+  }
+
+  /** Has to be called when the parser has read the head of a request. */
+  onHead(req: IncomingMessage): void {
+    this.#open = req;
+    this.#headBytes = 0;
+  }
+
+  /** Passes what waits, once a further request may begin. */
+  resume(): void {
+    // In a turn of its own: otherwise, answers that are ready at once would let all
+    // that waits pass before anything else runs.
+    if (!this.#isScheduled && (this.#isPaused || this.#waitingBytes > 0)) {
+      this.#isScheduled = true;
+      setImmediate(() => {
+        this.#isScheduled = false;
+        this.#continue();
+      });
+    }
+  }
+
+  /** Passes no more input, and returns what waits. */
+  detach(): Buffer {
+    this.socket.removeListener('data', this.#onData);
+    this.socket.removeListener('resume', this.#pass);
+    const rest = Buffer.concat(this.#waiting);
+    this.drop();
+    return rest;
+  }
+
+  /** Drops what waits. */
+  drop(): void {
+    this.#waiting.length = 0;
+    this.#waitingBytes = 0;
+    this.#headBytes = 0;
+    this.control.onChange();
+  }
+
+  readonly #onData = (data: Buffer): void => {
+    this.#waiting.push(data);
+    this.#waitingBytes += data.length;
+    this.#pass();
+  };
+
+  #continue(): void {
+    if (!this.#isPaused) {
+      this.#pass();
+    } else if (this.control.mayBegin()) {
+      this.#isPaused = false;
+      this.socket.resume();
+    }
+  }
+
+  readonly #pass = (): void => {
+    if (this.#isPassing) {
+      return;
+    }
+    this.#isPassing = true;
+    try {
+      while (this.#mayPass()) {
+        this.#passPiece();
+      }
+    } finally {
+      this.#isPassing = false;
+    }
+    if (this.#waitingBytes > 0 && !this.socket.isPaused()) {
+      this.#isPaused = true;
+      this.socket.pause();
+    }
+    this.control.onChange();
+  };
+
+  #mayPass(): boolean {
+    const { socket } = this;
+    if (this.#open?.complete === true) {
+      this.#open = null;
+    }
+    return (
+      this.#waitingBytes > 0 &&
+      !socket.destroyed &&
+      // The server pauses the connection of a body that is not read.
+      !socket.isPaused() &&
+      (this.#open !== null || this.#headBytes > 0 || this.control.mayBegin())
+    );
+  }
+
+  #passPiece(): void {
+    const [first = Buffer.alloc(0)] = this.#waiting;
+    const length = this.#nextLength(first);
+    const piece = length === first.length ? first : first.subarray(0, length);
+    if (piece === first) {
+      this.#waiting.shift();
+    } else {
+      this.#waiting[0] = first.subarray(length);
+    }
+    this.#waitingBytes -= length;
+    const before = this.#open;
+    if (before === null) {
+      this.#headBytes += length;
+    }
+    this.#listeners.forEach(listener => {
+      listener.call(this.socket, piece);
+    });
+    this.#onPassed(before, piece);
+  }
+
+  /** Length of the next piece, which ends with the body, or where a request may begin. */
+  #nextLength(input: Buffer): number {
+    return this.#open !== null && this.#bodyBytesLeft > 0
+      ? Math.min(this.#bodyBytesLeft, input.length)
+      : this.#boundary.next(
+          input,
+          this.#open === null && this.#headBytes === 0,
+        );
+  }
+
+  #onPassed(before: IncomingMessage | null, piece: Buffer): void {
+    this.#boundary.onPassed(piece);
+    const open = this.#open;
+    if (open === null) {
+      if (this.#boundary.isReached) {
+        // The lines were empty; otherwise they would have ended a head.
+        this.#headBytes = 0;
+      }
+    } else if (open !== before) {
+      this.#bodyBytesLeft = open.complete ? 0 : statedLength(open);
+    } else {
+      this.#bodyBytesLeft = Math.max(this.#bodyBytesLeft - piece.length, 0);
+      this.control.onBody(piece.length);
+    }
+  }
+}
--- a/packages/http-server/src/dropInput.ts
+++ b/packages/http-server/src/dropInput.ts
@@ -1,5 +1,7 @@
 import type { Socket } from 'node:net';
 
+import { connectionOf } from './clients/limitClients.js';
+
 const drop = (): undefined => undefined;
 
 /**
@@ -18,5 +20,6 @@
   parsing.forEach(listener => {
     socket.removeListener('data', listener as (data: Buffer) => void);
   });
+  connectionOf(socket)?.dropInput();
   socket.resume();
 }
