fix(gateway): limit the clients of the servers beside that for callers

Clients of the addresses for readiness, instances, metrics and other instances could end an instance, or leave it without descriptors: 60 that sent requests for readiness ahead filled the heap, as did requests for the metrics.

Cause: these servers had the limits of Node.js only: none on connections or on requests sent ahead, 60 s for a head and 300 s for a request.

Each now has an account of its own, with its part of the sockets, 2 requests ahead, 2 MB (8 MB for other instances, bodies included), 5 s for a head and 10 s for a request. Tunnels keep their connection like requests in progress.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EventLog } from '@jujubecroft/events';
+import { limitClients } from '@jujubecroft/http-server';
 
 import { BarredRequestLogger } from './backends/BarredRequestLogger.js';
 import { PromptPartLogger } from './backends/PromptPartLogger.js';
@@ -10,6 +11,7 @@
 import type { CallerServer } from './front/createCallerServer.js';
 import { DutyLoop } from './duties/DutyLoop.js';
 import { createCallerServer } from './front/createCallerServer.js';
+import { createClientLimitLogger } from './front/createClientLimitLogger.js';
 import type { SocketFactory } from './backends/openSocket.js';
 import type { EarlyConnections } from './front/acceptEarlyConnections.js';
 import { InFlightRequests } from './front/InFlightRequests.js';
@@ -95,16 +97,25 @@
   context: GatewayContext,
   ports: GatewayPorts,
 ): Promise<readonly Server[]> {
-  const { readiness, directory, metrics } = context.settings;
+  const { settings, resources } = context;
   const app = await createSideApp(context, ports.sideRoutes);
-  const addresses = [readiness, directory, metrics].flatMap(
-    address => address ?? [],
-  );
+  const servers = [
+    [settings.readiness, resources.side],
+    [settings.directory, resources.directory],
+    [settings.metrics, resources.side],
+  ] as const;
   return Promise.all(
-    addresses.map(address =>
-      startHttpServer((req, res) => {
-        app.routing(req, res);
-      }, address),
+    servers.flatMap(([address, limits]) =>
+      address
+        ? startHttpServer(
+            (req, res) => {
+              app.routing(req, res);
+            },
+            address,
+            limits,
+            createClientLimitLogger(context, 'side'),
+          )
+        : [],
     ),
   );
 }
@@ -182,7 +193,13 @@
     context,
     {
       store: ports.store,
-      link: createPeerLink(settings.peers, tunnels.handle),
+      link: createPeerLink(settings.peers, tunnels.handle, server => {
+        limitClients(
+          server,
+          context.resources.peers,
+          createClientLimitLogger(context, 'peers'),
+        );
+      }),
     },
     callerServer.limit,
   );
--- a/packages/gateway/src/state/createPeerLink.ts
+++ b/packages/gateway/src/state/createPeerLink.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { FastifyInstance } from 'fastify';
 
@@ -17,11 +17,13 @@
  *
  * @param address - address at which this instance listens for both
  * @param onTunnel - called with requests of other instances for a connection to a replica
+ * @param limit - limits what the clients of the server may hold
  * @returns the link, not yet listening
  */
 export function createPeerLink(
   address: ListenAddress,
   onTunnel: TunnelListener,
+  limit: (server: Server) => void,
 ): PeerLink {
   let server: FastifyInstance | null = null;
   let socket: PeerSocket | null = null;
@@ -29,6 +31,7 @@
     listen: async ({ onDatagram, onPull, onSendError }) => {
       server = createPeerServer(onPull);
       server.server.on('connect', onTunnel);
+      limit(server.server);
       socket = new PeerSocket(onDatagram, onSendError);
       await server.listen({ host: address.host, port: address.port });
       await socket.listen(address);
--- a/packages/gateway/src/state/createPeerServer.ts
+++ b/packages/gateway/src/state/createPeerServer.ts
@@ -1,4 +1,5 @@
 import type { FastifyInstance } from 'fastify';
+import { CountedResponse } from '@jujubecroft/http-server';
 import { GatewayState } from '@jujubecroft/operator/peers';
 import type { proto } from '@jujubecroft/operator/peers';
 
@@ -9,6 +10,12 @@
 /** Content type of requests and replies, which are encoded protobuf messages. */
 export const PULL_TYPE = 'application/x-protobuf';
 
+/** Timeouts for heads, whole requests and idle connections. */
+const HEADERS_TIMEOUT_MS = 5000;
+const REQUEST_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_MS = 15_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 1000;
+
 /**
  * Creates the server for pull requests, which transfer state too large for a datagram.
  *
@@ -18,7 +25,16 @@
 export function createPeerServer(
   answer: (state: proto.GatewayState) => proto.GatewayState,
 ): FastifyInstance {
-  const app = createApp({ forceCloseConnections: true });
+  const app = createApp({
+    forceCloseConnections: true,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    http: {
+      ServerResponse: CountedResponse,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    },
+  });
   app.addContentTypeParser(
     PULL_TYPE,
     { parseAs: 'buffer' },
