--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -9,6 +9,7 @@
 import type { BackendConnections } from './backends/BackendConnections.js';
 import type { EndConfirmation } from './forward/EndConfirmation.js';
 import type { ResponseWatch } from './front/ResponseWatch.js';
+import type { StalledUploads } from './front/StalledUploads.js';
 import type { GatewaySettings } from './GatewaySettings.js';
 import type { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js';
 import type { GatewayMetrics } from './metrics/GatewayMetrics.js';
@@ -40,6 +41,8 @@
   readonly resources: ClientResources;
   /** Memory for the bodies of requests. */
   readonly requestBudget: BufferBudget;
+  /** Bodies of requests that are being read. */
+  readonly uploads: StalledUploads;
   /** Memory for responses that are not complete. */
   readonly responseBudget: BufferBudget;
   readonly dialect: CallerDialect;
--- a/packages/gateway/src/createContext.ts
+++ b/packages/gateway/src/createContext.ts
@@ -12,6 +12,7 @@
 import { BackendConnections } from './backends/BackendConnections.js';
 import type { SocketFactory } from './backends/openSocket.js';
 import { ResponseWatch } from './front/ResponseWatch.js';
+import { StalledUploads } from './front/StalledUploads.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { onPathLost } from './relay/onPathLost.js';
 import { RelayConnector } from './relay/RelayConnector.js';
@@ -138,6 +139,7 @@
     }),
     resources,
     requestBudget: new BufferBudget(resources.bodyBytes),
+    uploads: new StalledUploads(clock),
     responseBudget: new BufferBudget(resources.responseBytes),
     dialect,
     metrics,
--- a/packages/gateway/src/front/handleRequest.ts
+++ b/packages/gateway/src/front/handleRequest.ts
@@ -243,6 +243,7 @@
     limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     context.requestBudget,
     received.ended,
+    context.uploads,
   );
   return { context, received, head, reading, turn, req, arrivedMs };
 }
--- a/packages/gateway/src/front/readBody.ts
+++ b/packages/gateway/src/front/readBody.ts
@@ -3,6 +3,7 @@
 import type { BufferBudget } from '../responses/BufferBudget.js';
 import { GrowingBuffer } from '../responses/GrowingBuffer.js';
 import { headerValue } from '../util/headers.js';
+import { StalledUploads } from './StalledUploads.js';
 
 /** A request body in memory. */
 export interface RequestBody {
@@ -44,6 +45,7 @@
  * @param maxBytes - limit for the body, in bytes
  * @param budget - memory for the bodies of all requests
  * @param abandoned - settles when nothing waits for the body any longer; never if omitted
+ * @param uploads - the bodies that are being read, which share the budget
  * @returns the body; null within the result if the request has none
  */
 export async function readBody(
@@ -51,13 +53,14 @@
   maxBytes: number,
   budget: BufferBudget,
   abandoned?: Promise<unknown>,
+  uploads = new StalledUploads(() => performance.now()),
 ): Promise<BodyReadResult> {
   if (!hasBody(req)) {
     return { kind: 'whole', body: null };
   }
   const stated = statedLength(req);
   const isTooLarge = stated > maxBytes;
-  if (isTooLarge || !budget.has(stated)) {
+  if (isTooLarge || !uploads.makeRoom(() => budget.has(stated))) {
     // An unread body would pause the connection, and its end would go unnoticed
     // while earlier requests of it run.
     req.resume();
@@ -66,30 +69,42 @@
   return new Promise(resolve => {
     const body = new GrowingBuffer(budget, stated > 0 ? stated : maxBytes);
     let isSettled = false;
+    const upload = {
+      length: 0,
+      progressMs: uploads.clock(),
+      refuse: () => {
+        settle({ kind: 'noMemory' });
+      },
+    };
     const settle = (result: BodyReadResult): void => {
       if (!isSettled) {
         isSettled = true;
+        uploads.remove(upload);
         if (result.kind !== 'whole') {
-          body.take();
+          body.release();
         }
         resolve(result);
       }
     };
+    uploads.add(upload);
     req.on('data', (chunk: Buffer) => {
       if (isSettled) {
         // Discards the rest instead of destroying the request, which would also
         // close the connection before the error response is written.
         return;
       }
+      upload.progressMs = uploads.clock();
       if (body.length + chunk.length > maxBytes) {
         settle({ kind: 'tooLarge' });
-      } else if (!body.append(chunk)) {
+      } else if (uploads.makeRoom(() => body.append(chunk))) {
+        upload.length = body.length;
+      } else {
         settle({ kind: 'noMemory' });
       }
     });
     req.once('end', () => {
       const release = (): void => {
-        body.take();
+        body.release();
       };
       settle({ kind: 'whole', body: { bytes: body.bytes, release } });
     });
