fix(gateway): render the metrics once for requests at nearly the same time

Each request for the metrics rendered all of them anew, so that clients of that address could occupy the event loop. Requests within 250 ms now share a text. By reading only: no test of an instance showed callers waiting for it; shareResult has unit tests.

--- a/packages/gateway/src/side/serveMetrics.ts
+++ b/packages/gateway/src/side/serveMetrics.ts
@@ -1,10 +1,13 @@
 import type { FastifyInstance } from 'fastify';
 
 import type { GatewayContext } from '../GatewayContext.js';
+import { shareResult } from '../util/shareResult.js';
 
 const MS_PER_SECOND = 1000;
+/** Time for which the text of the metrics is sent again, in milliseconds. */
+const MAX_AGE_MS = 250;
 
-/** Sets the gauges to the current state; called for each scrape. */
+/** Sets the gauges to the current state; called before they are rendered. */
 function updateGauges({
   router,
   metrics,
@@ -58,10 +61,16 @@
   app: FastifyInstance,
   context: GatewayContext,
 ): void {
+  const { registry } = context.metrics;
+  const render = shareResult(
+    () => {
+      updateGauges(context);
+      return registry.metrics();
+    },
+    MAX_AGE_MS,
+    context.clock,
+  );
   app.get('/metrics', async (_req, reply) => {
-    updateGauges(context);
-    await reply
-      .type(context.metrics.registry.contentType)
-      .send(await context.metrics.registry.metrics());
+    await reply.type(registry.contentType).send(await render());
   });
 }
