fix(instance): limit the clients of serve

60 clients that sent requests without any header ahead ended a process of serve. Its server for callers has the limits of the gateway now, for an assumed machine of 350 MB, and counts bodies with its requests. The gRPC server is not limited.

--- a/ava.alone.config.js
+++ b/ava.alone.config.js
@@ -1,6 +1,9 @@
 import config from './ava.config.js';
 
 /** Tests that measure a process, and run one at a time. */
-export const files = ['platform/tests/abusiveClients/**/*.test.ts'];
+export const files = [
+  'packages/cli/tests/abusiveClients/**/*.test.ts',
+  'platform/tests/abusiveClients/**/*.test.ts',
+];
 
 export default { ...config, files, concurrency: 1, serial: true };
--- a/packages/instance/src/http/createHttpApp.ts
+++ b/packages/instance/src/http/createHttpApp.ts
@@ -7,7 +7,12 @@
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import {
   connectionErrorBody,
+  CountedResponse,
+  DEFAULT_MACHINE,
+  divideResources,
   handleConnectionErrors,
+  limitClients,
+  summariseLimits,
 } from '@jujubecroft/http-server';
 
 import { CONTEXT, type InstanceContext } from '../InstanceContext.js';
@@ -23,6 +28,10 @@
   'HEAD',
   'TRACE',
 ]);
+/** Timeouts for heads and whole requests, and the interval at which they are checked. */
+const HEADERS_TIMEOUT_MS = 5000;
+const REQUEST_TIMEOUT_MS = 60_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Maximum number of calls that one log line names. */
 const MAX_LOGGED_CALLS = 8;
 
@@ -54,6 +63,12 @@
   const adapter = new FastifyAdapter({
     bodyLimit: context.settings.maxBodyBytes,
     forceCloseConnections: 'idle',
+    http: {
+      ServerResponse: CountedResponse,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    },
+    requestTimeout: REQUEST_TIMEOUT_MS,
   });
   const fastify = adapter.getInstance();
   handleConnectionErrors(fastify.server, {
@@ -67,6 +82,17 @@
       context.log.write('connectionError', { code, status, calls });
     },
   });
+  const { callers, bodyBytes } = divideResources(DEFAULT_MACHINE);
+  limitClients(
+    fastify.server,
+    { ...callers, countsBodies: true, maxHeldBytes: bodyBytes },
+    summariseLimits(summary => {
+      context.log.write('clientLimitReached', {
+        server: 'callers',
+        ...summary,
+      });
+    }),
+  );
   fastify.removeAllContentTypeParsers();
   // Bodies are not parsed, since plain services receive them unchanged.
   fastify.addContentTypeParser(
