fix(http-server): pass chunked bodies to the parser in larger pieces

Pieces of a chunked body have 256 bytes now, unless none of them may end there. The last one may hold some further heads, which the account counts.

--- a/packages/http-server/src/clients/ConnectionInput.ts
+++ b/packages/http-server/src/clients/ConnectionInput.ts
@@ -5,6 +5,13 @@
 
 type DataListener = (data: Buffer) => void;
 
+/**
+ * Length of the shortest request that may be followed by another one. Shorter pieces are
+ * the empty lines that a parser skips, each of which would cost as much as a head.
+ */
+const MIN_HEAD_BYTES = 'GET / HTTP/1.1\r\n\r\n'.length;
+/** Least size of a piece of a chunked body, which may consist of empty lines. */
+const MIN_CHUNKED_BYTES = 256;
 const CONTENT_LENGTH = 'content-length';
 
 /** Length of a body as its head states it, in bytes; 0 if it states none. */
@@ -185,12 +192,15 @@
 
   /** Length of the next piece, which ends with the body, or where a request may begin. */
   #nextLength(input: Buffer): number {
-    return this.#open !== null && this.#bodyBytesLeft > 0
-      ? Math.min(this.#bodyBytesLeft, input.length)
-      : this.#boundary.next(
-          input,
-          this.#open === null && this.#headBytes === 0,
-        );
+    if (this.#open !== null) {
+      return this.#bodyBytesLeft > 0
+        ? Math.min(this.#bodyBytesLeft, input.length)
+        : this.#boundary.next(input, MIN_CHUNKED_BYTES);
+    }
+    return this.#boundary.next(
+      input,
+      this.#headBytes === 0 ? MIN_HEAD_BYTES : 1,
+    );
   }
 
   #onPassed(before: IncomingMessage | null, piece: Buffer): void {
--- a/packages/http-server/src/clients/HeadBoundary.ts
+++ b/packages/http-server/src/clients/HeadBoundary.ts
@@ -1,8 +1,6 @@
 const END_OF_HEAD = Buffer.from('\r\n\r\n');
 const CR = 13;
 const LF = 10;
-/** Length of the shortest request that may be followed by another one. */
-const MIN_HEAD_BYTES = 'GET / HTTP/1.1\r\n\r\n'.length;
 
 /**
  * Advances by one byte towards the end of a head.
@@ -24,7 +22,8 @@
  * Finds the places after which the next request of a connection may begin: after empty
  * lines, which end heads and chunked bodies.
  *
- * A piece of input that ends at the first such place ends one head or one chunked body at most.
+ * A piece of input that ends at the first such place ends one head or one chunked body at
+ * most, a longer one not many more.
  */
 export class HeadBoundary {
   /** How many bytes of `END_OF_HEAD` end the input that was passed. */
@@ -34,19 +33,18 @@
    * Returns the length of the next piece.
    *
    * @param input - bytes that follow those passed, not empty
-   * @param isBetweenRequests - whether a request begins here
-   * @returns number of bytes up to the next boundary, or all if there is none
+   * @param least - number of bytes that the piece should have
+   * @returns number of bytes up to the first boundary with as many, or to the last one; all
+   *   if there is none
    */
-  next(input: Buffer, isBetweenRequests: boolean): number {
-    // The parser skips empty lines before a head. If each were a piece, it would cost
-    // as much as a head.
-    const least = isBetweenRequests ? MIN_HEAD_BYTES : 1;
+  next(input: Buffer, least = 1): number {
     const overlapping = this.#overlappingEnd(input);
     if (overlapping >= least) {
       return overlapping;
     }
     const from = Math.max(least - END_OF_HEAD.length, 0);
-    const index = input.indexOf(END_OF_HEAD, from);
+    const first = input.indexOf(END_OF_HEAD, from);
+    const index = first === -1 ? input.lastIndexOf(END_OF_HEAD) : first;
     return index === -1 ? input.length : index + END_OF_HEAD.length;
   }
 
--- a/packages/http-server/tests/HeadBoundary.test.ts
+++ b/packages/http-server/tests/HeadBoundary.test.ts
@@ -10,7 +10,7 @@
     let rest = Buffer.from(read, 'latin1');
     const pieces: string[] = [];
     while (rest.length > 0) {
-      const piece = rest.subarray(0, boundary.next(rest, false));
+      const piece = rest.subarray(0, boundary.next(rest));
       boundary.onPassed(piece);
       pieces.push(piece.toString('latin1'));
       rest = rest.subarray(piece.length);
@@ -33,9 +33,14 @@
     ]);
   });
 
+  it('ends a piece with the last head of input that is shorter than it should be', t => {
+    const input = Buffer.from(HEAD + HEAD + HEAD.slice(0, 9));
+    t.is(new HeadBoundary().next(input, 256), 2 * HEAD.length);
+  });
+
   it('passes no more than needed of empty lines before a head', t => {
     const lines = Buffer.from('\r\n'.repeat(100) + HEAD);
-    t.is(new HeadBoundary().next(lines, true), 18);
+    t.is(new HeadBoundary().next(lines, 18), 18);
   });
 
   // Guards against a piece with two heads, of which the first one ends in two reads.
