fix(gateway): accept a limited number of connections while the program loads

Connections that arrive while an instance loads are held until its server is ready. Their number had no limit, so that clients could take all descriptors of the machine before it served anyone. 1,000 are held now; later ones are closed.

The test of 1,200 connections waited without end before, and passes.

--- a/packages/gateway/src/front/acceptEarlyConnections.ts
+++ b/packages/gateway/src/front/acceptEarlyConnections.ts
@@ -10,6 +10,9 @@
   readonly handOver: (server: HttpServer) => Promise<void>;
 }
 
+/** Connections that are accepted; later ones are closed until the server is ready. */
+const MAX_CONNECTIONS = 1000;
+
 /**
  * Listens before the code that serves requests is loaded.
  *
@@ -32,6 +35,8 @@
   const hold = (socket: Socket): void => {
     waiting.push(socket);
   };
+  // The settings are not validated yet, so that the limits of the machine are unknown.
+  listener.maxConnections = MAX_CONNECTIONS;
   listener.on('connection', hold);
   listener.once('error', onFailed);
   listener.listen(port, host);
--- a/packages/gateway/tests/front/acceptEarlyConnections.test.ts
+++ b/packages/gateway/tests/front/acceptEarlyConnections.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { createServer as createTcpServer } from 'node:net';
+import { connect, createServer as createTcpServer } from 'node:net';
 import { request } from 'undici';
 import { describe } from '@jujubecroft/testing';
 
@@ -45,6 +45,34 @@
     await t.throwsAsync(request(`http://${HOST}:${port}/closed`));
   });
 
+  // Guards against an instance that starts without descriptors left for anything else.
+  it('accepts a limited number of connections', async t => {
+    const port = await freePort();
+    const accepted = acceptEarlyConnections(HOST, port, () => undefined);
+    const sockets = Array.from({ length: 1200 }, () => connect(port, HOST));
+    sockets.forEach(socket => {
+      socket.on('error', () => undefined);
+    });
+    const closedCount = (): number =>
+      sockets.filter(({ closed }) => closed).length;
+    while (closedCount() < 200) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    const server = createServer((_req, res) => {
+      res.end('served');
+    });
+    await accepted.handOver(server);
+    t.is(closedCount(), 200);
+    const later = await request(`http://${HOST}:${port}/later`);
+    t.is(await later.body.text(), 'served');
+    sockets.forEach(socket => {
+      socket.destroy();
+    });
+    server.closeAllConnections();
+    server.close();
+    await once(server, 'close');
+  });
+
   it('reports an address that is in use', async t => {
     const listener = createTcpServer().listen(0, HOST);
     await once(listener, 'listening');
--- a/packages/http-server/src/clients/TrackedConnection.ts
+++ b/packages/http-server/src/clients/TrackedConnection.ts
@@ -136,8 +136,10 @@
 
   /** Adds to what the latest request holds. */
   #onBody(bytes: number): void {
-    const latest = this.responses.at(-1);
-    if (latest && this.account.limits.countsBodies) {
+    const latest = this.account.limits.countsBodies
+      ? this.responses.at(-1)
+      : undefined;
+    if (latest) {
       this.#hold(latest, bytes);
     }
   }
