refactor: share the timeouts of the side servers and the crowd of clients

The server for other instances stated the timeouts of the side servers again, and the test of serve had a second copy of the flood of Crowd, which is in the testing package now. limitClients could hand over upgrades, which nothing asked for; GrowingBuffer passed its own field as a parameter; two exports had no user. No behaviour changes: 77 tests of these parts pass, with the same crowd and bounds in the others. The five tests of serve and the five of the server for other instances pass as well.

--- a/packages/cli/tests/abusiveClients/serve.test.ts
+++ b/packages/cli/tests/abusiveClients/serve.test.ts
@@ -2,12 +2,10 @@
 import { spawn } from 'node:child_process';
 import { readFileSync } from 'node:fs';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import type { Socket } from 'node:net';
-import { connect } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { describe } from '@jujubecroft/testing';
+import { Crowd, describe } from '@jujubecroft/testing';
 
 const PROGRAM = path.resolve(import.meta.dirname, '../../src/main.ts');
 const SECOND_OCTET = (process.pid % 250) + 2;
@@ -110,41 +108,21 @@
   }
 }
 
-/** Writes bytes again and again, as fast as they are taken, and reads nothing. */
-function flood(ip: string, bytes: string): Socket {
-  const socket = connect(PORTS.callers, ip);
-  socket.on('error', () => undefined);
-  socket.pause();
-  let sent = 0;
-  const write = (): void => {
-    while (sent < BYTES_PER_CLIENT && socket.writable) {
-      sent += bytes.length;
-      if (!socket.write(bytes, 'latin1')) {
-        socket.once('drain', write);
-        return;
-      }
-    }
-  };
-  write();
-  return socket;
-}
-
 describe('clients of serve that read no answer', ({ itAlone }) => {
   Object.entries(REQUESTS).forEach(([title, request]) => {
     // Guards against memory that grows with the requests that are read and not answered.
     itAlone(`leave it running if they send requests ${title}`, async t => {
       await withServe(async (server, ip) => {
         const bytes = request.repeat(Math.ceil(BATCH_BYTES / request.length));
-        const sockets = Array.from({ length: CLIENTS }, () => flood(ip, bytes));
+        const crowd = new Crowd({ host: ip, port: PORTS.callers });
+        crowd.flood(CLIENTS, bytes, BYTES_PER_CLIENT);
         await sleep(HOLD_MS);
         t.is(server.exitCode, null, 'the process runs');
         t.is(server.signalCode, null, 'the process runs');
         const status = readFileSync(`/proc/${server.pid ?? 0}/status`, 'utf8');
         const peakMb = Number(/VmHWM:\s*(\d+)/.exec(status)?.[1]) / KB_PER_MB;
         t.true(peakMb < MEMORY_MB, `${peakMb} MB at the peak`);
-        sockets.forEach(socket => {
-          socket.destroy();
-        });
+        crowd.leave();
         t.is(await statusOf(`http://${ip}:${PORTS.callers}/health`), 200);
       });
     });
--- a/packages/gateway/src/responses/GrowingBuffer.ts
+++ b/packages/gateway/src/responses/GrowingBuffer.ts
@@ -85,11 +85,11 @@
   /** Provides room for more bytes than the last piece has left. */
   #extend(missing: number): boolean {
     return this.#last.length < MAX_GROWN_BYTES
-      ? this.#grow(this.#lastLength, missing)
+      ? this.#grow(missing)
       : this.#addPiece(missing);
   }
 
-  #grow(length: number, missing: number): boolean {
+  #grow(missing: number): boolean {
     const capacity = this.#last.length;
     const doubled = Math.max(2 * capacity, MIN_CAPACITY);
     const next = Math.max(
@@ -100,7 +100,7 @@
       return false;
     }
     const bytes = Buffer.allocUnsafeSlow(next);
-    this.#last.copy(bytes, 0, 0, length);
+    this.#last.copy(bytes, 0, 0, this.#lastLength);
     this.#last = bytes;
     return true;
   }
--- a/packages/gateway/src/side/startHttpServer.ts
+++ b/packages/gateway/src/side/startHttpServer.ts
@@ -1,6 +1,5 @@
 import type { RequestListener, Server } from 'node:http';
 import { createServer } from 'node:http';
-
 import type {
   ClientLimitListener,
   ClientLimits,
@@ -8,14 +7,7 @@
 import { CountedResponse, limitClients } from '@jujubecroft/http-server';
 
 import type { ListenAddress } from '../GatewaySettings.js';
-
-/** Timeouts for clients, in milliseconds. */
-const TIMEOUTS = {
-  headersTimeout: 5000,
-  requestTimeout: 10_000,
-  keepAliveTimeout: 15_000,
-  connectionsCheckingInterval: 1000,
-} as const;
+import { CLIENT_TIMEOUTS } from './clientTimeouts.js';
 
 /**
  * Serves a web application at an additional address.
@@ -34,7 +26,7 @@
   onLimit: ClientLimitListener,
 ): Promise<Server> {
   const server = createServer(
-    { ServerResponse: CountedResponse, ...TIMEOUTS },
+    { ServerResponse: CountedResponse, ...CLIENT_TIMEOUTS },
     listener,
   );
   limitClients(server, limits, onLimit);
--- a/packages/gateway/src/state/createPeerServer.ts
+++ b/packages/gateway/src/state/createPeerServer.ts
@@ -4,17 +4,15 @@
 import type { proto } from '@jujubecroft/operator/peers';
 
 import { createApp } from '../createApp.js';
+import { CLIENT_TIMEOUTS } from '../side/clientTimeouts.js';
 
 /** Path of pull requests, by which an instance gets everything that it lacks. */
 export const PULL_PATH = '/state';
 /** Content type of requests and replies, which are encoded protobuf messages. */
 export const PULL_TYPE = 'application/x-protobuf';
 
-/** Timeouts for heads, whole requests and idle connections. */
-const HEADERS_TIMEOUT_MS = 5000;
-const REQUEST_TIMEOUT_MS = 10_000;
-const KEEP_ALIVE_MS = 15_000;
-const TIMEOUT_CHECK_INTERVAL_MS = 1000;
+// The framework would replace these two by its own defaults.
+const { requestTimeout, keepAliveTimeout, ...HTTP_TIMEOUTS } = CLIENT_TIMEOUTS;
 
 /**
  * Creates the server for pull requests, which transfer state too large for a datagram.
@@ -27,13 +25,9 @@
 ): FastifyInstance {
   const app = createApp({
     forceCloseConnections: true,
-    requestTimeout: REQUEST_TIMEOUT_MS,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    http: {
-      ServerResponse: CountedResponse,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-    },
+    requestTimeout,
+    keepAliveTimeout,
+    http: { ServerResponse: CountedResponse, ...HTTP_TIMEOUTS },
   });
   app.addContentTypeParser(
     PULL_TYPE,
--- a/packages/http-server/src/clients/ClientAccount.ts
+++ b/packages/http-server/src/clients/ClientAccount.ts
@@ -92,7 +92,7 @@
     this.#countByAddress.set(address, this.#countOf(connection) + 1);
   }
 
-  /** Removes a connection; what it holds has to be returned before. */
+  /** Removes a connection, which returns what it holds by itself. */
   remove(connection: Connection): void {
     if (!this.#connections.delete(connection)) {
       return;
--- a/packages/http-server/src/clients/limitClients.ts
+++ b/packages/http-server/src/clients/limitClients.ts
@@ -43,13 +43,6 @@
   reason: ClientLimitReason,
 ) => void;
 
-/** Passes a connection on to a listener that takes it over, such as for a tunnel. */
-function handOver(server: Server, event: 'connect' | 'upgrade'): void {
-  server.prependListener(event, (_req: IncomingMessage, socket: Duplex) => {
-    connections.get(socket)?.detach();
-  });
-}
-
 /**
  * Limits what the clients of an HTTP server may hold together.
  *
@@ -78,7 +71,9 @@
   });
   // Without a listener, the server closes a connection that asks for a tunnel.
   if (server.listenerCount('connect') > 0) {
-    handOver(server, 'connect');
+    server.prependListener('connect', (_req, socket) => {
+      connections.get(socket)?.detach();
+    });
   }
   closeStalled(server, account, connectionOf);
   return account;
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -1,5 +1,3 @@
-export type { ClientLimitReason } from './clients/ClientAccount.js';
-export { ClientAccount } from './clients/ClientAccount.js';
 export type {
   ClientLimits,
   ClientResources,
--- a/platform/tests/stand-in/Crowd.ts
+++ b/packages/testing/src/Crowd.ts
@@ -16,11 +16,11 @@
 
   /**
    * @param target - what the clients connect to
-   * @param from - address that the clients connect from
+   * @param from - address that the clients connect from; chosen by the system if omitted
    */
   constructor(
     private readonly target: Target,
-    private readonly from: string,
+    private readonly from?: string,
   ) {}
 
   /** Opens connections that write some bytes once, and nothing more. */
@@ -75,7 +75,11 @@
 
   #connect(): Socket {
     const { host, port } = this.target;
-    const socket = connect({ host, port, localAddress: this.from });
+    const socket = connect({
+      host,
+      port,
+      ...(this.from === undefined ? {} : { localAddress: this.from }),
+    });
     // An instance may reset the connection.
     socket.on('error', () => undefined);
     socket.pause();
