test(gateway): open early connections one at a time

Cause: it opened 1,200 connections at once, more than the queue of the listening socket holds; the counter ListenOverflows rose by 688 to 864 in each run, and a connection whose acknowledgement was dropped there is never accepted, so that fewer than 200 were closed. The instance was not at fault.

--- a/packages/gateway/tests/front/acceptEarlyConnections.test.ts
+++ b/packages/gateway/tests/front/acceptEarlyConnections.test.ts
@@ -1,7 +1,8 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer as createTcpServer } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { request } from 'undici';
 import { describe } from '@jujubecroft/testing';
 
@@ -49,10 +50,15 @@
   it('accepts a limited number of connections', async t => {
     const port = await freePort();
     const accepted = acceptEarlyConnections(HOST, port, () => undefined);
-    const sockets = Array.from({ length: 1200 }, () => connect(port, HOST));
-    sockets.forEach(socket => {
+    const sockets: Socket[] = [];
+    // One at a time: if the queue of the system were full, some would never be accepted.
+    while (sockets.length < 1200) {
+      const socket = connect(port, HOST);
       socket.on('error', () => undefined);
-    });
+      await once(socket, 'connect');
+      await nextTurn();
+      sockets.push(socket);
+    }
     const closedCount = (): number =>
       sockets.filter(({ closed }) => closed).length;
     while (closedCount() < 200) {
