fix(http-server): read requests sent ahead in short turns of the event loop

While 1,500 clients sent requests ahead without reading answers, a new caller waited for 9 to 13 seconds for its answer, and one with an open connection for 88 ms (median).

Cause: each connection whose requests had been answered went on in the next turn of the event loop, and every read passed up to 32 requests at once.

A read passes the request that no other one precedes, and InputQueue lets connections with more of them go on for a millisecond in each turn, in the order in which they came.

The pause of a connection is now forgotten when Node.js resumes it, so that a later answer doesn't resume a connection that Node.js itself has paused (by reading).

The new test of limitClients failed on the code before.

--- a/packages/http-server/src/clients/ConnectionInput.ts
+++ b/packages/http-server/src/clients/ConnectionInput.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 
 import { HeadBoundary } from './HeadBoundary.js';
+import type { InputQueue } from './InputQueue.js';
 
 type DataListener = (data: Buffer) => void;
 
@@ -27,8 +28,10 @@
 
 /** What a `ConnectionInput` asks. */
 export interface InputControl {
-  /** Whether a further request may be read. */
-  readonly mayBegin: () => boolean;
+  /** Number of requests without a complete response. */
+  readonly unanswered: () => number;
+  /** Number of them from which on no further request is read. */
+  readonly maxUnanswered: () => number;
   /** Called with the size of each piece of a body that was passed. */
   readonly onBody: (bytes: number) => void;
   /** Called when the number of bytes that it keeps has changed. */
@@ -41,6 +44,9 @@
  * By itself, a server parses all it reads at once, and makes objects of every request in
  * it. A read of 64 KB holds thousands of short ones, and pausing the connection inside it
  * has no effect. Here, the rest of a read waits while no further request may begin.
+ *
+ * Only a request that no other one precedes is passed at once; those sent ahead take turns
+ * with the ones of other connections.
  */
 export class ConnectionInput {
   readonly #boundary = new HeadBoundary();
@@ -56,15 +62,17 @@
   /** What is left of that body; 0 if it has no stated length. */
   #bodyBytesLeft = 0;
   #isPassing = false;
+  /** Whether the connection is paused since input waits. */
   #isPaused = false;
-  #isScheduled = false;
 
   /**
    * @param socket - connection that a server has just received
+   * @param queue - turns of the connections of the server
    * @param control - decides when requests may begin
    */
   constructor(
     private readonly socket: Socket,
+    private readonly queue: InputQueue,
     private readonly control: InputControl,
   ) {
     this.#listeners = socket.listeners('data') as DataListener[];
@@ -73,7 +81,7 @@
     this.#listeners.forEach(listener => {
       socket.removeListener('data', listener);
     });
-    socket.on('resume', this.#pass);
+    socket.on('resume', this.#onResume);
   }
 
   /** Number of bytes that were read and not passed. */
@@ -92,23 +100,17 @@
     this.#headBytes = 0;
   }
 
-  /** Passes what waits, once a further request may begin. */
+  /** Passes what waits in a later turn, if a further request may begin. */
   resume(): void {
-    // In a turn of its own: otherwise, answers that are ready at once would let all
-    // that waits pass before anything else runs.
-    if (!this.#isScheduled && (this.#isPaused || this.#waitingBytes > 0)) {
-      this.#isScheduled = true;
-      setImmediate(() => {
-        this.#isScheduled = false;
-        this.#continue();
-      });
+    if (this.#isPaused && this.#mayBegin(this.control.maxUnanswered())) {
+      this.queue.add(this.#continue);
     }
   }
 
   /** Passes no more input, and returns what waits. */
   detach(): Buffer {
     this.socket.removeListener('data', this.#onData);
-    this.socket.removeListener('resume', this.#pass);
+    this.socket.removeListener('resume', this.#onResume);
     const rest = Buffer.concat(this.#waiting);
     this.drop();
     return rest;
@@ -119,31 +121,41 @@
     this.#waiting.length = 0;
     this.#waitingBytes = 0;
     this.#headBytes = 0;
+    this.#isPaused = false;
     this.control.onChange();
   }
 
   readonly #onData = (data: Buffer): void => {
     this.#waiting.push(data);
     this.#waitingBytes += data.length;
-    this.#pass();
+    this.#pass(1);
+  };
+
+  readonly #onResume = (): void => {
+    // The event is late: input that waits may have paused the connection again.
+    if (!this.socket.isPaused()) {
+      this.#isPaused = false;
+      this.#pass(1);
+    }
   };
 
-  #continue(): void {
-    if (!this.#isPaused) {
-      this.#pass();
-    } else if (this.control.mayBegin()) {
+  readonly #continue = (): void => {
+    const maxUnanswered = this.control.maxUnanswered();
+    if (this.#isPaused && this.#mayBegin(maxUnanswered)) {
       this.#isPaused = false;
       this.socket.resume();
+      this.#pass(maxUnanswered);
     }
-  }
+  };
 
-  readonly #pass = (): void => {
+  /** Passes input until a request would begin beside too many unanswered ones. */
+  #pass(maxUnanswered: number): void {
     if (this.#isPassing) {
       return;
     }
     this.#isPassing = true;
     try {
-      while (this.#mayPass()) {
+      while (this.#mayPass(maxUnanswered)) {
         this.#passPiece();
       }
     } finally {
@@ -152,11 +164,16 @@
     if (this.#waitingBytes > 0 && !this.socket.isPaused()) {
       this.#isPaused = true;
       this.socket.pause();
+      this.resume();
     }
     this.control.onChange();
-  };
+  }
+
+  #mayBegin(maxUnanswered: number): boolean {
+    return this.control.unanswered() < maxUnanswered;
+  }
 
-  #mayPass(): boolean {
+  #mayPass(maxUnanswered: number): boolean {
     const { socket } = this;
     if (this.#open?.complete === true) {
       this.#open = null;
@@ -166,7 +183,9 @@
       !socket.destroyed &&
       // The server pauses the connection of a body that is not read.
       !socket.isPaused() &&
-      (this.#open !== null || this.#headBytes > 0 || this.control.mayBegin())
+      (this.#open !== null ||
+        this.#headBytes > 0 ||
+        this.#mayBegin(maxUnanswered))
     );
   }
 
--- a/packages/http-server/src/clients/TrackedConnection.ts
+++ b/packages/http-server/src/clients/TrackedConnection.ts
@@ -3,6 +3,7 @@
 
 import type { ClientAccount, ClientConnection } from './ClientAccount.js';
 import { ConnectionInput } from './ConnectionInput.js';
+import type { InputQueue } from './InputQueue.js';
 
 /**
  * Memory of an unanswered request, in bytes: its objects, listeners and promises, and
@@ -36,17 +37,20 @@
   /**
    * @param socket - connection that a server has just received
    * @param account - what all clients of the server hold
+   * @param queue - turns of the connections of the server
    * @param clock - monotonic clock, in milliseconds
    */
   constructor(
     readonly socket: Socket,
     private readonly account: ClientAccount<TrackedConnection>,
+    queue: InputQueue,
     private readonly clock: () => number,
   ) {
     this.address = socket.remoteAddress ?? '';
     this.#progressMs = clock();
-    this.#input = new ConnectionInput(socket, {
-      mayBegin: () => this.#responses.size < account.requestsAhead,
+    this.#input = new ConnectionInput(socket, queue, {
+      unanswered: () => this.#responses.size,
+      maxUnanswered: () => account.requestsAhead,
       onBody: bytes => {
         this.#onBody(bytes);
       },
--- a/packages/http-server/src/clients/limitClients.ts
+++ b/packages/http-server/src/clients/limitClients.ts
@@ -7,6 +7,7 @@
 import { ClientAccount } from './ClientAccount.js';
 import type { ClientLimits } from './ClientLimits.js';
 import { closeStalled } from './closeStalled.js';
+import { InputQueue } from './InputQueue.js';
 import { TrackedConnection } from './TrackedConnection.js';
 
 const connections = new WeakMap<Duplex, TrackedConnection>();
@@ -64,8 +65,9 @@
   clock: () => number = () => performance.now(),
 ): ClientAccount<TrackedConnection> {
   const account = new ClientAccount<TrackedConnection>(limits, onLimit);
+  const queue = new InputQueue(clock);
   server.on('connection', (socket: Socket) => {
-    const connection = new TrackedConnection(socket, account, clock);
+    const connection = new TrackedConnection(socket, account, queue, clock);
     connections.set(socket, connection);
     account.add(connection);
   });
--- a/packages/http-server/tests/limitClients.test.ts
+++ b/packages/http-server/tests/limitClients.test.ts
@@ -33,6 +33,7 @@
   limits: Partial<ClientLimits>,
   listener: RequestListener,
   body: (fixture: Fixture) => Promise<void>,
+  clock?: () => number,
 ): Promise<void> {
   const server = createServer({ ServerResponse: CountedResponse }, listener);
   const closed: ClientLimitReason[] = [];
@@ -43,6 +44,7 @@
     (_, reason) => {
       closed.push(reason);
     },
+    clock,
   );
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
@@ -111,6 +113,51 @@
 
 describe('a server whose clients are limited', ({ describe: describeIn }) => {
   describeIn('if requests are sent ahead', ({ it }) => {
+    // Guards against other callers who wait until each of many clients has had its turn.
+    it('reads from few connections in a turn of the event loop', async t => {
+      const clients = 8;
+      const ahead = 16;
+      let nowMs = 0;
+      const clock = (): number => {
+        nowMs += 1;
+        return nowMs;
+      };
+      let turn = 0;
+      const countByTurn = new Map<number, number>();
+      let isOver = false;
+      const onTurn = (): void => {
+        turn += 1;
+        if (!isOver) {
+          setImmediate(onTurn);
+        }
+      };
+      await withServer(
+        { maxRequestsAhead: ahead },
+        () => {
+          countByTurn.set(turn, (countByTurn.get(turn) ?? 0) + 1);
+        },
+        async ({ server, open }) => {
+          let accepted = 0;
+          server.on('connection', () => {
+            accepted += 1;
+          });
+          const sockets = Array.from({ length: clients }, open);
+          await waitUntil(() => accepted === clients);
+          onTurn();
+          sockets.forEach(socket => {
+            socket.write(GET.repeat(2 * ahead));
+          });
+          const total = (): number =>
+            [...countByTurn.values()].reduce((sum, count) => sum + count, 0);
+          await waitUntil(() => total() === clients * ahead);
+          isOver = true;
+          // The first request of each connection does not wait.
+          t.true(Math.max(...countByTurn.values()) <= clients + ahead);
+        },
+        clock,
+      );
+    });
+
     // Guards against a read that holds thousands of requests, all of which become objects.
     it('reads no more than allowed before it answers', async t => {
       let count = 0;
