fix(http-server): pass chunked bodies in turns

60 uploads of 4 MB in chunks of one byte kept an instance from answering anybody: an ordinary request beside them got 503, since the instance did not get to renew its view of the store. With 1,100 connections and 240 KB on each, ordinary requests had no answer within 15 seconds, also after the clients had left (trial, as deployed).

Cause: input of a body was passed to the parser as soon as it was read. 64 KB in chunks of one byte are over 10,000 events, and the event loop reads from up to a thousand connections in one turn.

Chunked bodies are passed in pieces of 2 KB at most, and take turns with the other connections; a turn ends after a millisecond. Heads and bodies of stated length, whose cost is that of their bytes, are passed at once as before.

--- a/packages/http-server/src/clients/ConnectionInput.ts
+++ b/packages/http-server/src/clients/ConnectionInput.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 
 import { HeadBoundary } from './HeadBoundary.js';
-import type { InputQueue } from './InputQueue.js';
+import type { InputQueue, ResumeInput } from './InputQueue.js';
 
 type DataListener = (data: Buffer) => void;
 
@@ -13,6 +13,8 @@
 const MIN_HEAD_BYTES = 'GET / HTTP/1.1\r\n\r\n'.length;
 /** Least size of a piece of a chunked body, which may consist of empty lines. */
 const MIN_CHUNKED_BYTES = 256;
+/** Most of it: chunks of one byte take much more time than their bytes. */
+const MAX_CHUNKED_BYTES = 2048;
 const CONTENT_LENGTH = 'content-length';
 
 /** Length of a body as its head states it, in bytes; 0 if it states none. */
@@ -45,8 +47,9 @@
  * it. A read of 64 KB holds thousands of short ones, and pausing the connection inside it
  * has no effect. Here, the rest of a read waits while no further request may begin.
  *
- * Only a request that no other one precedes is passed at once; those sent ahead take turns
- * with the ones of other connections.
+ * What costs little is passed at once: a request that no other one precedes, and a body of
+ * stated length. Requests sent ahead and chunked bodies take turns with those of other
+ * connections.
  */
 export class ConnectionInput {
   readonly #boundary = new HeadBoundary();
@@ -128,35 +131,42 @@
   readonly #onData = (data: Buffer): void => {
     this.#waiting.push(data);
     this.#waitingBytes += data.length;
-    this.#pass(1);
+    this.#passFirst();
   };
 
   readonly #onResume = (): void => {
     // The event is late: input that waits may have paused the connection again.
     if (!this.socket.isPaused()) {
       this.#isPaused = false;
-      this.#pass(1);
+      this.#passFirst();
     }
   };
 
-  readonly #continue = (): void => {
+  readonly #continue: ResumeInput = isOver => {
     const maxUnanswered = this.control.maxUnanswered();
     if (this.#isPaused && this.#mayBegin(maxUnanswered)) {
       this.#isPaused = false;
       this.socket.resume();
-      this.#pass(maxUnanswered);
+      this.#passWhile(() => this.#mayPass(maxUnanswered), isOver);
     }
   };
 
-  /** Passes input until a request would begin beside too many unanswered ones. */
-  #pass(maxUnanswered: number): void {
+  /** Passes what need not take turns. */
+  #passFirst(): void {
+    this.#passWhile(() => this.#mayPass(1) && !this.#isChunked);
+  }
+
+  #passWhile(mayPass: () => boolean, isOver = (): boolean => false): void {
     if (this.#isPassing) {
       return;
     }
     this.#isPassing = true;
     try {
-      while (this.#mayPass(maxUnanswered)) {
+      while (mayPass()) {
         this.#passPiece();
+        if (isOver()) {
+          break;
+        }
       }
     } finally {
       this.#isPassing = false;
@@ -169,23 +179,28 @@
     this.control.onChange();
   }
 
+  /** Whether the next piece belongs to a body without a stated length. */
+  get #isChunked(): boolean {
+    return this.#open !== null && this.#bodyBytesLeft === 0;
+  }
+
+  /** Whether the next piece may be passed, which may begin a request. */
   #mayBegin(maxUnanswered: number): boolean {
-    return this.control.unanswered() < maxUnanswered;
+    return (
+      this.#open !== null ||
+      this.#headBytes > 0 ||
+      this.control.unanswered() < maxUnanswered
+    );
   }
 
   #mayPass(maxUnanswered: number): boolean {
     const { socket } = this;
-    if (this.#open?.complete === true) {
-      this.#open = null;
-    }
     return (
       this.#waitingBytes > 0 &&
       !socket.destroyed &&
       // The server pauses the connection of a body that is not read.
       !socket.isPaused() &&
-      (this.#open !== null ||
-        this.#headBytes > 0 ||
-        this.#mayBegin(maxUnanswered))
+      this.#mayBegin(maxUnanswered)
     );
   }
 
@@ -214,7 +229,10 @@
     if (this.#open !== null) {
       return this.#bodyBytesLeft > 0
         ? Math.min(this.#bodyBytesLeft, input.length)
-        : this.#boundary.next(input, MIN_CHUNKED_BYTES);
+        : this.#boundary.next(
+            input.subarray(0, MAX_CHUNKED_BYTES),
+            MIN_CHUNKED_BYTES,
+          );
     }
     return this.#boundary.next(
       input,
@@ -236,5 +254,8 @@
       this.#bodyBytesLeft = Math.max(this.#bodyBytesLeft - piece.length, 0);
       this.control.onBody(piece.length);
     }
+    if (open?.complete) {
+      this.#open = null;
+    }
   }
 }
--- a/packages/http-server/src/clients/InputQueue.ts
+++ b/packages/http-server/src/clients/InputQueue.ts
@@ -1,6 +1,13 @@
 /** Time for which input is passed in one turn of the event loop, in milliseconds. */
 const MAX_TURN_MS = 1;
 
+/**
+ * Passes input that waits.
+ *
+ * @param isOver - whether the rest has to wait for a later turn
+ */
+export type ResumeInput = (isOver: () => boolean) => void;
+
 /**
  * Lets connections whose input waits go on, a few in each turn of the event loop.
  *
@@ -8,7 +15,7 @@
  * each has passed what it may.
  */
 export class InputQueue {
-  readonly #waiting = new Set<() => void>();
+  readonly #waiting = new Set<ResumeInput>();
   #isScheduled = false;
 
   /** @param clock - monotonic clock, in milliseconds */
@@ -17,9 +24,9 @@
   /**
    * Calls a function in a later turn, after those that wait already.
    *
-   * @param resume - passes input; called once if it waits already
+   * @param resume - called once if it waits already
    */
-  add(resume: () => void): void {
+  add(resume: ResumeInput): void {
     this.#waiting.add(resume);
     this.#schedule();
   }
@@ -34,11 +41,12 @@
   readonly #run = (): void => {
     this.#isScheduled = false;
     const endMs = this.clock() + MAX_TURN_MS;
+    const isOver = (): boolean => this.clock() >= endMs;
     // Those that are added again meanwhile belong to a later turn.
     [...this.#waiting].some(resume => {
       this.#waiting.delete(resume);
-      resume();
-      return this.clock() >= endMs;
+      resume(isOver);
+      return isOver();
     });
     this.#schedule();
   };
