fix(gateway): send nothing to an address of a member that is none

One request or datagram of a few bytes at the port for other instances ended the process with exit code 1: its callers lost their connections.

Cause: the message named a member without an address. The next probe of it called send with port 0, which throws synchronously, in a timer.

An address that can't be used is reported as a failed send, like one that can't be reached.

--- a/packages/gateway/src/state/PeerSocket.ts
+++ b/packages/gateway/src/state/PeerSocket.ts
@@ -13,6 +13,9 @@
 
 const IPV4_FAMILY = 4;
 
+const toError = (err: unknown): Error =>
+  err instanceof Error ? err : new Error(String(err));
+
 /**
  * Sends and receives datagrams between instances.
  *
@@ -71,11 +74,16 @@
       return;
     }
     const [host = '', port = ''] = to.split(':');
-    this.#socket.send(bytes, Number(port), host, err => {
-      if (err) {
-        this.onSendError(to, err);
-      }
-    });
+    try {
+      this.#socket.send(bytes, Number(port), host, err => {
+        if (err) {
+          this.onSendError(to, err);
+        }
+      });
+    } catch (err) {
+      // Messages of others may state addresses that are none.
+      this.onSendError(to, toError(err));
+    }
   }
 
   /** Closes the socket; further calls of `send` and `close` have no effect. */
