fix(gateway): drop datagrams that cannot be applied

One datagram at the port for other instances, with a configuration that can't be decoded, ended the process with exit code 1.

Cause: only errors of decoding the message itself were caught, not those of its parts; an error in the listener for datagrams ends the process. A pull with the same message was answered 500.

Any error in a datagram is logged, as for one that is no message, and the rest of it is dropped.

--- a/packages/gateway/src/state/PeerLoop.ts
+++ b/packages/gateway/src/state/PeerLoop.ts
@@ -103,7 +103,11 @@
   async start(): Promise<void> {
     await this.link.listen({
       onDatagram: (bytes, from) => {
-        this.#onDatagram(bytes, from);
+        try {
+          this.#onDatagram(decodeState(bytes), from);
+        } catch (err) {
+          this.#logError(from, err);
+        }
       },
       onPull: request => {
         const reply = this.#state.buildPullReply(request);
@@ -274,15 +278,14 @@
     this.link.send(encodeState(state), address);
   }
 
-  #onDatagram(bytes: Uint8Array, address: string): void {
-    const state = this.#decode(bytes, address);
-    if (state?.streams) {
-      this.context.streams.receive(state.streams, address);
+  #onDatagram(state: proto.GatewayState, address: string): void {
+    const { question, answerTo, heartbeat, streams } = state;
+    if (streams) {
+      this.context.streams.receive(streams, address);
     }
-    if (!state?.heartbeat) {
+    if (!heartbeat) {
       return;
     }
-    const { question, answerTo, heartbeat } = state;
     const from = brand<InstanceId>(heartbeat.instance);
     const askedMs = this.#probes.onMessage(from, answerTo);
     if (question !== 0) {
@@ -298,15 +301,6 @@
     this.#state.receive(state, askedMs);
   }
 
-  #decode(bytes: Uint8Array, from: string): proto.GatewayState | null {
-    try {
-      return decodeState(bytes);
-    } catch (err) {
-      this.#logError(from, err);
-      return null;
-    }
-  }
-
   #catchUp(address: string, method: CatchUpMethod): void {
     if (method === 'probe') {
       if (!this.#probes.hasOutstanding(address)) {
