fix(gateway): limit the size of a configuration from another instance

A pull of 200 KB at the port for other instances ended the process.

Cause: the configuration in it is compressed and was expanded whatever its size; 200 MB of zeros are 200 KB compressed.

Expansion stops at 4 MB.

--- a/packages/gateway/src/state/configurationMessage.ts
+++ b/packages/gateway/src/state/configurationMessage.ts
@@ -16,6 +16,9 @@
   configurationWhole: new Uint8Array(0),
 };
 
+/** Most bytes of a configuration in JSON; a compressed one may have a thousand times its own. */
+const MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024;
+
 /** Encoded forms, cached since the same ones are sent to many instances. */
 const changesJsonCache = new WeakMap<ConfigurationChanges, string>();
 const compressedCache = new WeakMap<RoutingConfiguration, Uint8Array>();
@@ -71,13 +74,16 @@
  * @param known - the known configuration; null before the first
  * @returns the new configuration; null if the message has none, or has changes that
  *   don't apply to the known one
+ * @throws Error if it can't be decoded
  */
 export function fromConfigurationFields(
   { configurationChanges, configurationWhole }: ConfigurationFields,
   known: RoutingConfiguration | null,
 ): RoutingConfiguration | null {
   if (configurationWhole.length > 0) {
-    const json = gunzipSync(configurationWhole).toString('utf8');
+    const json = gunzipSync(configurationWhole, {
+      maxOutputLength: MAX_CONFIGURATION_BYTES,
+    }).toString('utf8');
     return JSON.parse(json) as RoutingConfiguration;
   }
   if (configurationChanges === '' || !known) {
