fix(http-server): count what Node.js reads of paused connections

1,100 clients that sent requests with 1,990 header fields ahead took an instance to 317 MB of the 350 MB of its machine, and ordinary callers were closest to losing it.

Cause: a connection that is paused is still read until 16 KB are buffered, by reads of up to 64 KB. No limit took this into account; for a thousand connections it is 80 MB.

A paused connection counts 80 KB. Only clients that send requests ahead, and uploads in chunks for a turn of the event loop, have paused connections.

The new test of limitClients failed on the code before.

--- a/packages/http-server/src/clients/TrackedConnection.ts
+++ b/packages/http-server/src/clients/TrackedConnection.ts
@@ -14,6 +14,12 @@
 /** Memory for a byte of a head that is not complete: it may consist of very short fields. */
 const MEMORY_PER_HEAD_BYTE = 10;
 
+/**
+ * Memory for what Node.js reads of a connection that is paused: a read below its limit, and
+ * a whole one after it.
+ */
+const PAUSED_BYTES = (16 + 64) * 1024;
+
 function requestBytes({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce(
     (sum, text) => sum + HEADER_TEXT_BYTES + text.length,
@@ -166,7 +172,10 @@
     const { waitingBytes, headBytes } = this.#input;
     const heldBytes = this.#isClosed
       ? 0
-      : this.#requestBytes + waitingBytes + MEMORY_PER_HEAD_BYTE * headBytes;
+      : this.#requestBytes +
+        waitingBytes +
+        MEMORY_PER_HEAD_BYTE * headBytes +
+        (this.socket.isPaused() ? PAUSED_BYTES : 0);
     const change = heldBytes - this.#heldBytes;
     this.#heldBytes = heldBytes;
     if (change !== 0) {
--- a/packages/http-server/tests/limitClients.test.ts
+++ b/packages/http-server/tests/limitClients.test.ts
@@ -18,6 +18,8 @@
   countsBodies: true,
 };
 const POLL_MS = 5;
+/** Least memory that an unanswered request counts as. */
+const MIN_REQUEST_BYTES = 8 * 1024;
 
 const GET = 'GET /x HTTP/1.1\r\nHost: a\r\n\r\n';
 
@@ -113,6 +115,29 @@
 
 describe('a server whose clients are limited', ({ describe: describeIn }) => {
   describeIn('if requests are sent ahead', ({ it }) => {
+    // Guards against input of many paused connections that no limit takes into account.
+    it('counts all that it has read and not parsed', async t => {
+      const ahead = LIMITS.maxRequestsAhead;
+      let count = 0;
+      await withServer(
+        {},
+        () => {
+          count += 1;
+        },
+        async ({ server, heldBytes, open }) => {
+          const sockets: Socket[] = [];
+          server.on('connection', socket => {
+            sockets.push(socket);
+          });
+          open().write(GET.repeat(20_000));
+          const buffered = (): number => sockets[0]?.readableLength ?? 0;
+          await waitUntil(() => count === ahead && buffered() > 0);
+          const unparsed = (sockets[0]?.bytesRead ?? 0) - ahead * GET.length;
+          t.true(heldBytes() >= ahead * MIN_REQUEST_BYTES + unparsed);
+        },
+      );
+    });
+
     // Guards against other callers who wait until each of many clients has had its turn.
     it('reads from few connections in a turn of the event loop', async t => {
       const clients = 8;
