refactor(gateway): call toError, and say what the sizes of input mean

PeerSocket had its own copy of util/toError. Five comments on limits of input said less than their names, or described them by another constant.

No behaviour changes: 44 tests of http-server, PeerSocket and configurationMessage and the six of peerMessages pass, with their assertions as they were.

--- a/packages/gateway/src/state/PeerSocket.ts
+++ b/packages/gateway/src/state/PeerSocket.ts
@@ -2,6 +2,7 @@
 import { createSocket } from 'node:dgram';
 
 import type { ListenAddress } from '../GatewaySettings.js';
+import { toError } from '../util/toError.js';
 
 /** Called with a received datagram and the address of its sender. */
 export type DatagramListener = (bytes: Uint8Array, from: string) => void;
@@ -13,9 +14,6 @@
 
 const IPV4_FAMILY = 4;
 
-const toError = (err: unknown): Error =>
-  err instanceof Error ? err : new Error(String(err));
-
 /**
  * Sends and receives datagrams between instances.
  *
@@ -81,7 +79,7 @@
         }
       });
     } catch (err) {
-      // Messages of others may state addresses that are none.
+      // The address comes from a message, and need not be one.
       this.onSendError(to, toError(err));
     }
   }
--- a/packages/gateway/src/state/configurationMessage.ts
+++ b/packages/gateway/src/state/configurationMessage.ts
@@ -16,7 +16,7 @@
   configurationWhole: new Uint8Array(0),
 };
 
-/** Most bytes of a configuration in JSON; a compressed one may have a thousand times its own. */
+/** Maximum size of a decompressed configuration, in bytes. */
 const MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024;
 
 /** Encoded forms, cached since the same ones are sent to many instances. */
--- a/packages/http-server/src/clients/ConnectionInput.ts
+++ b/packages/http-server/src/clients/ConnectionInput.ts
@@ -11,9 +11,9 @@
  * the empty lines that a parser skips, each of which would cost as much as a head.
  */
 const MIN_HEAD_BYTES = 'GET / HTTP/1.1\r\n\r\n'.length;
-/** Least size of a piece of a chunked body, which may consist of empty lines. */
+/** Minimum size of a piece of a chunked body, which may consist of empty lines. */
 const MIN_CHUNKED_BYTES = 256;
-/** Most of it: chunks of one byte take much more time than their bytes. */
+/** Maximum size of such a piece, since chunks of one byte take long to parse. */
 const MAX_CHUNKED_BYTES = 2048;
 const CONTENT_LENGTH = 'content-length';
 
@@ -32,7 +32,7 @@
 export interface InputControl {
   /** Number of requests without a complete response. */
   readonly unanswered: () => number;
-  /** Number of them from which on no further request is read. */
+  /** Number of them at which no further request is read. */
   readonly maxUnanswered: () => number;
   /** Called with the size of each piece of a body that was passed. */
   readonly onBody: (bytes: number) => void;
--- a/packages/http-server/src/clients/TrackedConnection.ts
+++ b/packages/http-server/src/clients/TrackedConnection.ts
@@ -15,8 +15,8 @@
 const MEMORY_PER_HEAD_BYTE = 10;
 
 /**
- * Memory for what Node.js reads of a connection that is paused: a read below its limit, and
- * a whole one after it.
+ * Memory for input of a paused connection, in bytes: Node.js reads, up to 64 KB at a time,
+ * until it has buffered 16 KB.
  */
 const PAUSED_BYTES = (16 + 64) * 1024;
 
