fix(gateway): refuse bodies whose chunks were not decoded

Callers got the framing of chunks as their body, under status 200 and with a length of this instance, if a tab followed the name of the coding in a replica's `Transfer-Encoding: chunked`.

Cause: the parser of Node.js does not know the coding then, and reads up to the end of the connection. Node.js removes the tab before it passes the header on, so that it can't be seen in the head.

A body that is stated to be chunked and decoded is complete before its connection ends, so one that only the end of the connection completes was not decoded. Its exchange now ends as invalid. A stream may have begun by then; it is cut off, where it looked complete before.

Found by comparing the check of the coding with the parser for each byte next to the name.

--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -9,6 +9,7 @@
 import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import { RejectedRequests } from '../responses/RejectedRequests.js';
 import { RejectionFieldsError } from '../responses/RejectionFieldsError.js';
+import { watchDecoding } from '../responses/watchDecoding.js';
 import { toError } from '../util/toError.js';
 import type { BackendPool } from './BackendConnections.js';
 import { isParseError, isReset } from './exchangeErrors.js';
@@ -218,6 +219,7 @@
   const onResponse = (res: IncomingMessage): void => {
     response = res;
     const { socket } = res;
+    const isUndecoded = watchDecoding(res);
     res.on(
       'data',
       guarded((chunk: Buffer) => {
@@ -237,6 +239,12 @@
           socket.destroy();
           throw new RejectionFieldsError();
         }
+        if (isUndecoded()) {
+          throw new InvalidResponseError(
+            'unknownCoding',
+            'body whose transfer coding was not decoded',
+          );
+        }
         settle(
           agent.wasReset(socket)
             ? failed(
--- /dev/null
+++ b/packages/gateway/src/responses/watchDecoding.ts
@@ -0,0 +1,28 @@
+import type { IncomingMessage } from 'node:http';
+
+import { headerValue } from '../util/headers.js';
+
+/**
+ * Watches whether the chunks of a body are decoded.
+ *
+ * Node.js reads chunks that it does not decode up to the end of the connection. It does not
+ * decode them if a tab follows the name of the coding, and removes that tab from the header.
+ *
+ * @param res - response whose body has not been read
+ * @returns a function that tells, at the end of the body, whether chunks were not decoded
+ */
+export function watchDecoding(res: IncomingMessage): () => boolean {
+  const { socket } = res;
+  let isUndecoded = false;
+  const onSocketEnd = (): void => {
+    isUndecoded = !res.complete;
+  };
+  if (headerValue(res.rawHeaders, 'transfer-encoding') !== undefined) {
+    // Called before the HTTP parser takes the end of the connection for that of the body.
+    socket.prependOnceListener('end', onSocketEnd);
+    res.once('close', () => {
+      socket.off('end', onSocketEnd);
+    });
+  }
+  return () => isUndecoded;
+}
