fix(gateway): refuse replies whose connection was reset

`sendHttpRequest`, which carries calls to the store, health checks and pulls from other instances, returned a part of a reply as a whole one if the reply had no length and its connection was reset. It was found by looking for the cause of parts of answers that looked complete; no caller of the service was seen to suffer from it.

Cause: once the head has arrived, Node.js reports the reset to the request, but ends the body regularly; where the reset is read together with the last bytes, there is no error at all. The request's errors after the head were ignored. Exchanges with replicas check for both already (`sendAttempt`).

The same two signs now fail the call.

--- a/packages/gateway/src/backends/sendHttpRequest.ts
+++ b/packages/gateway/src/backends/sendHttpRequest.ts
@@ -11,6 +11,7 @@
 import { limitFraming } from '../responses/FramingLimit.js';
 import { GrowingBuffer } from '../responses/GrowingBuffer.js';
 import { nextTurn } from '../util/nextTurn.js';
+import { watchForFailure } from './watchForFailure.js';
 
 /** Limit for the body of a response. */
 const MAX_REPLY_BYTES = 32 * 1024 * 1024;
@@ -103,6 +104,7 @@
     const body = new GrowingBuffer(new BufferBudget(MAX_REPLY_BYTES));
     const req = request(toRequestOptions(call, signal));
     let chunks = 0;
+    let hasFailed = (): boolean => false;
     limitFraming(
       req,
       () => ({ bytes: body.length, chunks }),
@@ -118,9 +120,10 @@
             abort.abort(new Error('reply is too large'));
           }
         });
+        hasFailed = watchForFailure(req, received);
         resolve(received);
       });
-      // After the response has begun, errors reach the reader of its body.
+      // After the response has begun, errors reach the reader of its body, or `hasFailed`.
       req.on('error', reject);
       req.once('close', () => {
         reject(new Error('connection closed without a response'));
@@ -130,6 +133,9 @@
     await finished(res);
     // A body without a length ends regularly when its connection is closed here.
     signal.throwIfAborted();
+    if (hasFailed()) {
+      throw new Error('connection failed before the reply was complete');
+    }
     return {
       status: res.statusCode ?? 0,
       headers: res.headers,
--- a/packages/gateway/src/responses/watchDecoding.ts
+++ b/packages/gateway/src/responses/watchDecoding.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { headerValue } from '../util/headers.js';
+import { onConnectionEnd } from './onConnectionEnd.js';
 
 /**
  * Watches whether the chunks of a body are decoded.
@@ -12,16 +13,10 @@
  * @returns a function that tells, at the end of the body, whether chunks were not decoded
  */
 export function watchDecoding(res: IncomingMessage): () => boolean {
-  const { socket } = res;
   let isUndecoded = false;
-  const onSocketEnd = (): void => {
-    isUndecoded = !res.complete;
-  };
   if (headerValue(res.rawHeaders, 'transfer-encoding') !== undefined) {
-    // Called before the HTTP parser takes the end of the connection for that of the body.
-    socket.prependOnceListener('end', onSocketEnd);
-    res.once('close', () => {
-      socket.off('end', onSocketEnd);
+    onConnectionEnd(res, () => {
+      isUndecoded = !res.complete;
     });
   }
   return () => isUndecoded;
--- a/packages/gateway/tests/backends/sendHttpRequest.test.ts
+++ b/packages/gateway/tests/backends/sendHttpRequest.test.ts
@@ -9,6 +9,8 @@
 const HOST = '127.0.0.1';
 const TIMEOUT_MS = 100;
 const LONG_TIMEOUT_MS = 10_000;
+/** Time for a part of a reply to be read. */
+const SETTLED_MS = 40;
 
 function blockEventLoop(): void {
   const untilMs = performance.now() + 2 * TIMEOUT_MS;
@@ -90,4 +92,17 @@
     }, LONG_TIMEOUT_MS);
     await t.throwsAsync(sent, { message: /connection closed/ });
   });
+
+  // Guards against half a reply that is taken for a whole one, since it has no length and its
+  // connection was reset.
+  [0, SETTLED_MS].forEach(delayMs => {
+    itAlone(`rejects a body that is reset after ${delayMs} ms`, async t => {
+      const sent = send(({ socket }) => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\n{}', () => {
+          setTimeout(() => socket.resetAndDestroy(), delayMs);
+        });
+      }, LONG_TIMEOUT_MS);
+      await t.throwsAsync(sent);
+    });
+  });
 });
