fix(backends): take no reset for the end of a reply

Callers of `serve` got a part of a service's reply as a complete one if the reply had no length and its connection was reset, also while an upload was still being written to a service that answered at once.

Cause: undici ends a body without a length regularly when its connection fails with ECONNRESET, and when a reset that is read together with the last bytes shows as an end.

--- a/packages/backends/src/ConnectionPools.ts
+++ b/packages/backends/src/ConnectionPools.ts
@@ -1,6 +1,8 @@
 import { Pool } from 'undici';
 import type { BackendServer, BackendServerId } from '@jujubecroft/types';
 
+import { connectResetAware } from './util/connectResetAware.js';
+
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 30_000;
 
@@ -23,7 +25,7 @@
     }
     this.discardPool(server.id);
     const pool = new Pool(origin, {
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      connect: connectResetAware(CONNECT_TIMEOUT_MS),
       keepAliveTimeout: KEEP_ALIVE_MS,
       // The decision logic detects silent connections by the lack of progress.
       headersTimeout: 0,
--- /dev/null
+++ b/packages/backends/tests/brokenReplies.test.ts
@@ -0,0 +1,107 @@
+import type { Socket } from 'node:net';
+import { createServer } from 'node:net';
+import type { AttemptFailure } from '@jujubecroft/decisions';
+import { listenOn } from '@jujubecroft/stand-ins/util';
+import { describe } from '@jujubecroft/testing';
+import type {
+  BackendServer,
+  BackendServerId,
+  FailureDomainId,
+} from '@jujubecroft/types';
+import { brand } from '@jujubecroft/types';
+
+import type { ServiceReply } from '../src/index.js';
+import { ConnectionPools, startServiceAttempt } from '../src/index.js';
+
+const HOST = '127.0.0.1';
+/** More than the buffers of a connection on loopback hold. */
+const UPLOAD_BYTES = 8 * 1024 * 1024;
+/** Time for a part of a reply to be read. */
+const PART_MS = 40;
+const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+const BROKEN: AttemptFailure = { ran: 'maybe', reason: 'broken' };
+
+/** Answers a request on its connection, of which only the beginning was read. */
+type Answer = (socket: Socket) => void;
+
+/** How an attempt at a plain service ended. */
+type Outcome = AttemptFailure | ServiceReply | null;
+
+/** Sends one call to a service that answers as soon as a request begins. */
+async function outcomeOf(
+  answer: Answer,
+  body: Buffer | null = null,
+): Promise<Outcome> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.pause();
+      answer(socket);
+    });
+  });
+  const port = await listenOn(server, HOST);
+  const service: BackendServer = {
+    kind: 'backendServer',
+    id: brand<BackendServerId>('b-1'),
+    url: `http://${HOST}:${port}`,
+    failureDomain: brand<FailureDomainId>('d-1'),
+    models: [],
+    services: [],
+    capacity: 1,
+    checksFencing: false,
+    leaving: false,
+  };
+  const pools = new ConnectionPools();
+  try {
+    return await new Promise(resolve => {
+      let reply: ServiceReply | null = null;
+      const call = { method: 'POST', path: '/', headers: {}, body };
+      startServiceAttempt(pools.poolFor(service), call, {
+        onProgress: received => {
+          reply = received;
+        },
+        onFinished: () => {
+          resolve(reply);
+        },
+        onFailed: resolve,
+      });
+    });
+  } finally {
+    await pools.destroy();
+    server.close();
+  }
+}
+
+const sends =
+  (text: string): Answer =>
+  socket => {
+    socket.end(text, 'latin1');
+  };
+
+const resetsAfter =
+  (delayMs: number): Answer =>
+  socket => {
+    socket.write(`${UNFRAMED_HEAD}half`, () => {
+      setTimeout(() => socket.resetAndDestroy(), delayMs);
+    });
+  };
+
+describe('a reply of a plain service', ({ describe: group }) => {
+  group('without a length', ({ it }) => {
+    // Guards against a part of a reply that is taken for the whole one, since undici takes a
+    // reset for the end of a body without a length.
+    [null, Buffer.alloc(UPLOAD_BYTES)].forEach(body => {
+      const request = body ? 'an upload that is not read' : 'a request';
+      [0, PART_MS].forEach(delayMs => {
+        it(`is broken if it is reset after ${delayMs} ms: ${request}`, async t => {
+          t.deepEqual(await outcomeOf(resetsAfter(delayMs), body), BROKEN);
+        });
+      });
+    });
+
+    it('is complete if its connection ends regularly', async t => {
+      const reply = await outcomeOf(sends(`${UNFRAMED_HEAD}whole`));
+      t.like(reply, { status: 200, framing: 'closeDelimited' });
+    });
+  });
+});
