fix(stores): take no reset for the end of a reply

A part of an object of the platform's object store was read as the whole object if the reply had no length and its connection was reset. Other replies are JSON documents, whose parts can't be parsed.

The calls to the platform use the same connector as those to services; the timeout for opening a connection is that of undici, as before.

--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -11,3 +11,4 @@
 export { startEngineAttempt } from './startEngineAttempt.js';
 export type { ServiceCall, ServiceReply } from './startServiceAttempt.js';
 export { startServiceAttempt } from './startServiceAttempt.js';
+export { connectResetAware } from './util/connectResetAware.js';
--- a/packages/stores/src/http/PlatformHttp.ts
+++ b/packages/stores/src/http/PlatformHttp.ts
@@ -8,6 +8,7 @@
   wrap,
 } from 'cockatiel';
 import { Agent, request } from 'undici';
+import { connectResetAware } from '@jujubecroft/backends';
 import { routerError } from '@jujubecroft/types';
 
 /** Address, timeouts and retries of calls to the platform. */
@@ -46,6 +47,7 @@
 
 const SERVER_ERROR = 500;
 const INITIAL_BACKOFF_MS = 50;
+const CONNECT_TIMEOUT_MS = 10_000;
 
 /**
  * Calls the platform over HTTP with a timeout, bounded retries with jitter and
@@ -63,7 +65,11 @@
   readonly #repeated: IPolicy;
 
   constructor(private readonly options: PlatformHttpOptions) {
-    this.#agent = new Agent({ connections: 8, pipelining: 1 });
+    this.#agent = new Agent({
+      connections: 8,
+      pipelining: 1,
+      connect: connectResetAware(CONNECT_TIMEOUT_MS),
+    });
     const breaker = circuitBreaker(handleAll, {
       halfOpenAfter: options.halfOpenAfterMs,
       breaker: new ConsecutiveBreaker(options.breakAfter),
