fix(backends): refuse replies with an unknown transfer coding

Callers of `serve` got the framing of chunks as a part of a service's reply, under status 200, where its head held a transfer coding that the HTTP parser does not decode: another name than `chunked`, a blank of ISO 8859-1 or a tab beside the name, or a second header.

Cause: the gateway's check of the coding had no counterpart in `serve`. The check now lies in `types`, and both use it. A reply that fails it counts as broken, and its request as one that may have run. Spaces after the name, which HTTP allows, are still accepted.

The five tests "is broken" of unknown codings failed before and pass now; "is complete if the coding is known" passed before and does now, as does "is broken, whatever the byte": undici refuses names of headers with blanks and control bytes by itself.

--- a/packages/backends/src/util/failureOf.ts
+++ b/packages/backends/src/util/failureOf.ts
@@ -1,10 +1,24 @@
 import type { AttemptFailure } from '@jujubecroft/decisions';
+import { isDecoded } from '@jujubecroft/types';
 import type { Dispatcher } from 'undici';
 
 /** Header by which a backend server states that it did not run the request. */
 const NOT_RUN_HEADER = 'x-not-run';
 const STATED = 'true';
 const MIN_ERROR_STATUS = 400;
+const TRAILING_SPACES = / +$/;
+const BROKEN: AttemptFailure = { ran: 'maybe', reason: 'broken' };
+
+/** Whether the body of a response was decoded. */
+function isValid({
+  headers,
+}: Pick<Dispatcher.ResponseData, 'headers'>): boolean {
+  // undici leaves spaces at the end of a value, which its parser ignores.
+  const codings = [headers['transfer-encoding'] ?? []]
+    .flat()
+    .map(text => text.replace(TRAILING_SPACES, ''));
+  return isDecoded(codings);
+}
 
 /**
  * Returns the failure that the complete response of a backend server stands for.
@@ -18,17 +32,16 @@
  *   if the response is the answer
  */
 export function failureOf(
-  {
-    statusCode,
-    headers,
-  }: Pick<Dispatcher.ResponseData, 'headers' | 'statusCode'>,
+  res: Pick<Dispatcher.ResponseData, 'headers' | 'statusCode'>,
   isFailure: (status: number) => boolean,
 ): AttemptFailure | null {
+  const { statusCode, headers } = res;
+  if (!isValid(res)) {
+    return BROKEN;
+  }
   const isStated = headers[NOT_RUN_HEADER] === STATED;
   if (isStated && statusCode >= MIN_ERROR_STATUS) {
     return { ran: 'no', reason: 'refused' };
   }
-  return isStated || isFailure(statusCode)
-    ? { ran: 'maybe', reason: 'broken' }
-    : null;
+  return isStated || isFailure(statusCode) ? BROKEN : null;
 }
--- a/packages/backends/tests/brokenReplies.test.ts
+++ b/packages/backends/tests/brokenReplies.test.ts
@@ -104,4 +104,44 @@
       t.like(reply, { status: 200, framing: 'closeDelimited' });
     });
   });
+
+  group('with an unknown transfer coding', ({ it }) => {
+    // Guards against the framing of chunks that is passed on as a part of the body.
+    [
+      ['another name', 'chunkes'],
+      ['a blank of ISO 8859-1 after the name', 'chunked\xa0'],
+      ['a blank of ISO 8859-1 before the name', '\xa0chunked'],
+      ['a tab after the name', 'chunked\t'],
+      ['two headers', 'chunked\r\nTransfer-Encoding: identity'],
+    ].forEach(([title = '', coding = '']) => {
+      it(`is broken: ${title}`, async t => {
+        const head = `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n`;
+        const body = '5\r\nwhole\r\n0\r\n\r\n';
+        t.deepEqual(await outcomeOf(sends(head + body)), BROKEN);
+      });
+    });
+
+    it('is complete if the coding is known', async t => {
+      const head = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked \r\n\r\n';
+      const reply = await outcomeOf(sends(`${head}2\r\nok\r\n0\r\n\r\n`));
+      t.like(reply, { status: 200, body: Buffer.from('ok') });
+    });
+  });
+
+  group('with a blank or a control byte in the name of a header', ({ it }) => {
+    // Guards against a line that is passed on although it is no header.
+    it('is broken, whatever the byte', async t => {
+      for (const byte of ['\0', '\t', '\r', ' ', '\x1f', '\x7f', '\xa0']) {
+        for (const name of [
+          `X${byte}Other`,
+          `${byte}X-Other`,
+          `X-Other${byte}`,
+        ]) {
+          const head = `HTTP/1.1 200 OK\r\nX-First: a\r\n${name}: b\r\n`;
+          const whole = `${head}Content-Length: 5\r\n\r\nwhole`;
+          t.deepEqual(await outcomeOf(sends(whole)), BROKEN);
+        }
+      }
+    });
+  });
 });
--- a/packages/gateway/src/responses/validateHead.ts
+++ b/packages/gateway/src/responses/validateHead.ts
@@ -1,13 +1,11 @@
 import type { RequestId } from '@jujubecroft/types';
+import { isDecoded, isFinalStatus } from '@jujubecroft/types';
 
 import type { RawHeaders, ResponseHead } from '../ports/CallerDialect.js';
 import { headerValues } from '../util/headers.js';
 import { InvalidResponseError } from './InvalidResponseError.js';
 
-const MIN_FINAL_STATUS = 200;
 const MIN_ERROR_STATUS = 400;
-const MAX_STATUS = 599;
-const CHUNKED = 'chunked';
 
 /** Head of a response as received, and what it means. */
 export interface ReceivedHead {
@@ -16,26 +14,9 @@
   readonly head: ResponseHead;
 }
 
-/**
- * Whether the HTTP parser decodes a body. The values are compared as they are, since `trim`
- * removes characters that are part of the name of a coding for the parser.
- *
- * @param codings - values of all headers `Transfer-Encoding`
- */
-function isDecoded(codings: readonly string[]): boolean {
-  const [coding, ...others] = codings.filter(value => value !== '');
-  return (
-    codings.length === 0 ||
-    (coding?.toLowerCase() === CHUNKED && others.length === 0)
-  );
-}
-
 /**
  * Validates a head before anything that it states is believed.
  *
- * The HTTP parser of Node.js accepts any three digits as a status, and reads a body with an
- * unknown transfer coding up to the end of the connection.
- *
  * @param received - the head
  * @param requestId - the request that the response is expected to belong to
  * @throws InvalidResponseError if it is not the head of a response to this request
@@ -44,7 +25,7 @@
   { status, headers, head }: ReceivedHead,
   requestId: RequestId,
 ): void {
-  if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
+  if (!isFinalStatus(status)) {
     throw new InvalidResponseError(
       'invalidStatus',
       `status ${status} is not one of a final response`,
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -23,6 +23,7 @@
 export { bodyFraming, isBodyless } from './util/bodyFraming.js';
 export { createRandom } from './util/createRandom.js';
 export { groupBy } from './util/groupBy.js';
+export { isDecoded, isFinalStatus } from './util/responseHead.js';
 export {
   eraOf,
   formatStoreVersion,
