fix(backends): refuse replies whose status is none of a final response

Callers of `serve` got a service's reply with a status of 600 or more as an answer, which no client can interpret. Status 000, which the report names, was refused: undici ends the exchange with an error of its own.

Cause: any status but 503 was the answer of a plain service. Only 200 to 599 are ones of a final response, as at the gateway, whose check both use now.

The tests for 600 and 999 failed before and pass now; those for 000, 020, 101 and 199 passed before and do now.

--- a/packages/backends/src/util/failureOf.ts
+++ b/packages/backends/src/util/failureOf.ts
@@ -1,5 +1,5 @@
 import type { AttemptFailure } from '@jujubecroft/decisions';
-import { isDecoded } from '@jujubecroft/types';
+import { isDecoded, isFinalStatus } from '@jujubecroft/types';
 import type { Dispatcher } from 'undici';
 
 /** Header by which a backend server states that it did not run the request. */
@@ -9,15 +9,16 @@
 const TRAILING_SPACES = / +$/;
 const BROKEN: AttemptFailure = { ran: 'maybe', reason: 'broken' };
 
-/** Whether the body of a response was decoded. */
+/** Whether the head can be that of a response, and its body was decoded. */
 function isValid({
+  statusCode,
   headers,
-}: Pick<Dispatcher.ResponseData, 'headers'>): boolean {
+}: Pick<Dispatcher.ResponseData, 'headers' | 'statusCode'>): boolean {
   // undici leaves spaces at the end of a value, which its parser ignores.
   const codings = [headers['transfer-encoding'] ?? []]
     .flat()
     .map(text => text.replace(TRAILING_SPACES, ''));
-  return isDecoded(codings);
+  return isFinalStatus(statusCode) && isDecoded(codings);
 }
 
 /**
--- a/packages/backends/tests/brokenReplies.test.ts
+++ b/packages/backends/tests/brokenReplies.test.ts
@@ -105,6 +105,16 @@
     });
   });
 
+  group('with a status that is not one of a final response', ({ it }) => {
+    // Guards against a status that no client can interpret, and that is passed on.
+    ['000', '020', '101', '199', '600', '999'].forEach(status => {
+      it(`is broken: ${status}`, async t => {
+        const head = `HTTP/1.1 ${status} Status\r\nContent-Length: 5\r\n\r\n`;
+        t.deepEqual(await outcomeOf(sends(`${head}whole`)), BROKEN);
+      });
+    });
+  });
+
   group('with an unknown transfer coding', ({ it }) => {
     // Guards against the framing of chunks that is passed on as a part of the body.
     [
