fix(backends): fail on a reset only once all data was read

By reading again: an end of a connection without a remote address destroyed the socket as soon as it was read, with an error code that undici does not know. A whole reply of which a part waited in the socket would have been lost, and for an idle connection undici would have failed the requests that wait for it.

The end is now replaced when it would be reported, which is after all data was read, and by undici's own error for an end, after which waiting requests get another connection.

The new test "is complete if it is reset after its last byte" passes before and after.

--- a/packages/backends/src/util/connectResetAware.ts
+++ b/packages/backends/src/util/connectResetAware.ts
@@ -1,18 +1,11 @@
 import type { Socket } from 'node:net';
-import { buildConnector } from 'undici';
+import { buildConnector, errors } from 'undici';
 
 const RESET_ERROR_CODE = 'RESET_BY_SERVER';
 const TLS = 'https:';
 
-function resetError(): Error {
-  return Object.assign(
-    new Error('connection reset together with the last bytes'),
-    { code: RESET_ERROR_CODE },
-  );
-}
-
 /**
- * Makes a connection that is reset fail, with a code that undici does not know.
+ * Makes a connection that is reset fail, with an error that undici takes for no end.
  *
  * For undici, the error `ECONNRESET` ends a body without a length, so that a part of it looks
  * complete. If a reset is read together with the last bytes, Node.js reports an end and no
@@ -24,13 +17,16 @@
       err.code = RESET_ERROR_CODE;
     }
   });
-  const push = socket.push.bind(socket);
-  socket.push = (chunk: unknown, encoding) => {
-    if (chunk === null && socket.remoteAddress === undefined) {
-      socket.destroy(resetError());
-      return false;
+  const emit = socket.emit.bind(socket);
+  // A listener could not keep the event from undici. It comes after all data was read, so that
+  // a reset does not affect a body whose length or last chunk was received.
+  socket.emit = (event: string | symbol, ...args: readonly unknown[]) => {
+    if (event === 'end' && socket.remoteAddress === undefined) {
+      // undici's own error for an end, after which requests that wait get another connection.
+      socket.destroy(new errors.SocketError('connection reset'));
+      return true;
     }
-    return push(chunk, encoding);
+    return emit(event, ...args);
   };
 }
 
--- a/packages/backends/tests/brokenReplies.test.ts
+++ b/packages/backends/tests/brokenReplies.test.ts
@@ -87,6 +87,17 @@
   };
 
 describe('a reply of a plain service', ({ describe: group }) => {
+  group('with a length', ({ it }) => {
+    // Guards against a whole reply that is lost since its connection was reset afterwards.
+    it('is complete if it is reset after its last byte', async t => {
+      const reply = await outcomeOf(socket => {
+        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+        socket.resetAndDestroy();
+      });
+      t.like(reply, { status: 200, body: Buffer.from('whole') });
+    });
+  });
+
   group('without a length', ({ it }) => {
     // Guards against a part of a reply that is taken for the whole one, since undici takes a
     // reset for the end of a body without a length.
