fix: read HTTP strictly in each environment

Callers got answers in whose head the name of a header held a blank or a control byte, with that line passed on ("x-other: 6", or as the end of the value before it) or with the rest of the head as the body.

Cause: no client or server stated how strictly it reads HTTP, so that the command line or the environment of the process decided. Whether the users' machines set the flag is not known.

Change: each client and server of node:http states the strict parser: attempts, small calls, tunnels, all servers of an instance, the server of `serve`, the stand-ins and the replicas of the soak.

--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -2,6 +2,7 @@
 import { request } from 'node:http';
 import type { Socket } from 'node:net';
 import type { RequestId } from '@jujubecroft/types';
+import { STRICT_PARSER } from '@jujubecroft/types';
 
 import type { RawHeaders } from '../ports/CallerDialect.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
@@ -267,6 +268,7 @@
   /** Requests a connection, on which the request is then sent. */
   function start(): void {
     const started = request({
+      ...STRICT_PARSER,
       agent,
       host,
       port,
--- a/packages/gateway/src/backends/sendHttpRequest.ts
+++ b/packages/gateway/src/backends/sendHttpRequest.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import { request } from 'node:http';
 import { finished } from 'node:stream/promises';
+import { STRICT_PARSER } from '@jujubecroft/types';
 
 import { BufferBudget } from '../responses/BufferBudget.js';
 import { limitFraming } from '../responses/FramingLimit.js';
@@ -46,6 +47,7 @@
   const { address, method, path, type, headers, body, agent } = call;
   const [host, port] = address.split(':');
   return {
+    ...STRICT_PARSER,
     host,
     port,
     method,
--- a/packages/gateway/src/createApp.ts
+++ b/packages/gateway/src/createApp.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 import type { FastifyHttpOptions, FastifyInstance } from 'fastify';
 import { fastify } from 'fastify';
+import { STRICT_PARSER } from '@jujubecroft/types';
 
 /** Replaces the schema compilers; fails if a route declares a schema. */
 const noCompiler = (): never => {
@@ -23,6 +24,7 @@
 ): FastifyInstance {
   return fastify({
     ...options,
+    http: { ...STRICT_PARSER, ...options.http },
     schemaController: {
       compilersFactory: {
         buildValidator: () => noCompiler,
--- a/packages/gateway/src/relay/openTunnel.ts
+++ b/packages/gateway/src/relay/openTunnel.ts
@@ -2,6 +2,7 @@
 import { request } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Replica } from '@jujubecroft/types';
+import { STRICT_PARSER } from '@jujubecroft/types';
 
 import { BACKEND_SERVER_HEADER, TUNNEL_HEADER } from './tunnelHeaders.js';
 
@@ -46,6 +47,7 @@
   const [host, port] = peerAddress.split(':');
   return new Promise((resolve, reject) => {
     const req = request({
+      ...STRICT_PARSER,
       host,
       port,
       method: 'CONNECT',
--- a/packages/gateway/src/side/startHttpServer.ts
+++ b/packages/gateway/src/side/startHttpServer.ts
@@ -5,6 +5,7 @@
   ClientLimits,
 } from '@jujubecroft/http-server';
 import { CountedResponse, limitClients } from '@jujubecroft/http-server';
+import { STRICT_PARSER } from '@jujubecroft/types';
 
 import type { ListenAddress } from '../GatewaySettings.js';
 import { CLIENT_TIMEOUTS } from './clientTimeouts.js';
@@ -26,7 +27,7 @@
   onLimit: ClientLimitListener,
 ): Promise<Server> {
   const server = createServer(
-    { ServerResponse: CountedResponse, ...CLIENT_TIMEOUTS },
+    { ...STRICT_PARSER, ServerResponse: CountedResponse, ...CLIENT_TIMEOUTS },
     listener,
   );
   limitClients(server, limits, onLimit);
--- /dev/null
+++ b/packages/gateway/tests/backends/lenientEnvironment.test.ts
@@ -0,0 +1,73 @@
+import { execFile } from 'node:child_process';
+import { createServer } from 'node:net';
+import path from 'node:path';
+import { promisify } from 'node:util';
+import { listenOn } from '@jujubecroft/stand-ins/util';
+import { describe } from '@jujubecroft/testing';
+
+const HOST = '127.0.0.1';
+const PROGRAM = path.resolve(
+  import.meta.dirname,
+  '../helpers/printLenientExchanges.ts',
+);
+const run = promisify(execFile);
+
+/** Heads that only a lenient HTTP parser accepts. */
+const MALFORMED_HEADS = {
+  'a blank before the first name':
+    'HTTP/1.1 200 OK\r\n X-Other: 6\r\nX-Last: 6\r\n\r\n',
+  'a blank before a later name':
+    'HTTP/1.1 200 OK\r\nX-First: 6\r\n X-Other: 6\r\n\r\n',
+  'a carriage return before a name':
+    'HTTP/1.1 200 OK\r\nX-First: 6\r\n\rX-Other: 6\r\n\r\n',
+};
+const SOUND_HEAD = 'HTTP/1.1 200 OK\r\nX-First: 6\r\n\r\n';
+
+/** Returns which clients accept a head, in a process that was started with a lenient parser. */
+async function acceptedBy(
+  head: string,
+): Promise<Readonly<Record<string, boolean>>> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.end(head);
+    });
+  });
+  const port = await listenOn(server, HOST);
+  try {
+    const { stdout } = await run(process.execPath, [
+      '--insecure-http-parser',
+      '--import=tsx',
+      PROGRAM,
+      HOST,
+      String(port),
+    ]);
+    return JSON.parse(stdout) as Record<string, boolean>;
+  } finally {
+    server.close();
+  }
+}
+
+describe('clients in a process that was started with a lenient HTTP parser', ({
+  it,
+}) => {
+  Object.entries(MALFORMED_HEADS).forEach(([title, head]) => {
+    // Guards against an environment that decides how strictly answers are read.
+    it(`refuse ${title}`, async t => {
+      t.deepEqual(await acceptedBy(head), {
+        attempt: false,
+        call: false,
+        tunnel: false,
+      });
+    });
+  });
+
+  // Guards against clients that refuse everything, which would keep the tests above.
+  it('accept a sound head', async t => {
+    t.deepEqual(await acceptedBy(SOUND_HEAD), {
+      attempt: true,
+      call: true,
+      tunnel: true,
+    });
+  });
+});
--- a/packages/instance/src/http/createHttpApp.ts
+++ b/packages/instance/src/http/createHttpApp.ts
@@ -14,6 +14,7 @@
   limitClients,
   summariseLimits,
 } from '@jujubecroft/http-server';
+import { STRICT_PARSER } from '@jujubecroft/types';
 
 import { CONTEXT, type InstanceContext } from '../InstanceContext.js';
 import { AddressController } from './AddressController.js';
@@ -64,6 +65,7 @@
     bodyLimit: context.settings.maxBodyBytes,
     forceCloseConnections: 'idle',
     http: {
+      ...STRICT_PARSER,
       ServerResponse: CountedResponse,
       headersTimeout: HEADERS_TIMEOUT_MS,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
--- a/packages/soak/src/processes/runSoakReplica.ts
+++ b/packages/soak/src/processes/runSoakReplica.ts
@@ -3,7 +3,7 @@
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import { text as readText } from 'node:stream/consumers';
-import { createRandom } from '@jujubecroft/types';
+import { createRandom, STRICT_PARSER } from '@jujubecroft/types';
 
 import { eventText, plainBody } from '../answers.js';
 import type { ReplicaNote } from '../evidence.js';
@@ -70,7 +70,7 @@
   }
 
   start(): void {
-    const server = createServer((req, res) => {
+    const server = createServer(STRICT_PARSER, (req, res) => {
       this.#handleRequest(req, res).catch((err: unknown) => {
         process.stderr.write(`${String(err)}\n`);
         res.destroy();
--- a/packages/stand-ins/src/engine/startEngine.ts
+++ b/packages/stand-ins/src/engine/startEngine.ts
@@ -1,7 +1,7 @@
 import type { FastifyInstance, FastifyReply } from 'fastify';
 import fastify from 'fastify';
 import type { SettingsOf } from '@jujubecroft/settings';
-import { createRandom } from '@jujubecroft/types';
+import { createRandom, STRICT_PARSER } from '@jujubecroft/types';
 
 import type { RunningServer } from '../util/RunningServer.js';
 import { DelayedValue } from '../util/DelayedValue.js';
@@ -221,7 +221,7 @@
 export async function startEngine(
   settings: SettingsOf<'engine'>,
 ): Promise<RunningServer> {
-  const app = fastify({ forceCloseConnections: true });
+  const app = fastify({ http: STRICT_PARSER, forceCloseConnections: true });
   const engine = new Engine(settings);
   addChatRoute(app, engine);
   addReportRoutes(app, engine);
--- a/packages/stand-ins/src/platform/startPlatform.ts
+++ b/packages/stand-ins/src/platform/startPlatform.ts
@@ -2,7 +2,7 @@
 import fastify from 'fastify';
 import { z } from 'zod';
 import type { SettingsOf } from '@jujubecroft/settings';
-import { createRandom } from '@jujubecroft/types';
+import { createRandom, STRICT_PARSER } from '@jujubecroft/types';
 import type { ListedInstance } from '@jujubecroft/stores';
 
 import { DelayedValue } from '../util/DelayedValue.js';
@@ -181,7 +181,11 @@
 export async function startPlatform(
   settings: SettingsOf<'platform'>,
 ): Promise<RunningServer> {
-  const app = fastify({ forceCloseConnections: true, bodyLimit: 2 ** 24 });
+  const app = fastify({
+    http: STRICT_PARSER,
+    forceCloseConnections: true,
+    bodyLimit: 2 ** 24,
+  });
   const state = new PlatformState(settings);
   addFaultHook(app, state);
   addTableRoutes(app, state);
--- a/packages/stand-ins/src/service/startService.ts
+++ b/packages/stand-ins/src/service/startService.ts
@@ -1,7 +1,7 @@
 import fastify from 'fastify';
 import { z } from 'zod';
 import type { SettingsOf } from '@jujubecroft/settings';
-import { createRandom } from '@jujubecroft/types';
+import { createRandom, STRICT_PARSER } from '@jujubecroft/types';
 
 import { DelayedValue } from '../util/DelayedValue.js';
 import { NOT_RUN_HEADERS } from '../util/notRunHeaders.js';
@@ -100,7 +100,7 @@
 export async function startService(
   settings: SettingsOf<'service'>,
 ): Promise<RunningServer> {
-  const app = fastify({ forceCloseConnections: true });
+  const app = fastify({ http: STRICT_PARSER, forceCloseConnections: true });
   const service = new ServiceState(settings);
   app.addContentTypeParser('*', { parseAs: 'string' }, (_req, body, done) => {
     done(null, body);
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -24,6 +24,7 @@
 export { createRandom } from './util/createRandom.js';
 export { groupBy } from './util/groupBy.js';
 export { isDecoded, isFinalStatus } from './util/responseHead.js';
+export { STRICT_PARSER } from './util/strictParser.js';
 export {
   eraOf,
   formatStoreVersion,
