fix(gateway): pass on the stamp that a connection header lists

Callers got a success without the stamp of its replica, on each route, if the replica sent "Connection: X-Jujubecroft-Response-Stamp".

Cause: the head was validated as it was received, with its stamp. Headers that `Connection` lists were then removed as those of one connection.

RFC 9110 (section 7.6.1) forbids a sender to list a header that is intended for all recipients, and the platform's pages promise the stamp to callers unchanged. Other listed headers are removed as before.

--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -117,16 +117,21 @@
  * @param names - lower-case names to remove in addition to the hop-by-hop
  *   headers
  * @param isRemoved - further headers to remove
+ * @param endToEnd - lower-case names that a `connection` header can't remove, since they
+ *   are intended for all recipients (RFC 9110, section 7.6.1)
  * @returns a function of the headers as received; it returns the others in
  *   order, names and values in alternation
  */
 export function createHeaderFilter(
   names: readonly string[],
   isRemoved: HeaderPredicate = () => false,
+  endToEnd: readonly string[] = [],
 ): (raw: RawHeaders) => string[] {
   const always = new Set([...CONNECTION_HEADERS, ...names]);
   return raw => {
-    const listed = namesInConnectionHeader(raw);
+    const listed = namesInConnectionHeader(raw).filter(
+      name => !endToEnd.includes(name),
+    );
     const kept: string[] = [];
     for (let index = 0; index < raw.length; index += 2) {
       const name = raw[index] ?? '';
--- a/packages/gateway/tests/util/headers.test.ts
+++ b/packages/gateway/tests/util/headers.test.ts
@@ -15,6 +15,12 @@
     t.deepEqual(filter(raw), ['X-End', '2']);
   });
 
+  it('keeps end-to-end headers that a connection header lists', t => {
+    const filter = createHeaderFilter([], () => false, ['x-end']);
+    const raw = ['X-Hop', '1', 'Connection', 'X-Hop, X-End', 'X-End', '2'];
+    t.deepEqual(filter(raw), ['X-End', '2']);
+  });
+
   it('removes headers by name and value', t => {
     const filter = createHeaderFilter(
       [],
