fix(gateway): refuse answers with a content coding

Callers got answers with "Content-Encoding: gzip" (also "br, gzip" and "identity") as they were, with 200 and that header, on each route.

Cause: the head was checked for transfer codings only. Callers ask for bodies without a content coding, and the platform's pages say that a response with that header is not the replica's body.

The dialect states whether a head has one, and the attempt ends as with any other response that is none: a safe request is retried, others get 502. A rejection is believed all the same, since no caller gets its body. `serve` is not changed: its callers may ask for a coding, and it passes the request, the header and the body on unchanged.

--- a/packages/gateway/src/ports/CallerDialect.ts
+++ b/packages/gateway/src/ports/CallerDialect.ts
@@ -73,6 +73,8 @@
   readonly isContradictory: boolean;
   /** Whether callers take the status for the promise that the request did not run. */
   readonly promisesNotRun: boolean;
+  /** Whether it states a content coding, such as `identity`, although callers ask for none. */
+  readonly hasContentCoding: boolean;
   /** Load of the backend server; null if not reported. */
   readonly load: ReportedLoad | null;
   /**
--- a/packages/gateway/src/responses/InvalidResponseError.ts
+++ b/packages/gateway/src/responses/InvalidResponseError.ts
@@ -2,6 +2,8 @@
 export type ResponseFault =
   /** The response states that the request did not run, and something that excludes this. */
   | 'contradictory'
+  /** The response states a content coding although callers ask for none. */
+  | 'contentCoding'
   /** An error response or a rejection has a body that is too large to be kept. */
   | 'errorBody'
   /** An event of a resumable stream is too large to be kept. */
--- a/packages/gateway/src/responses/validateHead.ts
+++ b/packages/gateway/src/responses/validateHead.ts
@@ -48,6 +48,13 @@
       `status ${status} with statements that exclude one another`,
     );
   }
+  // No caller gets the body of a rejection, whose statement is needed.
+  if (head.hasContentCoding && !head.notRun) {
+    throw new InvalidResponseError(
+      'contentCoding',
+      'body with a content coding',
+    );
+  }
   if (status < MIN_ERROR_STATUS && !head.hasExecutionStamp) {
     throw new InvalidResponseError(
       'unproven',
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -27,6 +27,7 @@
     notRun: headerValue(raw, 'x-not-run') !== undefined,
     isContradictory: false,
     promisesNotRun: NOT_RUN_STATUSES.includes(status),
+    hasContentCoding: false,
     load: null,
     limitPerS: null,
     pauseMs: null,
