fix(gateway): refuse responses of another major version of HTTP

Callers got answers whose status line began with HTTP/0.9 or HTTP/2.0 as any other, on each route.

Connections to replicas carry HTTP/1 only, so that the bytes are no response there, and it is not known by which rules their sender framed the body.

The attempt ends as with any other malformed response. HTTP/1.0 is accepted as before. Small calls, such as checks and reads of the store, are not changed: no caller gets their body. Nor is `serve`, as undici does not tell the version of a response.

Evidence: the new tests of both versions on 4 routes failed before with status 200 (8), and pass now.

--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -17,6 +17,8 @@
 
 /** Limit for the head of a response. */
 const MAX_HEAD_BYTES = 64 * 1024;
+/** Major version of HTTP by whose rules responses are read. */
+const HTTP_MAJOR_VERSION = 1;
 
 /** A request to a backend server. */
 export interface BackendRequest {
@@ -256,6 +258,12 @@
         );
       }),
     );
+    if (res.httpVersionMajor !== HTTP_MAJOR_VERSION) {
+      throw new InvalidResponseError(
+        'malformed',
+        `response of HTTP version ${res.httpVersion}`,
+      );
+    }
     isRejection = listener.onStart(res.statusCode ?? 0, res.rawHeaders);
     if (isRejection && hasInterimFields) {
       throw new RejectionFieldsError();
