--- a/packages/gateway/src/util/headers.ts
+++ b/packages/gateway/src/util/headers.ts
@@ -30,9 +30,6 @@
   return values;
 }
 
-/** Decides by its lower-case name and its value whether a header is removed. */
-type HeaderPredicate = (name: string, value: string) => boolean;
-
 /**
  * Finds a header without indexing the others; Node.js indexes all headers when
  * one of them is read by its name.
@@ -111,21 +108,29 @@
   return headerValues(raw, CONNECTION).flatMap(listedValues);
 }
 
+/** What a filter of headers removes and keeps in addition to its names. */
+export interface HeaderFilterOptions {
+  /** Decides by its lower-case name and its value whether a header is removed. */
+  readonly isRemoved?: (name: string, value: string) => boolean;
+  /**
+   * Lower-case names that a `connection` header can't remove, since they are intended for
+   * all recipients (RFC 9110, section 7.6.1).
+   */
+  readonly endToEnd?: readonly string[];
+}
+
 /**
  * Creates a function that removes headers that must not be forwarded.
  *
  * @param names - lower-case names to remove in addition to the hop-by-hop
  *   headers
- * @param isRemoved - further headers to remove
- * @param endToEnd - lower-case names that a `connection` header can't remove, since they
- *   are intended for all recipients (RFC 9110, section 7.6.1)
+ * @param options - further headers to remove or to keep
  * @returns a function of the headers as received; it returns the others in
  *   order, names and values in alternation
  */
 export function createHeaderFilter(
   names: readonly string[],
-  isRemoved: HeaderPredicate = () => false,
-  endToEnd: readonly string[] = [],
+  { isRemoved = () => false, endToEnd = [] }: HeaderFilterOptions = {},
 ): (raw: RawHeaders) => string[] {
   const always = new Set([...CONNECTION_HEADERS, ...names]);
   return raw => {
--- a/packages/gateway/tests/util/headers.test.ts
+++ b/packages/gateway/tests/util/headers.test.ts
@@ -16,16 +16,15 @@
   });
 
   it('keeps end-to-end headers that a connection header lists', t => {
-    const filter = createHeaderFilter([], () => false, ['x-end']);
+    const filter = createHeaderFilter([], { endToEnd: ['x-end'] });
     const raw = ['X-Hop', '1', 'Connection', 'X-Hop, X-End', 'X-End', '2'];
     t.deepEqual(filter(raw), ['X-End', '2']);
   });
 
   it('removes headers by name and value', t => {
-    const filter = createHeaderFilter(
-      [],
-      (name, value) => name === 'key' && value === 'own',
-    );
+    const filter = createHeaderFilter([], {
+      isRemoved: (name, value) => name === 'key' && value === 'own',
+    });
     t.deepEqual(filter(['Key', 'own', 'Key', 'other']), ['Key', 'other']);
   });
 });
