--- a/packages/gateway/tests/backends/lenientEnvironment.test.ts
+++ b/packages/gateway/tests/backends/lenientEnvironment.test.ts
@@ -8,7 +8,7 @@
 const HOST = '127.0.0.1';
 const PROGRAM = path.resolve(
   import.meta.dirname,
-  '../helpers/printLenientExchanges.ts',
+  '../helpers/printAcceptingClients.ts',
 );
 const run = promisify(execFile);
 
@@ -62,7 +62,7 @@
     });
   });
 
-  // Guards against clients that refuse everything, which would keep the tests above.
+  // Guards against clients that refuse everything, with which the tests above would pass.
   it('accept a sound head', async t => {
     t.deepEqual(await acceptedBy(SOUND_HEAD), {
       attempt: true,
--- a/packages/gateway/tests/helpers/printLenientExchanges.ts
+++ b/packages/gateway/tests/helpers/printAcceptingClients.ts
@@ -1,5 +1,6 @@
-// Prints how each client reads the answer of a server; a process of its own may have another
-// HTTP parser: node printLenientExchanges.ts HOST PORT
+// Prints which clients accept the answer of a server, as JSON: node printAcceptingClients.ts HOST PORT
+//
+// It is a program of its own, since Node.js chooses its HTTP parser when a process starts.
 import type { BackendServerId, Replica, RequestId } from '@jujubecroft/types';
 import { brand } from '@jujubecroft/types';
 
--- a/packages/gateway/tests/util/headers.test.ts
+++ b/packages/gateway/tests/util/headers.test.ts
@@ -15,6 +15,7 @@
     t.deepEqual(filter(raw), ['X-End', '2']);
   });
 
+  // Guards against a replica that withholds a header which callers rely on.
   it('keeps end-to-end headers that a connection header lists', t => {
     const filter = createHeaderFilter([], { endToEnd: ['x-end'] });
     const raw = ['X-Hop', '1', 'Connection', 'X-Hop, X-End', 'X-End', '2'];
