fix(gateway): check heads of responses against their grammar

Callers got answers in whose head the name of a header held a blank or a control byte, with that line passed on or with the rest of the head as the body, again after.

Evidence: a stand-in for such a runtime (a module that overrules the option and accepts blanks and control bytes in names) on any Node.js.

Change: the bytes of each response are checked against the grammar of RFC 9112 before the parser reads them, at the three places that read responses: attempts, small calls (store, duties, other instances) and tunnels. It works because it does not depend on what the parser accepts: a malformed head ends the exchange as any other invalid response does (502, or a retry of a safe request), and a response is believed only if its head is complete by the grammar, so that a parser that ends a head early is noticed as well. The check frames nothing and keeps no bytes.

--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -6,6 +6,8 @@
 
 import type { RawHeaders } from '../ports/CallerDialect.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
+import { checkHeads, malformedHead } from '../responses/checkHeads.js';
+import type { HeadCheck } from '../responses/checkHeads.js';
 import { limitFraming } from '../responses/FramingLimit.js';
 import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import { RejectedRequests } from '../responses/RejectedRequests.js';
@@ -219,7 +221,10 @@
     }
   };
 
-  const onResponse = (res: IncomingMessage): void => {
+  const onResponse = (res: IncomingMessage, isHeadRead: HeadCheck): void => {
+    if (!isHeadRead()) {
+      throw malformedHead();
+    }
     response = res;
     const { socket } = res;
     const isUndecoded = watchDecoding(res);
@@ -299,11 +304,17 @@
       }),
       fail,
     );
+    const isHeadRead = checkHeads(started, fail);
     started.on('socket', guarded(onSocket));
     started.on('information', ({ rawHeaders }) => {
       hasInterimFields ||= rawHeaders.length > 0;
     });
-    started.on('response', guarded(onResponse));
+    started.on(
+      'response',
+      guarded((res: IncomingMessage) => {
+        onResponse(res, isHeadRead);
+      }),
+    );
     started.on('error', onFailure);
     // Ensures that the exchange settles whenever the connection closes;
     // otherwise the request would wait until its caller gives up.
--- a/packages/gateway/src/backends/sendHttpRequest.ts
+++ b/packages/gateway/src/backends/sendHttpRequest.ts
@@ -9,6 +9,7 @@
 import { STRICT_PARSER } from '@jujubecroft/types';
 
 import { BufferBudget } from '../responses/BufferBudget.js';
+import { checkHeads, malformedHead } from '../responses/checkHeads.js';
 import { limitFraming } from '../responses/FramingLimit.js';
 import { GrowingBuffer } from '../responses/GrowingBuffer.js';
 import { nextTurn } from '../util/nextTurn.js';
@@ -114,8 +115,16 @@
         abort.abort(err);
       },
     );
+    const isHeadRead = checkHeads(req, err => {
+      req.destroy(err);
+    });
     const res = await new Promise<IncomingMessage>((resolve, reject) => {
       req.once('response', received => {
+        if (!isHeadRead()) {
+          reject(malformedHead());
+          req.destroy();
+          return;
+        }
         received.on('data', (chunk: Buffer) => {
           chunks += 1;
           if (!body.append(chunk)) {
--- a/packages/gateway/src/relay/openTunnel.ts
+++ b/packages/gateway/src/relay/openTunnel.ts
@@ -4,6 +4,7 @@
 import type { Replica } from '@jujubecroft/types';
 import { STRICT_PARSER } from '@jujubecroft/types';
 
+import { checkHeads, malformedHead } from '../responses/checkHeads.js';
 import { BACKEND_SERVER_HEADER, TUNNEL_HEADER } from './tunnelHeaders.js';
 
 /** Time for the other instance to connect and answer, in milliseconds. */
@@ -59,10 +60,20 @@
       agent: false,
       signal: AbortSignal.any([signal, AbortSignal.timeout(TUNNEL_TIMEOUT_MS)]),
     });
+    const isHeadRead = checkHeads(req, err => {
+      reject(err);
+      // An error would have no listener if the parser takes the head for that of a tunnel.
+      req.destroy();
+    });
     req.once('error', reject);
     req.once(
       'connect',
       (res: IncomingMessage, socket: Socket, head: Buffer) => {
+        if (!isHeadRead()) {
+          socket.destroy();
+          reject(malformedHead());
+          return;
+        }
         if (res.statusCode !== OK) {
           socket.destroy();
           reject(new TunnelError(res.statusCode ?? 0));
--- a/packages/gateway/tests/backends/lenientEnvironment.test.ts
+++ b/packages/gateway/tests/backends/lenientEnvironment.test.ts
@@ -10,6 +10,10 @@
   import.meta.dirname,
   '../helpers/printAcceptingClients.ts',
 );
+const RUNTIME = path.resolve(
+  import.meta.dirname,
+  '../helpers/lenientRuntime.ts',
+);
 const run = promisify(execFile);
 
 /** Heads that only a lenient HTTP parser accepts. */
@@ -23,9 +27,10 @@
 };
 const SOUND_HEAD = 'HTTP/1.1 200 OK\r\nX-First: 6\r\n\r\n';
 
-/** Returns which clients accept a head, in a process that was started with a lenient parser. */
+/** Returns which clients accept a head, in a process with the given arguments of Node.js. */
 async function acceptedBy(
   head: string,
+  nodeArguments: readonly string[],
 ): Promise<Readonly<Record<string, boolean>>> {
   const server = createServer(socket => {
     socket.on('error', () => undefined);
@@ -36,8 +41,8 @@
   const port = await listenOn(server, HOST);
   try {
     const { stdout } = await run(process.execPath, [
-      '--insecure-http-parser',
       '--import=tsx',
+      ...nodeArguments,
       PROGRAM,
       HOST,
       String(port),
@@ -48,26 +53,49 @@
   }
 }
 
-describe('clients in a process that was started with a lenient HTTP parser', ({
-  it,
-}) => {
-  Object.entries(MALFORMED_HEADS).forEach(([title, head]) => {
-    // Guards against an environment that decides how strictly answers are read.
-    it(`refuse ${title}`, async t => {
-      t.deepEqual(await acceptedBy(head), {
-        attempt: false,
-        call: false,
-        tunnel: false,
+/** Heads that the parser of `lenientRuntime` accepts as well. */
+const MALFORMED_NAMES = {
+  ...MALFORMED_HEADS,
+  'a blank within a name': 'HTTP/1.1 200 OK\r\nX Other: 6\r\n\r\n',
+  'a tab at the end of a name': 'HTTP/1.1 200 OK\r\nX-Other\t: 6\r\n\r\n',
+  'a zero byte as a name': 'HTTP/1.1 200 OK\r\n\0: 6\r\n\r\n',
+  'a blank in the name of a length':
+    'HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n',
+};
+
+const PROCESSES = [
+  {
+    title: 'a process that was started with a lenient HTTP parser',
+    nodeArguments: ['--insecure-http-parser'],
+    heads: MALFORMED_HEADS,
+  },
+  {
+    title: 'a runtime whose HTTP parser is lenient whatever its option says',
+    nodeArguments: [`--import=${RUNTIME}`],
+    heads: MALFORMED_NAMES,
+  },
+];
+
+PROCESSES.forEach(({ title, nodeArguments, heads }) => {
+  describe(`clients in ${title}`, ({ it }) => {
+    Object.entries(heads).forEach(([shape, head]) => {
+      // Guards against an environment that decides how strictly answers are read.
+      it(`refuse ${shape}`, async t => {
+        t.deepEqual(await acceptedBy(head, nodeArguments), {
+          attempt: false,
+          call: false,
+          tunnel: false,
+        });
       });
     });
-  });
 
-  // Guards against clients that refuse everything, with which the tests above would pass.
-  it('accept a sound head', async t => {
-    t.deepEqual(await acceptedBy(SOUND_HEAD), {
-      attempt: true,
-      call: true,
-      tunnel: true,
+    // Guards against clients that refuse everything, with which the tests above would pass.
+    it('accept a sound head', async t => {
+      t.deepEqual(await acceptedBy(SOUND_HEAD, nodeArguments), {
+        attempt: true,
+        call: true,
+        tunnel: true,
+      });
     });
   });
 });
