feat(gateway): log at the start if the HTTP parser accepts malformed heads

Whether callers got malformed answers because of the runtime's parser could not be told from any log, neither of our runs nor of the users'. `engines` is not enforced by anything that starts an instance.

Each instance now feeds its own parser, with the options of its clients, one head of each kind of malformed name over connections in memory, and logs `lenientParser` (109, warn) once with the versions of Node.js and llhttp if it accepts one; `jujubecroft_gateway_lenient_parser_heads` has the number of kinds. The instance goes on serving, since it refuses such heads itself.

The stand-in for a lenient runtime ignores empty lines before the status line, as parsers do.

With the parser of Node.js 20.20.2 as it is, nothing is logged.

--- a/packages/events/src/logEvents.ts
+++ b/packages/events/src/logEvents.ts
@@ -54,6 +54,12 @@
     summary:
       'The settings file has changes that take effect at the next start.',
   },
+  lenientParser: {
+    number: 109,
+    level: 'warn',
+    summary:
+      'The HTTP parser of the runtime accepts malformed heads; the instance refuses them itself.',
+  },
   configurationInForce: {
     number: 201,
     level: 'info',
--- a/packages/gateway/src/metrics/GatewayMetrics.ts
+++ b/packages/gateway/src/metrics/GatewayMetrics.ts
@@ -207,6 +207,11 @@
     buckets: LATENCY_BUCKETS_S,
     registers: this.#registers,
   });
+  readonly lenientParser = new Gauge({
+    name: 'jujubecroft_gateway_lenient_parser_heads',
+    help: 'Kinds of malformed heads that the HTTP parser of the runtime accepts, found at the start; the instance refuses them.',
+    registers: this.#registers,
+  });
   readonly version = new Gauge({
     name: 'jujubecroft_gateway_configuration_version',
     help: 'Version of the configuration in force.',
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -25,6 +25,7 @@
 import { TunnelServer } from './relay/TunnelServer.js';
 import { createSideApp } from './side/createSideApp.js';
 import { startHttpServer } from './side/startHttpServer.js';
+import { reportLenientParser } from './reportLenientParser.js';
 import { createPeerLink } from './state/createPeerLink.js';
 import { createViewSync } from './state/createViewSync.js';
 import { RUNTIME_TIMERS } from './util/runtimeTimers.js';
@@ -257,6 +258,7 @@
   duties?.start();
   const housekeeping = setInterval(runHousekeeping, HOUSEKEEPING_INTERVAL_MS);
   log.write('instanceStarted', { settings });
+  void reportLenientParser(context);
 
   const close = async (): Promise<void> => {
     // At once after the last look at the unfinished requests, since more could be read
--- a/packages/gateway/tests/helpers/lenientRuntime.ts
+++ b/packages/gateway/tests/helpers/lenientRuntime.ts
@@ -28,7 +28,7 @@
 
 /** Replaces blanks and control bytes in the names of one head. */
 class NameMask {
-  #lines = 0;
+  #hasStatusLine = false;
   #lineBytes = 0;
   #isName = false;
   #isOver = false;
@@ -44,10 +44,11 @@
       return byte;
     }
     if (byte === LF) {
-      this.#isOver = this.#lines > 0 && this.#lineBytes === 0;
-      this.#lines += 1;
+      const isEmpty = this.#lineBytes === 0;
+      this.#isOver = this.#hasStatusLine && isEmpty;
+      this.#hasStatusLine ||= !isEmpty;
+      this.#isName = this.#hasStatusLine;
       this.#lineBytes = 0;
-      this.#isName = true;
       return byte;
     }
     this.#lineBytes += 1;
