fix(gateway): refuse responses with a length and a transfer coding

Callers got the first bytes of an answer, as many as its Content-Length stated, as a complete answer, although its chunks went on.

Cause: the parser decodes such a body by its chunks, and the head that is passed on states the length. A strict parser refuses the head (RFC 9112, section 6.3); a lenient one does not, and nothing else looked at it. Found by sending the other malformed shapes of answers (66, on four routes) in a runtime with a lenient parser: this is the only one of them with which callers got a body that was not the replica's.

The attempt ends as with any other malformed response, whatever the parser accepts. The new tests on four routes failed before with status 200, and pass now. Sound answers state only one of the two.

--- a/packages/gateway/src/responses/validateHead.ts
+++ b/packages/gateway/src/responses/validateHead.ts
@@ -31,7 +31,18 @@
       `status ${status} is not one of a final response`,
     );
   }
-  if (!isDecoded(headerValues(headers, 'transfer-encoding'))) {
+  const codings = headerValues(headers, 'transfer-encoding');
+  // A sender that states both may mean either, and a caller may get the other one.
+  if (
+    codings.length > 0 &&
+    headerValues(headers, 'content-length').length > 0
+  ) {
+    throw new InvalidResponseError(
+      'malformed',
+      'body with a length and a transfer coding',
+    );
+  }
+  if (!isDecoded(codings)) {
     throw new InvalidResponseError(
       'unknownCoding',
       'body with an unknown transfer coding',
