--- a/packages/gateway/src/backends/sendAttempt.ts
+++ b/packages/gateway/src/backends/sendAttempt.ts
@@ -6,8 +6,8 @@
 
 import type { RawHeaders } from '../ports/CallerDialect.js';
 import type { RelayedConnection } from '../relay/RelayedConnection.js';
-import { checkHeads, malformedHead } from '../responses/checkHeads.js';
 import type { HeadCheck } from '../responses/checkHeads.js';
+import { checkHeads, malformedHead } from '../responses/checkHeads.js';
 import { limitFraming } from '../responses/FramingLimit.js';
 import { InvalidResponseError } from '../responses/InvalidResponseError.js';
 import { RejectedRequests } from '../responses/RejectedRequests.js';
--- a/packages/gateway/src/responses/HeadGrammar.ts
+++ b/packages/gateway/src/responses/HeadGrammar.ts
@@ -15,7 +15,7 @@
 const SWITCHING_PROTOCOLS = 101;
 const MIN_FINAL_STATUS = 200;
 
-/** Tells by the value of a byte whether it may occur in a part of a head. */
+/** For each value of a byte, 1 if it may occur in a part of a head, otherwise 0. */
 type ByteSet = Uint8Array;
 
 const byteSet = (contains: (byte: number) => boolean): ByteSet =>
@@ -92,7 +92,7 @@
     return true;
   }
 
-  /** Returns which part the byte after one of a part belongs to; null if that one is not allowed. */
+  /** Returns the part that the byte after this one belongs to; null if this one is not allowed. */
   #partAfter(part: Part, byte: number): Part | null {
     switch (part) {
       case 'statusLine':
